Add the design page, the build frame and the core module

The core module holds the closed list of error kinds with its answer table, the result type, clock and random hooks, process identities, hashing and the JSON-line log.

--- /dev/null
+++ b/modules/core/ErrorTable.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "core/ErrorKind.h"
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace fireflytrail::core {
+
+/** What the gateway can truthfully say about whether a call was run. */
+enum class CallOutcome : std::uint8_t
+{
+  Complete,
+  NotRun,
+  Unknown,
+};
+
+/** Whether a caller may send the same call again. */
+enum class ResendRule : std::uint8_t
+{
+  Never,
+  /** Only if the call is repeatable or carries a ticket. */
+  IfSafe,
+  Always,
+};
+
+/** Whether the gateway itself may send the call to another server. */
+enum class RetryRule : std::uint8_t
+{
+  Never,
+  /** Only if the text marks the call as repeatable. */
+  IfRepeatable,
+  Always,
+};
+
+/** The answer that belongs to one error kind. */
+struct ErrorRow
+{
+  ErrorKind kind;
+  /** Value of the `Error-Kind` header, in snake case. */
+  std::string_view name;
+  /** HTTP status; 0 for `None`, where the server's own status is passed on. */
+  unsigned status;
+  CallOutcome outcome;
+  ResendRule callerMayResend;
+  RetryRule gatewayMayRetry;
+};
+
+/**
+ * The table from error kind to answer. It has one row for each kind, in the
+ * order of the enumeration.
+ */
+class ErrorTable
+{
+public:
+  /**
+   * Returns the row of a kind. `aKind` must be an enumerator of `ErrorKind`.
+   * Thread-safe.
+   */
+  static const ErrorRow& RowOf(ErrorKind aKind);
+
+  /** Returns all rows. Thread-safe. */
+  static std::span<const ErrorRow> Rows();
+
+  /** Returns the `Call-Outcome` header value of an outcome. Thread-safe. */
+  static std::string_view NameOf(CallOutcome aOutcome);
+};
+
+} // namespace fireflytrail::core
--- /dev/null
+++ b/modules/core/ErrorTableTest.cpp
@@ -0,0 +1,37 @@
+#include "core/ErrorTable.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <set>
+
+using namespace fireflytrail::core;
+
+// Guards against a kind whose retry rule contradicts its outcome: a call of
+// unknown outcome may only be retried if it is repeatable.
+BOOST_AUTO_TEST_CASE(GatewayNeverRetriesUnknownOutcomeUnconditionally)
+{
+  for (const ErrorRow& row : ErrorTable::Rows()) {
+    if (row.outcome == CallOutcome::Unknown) {
+      BOOST_TEST((row.gatewayMayRetry != RetryRule::Always), row.name);
+    }
+  }
+}
+
+// Guards against two kinds that a caller cannot tell apart.
+BOOST_AUTO_TEST_CASE(NamesAreUnique)
+{
+  std::set<std::string_view> names;
+  for (const ErrorRow& row : ErrorTable::Rows()) {
+    BOOST_TEST(names.insert(row.name).second, row.name);
+  }
+}
+
+// Guards against an error answered with a success status.
+BOOST_AUTO_TEST_CASE(EveryErrorHasAnErrorStatus)
+{
+  for (const ErrorRow& row : ErrorTable::Rows()) {
+    if (row.kind != ErrorKind::None) {
+      BOOST_TEST(row.status >= 400U, row.name);
+    }
+  }
+}
--- /dev/null
+++ b/modules/core/Hooks.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+
+namespace fireflytrail::core {
+
+/** Point on the monotonic clock that all decisions use. */
+using TimePoint = std::chrono::steady_clock::time_point;
+
+/** Point in civil time, used only where operators set one. */
+using WallTimePoint = std::chrono::system_clock::time_point;
+
+/** Returns the current monotonic time. Must be callable from any thread. */
+using NowFunction = std::function<TimePoint()>;
+
+/** Returns the current civil time. Must be callable from any thread. */
+using WallNowFunction = std::function<WallTimePoint()>;
+
+/** Returns 64 uniformly distributed random bits. */
+using RandomFunction = std::function<std::uint64_t()>;
+
+} // namespace fireflytrail::core
