Add the gateway module: caller sessions and server connections

A connection to a backend server carries one request at a time and is closed after any request that did not end with a whole answer, so a late or duplicated answer cannot reach another caller.

--- /dev/null
+++ b/modules/daemon/Metrics.h
@@ -0,0 +1,74 @@
+#pragma once
+
+#include "core/ErrorKind.h"
+
+#include <prometheus/registry.h>
+
+#include <chrono>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+namespace prometheus {
+class Counter;
+class Gauge;
+class Histogram;
+}
+
+namespace fireflytrail::daemon {
+
+/**
+ * The metrics of one daemon. Series are created on first use and kept; the
+ * number of label values is bounded by the configuration text.
+ */
+class Metrics
+{
+public:
+  Metrics();
+  ~Metrics();
+  Metrics(const Metrics&) = delete;
+  Metrics& operator=(const Metrics&) = delete;
+
+  /** Returns all metrics in the Prometheus text format. Thread-safe. */
+  std::string Text() const;
+
+  /** Adds to a named counter without labels. Thread-safe. */
+  void Count(const std::string& aName, double aAmount = 1.0);
+
+  /** Sets a named gauge without labels. Thread-safe. */
+  void Set(const std::string& aName, double aValue);
+
+private:
+  friend class CallMetrics;
+
+  prometheus::Registry registry;
+  prometheus::Family<prometheus::Histogram>& durations;
+  prometheus::Family<prometheus::Counter>& errors;
+};
+
+/**
+ * Cache of call series for one traffic thread, so that counting a call looks
+ * up no label map. Not thread-safe.
+ */
+class CallMetrics
+{
+public:
+  /** `aMetrics` must outlive this object. */
+  explicit CallMetrics(Metrics& aMetrics);
+  ~CallMetrics();
+
+  /** Records the end of one call. */
+  void Record(const std::string& aService,
+              const std::string& aCall,
+              const std::string& aVersion,
+              core::ErrorKind aKind,
+              std::chrono::steady_clock::duration aDuration);
+
+private:
+  Metrics& metrics;
+  std::unordered_map<std::string, prometheus::Histogram*> durations;
+  std::unordered_map<std::string, prometheus::Counter*> errors;
+  std::string key;
+};
+
+} // namespace fireflytrail::daemon
--- /dev/null
+++ b/modules/gateway/CallerSession.cpp
@@ -0,0 +1,354 @@
+#include "gateway/CallerSession.h"
+
+#include "core/ErrorTable.h"
+#include "gateway/HttpFields.h"
+
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <cassert>
+#include <chrono>
+#include <utility>
+
+namespace fireflytrail::gateway {
+
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr auto kIdleTimeout = 75s;
+// A sender that needs longer than this for a whole request is cut off, so that
+// slow senders cannot hold connections for ever.
+constexpr auto kRequestTimeout = 15s;
+constexpr auto kWriteTimeout = 30s;
+constexpr auto kDrainTimeout = 2s;
+
+std::string_view
+MayResend(const core::ErrorRow& aRow, bool aIsSafe)
+{
+  const bool may =
+    aRow.callerMayResend == core::ResendRule::Always ||
+    (aRow.callerMayResend == core::ResendRule::IfSafe && aIsSafe);
+  return may ? "yes" : "no";
+}
+
+} // namespace
+
+CallerSession::CallerSession(tcp::socket aSocket,
+                             std::shared_ptr<const CallerSessionHooks> aHooks)
+  : stream(std::move(aSocket))
+  , hooks(std::move(aHooks))
+{
+  assert(this->hooks && this->hooks->handleCall && this->hooks->isStopping);
+  this->hooks->sessionCountChanged(1);
+}
+
+CallerSession::~CallerSession()
+{
+  this->hooks->sessionCountChanged(-1);
+}
+
+void
+CallerSession::Start()
+{
+  this->ReadHeader();
+}
+
+void
+CallerSession::CloseIfIdle()
+{
+  if (this->isIdle) {
+    this->Close();
+  }
+}
+
+void
+CallerSession::ReadHeader()
+{
+  this->parser.emplace();
+  this->parser->header_limit(kMaxHeaderBytes);
+  this->parser->body_limit(kMaxBodyBytes);
+  this->isIdle = this->buffer.size() == 0;
+  if (!this->isIdle) {
+    this->stream.expires_after(kRequestTimeout);
+    http::async_read_header(
+      this->stream,
+      this->buffer,
+      *this->parser,
+      [self = this->shared_from_this()](beast::error_code aError, std::size_t) {
+        self->OnHeader(aError);
+      });
+    return;
+  }
+  // Waits for the first byte with the idle timeout; the request timeout
+  // starts with it.
+  this->stream.expires_after(kIdleTimeout);
+  this->stream.async_read_some(
+    this->buffer.prepare(kMaxHeaderBytes),
+    [self = this->shared_from_this()](beast::error_code aError,
+                                      std::size_t aCount) {
+      if (aError) {
+        self->Close();
+        return;
+      }
+      self->buffer.commit(aCount);
+      self->isIdle = false;
+      self->stream.expires_after(kRequestTimeout);
+      http::async_read_header(
+        self->stream,
+        self->buffer,
+        *self->parser,
+        [self](beast::error_code aReadError, std::size_t) {
+          self->OnHeader(aReadError);
+        });
+    });
+}
+
+void
+CallerSession::OnHeader(beast::error_code aError)
+{
+  if (aError) {
+    this->RefuseRequest(aError);
+    return;
+  }
+  const auto& request = this->parser->get();
+  this->httpVersion = request.version();
+  this->isHeadRequest = request.method() == http::verb::head;
+  if (beast::iequals(request[http::field::expect], "100-continue")) {
+    auto interim = std::make_shared<http::response<http::empty_body>>(
+      http::status::continue_, this->httpVersion);
+    http::async_write(this->stream,
+                      *interim,
+                      [self = this->shared_from_this(),
+                       interim](beast::error_code aWriteError, std::size_t) {
+                        if (aWriteError) {
+                          self->Close();
+                          return;
+                        }
+                        self->ReadBody();
+                      });
+    return;
+  }
+  this->ReadBody();
+}
+
+void
+CallerSession::ReadBody()
+{
+  http::async_read(this->stream,
+                   this->buffer,
+                   *this->parser,
+                   [self = this->shared_from_this()](
+                     beast::error_code aReadError, std::size_t) {
+                     self->OnRequest(aReadError);
+                   });
+}
+
+void
+CallerSession::OnRequest(beast::error_code aError)
+{
+  if (aError) {
+    this->RefuseRequest(aError);
+    return;
+  }
+  this->StartCall();
+}
+
+void
+CallerSession::RefuseRequest(beast::error_code aError)
+{
+  if (aError == http::error::header_limit ||
+      aError == http::error::buffer_overflow) {
+    this->WriteAnswer(CallAnswer::OfError(core::ErrorKind::HeaderTooLarge),
+                      false);
+    return;
+  }
+  if (aError == http::error::body_limit) {
+    this->WriteAnswer(CallAnswer::OfError(core::ErrorKind::BodyTooLarge),
+                      false);
+    return;
+  }
+  const bool isMalformed =
+    aError.category() ==
+      http::make_error_code(http::error::bad_method).category() &&
+    aError != http::error::end_of_stream &&
+    aError != http::error::partial_message;
+  if (isMalformed) {
+    this->WriteAnswer(
+      CallAnswer::OfError(core::ErrorKind::BadRequest, aError.message()),
+      false);
+    return;
+  }
+  this->Close();
+}
+
+std::optional<CallRequest>
+CallerSession::TakeCall()
+{
+  auto message = this->parser->release();
+  this->isKeptAlive = message.keep_alive();
+  CallRequest call;
+  call.method = message.method();
+  const std::string_view target(message.target().data(),
+                                message.target().size());
+  if (call.method == http::verb::unknown || target.empty() ||
+      target.front() != '/') {
+    return std::nullopt;
+  }
+  const std::size_t end = target.find_first_of("/?", 1);
+  call.service =
+    target.substr(1, end == std::string_view::npos ? end : end - 1);
+  call.target = end == std::string_view::npos ? "/" : target.substr(end);
+  if (call.target.front() != '/') {
+    call.target.insert(0, 1, '/');
+  }
+  bool isValid = true;
+  if (const auto deadline = NumberField(message, kDeadlineField, isValid)) {
+    call.deadline = std::chrono::milliseconds(*deadline);
+  }
+  call.attempt = NumberField(message, kAttemptField, isValid).value_or(0);
+  call.depth = NumberField(message, kDepthField, isValid).value_or(0);
+  if (!isValid) {
+    return std::nullopt;
+  }
+  if (const auto ticket = message.find(kTicketField); ticket != message.end()) {
+    call.ticket = std::string(ticket->value());
+  }
+  RemoveHopByHopFields(message);
+  call.body = std::move(message.body());
+  call.fields = std::move(message.base());
+  return call;
+}
+
+void
+CallerSession::StartCall()
+{
+  std::optional<CallRequest> call = this->TakeCall();
+  if (!call) {
+    this->WriteAnswer(CallAnswer::OfError(core::ErrorKind::BadRequest), false);
+    return;
+  }
+  this->stream.expires_never();
+  this->isCallRunning = true;
+  auto cancel = this->hooks->handleCall(
+    std::move(*call), [self = this->shared_from_this()](CallAnswer aAnswer) {
+      assert(self->isCallRunning);
+      self->isCallRunning = false;
+      self->cancelCall = nullptr;
+      self->WriteAnswer(std::move(aAnswer), self->isKeptAlive);
+    });
+  if (this->isCallRunning) {
+    this->cancelCall = std::move(cancel);
+    this->WatchForClose();
+  }
+}
+
+void
+CallerSession::WatchForClose()
+{
+  // Bytes of a pipelined request do not end the call; only a closed
+  // connection does.
+  this->stream.socket().async_wait(
+    tcp::socket::wait_read,
+    [weak = this->weak_from_this()](beast::error_code aError) {
+      const auto self = weak.lock();
+      if (aError || !self || !self->isCallRunning) {
+        return;
+      }
+      beast::error_code availableError;
+      const bool isClosed =
+        self->stream.socket().available(availableError) == 0;
+      if (isClosed && self->cancelCall) {
+        const auto cancel = std::exchange(self->cancelCall, nullptr);
+        cancel();
+      }
+    });
+}
+
+void
+CallerSession::WriteAnswer(CallAnswer aAnswer, bool aKeepAlive)
+{
+  const core::ErrorRow& row = core::ErrorTable::RowOf(aAnswer.kind);
+  this->response = Response{};
+  this->response.base() = http::response_header<>(std::move(aAnswer.fields));
+  this->response.version(this->httpVersion);
+  this->response.result(aAnswer.status);
+  this->response.set(kOutcomeField, core::ErrorTable::NameOf(row.outcome));
+  if (aAnswer.kind != core::ErrorKind::None) {
+    this->response.set(kErrorKindField, row.name);
+    this->response.set(kMayResendField, MayResend(row, aAnswer.isSafeToResend));
+  }
+  this->response.body() = std::move(aAnswer.body);
+  this->isKeptAlive = aKeepAlive && !this->hooks->isStopping();
+  this->response.keep_alive(this->isKeptAlive);
+  this->response.prepare_payload();
+  if (this->isHeadRequest) {
+    this->response.body().clear();
+  }
+  this->stream.expires_after(kWriteTimeout);
+  http::async_write(
+    this->stream,
+    this->response,
+    [self = this->shared_from_this()](beast::error_code aError, std::size_t) {
+      self->OnWritten(aError);
+    });
+}
+
+void
+CallerSession::OnWritten(beast::error_code aError)
+{
+  if (aError) {
+    this->Close();
+    return;
+  }
+  if (!this->isKeptAlive) {
+    this->CloseAfterDrain();
+    return;
+  }
+  this->ReadHeader();
+}
+
+void
+CallerSession::CloseAfterDrain()
+{
+  // Closing a socket with unread bytes sends a reset, which can destroy the
+  // answer before the caller has read it.
+  beast::error_code ignored;
+  this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  this->stream.expires_after(kDrainTimeout);
+  this->buffer.clear();
+  this->DrainSome(0);
+}
+
+void
+CallerSession::DrainSome(std::size_t aDrained)
+{
+  if (aDrained > kMaxBodyBytes) {
+    this->Close();
+    return;
+  }
+  this->stream.async_read_some(this->buffer.prepare(kMaxHeaderBytes),
+                               [self = this->shared_from_this(), aDrained](
+                                 beast::error_code aError, std::size_t aCount) {
+                                 if (aError) {
+                                   self->Close();
+                                   return;
+                                 }
+                                 self->DrainSome(aDrained + aCount);
+                               });
+}
+
+void
+CallerSession::Close()
+{
+  beast::error_code ignored;
+  this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
+  this->stream.close();
+}
+
+} // namespace fireflytrail::gateway
--- /dev/null
+++ b/modules/gateway/CallerSession.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "gateway/CallAnswer.h"
+#include "gateway/CallRequest.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace fireflytrail::gateway {
+
+/** Hooks of the sessions of one traffic thread. */
+struct CallerSessionHooks
+{
+  using AnswerFunction = std::function<void(CallAnswer)>;
+  using CancelFunction = std::function<void()>;
+
+  /**
+   * Runs a call and later calls the answer function exactly once, on the
+   * session's thread. Returns a function that cancels the call when its caller
+   * has gone; it may be empty.
+   */
+  std::function<CancelFunction(CallRequest, AnswerFunction)> handleCall;
+
+  /** Returns whether the daemon is stopping: answers close connections. */
+  std::function<bool()> isStopping;
+
+  /** Told once when a session begins (+1) and once when it ends (-1). */
+  std::function<void(int)> sessionCountChanged;
+};
+
+/**
+ * One connection of a caller: reads requests one at a time, hands each to the
+ * call hook and writes its answer before it reads the next. It keeps itself
+ * alive by shared ownership while operations are pending.
+ */
+class CallerSession : public std::enable_shared_from_this<CallerSession>
+{
+public:
+  static constexpr std::size_t kMaxHeaderBytes = 16 * 1024;
+  static constexpr std::size_t kMaxBodyBytes = 1024 * 1024;
+
+  /**
+   * Takes an accepted socket. All hooks must be set and must outlive the
+   * session. Call on the socket's thread.
+   */
+  CallerSession(boost::asio::ip::tcp::socket aSocket,
+                std::shared_ptr<const CallerSessionHooks> aHooks);
+  ~CallerSession();
+  CallerSession(const CallerSession&) = delete;
+  CallerSession& operator=(const CallerSession&) = delete;
+
+  /** Starts reading. Call once, on the socket's thread. */
+  void Start();
+
+  /**
+   * Closes the connection if no request is being read or answered. Call on
+   * the socket's thread.
+   */
+  void CloseIfIdle();
+
+private:
+  using Parser =
+    boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using Response =
+    boost::beast::http::response<boost::beast::http::string_body>;
+
+  void ReadHeader();
+  void OnHeader(boost::beast::error_code aError);
+  void ReadBody();
+  void OnRequest(boost::beast::error_code aError);
+  void RefuseRequest(boost::beast::error_code aError);
+  void StartCall();
+  std::optional<CallRequest> TakeCall();
+  void WatchForClose();
+  void WriteAnswer(CallAnswer aAnswer, bool aKeepAlive);
+  void OnWritten(boost::beast::error_code aError);
+  void CloseAfterDrain();
+  void DrainSome(std::size_t aDrained);
+  void Close();
+
+  boost::beast::tcp_stream stream;
+  std::shared_ptr<const CallerSessionHooks> hooks;
+  boost::beast::flat_buffer buffer;
+  std::optional<Parser> parser;
+  Response response;
+  CallerSessionHooks::CancelFunction cancelCall;
+  bool isIdle = true;
+  bool isCallRunning = false;
+  bool isKeptAlive = false;
+  bool isHeadRequest = false;
+  unsigned httpVersion = 11;
+};
+
+} // namespace fireflytrail::gateway
--- /dev/null
+++ b/modules/gateway/CallerSessionTest.cpp
@@ -0,0 +1,189 @@
+#include "gateway/CallerSession.h"
+#include "gateway/CallerListener.h"
+
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <future>
+#include <thread>
+#include <vector>
+
+using namespace fireflytrail;
+using namespace fireflytrail::gateway;
+using boost::asio::ip::tcp;
+
+namespace {
+
+/** Serves sessions on a thread; every call is answered with its own target. */
+class EchoGateway
+{
+public:
+  EchoGateway()
+  {
+    this->hooks = std::make_shared<CallerSessionHooks>();
+    this->hooks->handleCall = [this](CallRequest aCall,
+                                     CallerSessionHooks::AnswerFunction aDone)
+      -> CallerSessionHooks::CancelFunction {
+      this->calls.push_back(aCall);
+      if (aCall.target == "/hang") {
+        this->pending.push_back(std::move(aDone));
+        this->hangingCall.set_value();
+        return [this] { this->cancelled.set_value(); };
+      }
+      CallAnswer answer;
+      answer.status = 200;
+      answer.body = aCall.service + " " + aCall.target + " " + aCall.body;
+      aDone(std::move(answer));
+      return {};
+    };
+    this->hooks->isStopping = [] { return false; };
+    this->hooks->sessionCountChanged = [](int) {};
+    this->listener = std::make_shared<CallerListener>(
+      this->context, [this](tcp::socket aSocket) {
+        std::make_shared<CallerSession>(std::move(aSocket), this->hooks)
+          ->Start();
+      });
+    const auto error =
+      this->listener->Open({ boost::asio::ip::address_v4::loopback(), 0 });
+    BOOST_REQUIRE(!error);
+    this->thread = std::thread([this] { this->context.run(); });
+  }
+
+  ~EchoGateway()
+  {
+    this->context.stop();
+    this->thread.join();
+    this->pending.clear();
+  }
+
+  /** Sends bytes, ends the sending side and returns all that is answered. */
+  std::string Exchange(const std::string& aBytes, bool aEndsSending = true)
+  {
+    boost::asio::io_context clientContext;
+    tcp::socket socket(clientContext);
+    socket.connect(this->listener->LocalEndpoint());
+    boost::system::error_code error;
+    boost::asio::write(socket, boost::asio::buffer(aBytes), error);
+    if (aEndsSending) {
+      socket.shutdown(tcp::socket::shutdown_send, error);
+    }
+    std::string answer;
+    boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
+    return answer;
+  }
+
+  tcp::endpoint Endpoint() const { return this->listener->LocalEndpoint(); }
+
+  std::vector<CallRequest> calls;
+  std::promise<void> hangingCall;
+  std::promise<void> cancelled;
+
+private:
+  boost::asio::io_context context;
+  std::shared_ptr<CallerSessionHooks> hooks;
+  std::shared_ptr<CallerListener> listener;
+  std::vector<CallerSessionHooks::AnswerFunction> pending;
+  std::thread thread;
+};
+
+std::string
+StatusLineOf(const std::string& aAnswer)
+{
+  return aAnswer.substr(0, aAnswer.find("\r\n"));
+}
+
+// Two lengths that differ, and a length beside chunked coding: the usual ways
+// to smuggle a second request past a proxy.
+const std::string kTwoLengths = "POST /a/b HTTP/1.1\r\nContent-Length: 3\r\n"
+                                "Content-Length: 5\r\n\r\nabcde";
+const std::string kLengthAndChunked =
+  "POST /a/b HTTP/1.1\r\nContent-Length: 3\r\n"
+  "Transfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+const std::string kChunkedAndLength =
+  "POST /a/b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+  "Content-Length: 3\r\n\r\n0\r\n\r\n";
+
+const std::vector<std::string> kMalformedRequests{
+  kTwoLengths,
+  kLengthAndChunked,
+  kChunkedAndLength,
+  "POST /a/b HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+  "GET /a/b HTTP/1.1\r\nBad Name: x\r\n\r\n",
+  "garbage\r\n\r\n",
+  "GET a/b HTTP/1.1\r\n\r\n",
+  "GET /a/b HTTP/1.1\r\nDeadline-Ms: soon\r\n\r\n",
+};
+
+} // namespace
+
+// Guards against answers of pipelined requests being mixed up.
+BOOST_AUTO_TEST_CASE(PipelinedRequestsAreAnsweredInOrder)
+{
+  EchoGateway gateway;
+  const std::string answer =
+    gateway.Exchange("GET /s/one?x=1 HTTP/1.1\r\n\r\n"
+                     "POST /s/two HTTP/1.1\r\nContent-Length: 2\r\n\r\nhi"
+                     "GET /s HTTP/1.1\r\nConnection: close\r\n\r\n");
+  const auto first = answer.find("s /one?x=1 ");
+  const auto second = answer.find("s /two hi");
+  const auto third = answer.find("s / ");
+  BOOST_TEST(first != std::string::npos);
+  BOOST_TEST(first < second);
+  BOOST_TEST(second < third);
+  BOOST_TEST(third != std::string::npos);
+}
+
+// Guards against request smuggling and against garbage reaching a server.
+BOOST_DATA_TEST_CASE(MalformedRequestsAreRefused,
+                     boost::unit_test::data::make(kMalformedRequests),
+                     request)
+{
+  EchoGateway gateway;
+  const std::string answer = gateway.Exchange(request);
+  BOOST_TEST(StatusLineOf(answer) == "HTTP/1.1 400 Bad Request");
+  BOOST_TEST(answer.find("Call-Outcome: not-run") != std::string::npos);
+  BOOST_TEST(gateway.calls.empty());
+}
+
+// Guards against unbounded memory for headers and bodies.
+BOOST_AUTO_TEST_CASE(OversizedRequestsAreRefused)
+{
+  EchoGateway gateway;
+  const std::string longHeader =
+    "GET /a/b HTTP/1.1\r\nX: " + std::string(20000, 'x') + "\r\n\r\n";
+  BOOST_TEST(StatusLineOf(gateway.Exchange(longHeader)).find(" 431 ") !=
+             std::string::npos);
+  const std::string longBody =
+    "POST /a/b HTTP/1.1\r\nContent-Length: 2000000\r\n\r\n";
+  BOOST_TEST(StatusLineOf(gateway.Exchange(longBody, false)).find(" 413 ") !=
+             std::string::npos);
+  BOOST_TEST(gateway.calls.empty());
+}
+
+// Guards against a half request being run.
+BOOST_AUTO_TEST_CASE(HalfRequestsAreNotRun)
+{
+  EchoGateway gateway;
+  gateway.Exchange("POST /a/b HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc");
+  gateway.Exchange("GET /a/b HTTP/1.1\r\nHos");
+  BOOST_TEST(gateway.calls.empty());
+}
+
+// Guards against a call running on after its caller has closed.
+BOOST_AUTO_TEST_CASE(ClosedCallerCancelsItsCall)
+{
+  EchoGateway gateway;
+  {
+    boost::asio::io_context clientContext;
+    tcp::socket socket(clientContext);
+    socket.connect(gateway.Endpoint());
+    const std::string request = "GET /a/hang HTTP/1.1\r\n\r\n";
+    boost::asio::write(socket, boost::asio::buffer(request));
+    gateway.hangingCall.get_future().wait();
+  }
+  gateway.cancelled.get_future().wait();
+  BOOST_TEST(gateway.calls.size() == 1U);
+}
--- /dev/null
+++ b/modules/gateway/HttpFields.cpp
@@ -0,0 +1,60 @@
+#include "gateway/HttpFields.h"
+
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/rfc7230.hpp>
+
+#include <charconv>
+#include <string>
+#include <vector>
+
+namespace fireflytrail::gateway {
+
+namespace http = boost::beast::http;
+
+void
+RemoveHopByHopFields(http::fields& aFields)
+{
+  std::vector<std::string> named;
+  const auto connections = aFields.equal_range(http::field::connection);
+  for (auto field = connections.first; field != connections.second; ++field) {
+    for (const auto& token : http::token_list{ field->value() }) {
+      named.emplace_back(token);
+    }
+  }
+  for (const std::string& name : named) {
+    aFields.erase(name);
+  }
+  for (const http::field field : { http::field::connection,
+                                   http::field::keep_alive,
+                                   http::field::proxy_connection,
+                                   http::field::te,
+                                   http::field::trailer,
+                                   http::field::transfer_encoding,
+                                   http::field::upgrade,
+                                   http::field::content_length,
+                                   http::field::expect }) {
+    aFields.erase(field);
+  }
+}
+
+std::optional<unsigned>
+NumberField(const http::fields& aFields, std::string_view aName, bool& aValid)
+{
+  const auto found = aFields.find(aName);
+  if (found == aFields.end()) {
+    return std::nullopt;
+  }
+  constexpr std::size_t kMaxDigits = 9;
+  const auto text = found->value();
+  unsigned number = 0;
+  const auto [end, error] =
+    std::from_chars(text.data(), text.data() + text.size(), number);
+  if (error != std::errc{} || end != text.data() + text.size() ||
+      text.size() > kMaxDigits) {
+    aValid = false;
+    return std::nullopt;
+  }
+  return number;
+}
+
+} // namespace fireflytrail::gateway
--- /dev/null
+++ b/modules/gateway/HttpFields.h
@@ -0,0 +1,37 @@
+#pragma once
+
+#include <boost/beast/http/fields.hpp>
+
+#include <chrono>
+#include <optional>
+#include <string_view>
+
+namespace fireflytrail::gateway {
+
+inline constexpr std::string_view kDeadlineField = "Deadline-Ms";
+inline constexpr std::string_view kTicketField = "Ticket";
+inline constexpr std::string_view kAttemptField = "Attempt";
+inline constexpr std::string_view kDepthField = "Call-Depth";
+inline constexpr std::string_view kOutcomeField = "Call-Outcome";
+inline constexpr std::string_view kErrorKindField = "Error-Kind";
+inline constexpr std::string_view kMayResendField = "May-Resend";
+inline constexpr std::string_view kServerLoadField = "Server-Load";
+
+/**
+ * Removes the fields that concern one connection only, including those that a
+ * Connection field names, and the framing fields. Not thread-safe.
+ */
+void
+RemoveHopByHopFields(boost::beast::http::fields& aFields);
+
+/**
+ * Returns the value of a field as a whole number, or nothing if the field is
+ * absent. Sets `aValid` to false if the field is present but not a number of
+ * at most nine digits. Not thread-safe.
+ */
+std::optional<unsigned>
+NumberField(const boost::beast::http::fields& aFields,
+            std::string_view aName,
+            bool& aValid);
+
+} // namespace fireflytrail::gateway
--- /dev/null
+++ b/modules/gateway/ServerConnection.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "gateway/CallRequest.h"
+#include "gateway/ServerExchange.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace fireflytrail::gateway {
+
+/**
+ * One HTTP/1.1 connection to a backend server. It carries one request at a
+ * time and is closed after any request that did not end with a whole answer,
+ * so that a late answer can never be taken for the answer to a later request.
+ */
+class ServerConnection : public std::enable_shared_from_this<ServerConnection>
+{
+public:
+  using ExchangeFunction = std::function<void(ServerExchange)>;
+  using ClosedFunction = std::function<void()>;
+
+  static constexpr std::size_t kMaxAnswerBytes = 4 * 1024 * 1024;
+
+  /** Makes a connection that is not yet open. */
+  explicit ServerConnection(boost::asio::io_context& aContext);
+  ~ServerConnection();
+  ServerConnection(const ServerConnection&) = delete;
+  ServerConnection& operator=(const ServerConnection&) = delete;
+
+  /**
+   * Opens the connection if needed, sends the request and reads the whole
+   * answer. Calls `aOnEnd` exactly once. No other request may be pending.
+   * `aTimeLeft` is positive; when it has passed, the connection is closed,
+   * which cancels the request at the server. Call on the context's thread.
+   */
+  void Send(const boost::asio::ip::tcp::endpoint& aServer,
+            const CallRequest& aCall,
+            std::chrono::steady_clock::duration aTimeLeft,
+            ExchangeFunction aOnEnd);
+
+  /**
+   * Closes the connection. A pending request ends with the error kind given.
+   * Call on the context's thread.
+   */
+  void Cancel(core::ErrorKind aKind);
+
+  /** Whether another request may use the connection. Not thread-safe. */
+  bool IsReusable() const;
+
+  /**
+   * Watches an idle connection and reports once if the server closes it or
+   * sends bytes that no request asked for. Call on the context's thread.
+   */
+  void WatchWhileIdle(ClosedFunction aOnClosed);
+
+private:
+  using Request = boost::beast::http::request<boost::beast::http::string_body>;
+  using Parser =
+    boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  void Write();
+  void Read();
+  void OnAnswer();
+  void Fail(core::ErrorKind aKind);
+  void FailOnError(boost::beast::error_code aError);
+  void End(ServerExchange aExchange);
+
+  boost::beast::tcp_stream stream;
+  boost::beast::flat_buffer buffer;
+  Request request;
+  std::optional<Parser> parser;
+  ExchangeFunction onEnd;
+  ClosedFunction onClosed;
+  ExchangeProgress progress = ExchangeProgress::NotSent;
+  std::chrono::steady_clock::time_point sendStart;
+  bool isOpen = false;
+  bool isNewConnection = false;
+  // Distinguishes the callbacks of one idle watch or request from those of
+  // earlier ones on the same connection.
+  unsigned generation = 0;
+};
+
+} // namespace fireflytrail::gateway
--- /dev/null
+++ b/modules/gateway/ServerPool.cpp
@@ -0,0 +1,84 @@
+#include "gateway/ServerPool.h"
+
+#include "gateway/ServerConnection.h"
+
+#include <cassert>
+#include <utility>
+
+namespace fireflytrail::gateway {
+
+ServerPool::ServerPool(boost::asio::io_context& aContext,
+                       boost::asio::ip::tcp::endpoint aServer,
+                       std::size_t aMaxIdle)
+  : context(aContext)
+  , server(std::move(aServer))
+  , maxIdle(aMaxIdle)
+{
+}
+
+ServerPool::~ServerPool() = default;
+
+std::shared_ptr<ServerConnection>
+ServerPool::Send(const CallRequest& aCall,
+                 std::chrono::steady_clock::duration aTimeLeft,
+                 ExchangeFunction aOnEnd)
+{
+  std::shared_ptr<ServerConnection> connection;
+  if (this->idle.empty()) {
+    connection = std::make_shared<ServerConnection>(this->context);
+  } else {
+    connection = std::move(this->idle.back());
+    this->idle.pop_back();
+  }
+  ++this->inUse;
+  connection->Send(this->server,
+                   aCall,
+                   aTimeLeft,
+                   [self = this->shared_from_this(),
+                    weak = std::weak_ptr(connection),
+                    onEnd = std::move(aOnEnd)](ServerExchange aExchange) {
+                     --self->inUse;
+                     if (const auto returned = weak.lock()) {
+                       self->Return(returned);
+                     }
+                     onEnd(std::move(aExchange));
+                   });
+  return connection;
+}
+
+void
+ServerPool::CloseIdle()
+{
+  for (const auto& connection : std::exchange(this->idle, {})) {
+    connection->Cancel(core::ErrorKind::Stopping);
+  }
+}
+
+std::size_t
+ServerPool::ConnectionCount() const
+{
+  return this->inUse + this->idle.size();
+}
+
+void
+ServerPool::Return(const std::shared_ptr<ServerConnection>& aConnection)
+{
+  if (!aConnection->IsReusable()) {
+    return;
+  }
+  if (this->idle.size() >= this->maxIdle) {
+    aConnection->Cancel(core::ErrorKind::Stopping);
+    return;
+  }
+  this->idle.push_back(aConnection);
+  aConnection->WatchWhileIdle([weakPool = this->weak_from_this(),
+                               weakConnection = std::weak_ptr(aConnection)] {
+    const auto pool = weakPool.lock();
+    const auto connection = weakConnection.lock();
+    if (pool && connection) {
+      std::erase(pool->idle, connection);
+    }
+  });
+}
+
+} // namespace fireflytrail::gateway
--- /dev/null
+++ b/modules/gateway/ServerPool.h
@@ -0,0 +1,61 @@
+#pragma once
+
+#include "gateway/CallRequest.h"
+#include "gateway/ServerExchange.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <vector>
+
+namespace fireflytrail::gateway {
+
+class ServerConnection;
+
+/**
+ * The connections of one traffic thread to one backend server. Idle
+ * connections are kept up to a limit and reused, the most recently used first.
+ */
+class ServerPool : public std::enable_shared_from_this<ServerPool>
+{
+public:
+  using ExchangeFunction = std::function<void(ServerExchange)>;
+
+  /** Makes an empty pool that keeps at most `aMaxIdle` idle connections. */
+  ServerPool(boost::asio::io_context& aContext,
+             boost::asio::ip::tcp::endpoint aServer,
+             std::size_t aMaxIdle);
+  ~ServerPool();
+  ServerPool(const ServerPool&) = delete;
+  ServerPool& operator=(const ServerPool&) = delete;
+
+  /**
+   * Sends a call on an idle or a new connection and calls `aOnEnd` exactly
+   * once. The returned connection can be used to cancel the call. `aTimeLeft`
+   * is positive. Call on the context's thread.
+   */
+  std::shared_ptr<ServerConnection> Send(
+    const CallRequest& aCall,
+    std::chrono::steady_clock::duration aTimeLeft,
+    ExchangeFunction aOnEnd);
+
+  /** Closes the idle connections. Call on the context's thread. */
+  void CloseIdle();
+
+  /** Number of connections, idle and in use. Not thread-safe. */
+  std::size_t ConnectionCount() const;
+
+private:
+  void Return(const std::shared_ptr<ServerConnection>& aConnection);
+
+  boost::asio::io_context& context;
+  boost::asio::ip::tcp::endpoint server;
+  std::size_t maxIdle;
+  std::size_t inUse = 0;
+  std::vector<std::shared_ptr<ServerConnection>> idle;
+};
+
+} // namespace fireflytrail::gateway
