--- /dev/null
+++ b/standins/PlatformSettings.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include <cstddef>
+
+namespace fireflytrail::standins {
+
+/** Limits of the platform's object API. */
+struct PlatformSettings
+{
+  /** Reads a second across all clients; a watch counts as one read. */
+  double readLimit = 2000;
+  /** Writes a second across all clients. */
+  double writeLimit = 300;
+  /** Largest value in bytes. */
+  std::size_t valueLimit = 1U << 20U;
+};
+
+} // namespace fireflytrail::standins
--- /dev/null
+++ b/standins/standins.h
@@ -0,0 +1,18 @@
+#pragma once
+
+/**
+ * Stand-ins for the systems around the entry daemons, used by tests, the demo
+ * and benchmarks, and not shipped: the platform with its object API and host
+ * list, and backend servers that drain, cold-start, shed load, fail and crash
+ * on command. Each stand-in runs on one `io_context` and one thread.
+ */
+
+#include "standins/HttpExchange.h"
+#include "standins/HttpServer.h"
+#include "standins/HttpSession.h"
+#include "standins/InstanceSettings.h"
+#include "standins/PlatformSettings.h"
+#include "standins/PlatformStandin.h"
+#include "standins/ServerFault.h"
+#include "standins/ServerFleet.h"
+#include "standins/ServerInstance.h"
