Add the calls module

CallFlow decides one call from begin to answer; TicketLedger, RetryBudget and CrashGuard hold the state that calls share.

- An outcome of a ticket is final, "not run" included: a delayed copy of a request could otherwise run after its caller was told "not run" and had taken another ticket.
Callers take a new ticket after "not run".
- A host that did not issue the ticket never says "not run", since the call may be a resend; CallFlow::RefusalKind covers refusals before a flow.

--- /dev/null
+++ b/modules/calls/CallFlow.cpp
@@ -0,0 +1,325 @@
+#include "calls/CallFlow.h"
+
+#include "core/ErrorTable.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace fireflytrail::calls {
+
+namespace {
+
+using core::CallOutcome;
+using core::ErrorKind;
+using core::ErrorTable;
+
+/** Retries of one call; each must also be paid from the retry budget. */
+constexpr unsigned kMostRetries = 2;
+/** A request of unknown outcome is sent again at most once. */
+constexpr unsigned kMostRetriesAfterUnknown = 1;
+
+} // namespace
+
+CallFlow::CallFlow(CallRequest aRequest,
+                   CallHooks aHooks,
+                   TicketLedger& aLedger,
+                   CrashGuard& aGuard,
+                   CallTimes aTimes)
+  : request(std::move(aRequest))
+  , hooks(std::move(aHooks))
+  , ledger(aLedger)
+  , guard(aGuard)
+  , times(aTimes)
+{
+  assert(this->hooks.now && this->hooks.chooseServer && this->hooks.takeRetry);
+  assert(this->hooks.issuerState && this->hooks.joinedFinished);
+}
+
+CallFlow::~CallFlow()
+{
+  if (this->joined) {
+    this->ledger.Leave(*this->joined, this->joinId);
+  }
+  if (this->running) {
+    this->ledger.Finish(*this->running, { ErrorKind::Internal, nullptr });
+  }
+}
+
+CallStep
+CallFlow::Begin()
+{
+  assert(this->state == State::New);
+  if (!this->request.ticket.empty()) {
+    return this->BeginWithTicket();
+  }
+  if (this->request.atMostOnce) {
+    return this->End(ErrorKind::TicketRequired);
+  }
+  return this->Send(ErrorKind::None);
+}
+
+CallStep
+CallFlow::BeginWithTicket()
+{
+  const core::Result<Ticket> parsed = Ticket::Parse(this->request.ticket);
+  if (!parsed) {
+    return this->End(ErrorKind::TicketInvalid);
+  }
+  const Ticket& ticket = parsed.value();
+  if (this->ledger.Owns(ticket.issuer)) {
+    const TicketUse use = this->ledger.Begin(
+      ticket, this->request.digest, this->hooks.joinedFinished);
+    switch (use.action) {
+      case TicketUse::Action::Run:
+        this->running = ticket;
+        return this->Send(ErrorKind::None);
+      case TicketUse::Action::Join:
+        this->joined = ticket;
+        this->joinId = use.joinId;
+        this->state = State::Joined;
+        return WaitStep{};
+      case TicketUse::Action::Reply:
+        return this->End(use.outcome.kind, use.outcome.answer);
+    }
+  }
+  // A process with the same name has replaced the issuing process. A call is
+  // forwarded once only, so that two daemons cannot send it in circles.
+  if (ticket.issuer.name == this->ledger.Issuer().name ||
+      this->request.forwarded) {
+    return this->End(ErrorKind::IssuerGone);
+  }
+  switch (this->hooks.issuerState(ticket.issuer)) {
+    case IssuerState::Gone:
+      return this->End(ErrorKind::IssuerGone);
+    case IssuerState::Unreachable:
+      return this->End(ErrorKind::IssuerUnreachable);
+    case IssuerState::Reachable:
+      break;
+  }
+  const auto timeLeft = this->TimeLeft() - this->times.answerMargin;
+  if (timeLeft.count() <= 0) {
+    return this->End(ErrorKind::IssuerUnreachable);
+  }
+  this->state = State::Forwarding;
+  return ForwardStep{ ticket.issuer, timeLeft };
+}
+
+CallStep
+CallFlow::Send(core::ErrorKind aKindIfNone)
+{
+  if (this->guard.IsBlocked(this->request.digest)) {
+    return this->End(ErrorKind::RequestCrashesServers);
+  }
+  const auto timeLeft = this->TimeLeft() - this->times.answerMargin;
+  if (timeLeft.count() <= 0) {
+    return this->End(ErrorKind::DeadlineBeforeSend);
+  }
+  core::Result<ServerHandle> chosen = this->hooks.chooseServer(this->avoid);
+  if (!chosen) {
+    const ErrorKind kind = chosen.error().kind;
+    assert(ErrorTable::RowOf(kind).outcome == CallOutcome::NotRun);
+    return this->End(aKindIfNone != ErrorKind::None ? aKindIfNone : kind);
+  }
+  this->state = State::Sending;
+  this->avoid.push_back(chosen.value().server);
+  return SendStep{ std::move(chosen).value(),
+                   timeLeft,
+                   this->request.attempt + this->retries };
+}
+
+CallStep
+CallFlow::AttemptEnded(const AttemptResult& aResult)
+{
+  assert(this->state == State::Sending || this->state == State::Forwarding ||
+         this->state == State::GoingOn);
+  assert((aResult.progress == AttemptProgress::Answered) ==
+           (aResult.answer != nullptr) ||
+         this->state == State::Forwarding);
+  if (this->state == State::Forwarding) {
+    return this->RelayFromIssuer(aResult);
+  }
+  if (aResult.progress == AttemptProgress::Answered) {
+    this->guard.RecordCompletion(this->request.digest);
+    return this->End(ErrorKind::None, aResult.answer);
+  }
+  const ErrorKind kind = KindOf(aResult.progress);
+  if (MayHaveRun(aResult.progress)) {
+    this->unknownKind = kind;
+    if (aResult.death != 0) {
+      this->guard.RecordDeath(this->request.digest, aResult.death);
+      const std::size_t deaths = this->guard.DeathsOf(this->request.digest);
+      this->hold = deaths > 1 ? this->times.holdLater : this->times.holdFirst;
+      if (deaths >= CrashGuard::kDeathsToBlock) {
+        return this->End(ErrorKind::RequestCrashesServers);
+      }
+    }
+  }
+  if (this->MayRetry(kind) && this->hooks.takeRetry()) {
+    ++this->retries;
+    return this->Send(kind);
+  }
+  return this->End(kind);
+}
+
+CallStep
+CallFlow::DeadlineReached(AttemptProgress aProgress)
+{
+  switch (this->state) {
+    case State::New:
+    case State::Sending:
+      if (!MayHaveRun(aProgress) || this->state == State::New) {
+        return this->End(ErrorKind::DeadlineBeforeSend);
+      }
+      if (this->running) {
+        return this->GoOn(ErrorKind::DeadlineAfterSend, this->hasCaller);
+      }
+      this->unknownKind = ErrorKind::DeadlineAfterSend;
+      return this->End(ErrorKind::DeadlineAfterSend);
+    case State::Forwarding:
+      return this->End(aProgress == AttemptProgress::NothingSent
+                         ? ErrorKind::IssuerUnreachable
+                         : ErrorKind::DeadlineAfterSend);
+    case State::Joined:
+    case State::GoingOn:
+      return this->End(ErrorKind::DeadlineAfterSend);
+    case State::Ended:
+      break;
+  }
+  assert(false);
+  return WaitStep{};
+}
+
+CallStep
+CallFlow::CallerGone(AttemptProgress aProgress)
+{
+  if (this->state == State::GoingOn || this->state == State::Ended) {
+    return WaitStep{};
+  }
+  this->hasCaller = false;
+  // The caller may come back with its ticket, so the work goes on.
+  if (this->running && this->state == State::Sending) {
+    if (MayHaveRun(aProgress)) {
+      return this->GoOn(ErrorKind::CallerGone, false);
+    }
+    return WaitStep{};
+  }
+  return this->End(ErrorKind::CallerGone);
+}
+
+CallStep
+CallFlow::TicketFinished(const TicketOutcome& aOutcome)
+{
+  if (this->state != State::Joined) {
+    // The outcome was under way when the deadline was reached.
+    return WaitStep{};
+  }
+  this->joined.reset();
+  return this->End(aOutcome.kind, aOutcome.answer);
+}
+
+core::ErrorKind
+CallFlow::RefusalKind(core::ErrorKind aKind,
+                      std::string_view aTicket,
+                      TicketLedger& aLedger)
+{
+  if (aTicket.empty() ||
+      ErrorTable::RowOf(aKind).outcome != CallOutcome::NotRun) {
+    return aKind;
+  }
+  const core::Result<Ticket> ticket = Ticket::Parse(aTicket);
+  if (!ticket) {
+    return ErrorKind::TicketInvalid;
+  }
+  if (aLedger.Owns(ticket.value().issuer)) {
+    return aLedger.Refuse(ticket.value(), aKind);
+  }
+  return ticket.value().issuer.name == aLedger.Issuer().name
+           ? ErrorKind::IssuerGone
+           : ErrorKind::IssuerUnreachable;
+}
+
+CallStep
+CallFlow::RelayFromIssuer(const AttemptResult& aResult)
+{
+  if (aResult.progress == AttemptProgress::Answered) {
+    return this->End(aResult.issuerKind, aResult.answer);
+  }
+  return this->End(ErrorKind::IssuerUnreachable);
+}
+
+CallStep
+CallFlow::End(core::ErrorKind aKind, std::shared_ptr<const Answer> aAnswer)
+{
+  assert(this->state != State::Ended);
+  ErrorKind kind = aKind;
+  if (this->unknownKind != ErrorKind::None &&
+      ErrorTable::RowOf(kind).outcome == CallOutcome::NotRun) {
+    // An earlier attempt of this call may have run.
+    kind = this->unknownKind;
+  }
+  if (this->joined) {
+    this->ledger.Leave(*this->joined, this->joinId);
+    this->joined.reset();
+  }
+  AnswerStep step;
+  step.kind = kind;
+  step.answer = kind == ErrorKind::None ? aAnswer : nullptr;
+  step.deliver = this->hasCaller;
+  step.hold =
+    kind == ErrorKind::None
+      ? std::chrono::milliseconds(0)
+      : std::clamp(this->TimeLeft(), std::chrono::milliseconds(0), this->hold);
+  this->state = State::Ended;
+  if (this->running) {
+    const Ticket ticket = *std::exchange(this->running, std::nullopt);
+    this->ledger.Finish(ticket, { kind, step.answer });
+  }
+  return step;
+}
+
+CallStep
+CallFlow::GoOn(core::ErrorKind aKind, bool aDeliver)
+{
+  this->state = State::GoingOn;
+  this->hasCaller = false;
+  AnswerStep step;
+  step.kind = aKind;
+  step.deliver = aDeliver;
+  step.attemptGoesOn = true;
+  step.goOnFor = this->times.goOnFor;
+  return step;
+}
+
+bool
+CallFlow::MayRetry(core::ErrorKind aKind) const
+{
+  if (this->state == State::GoingOn || this->request.attempt > 0 ||
+      this->retries >= kMostRetries) {
+    return false;
+  }
+  const bool hasTicket = !this->request.ticket.empty();
+  if (this->unknownKind != ErrorKind::None &&
+      (hasTicket || !this->request.repeatable || this->request.atMostOnce ||
+       this->retries >= kMostRetriesAfterUnknown)) {
+    return false;
+  }
+  switch (ErrorTable::RowOf(aKind).gatewayMayRetry) {
+    case core::RetryRule::Never:
+      return false;
+    case core::RetryRule::IfRepeatable:
+      return this->request.repeatable && !hasTicket;
+    case core::RetryRule::Always:
+      return true;
+  }
+  return false;
+}
+
+std::chrono::milliseconds
+CallFlow::TimeLeft() const
+{
+  return std::chrono::floor<std::chrono::milliseconds>(this->request.deadline -
+                                                       this->hooks.now());
+}
+
+} // namespace fireflytrail::calls
--- /dev/null
+++ b/modules/calls/CallFlowTest.cpp
@@ -0,0 +1,404 @@
+#include "calls/CallFlow.h"
+#include "core/ErrorTable.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <optional>
+#include <utility>
+
+using namespace fireflytrail;
+using namespace fireflytrail::calls;
+using namespace std::chrono_literals;
+using core::ErrorKind;
+
+namespace {
+
+struct Fixture
+{
+  core::TimePoint time{ 1h };
+  TicketLedger ledger{ { "host-1", 5 }, 77, [this] { return this->time; } };
+  CrashGuard guard{ [this] { return this->time; } };
+  std::uint64_t nextServer = 1;
+  std::optional<ErrorKind> noServer;
+  bool retryAllowed = true;
+  IssuerState issuerState = IssuerState::Reachable;
+  TicketOutcome joinedOutcome;
+  int joinedCount = 0;
+
+  CallHooks Hooks()
+  {
+    CallHooks hooks;
+    hooks.now = [this] { return this->time; };
+    hooks.chooseServer =
+      [this](
+        std::span<const std::uint64_t> aAvoid) -> core::Result<ServerHandle> {
+      if (this->noServer) {
+        return core::Error{ *this->noServer, "" };
+      }
+      for (const std::uint64_t avoided : aAvoid) {
+        BOOST_TEST(avoided != this->nextServer);
+      }
+      return ServerHandle{ this->nextServer++, nullptr };
+    };
+    hooks.takeRetry = [this] { return this->retryAllowed; };
+    hooks.issuerState = [this](const core::DaemonId&) {
+      return this->issuerState;
+    };
+    hooks.joinedFinished = [this](const TicketOutcome& aOutcome) {
+      this->joinedOutcome = aOutcome;
+      ++this->joinedCount;
+    };
+    return hooks;
+  }
+
+  CallRequest Request() const
+  {
+    CallRequest request;
+    request.digest = 1;
+    request.deadline = this->time + 1s;
+    return request;
+  }
+
+  CallRequest TicketRequest()
+  {
+    CallRequest request = this->Request();
+    request.atMostOnce = true;
+    request.ticket = this->ledger.Issue().value().Text();
+    return request;
+  }
+
+  CallFlow Flow(CallRequest aRequest)
+  {
+    return { std::move(aRequest), this->Hooks(), this->ledger, this->guard };
+  }
+};
+
+AttemptResult
+Failed(AttemptProgress aProgress, std::uint64_t aDeath = 0)
+{
+  AttemptResult result;
+  result.progress = aProgress;
+  result.death = aDeath;
+  return result;
+}
+
+AttemptResult
+Answered(unsigned aStatus = 200)
+{
+  auto answer = std::make_shared<Answer>();
+  answer->status = aStatus;
+  AttemptResult result;
+  result.progress = AttemptProgress::Answered;
+  result.answer = std::move(answer);
+  return result;
+}
+
+ErrorKind
+AnswerKind(const CallStep& aStep)
+{
+  BOOST_REQUIRE(std::holds_alternative<AnswerStep>(aStep));
+  return std::get<AnswerStep>(aStep).kind;
+}
+
+bool
+IsSend(const CallStep& aStep)
+{
+  return std::holds_alternative<SendStep>(aStep);
+}
+
+} // namespace
+
+// Guards against an answer lost on the plain path, and against a deadline that
+// is not carried to the server.
+BOOST_AUTO_TEST_CASE(PassesOnTheAnswer)
+{
+  Fixture fixture;
+  CallFlow flow = fixture.Flow(fixture.Request());
+  const CallStep step = flow.Begin();
+  BOOST_REQUIRE(IsSend(step));
+  BOOST_TEST((std::get<SendStep>(step).timeLeft == 999ms));
+  const CallStep last = flow.AttemptEnded(Answered(404));
+  BOOST_TEST((AnswerKind(last) == ErrorKind::None));
+  BOOST_TEST(std::get<AnswerStep>(last).answer->status == 404U);
+  BOOST_TEST(flow.HasEnded());
+}
+
+// Guards against a retry that may run a request twice, for each way in which an
+// attempt can end and each kind of request.
+BOOST_AUTO_TEST_CASE(RetriesOnlyWhereARetryIsSafe)
+{
+  for (const bool repeatable : { false, true }) {
+    for (const bool ticket : { false, true }) {
+      for (const auto progress : { AttemptProgress::NothingSent,
+                                   AttemptProgress::Refused,
+                                   AttemptProgress::SentNoAnswer,
+                                   AttemptProgress::AnswerTruncated,
+                                   AttemptProgress::AnswerInvalid }) {
+        Fixture fixture;
+        CallRequest request =
+          ticket ? fixture.TicketRequest() : fixture.Request();
+        request.repeatable = repeatable;
+        CallFlow flow = fixture.Flow(request);
+        BOOST_REQUIRE(IsSend(flow.Begin()));
+        const bool sentAgain = IsSend(flow.AttemptEnded(Failed(progress)));
+        const bool isSafe =
+          !MayHaveRun(progress) ||
+          (repeatable && !ticket && progress != AttemptProgress::AnswerInvalid);
+        BOOST_TEST(sentAgain == isSafe);
+      }
+    }
+  }
+}
+
+// Guards against a false "not run": the retry of a repeatable call fails
+// without being sent, but its first attempt may have run.
+BOOST_AUTO_TEST_CASE(EarlierAttemptOfUnknownOutcomeDecides)
+{
+  for (int ending = 0; ending < 4; ++ending) {
+    Fixture fixture;
+    CallRequest request = fixture.Request();
+    request.repeatable = true;
+    CallFlow flow = fixture.Flow(request);
+    flow.Begin();
+    CallStep step = WaitStep{};
+    if (ending == 0) {
+      fixture.noServer = ErrorKind::NoServer;
+    } else if (ending == 1) {
+      fixture.time += 2s;
+    }
+    step = flow.AttemptEnded(Failed(AttemptProgress::SentNoAnswer));
+    if (ending == 2) {
+      step = flow.AttemptEnded(Failed(AttemptProgress::Refused));
+    } else if (ending == 3) {
+      step = flow.DeadlineReached(AttemptProgress::NothingSent);
+    }
+    BOOST_TEST((AnswerKind(step) == ErrorKind::ConnectionLost));
+  }
+}
+
+// Guards against a false "not run" when the deadline comes while the request is
+// partly sent.
+BOOST_AUTO_TEST_CASE(DeadlineKindDependsOnWhetherAByteLeft)
+{
+  Fixture fixture;
+  CallFlow unsent = fixture.Flow(fixture.Request());
+  unsent.Begin();
+  BOOST_TEST(
+    (AnswerKind(unsent.DeadlineReached(AttemptProgress::NothingSent)) ==
+     ErrorKind::DeadlineBeforeSend));
+  CallFlow partlySent = fixture.Flow(fixture.Request());
+  partlySent.Begin();
+  const CallStep step =
+    partlySent.DeadlineReached(AttemptProgress::SentNoAnswer);
+  BOOST_TEST((AnswerKind(step) == ErrorKind::DeadlineAfterSend));
+  BOOST_TEST(!std::get<AnswerStep>(step).attemptGoesOn);
+}
+
+// Guards against a late answer that is thrown away although a resend with the
+// same ticket could have it.
+BOOST_AUTO_TEST_CASE(LateAnswerOfATicketIsKept)
+{
+  Fixture fixture;
+  const CallRequest request = fixture.TicketRequest();
+  CallFlow flow = fixture.Flow(request);
+  flow.Begin();
+  fixture.time += 1s;
+  const CallStep step = flow.DeadlineReached(AttemptProgress::SentNoAnswer);
+  BOOST_TEST((AnswerKind(step) == ErrorKind::DeadlineAfterSend));
+  BOOST_TEST(std::get<AnswerStep>(step).attemptGoesOn);
+
+  CallRequest resent = request;
+  resent.deadline = fixture.time + 1s;
+  CallFlow joined = fixture.Flow(resent);
+  BOOST_TEST(std::holds_alternative<WaitStep>(joined.Begin()));
+  const CallStep last = flow.AttemptEnded(Answered(201));
+  BOOST_TEST(!std::get<AnswerStep>(last).deliver);
+  BOOST_REQUIRE_EQUAL(fixture.joinedCount, 1);
+  const CallStep joinedStep = joined.TicketFinished(fixture.joinedOutcome);
+  BOOST_TEST((AnswerKind(joinedStep) == ErrorKind::None));
+  BOOST_TEST(std::get<AnswerStep>(joinedStep).answer->status == 201U);
+
+  CallFlow third = fixture.Flow(resent);
+  const CallStep kept = third.Begin();
+  BOOST_TEST((AnswerKind(kept) == ErrorKind::None));
+}
+
+// Guards against work of a ticket that goes on for ever and against a second
+// run after it is given up.
+BOOST_AUTO_TEST_CASE(WorkThatNeverAnswersClosesItsTicket)
+{
+  Fixture fixture;
+  CallRequest request = fixture.TicketRequest();
+  CallFlow flow = fixture.Flow(request);
+  flow.Begin();
+  flow.DeadlineReached(AttemptProgress::SentNoAnswer);
+  const CallStep step = flow.DeadlineReached(AttemptProgress::SentNoAnswer);
+  BOOST_TEST(!std::get<AnswerStep>(step).deliver);
+  BOOST_TEST(flow.HasEnded());
+  CallFlow resent = fixture.Flow(request);
+  BOOST_TEST((AnswerKind(resent.Begin()) == ErrorKind::DeadlineAfterSend));
+}
+
+// Guards against work that is cancelled because the caller of a ticket lost its
+// connection, and against work that goes on for other callers.
+BOOST_AUTO_TEST_CASE(CallerGoneCancelsOnlyCallsWithoutTicket)
+{
+  Fixture fixture;
+  CallFlow plain = fixture.Flow(fixture.Request());
+  plain.Begin();
+  const CallStep step = plain.CallerGone(AttemptProgress::SentNoAnswer);
+  BOOST_TEST((AnswerKind(step) == ErrorKind::CallerGone));
+  BOOST_TEST(!std::get<AnswerStep>(step).attemptGoesOn);
+
+  const CallRequest request = fixture.TicketRequest();
+  CallFlow flow = fixture.Flow(request);
+  flow.Begin();
+  BOOST_TEST(std::holds_alternative<WaitStep>(
+    flow.CallerGone(AttemptProgress::NothingSent)));
+  flow.AttemptEnded(Answered());
+  CallFlow resent = fixture.Flow(request);
+  BOOST_TEST((AnswerKind(resent.Begin()) == ErrorKind::None));
+}
+
+// Guards against calls marked at most once that run without a ticket.
+BOOST_AUTO_TEST_CASE(RequiresATicket)
+{
+  Fixture fixture;
+  CallRequest request = fixture.Request();
+  request.atMostOnce = true;
+  CallFlow flow = fixture.Flow(request);
+  BOOST_TEST((AnswerKind(flow.Begin()) == ErrorKind::TicketRequired));
+  request.ticket = "nonsense";
+  CallFlow invalid = fixture.Flow(request);
+  BOOST_TEST((AnswerKind(invalid.Begin()) == ErrorKind::TicketInvalid));
+}
+
+// Guards against a run on a host that did not issue the ticket, and against a
+// "not run" from such a host: the call may be a resend.
+BOOST_AUTO_TEST_CASE(OnlyTheIssuerRunsAndSaysNotRun)
+{
+  Fixture fixture;
+  Ticket foreign;
+  foreign.issuer = { "host-2", 9 };
+  CallRequest request = fixture.Request();
+  request.atMostOnce = true;
+  request.ticket = foreign.Text();
+
+  for (const auto progress :
+       { AttemptProgress::NothingSent, AttemptProgress::SentNoAnswer }) {
+    CallFlow flow = fixture.Flow(request);
+    BOOST_REQUIRE(std::holds_alternative<ForwardStep>(flow.Begin()));
+    BOOST_TEST((AnswerKind(flow.AttemptEnded(Failed(progress))) ==
+                ErrorKind::IssuerUnreachable));
+    CallFlow late = fixture.Flow(request);
+    late.Begin();
+    const auto kind = AnswerKind(late.DeadlineReached(progress));
+    BOOST_TEST(
+      (core::ErrorTable::RowOf(kind).outcome == core::CallOutcome::Unknown));
+  }
+
+  CallFlow relayed = fixture.Flow(request);
+  relayed.Begin();
+  AttemptResult notRun;
+  notRun.progress = AttemptProgress::Answered;
+  notRun.issuerKind = ErrorKind::ConnectFailed;
+  BOOST_TEST(
+    (AnswerKind(relayed.AttemptEnded(notRun)) == ErrorKind::ConnectFailed));
+
+  fixture.issuerState = IssuerState::Gone;
+  CallFlow gone = fixture.Flow(request);
+  BOOST_TEST((AnswerKind(gone.Begin()) == ErrorKind::IssuerGone));
+  fixture.issuerState = IssuerState::Unreachable;
+  CallFlow unreachable = fixture.Flow(request);
+  BOOST_TEST((AnswerKind(unreachable.Begin()) == ErrorKind::IssuerUnreachable));
+  request.forwarded = true;
+  CallFlow forwarded = fixture.Flow(request);
+  BOOST_TEST((AnswerKind(forwarded.Begin()) == ErrorKind::IssuerGone));
+
+  for (const auto kind : { ErrorKind::Stopping, ErrorKind::UnknownService }) {
+    BOOST_TEST((CallFlow::RefusalKind(kind, request.ticket, fixture.ledger) ==
+                ErrorKind::IssuerUnreachable));
+    BOOST_TEST((CallFlow::RefusalKind(kind, "", fixture.ledger) == kind));
+  }
+}
+
+// Guards against a restarted daemon that runs tickets of its predecessor.
+BOOST_AUTO_TEST_CASE(TicketOfAnEarlierProcessIsGone)
+{
+  Fixture fixture;
+  Ticket earlier;
+  earlier.issuer = { "host-1", 4 };
+  CallRequest request = fixture.Request();
+  request.ticket = earlier.Text();
+  CallFlow flow = fixture.Flow(request);
+  BOOST_TEST((AnswerKind(flow.Begin()) == ErrorKind::IssuerGone));
+}
+
+// Guards against retries of retries, which multiply load with call depth.
+BOOST_AUTO_TEST_CASE(NeverRetriesBelowARetry)
+{
+  Fixture fixture;
+  CallRequest request = fixture.Request();
+  request.attempt = 1;
+  CallFlow flow = fixture.Flow(request);
+  const CallStep step = flow.Begin();
+  BOOST_TEST(std::get<SendStep>(step).attempt == 1U);
+  BOOST_TEST((AnswerKind(flow.AttemptEnded(Failed(
+                AttemptProgress::NothingSent))) == ErrorKind::ConnectFailed));
+}
+
+// Guards against retries beyond the budget, and against a retry that the server
+// cannot recognize as one.
+BOOST_AUTO_TEST_CASE(RetriesAreCountedAndPaid)
+{
+  Fixture fixture;
+  CallFlow flow = fixture.Flow(fixture.Request());
+  flow.Begin();
+  const CallStep retry = flow.AttemptEnded(Failed(AttemptProgress::Refused));
+  BOOST_REQUIRE(IsSend(retry));
+  BOOST_TEST(std::get<SendStep>(retry).attempt == 1U);
+  fixture.retryAllowed = false;
+  BOOST_TEST((AnswerKind(flow.AttemptEnded(Failed(AttemptProgress::Refused))) ==
+              ErrorKind::ServerRefused));
+}
+
+// Guards against a crashing request that takes down a fourth server, and
+// against its answer leaving before other daemons know of the death.
+BOOST_AUTO_TEST_CASE(CrashingRequestIsStoppedAfterThreeServers)
+{
+  Fixture fixture;
+  std::uint64_t death = 0;
+  unsigned sends = 0;
+  ErrorKind kind = ErrorKind::None;
+  for (int call = 0; call < 5; ++call) {
+    CallRequest request = fixture.Request();
+    request.repeatable = true;
+    request.deadline = fixture.time + 5s;
+    CallFlow flow = fixture.Flow(request);
+    CallStep step = flow.Begin();
+    while (IsSend(step)) {
+      ++sends;
+      step = flow.AttemptEnded(Failed(AttemptProgress::SentNoAnswer, ++death));
+      if (!IsSend(step)) {
+        BOOST_TEST(std::get<AnswerStep>(step).hold.count() > 0);
+      }
+    }
+    kind = AnswerKind(step);
+  }
+  BOOST_TEST(sends == 3U);
+  BOOST_TEST((kind == ErrorKind::RequestCrashesServers));
+}
+
+// Guards against a ticket that stays "running" for ever because its flow was
+// destroyed early; resends must get "outcome unknown".
+BOOST_AUTO_TEST_CASE(DestroyedFlowClosesItsTicket)
+{
+  Fixture fixture;
+  const CallRequest request = fixture.TicketRequest();
+  {
+    CallFlow flow = fixture.Flow(request);
+    flow.Begin();
+  }
+  CallFlow resent = fixture.Flow(request);
+  BOOST_TEST((AnswerKind(resent.Begin()) == ErrorKind::Internal));
+}
--- /dev/null
+++ b/modules/calls/TicketTest.cpp
@@ -0,0 +1,67 @@
+#include "calls/Ticket.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <string>
+
+using namespace fireflytrail;
+using namespace fireflytrail::calls;
+
+namespace {
+
+Ticket
+Sample()
+{
+  Ticket ticket;
+  ticket.issuer = { "akl-a-1.entry", 0xfeedULL };
+  ticket.sequence = 7;
+  ticket.expiry = std::chrono::milliseconds(123456);
+  ticket.check = ticket.CheckFor(99);
+  return ticket;
+}
+
+} // namespace
+
+// Guards against a ticket that no longer names its issuer after a round trip.
+BOOST_AUTO_TEST_CASE(TextFormRoundTrips)
+{
+  const auto parsed = Ticket::Parse(Sample().Text());
+  BOOST_REQUIRE(parsed);
+  BOOST_TEST((parsed.value() == Sample()));
+}
+
+// Guards against damaged tickets that are taken for other tickets: each change
+// of one character is either rejected or fails the check value.
+BOOST_AUTO_TEST_CASE(EveryChangedCharacterIsNoticed)
+{
+  const std::string text = Sample().Text();
+  for (std::size_t position = 0; position < text.size(); ++position) {
+    for (const char other : { '0', '1', 'f', '.', 'x', 'F', ' ' }) {
+      std::string changed = text;
+      if (changed[position] == other) {
+        continue;
+      }
+      changed[position] = other;
+      const auto parsed = Ticket::Parse(changed);
+      BOOST_TEST(
+        (!parsed || parsed.value().check != parsed.value().CheckFor(99)),
+        changed);
+    }
+  }
+}
+
+// Guards against parser faults on texts that are no tickets.
+BOOST_AUTO_TEST_CASE(RejectsOtherTexts)
+{
+  for (const std::string& text : { std::string(),
+                                   std::string("."),
+                                   std::string("...."),
+                                   std::string("a.1.2.3"),
+                                   std::string(".1.2.3.4"),
+                                   std::string("a.1.2.3."),
+                                   std::string("a.01.2.3.4"),
+                                   std::string("a.1.2.3.11112222333344445"),
+                                   std::string(300, 'a') + ".1.2.3.4" }) {
+    BOOST_TEST(!Ticket::Parse(text), text);
+  }
+}
