Use the calls module's attempt results in the gateway

The gateway had its own progress and error types beside those of the calls module, so that each attempt had to be translated twice. Server connections now report AttemptProgress, and the owner of a call cancels it at its deadline, which lets a call with a ticket run on after its caller's deadline.

--- a/modules/gateway/CallAnswer.cpp
+++ b/modules/gateway/CallAnswer.cpp
@@ -4,18 +4,33 @@
 
 #include <fmt/format.h>
 
+#include <utility>
+
 namespace fireflytrail::gateway {
 
 CallAnswer
 CallAnswer::OfError(core::ErrorKind aKind, std::string aDetail)
 {
   const core::ErrorRow& row = core::ErrorTable::RowOf(aKind);
-  CallAnswer answer;
+  CallAnswer answer =
+    OfText(row.status,
+           aDetail.empty() ? fmt::format("{}\n", row.name)
+                           : fmt::format("{}: {}\n", row.name, aDetail));
   answer.kind = aKind;
-  answer.status = row.status;
-  answer.fields.set(boost::beast::http::field::content_type, "text/plain");
-  answer.body = aDetail.empty() ? fmt::format("{}\n", row.name)
-                                : fmt::format("{}: {}\n", row.name, aDetail);
+  return answer;
+}
+
+CallAnswer
+CallAnswer::OfText(unsigned aStatus,
+                   std::string aBody,
+                   std::string aContentType)
+{
+  auto text = std::make_shared<calls::Answer>();
+  text->status = aStatus;
+  text->headers.emplace_back("Content-Type", std::move(aContentType));
+  text->body = std::move(aBody);
+  CallAnswer answer;
+  answer.answer = std::move(text);
   return answer;
 }
 
--- a/modules/gateway/CallAnswer.h
+++ b/modules/gateway/CallAnswer.h
@@ -1,9 +1,9 @@
 #pragma once
 
+#include "calls/Answer.h"
 #include "core/ErrorKind.h"
 
-#include <boost/beast/http/fields.hpp>
-
+#include <memory>
 #include <string>
 
 namespace fireflytrail::gateway {
@@ -15,15 +15,18 @@
 struct CallAnswer
 {
   core::ErrorKind kind = core::ErrorKind::None;
-  unsigned status = 0;
-  /** End-to-end header fields; hop-by-hop fields are removed. */
-  boost::beast::http::fields fields;
-  std::string body;
+  /** Never null. */
+  std::shared_ptr<const calls::Answer> answer;
   /** True if the call is repeatable or carries a ticket. */
   bool isSafeToResend = false;
 
   /** Makes the answer of an error kind with a one-line body. */
   static CallAnswer OfError(core::ErrorKind aKind, std::string aDetail = {});
+
+  /** Makes an answer of this daemon's own with a status and a body. */
+  static CallAnswer OfText(unsigned aStatus,
+                           std::string aBody,
+                           std::string aContentType = "text/plain");
 };
 
 } // namespace fireflytrail::gateway
--- a/modules/gateway/CallerSession.cpp
+++ b/modules/gateway/CallerSession.cpp
@@ -240,7 +240,7 @@
       assert(self->isCallRunning);
       self->isCallRunning = false;
       self->cancelCall = nullptr;
-      self->WriteAnswer(std::move(aAnswer), self->isKeptAlive);
+      self->WriteAnswer(aAnswer, self->isKeptAlive);
     });
   if (this->isCallRunning) {
     this->cancelCall = std::move(cancel);
@@ -271,19 +271,22 @@
 }
 
 void
-CallerSession::WriteAnswer(CallAnswer aAnswer, bool aKeepAlive)
+CallerSession::WriteAnswer(const CallAnswer& aAnswer, bool aKeepAlive)
 {
   const core::ErrorRow& row = core::ErrorTable::RowOf(aAnswer.kind);
+  const calls::Answer& answer = *aAnswer.answer;
   this->response = Response{};
-  this->response.base() = http::response_header<>(std::move(aAnswer.fields));
   this->response.version(this->httpVersion);
-  this->response.result(aAnswer.status);
+  this->response.result(answer.status);
+  for (const auto& [name, value] : answer.headers) {
+    this->response.insert(name, value);
+  }
   this->response.set(kOutcomeField, core::ErrorTable::NameOf(row.outcome));
   if (aAnswer.kind != core::ErrorKind::None) {
     this->response.set(kErrorKindField, row.name);
     this->response.set(kMayResendField, MayResend(row, aAnswer.isSafeToResend));
   }
-  this->response.body() = std::move(aAnswer.body);
+  this->response.body() = answer.body;
   this->isKeptAlive = aKeepAlive && !this->hooks->isStopping();
   this->response.keep_alive(this->isKeptAlive);
   this->response.prepare_payload();
--- a/modules/gateway/CallerSession.h
+++ b/modules/gateway/CallerSession.h
@@ -81,7 +81,7 @@
   void StartCall();
   std::optional<CallRequest> TakeCall();
   void WatchForClose();
-  void WriteAnswer(CallAnswer aAnswer, bool aKeepAlive);
+  void WriteAnswer(const CallAnswer& aAnswer, bool aKeepAlive);
   void OnWritten(boost::beast::error_code aError);
   void CloseAfterDrain();
   void DrainSome(std::size_t aDrained);
--- a/modules/gateway/CallerSessionTest.cpp
+++ b/modules/gateway/CallerSessionTest.cpp
@@ -33,10 +33,8 @@
         this->hangingCall.set_value();
         return [this] { this->cancelled.set_value(); };
       }
-      CallAnswer answer;
-      answer.status = 200;
-      answer.body = aCall.service + " " + aCall.target + " " + aCall.body;
-      aDone(std::move(answer));
+      aDone(CallAnswer::OfText(
+        200, aCall.service + " " + aCall.target + " " + aCall.body));
       return {};
     };
     this->hooks->isStopping = [] { return false; };
--- a/modules/gateway/ServerConnection.cpp
+++ b/modules/gateway/ServerConnection.cpp
@@ -15,6 +15,31 @@
 namespace beast = boost::beast;
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
+using calls::AttemptProgress;
+using namespace std::chrono_literals;
+
+namespace {
+
+// A connect that takes longer than this within a region has lost its packet;
+// giving up leaves time to try another server.
+constexpr auto kConnectTimeout = 250ms;
+
+std::shared_ptr<const calls::Answer>
+AnswerOf(http::response<http::string_body>& aMessage)
+{
+  RemoveHopByHopFields(aMessage);
+  aMessage.erase(kServerLoadField);
+  aMessage.erase(kOutcomeField);
+  auto answer = std::make_shared<calls::Answer>();
+  answer->status = aMessage.result_int();
+  for (const auto& field : aMessage) {
+    answer->headers.emplace_back(field.name_string(), field.value());
+  }
+  answer->body = std::move(aMessage.body());
+  return answer;
+}
+
+} // namespace
 
 ServerConnection::ServerConnection(boost::asio::io_context& aContext)
   : stream(aContext)
@@ -26,7 +51,8 @@
 void
 ServerConnection::Send(const tcp::endpoint& aServer,
                        const CallRequest& aCall,
-                       std::chrono::steady_clock::duration aTimeLeft,
+                       std::chrono::milliseconds aTimeLeft,
+                       unsigned aAttempt,
                        ExchangeFunction aOnEnd)
 {
   assert(!this->onEnd && aOnEnd);
@@ -34,7 +60,7 @@
   ++this->generation;
   this->onClosed = nullptr;
   this->onEnd = std::move(aOnEnd);
-  this->progress = ExchangeProgress::NotSent;
+  this->progress = AttemptProgress::NothingSent;
   this->sendStart = std::chrono::steady_clock::now();
   this->request = Request{};
   this->request.base() = http::request_header<>(aCall.fields);
@@ -42,22 +68,19 @@
   this->request.method(aCall.method);
   this->request.target(aCall.target);
   this->request.set(http::field::host, aServer.address().to_string());
-  this->request.set(
-    kDeadlineField,
-    std::to_string(
-      std::chrono::ceil<std::chrono::milliseconds>(aTimeLeft).count()));
-  this->request.set(kAttemptField, std::to_string(aCall.attempt));
+  this->request.set(kDeadlineField, std::to_string(aTimeLeft.count()));
+  this->request.set(kAttemptField, std::to_string(aAttempt));
   this->request.set(kDepthField, std::to_string(aCall.depth + 1));
   this->request.body() = aCall.body;
   this->request.prepare_payload();
-  this->stream.expires_after(aTimeLeft);
   this->isNewConnection = !this->isOpen;
   if (this->isOpen) {
     this->Write();
     return;
   }
-  this->stream.async_connect(
-    aServer, [self = this->shared_from_this()](beast::error_code aError) {
+  this->Open(
+    aServer,
+    [self = this->shared_from_this()](boost::system::error_code aError) {
       if (!self->onEnd) {
         return;
       }
@@ -65,22 +88,35 @@
         self->FailOnError(aError);
         return;
       }
-      beast::error_code ignored;
-      self->stream.socket().set_option(tcp::no_delay(true), ignored);
-      self->isOpen = true;
       self->Write();
     });
 }
 
 void
-ServerConnection::Cancel(core::ErrorKind aKind)
+ServerConnection::Open(const tcp::endpoint& aServer,
+                       std::function<void(boost::system::error_code)> aOnOpened)
 {
-  if (this->onEnd) {
-    this->Fail(aKind);
-    return;
-  }
-  this->isOpen = false;
-  this->stream.close();
+  assert(!this->isOpen);
+  this->stream.expires_after(kConnectTimeout);
+  this->stream.async_connect(
+    aServer,
+    [self = this->shared_from_this(),
+     onOpened = std::move(aOnOpened)](beast::error_code aError) {
+      self->stream.expires_never();
+      if (!aError) {
+        beast::error_code ignored;
+        self->stream.socket().set_option(tcp::no_delay(true), ignored);
+        self->isOpen = true;
+      }
+      onOpened(aError);
+    });
+}
+
+void
+ServerConnection::Cancel()
+{
+  this->onEnd = nullptr;
+  this->CloseSocket();
 }
 
 bool
@@ -103,8 +139,7 @@
       if (aError || !self || watched != self->generation) {
         return;
       }
-      self->isOpen = false;
-      self->stream.close();
+      self->CloseSocket();
       if (const auto closed = std::exchange(self->onClosed, nullptr)) {
         closed();
       }
@@ -116,7 +151,7 @@
 {
   // From here on, bytes may have reached the server even if the write fails
   // later, unless the write reports that none was taken.
-  this->progress = ExchangeProgress::Sent;
+  this->progress = AttemptProgress::SentNoAnswer;
   http::async_write(this->stream,
                     this->request,
                     [self = this->shared_from_this()](beast::error_code aError,
@@ -126,7 +161,7 @@
                       }
                       if (aError) {
                         if (aCount == 0) {
-                          self->progress = ExchangeProgress::NotSent;
+                          self->progress = AttemptProgress::NothingSent;
                         }
                         self->FailOnError(aError);
                         return;
@@ -150,7 +185,7 @@
                        return;
                      }
                      if (aCount > 0 || self->buffer.size() > 0) {
-                       self->progress = ExchangeProgress::AnswerBegun;
+                       self->progress = AttemptProgress::AnswerTruncated;
                      }
                      if (aError) {
                        self->FailOnError(aError);
@@ -168,73 +203,55 @@
   // Without a length, a cut answer cannot be told from a whole one.
   if (!hasKnownEnd || http::to_status_class(message.result()) ==
                         http::status_class::informational) {
-    this->Fail(core::ErrorKind::AnswerInvalid);
+    this->Fail(AttemptProgress::AnswerInvalid);
     return;
   }
   ServerExchange exchange;
-  exchange.progress = ExchangeProgress::Answered;
-  exchange.kind = core::ErrorKind::None;
   if (const auto load = message.find(kServerLoadField); load != message.end()) {
     exchange.serverLoad = std::string(load->value());
   }
-  exchange.isRefusal = message.result() == http::status::service_unavailable &&
-                       message[kOutcomeField] == "not-run";
-  if (exchange.isRefusal) {
-    exchange.kind = core::ErrorKind::ServerRefused;
-  }
+  const bool isRefusal =
+    message.result() == http::status::service_unavailable &&
+    message[kOutcomeField] == "not-run";
+  exchange.progress =
+    isRefusal ? AttemptProgress::Refused : AttemptProgress::Answered;
   // Bytes after the answer belong to no request; such a connection cannot be
   // trusted with another one.
   if (!message.keep_alive() || this->buffer.size() > 0) {
-    this->isOpen = false;
-    this->stream.close();
+    this->CloseSocket();
+  }
+  if (!isRefusal) {
+    exchange.answer = AnswerOf(message);
   }
-  exchange.answer.status = message.result_int();
-  RemoveHopByHopFields(message);
-  message.erase(kServerLoadField);
-  message.erase(kOutcomeField);
-  exchange.answer.body = std::move(message.body());
-  exchange.answer.fields = std::move(message.base());
   this->End(std::move(exchange));
 }
 
 void
 ServerConnection::FailOnError(beast::error_code aError)
 {
-  if (aError == beast::error::timeout) {
-    this->Fail(this->progress == ExchangeProgress::NotSent
-                 ? core::ErrorKind::DeadlineBeforeSend
-                 : core::ErrorKind::DeadlineAfterSend);
-    return;
-  }
-  switch (this->progress) {
-    case ExchangeProgress::NotSent:
-      this->Fail(core::ErrorKind::ConnectFailed);
-      return;
-    case ExchangeProgress::Sent:
-      this->Fail(core::ErrorKind::ConnectionLost);
-      return;
-    case ExchangeProgress::AnswerBegun:
-    case ExchangeProgress::Answered:
-      break;
-  }
-  const bool isCut =
-    aError == http::error::partial_message ||
-    aError == http::error::end_of_stream ||
-    aError.category() != make_error_code(http::error::bad_method).category();
-  this->Fail(isCut ? core::ErrorKind::AnswerTruncated
-                   : core::ErrorKind::AnswerInvalid);
+  const bool isMalformed =
+    this->progress == AttemptProgress::AnswerTruncated &&
+    aError.category() == make_error_code(http::error::bad_method).category() &&
+    aError != http::error::partial_message &&
+    aError != http::error::end_of_stream;
+  this->Fail(isMalformed ? AttemptProgress::AnswerInvalid : this->progress);
 }
 
 void
-ServerConnection::Fail(core::ErrorKind aKind)
+ServerConnection::Fail(AttemptProgress aProgress)
+{
+  this->CloseSocket();
+  ServerExchange exchange;
+  exchange.progress = aProgress;
+  this->End(std::move(exchange));
+}
+
+void
+ServerConnection::CloseSocket()
 {
   ++this->generation;
   this->isOpen = false;
   this->stream.close();
-  ServerExchange exchange;
-  exchange.progress = this->progress;
-  exchange.kind = aKind;
-  this->End(std::move(exchange));
 }
 
 void
--- a/modules/gateway/ServerConnection.h
+++ b/modules/gateway/ServerConnection.h
@@ -39,20 +39,32 @@
 
   /**
    * Opens the connection if needed, sends the request and reads the whole
-   * answer. Calls `aOnEnd` exactly once. No other request may be pending.
-   * `aTimeLeft` is positive; when it has passed, the connection is closed,
-   * which cancels the request at the server. Call on the context's thread.
+   * answer. Calls `aOnEnd` once, unless `Cancel` is called first. No other
+   * request may be pending. `aTimeLeft` is positive and is passed on as the
+   * server's deadline; the owner ends the request with `Cancel` when its own
+   * deadline has passed. Call on the context's thread.
    */
   void Send(const boost::asio::ip::tcp::endpoint& aServer,
             const CallRequest& aCall,
-            std::chrono::steady_clock::duration aTimeLeft,
+            std::chrono::milliseconds aTimeLeft,
+            unsigned aAttempt,
             ExchangeFunction aOnEnd);
 
   /**
-   * Closes the connection. A pending request ends with the error kind given.
-   * Call on the context's thread.
+   * Opens the connection without a request. Must not be open. Call on the
+   * context's thread.
    */
-  void Cancel(core::ErrorKind aKind);
+  void Open(const boost::asio::ip::tcp::endpoint& aServer,
+            std::function<void(boost::system::error_code)> aOnOpened);
+
+  /**
+   * Closes the connection, which cancels a pending request at the server. Its
+   * end function is not called. Call on the context's thread.
+   */
+  void Cancel();
+
+  /** How far the pending request has got. Not thread-safe. */
+  calls::AttemptProgress Progress() const { return this->progress; }
 
   /** Whether another request may use the connection. Not thread-safe. */
   bool IsReusable() const;
@@ -71,8 +83,9 @@
   void Write();
   void Read();
   void OnAnswer();
-  void Fail(core::ErrorKind aKind);
+  void Fail(calls::AttemptProgress aProgress);
   void FailOnError(boost::beast::error_code aError);
+  void CloseSocket();
   void End(ServerExchange aExchange);
 
   boost::beast::tcp_stream stream;
@@ -81,7 +94,7 @@
   std::optional<Parser> parser;
   ExchangeFunction onEnd;
   ClosedFunction onClosed;
-  ExchangeProgress progress = ExchangeProgress::NotSent;
+  calls::AttemptProgress progress = calls::AttemptProgress::NothingSent;
   std::chrono::steady_clock::time_point sendStart;
   bool isOpen = false;
   bool isNewConnection = false;
--- a/modules/gateway/ServerConnectionTest.cpp
+++ b/modules/gateway/ServerConnectionTest.cpp
@@ -9,10 +9,12 @@
 #include <boost/test/unit_test.hpp>
 
 #include <deque>
+#include <optional>
 #include <thread>
 
 using namespace fireflytrail;
 using namespace fireflytrail::gateway;
+using calls::AttemptProgress;
 using namespace std::chrono_literals;
 using boost::asio::ip::tcp;
 
@@ -99,17 +101,26 @@
   {
   }
 
-  ServerExchange Send(std::chrono::milliseconds aTimeLeft = 5000ms)
+  /** Sends a call and runs until it has ended or the time has passed. */
+  ServerExchange Send(std::chrono::milliseconds aTimeLeft = 10'000ms)
   {
-    ServerExchange result;
+    std::optional<ServerExchange> result;
     CallRequest call;
     call.target = "/lookup";
-    this->pool->Send(call, aTimeLeft, [&](ServerExchange aExchange) {
-      result = std::move(aExchange);
-    });
+    const auto connection =
+      this->pool->Send(call, aTimeLeft, 0, [&](ServerExchange aExchange) {
+        result = std::move(aExchange);
+      });
     this->context.restart();
-    this->context.run_for(10s);
-    return result;
+    const auto end = std::chrono::steady_clock::now() + aTimeLeft;
+    while (!result && this->context.run_one_until(end) != 0) {
+    }
+    if (!result) {
+      result.emplace();
+      result->progress = connection->Progress();
+      this->pool->Cancel(*connection);
+    }
+    return *result;
   }
 
 private:
@@ -127,9 +138,9 @@
   ScriptedServer server({ { kAnswer }, { kAnswer, true } });
   Client client(server.Endpoint());
   for (int count = 0; count < 2; ++count) {
-    const ServerExchange exchange = client.Send(200ms);
-    BOOST_TEST((exchange.kind == core::ErrorKind::None));
-    BOOST_TEST(exchange.answer.body == "hello");
+    const ServerExchange exchange = client.Send();
+    BOOST_REQUIRE((exchange.progress == AttemptProgress::Answered));
+    BOOST_TEST(exchange.answer->body == "hello");
     BOOST_TEST(exchange.serverLoad.value() == "in_flight=1, slots=4");
     BOOST_TEST(exchange.isNewConnection == (count == 0));
   }
@@ -145,10 +156,10 @@
   ScriptedServer server({ { kAnswer.substr(0, cut), true } });
   Client client(server.Endpoint());
   const ServerExchange exchange = client.Send();
-  const auto expected = cut == 0 ? core::ErrorKind::ConnectionLost
-                                 : core::ErrorKind::AnswerTruncated;
-  BOOST_TEST((exchange.kind == expected));
-  BOOST_TEST(exchange.answer.body.empty());
+  const auto expected =
+    cut == 0 ? AttemptProgress::SentNoAnswer : AttemptProgress::AnswerTruncated;
+  BOOST_TEST((exchange.progress == expected));
+  BOOST_TEST(!exchange.answer);
 }
 
 // Guards against a duplicated answer being taken for the answer to the next
@@ -158,8 +169,8 @@
   const std::string other = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nother";
   ScriptedServer server({ { kAnswer + kAnswer }, { other, true } });
   Client client(server.Endpoint());
-  BOOST_TEST(client.Send().answer.body == "hello");
-  BOOST_TEST(client.Send().answer.body == "other");
+  BOOST_TEST(client.Send().answer->body == "hello");
+  BOOST_TEST(client.Send().answer->body == "other");
   BOOST_TEST(server.connections == 2);
 }
 
@@ -171,10 +182,9 @@
   ScriptedServer server({ { "" }, { other, true } });
   Client client(server.Endpoint());
   const ServerExchange late = client.Send(20ms);
-  BOOST_TEST((late.kind == core::ErrorKind::DeadlineAfterSend));
-  BOOST_TEST((late.progress == ExchangeProgress::Sent));
+  BOOST_TEST((late.progress == AttemptProgress::SentNoAnswer));
   BOOST_TEST(client.pool->ConnectionCount() == 0U);
-  BOOST_TEST(client.Send().answer.body == "other");
+  BOOST_TEST(client.Send().answer->body == "other");
 }
 
 // Guards against treating an answer without a length as whole.
@@ -182,7 +192,7 @@
 {
   ScriptedServer server({ { "HTTP/1.1 200 OK\r\n\r\nhel", true } });
   Client client(server.Endpoint());
-  BOOST_TEST((client.Send().kind == core::ErrorKind::AnswerInvalid));
+  BOOST_TEST((client.Send().progress == AttemptProgress::AnswerInvalid));
 }
 
 // Guards against "not run" being lost when the server refused before running,
@@ -195,10 +205,8 @@
                             "Content-Length: 0\r\n\r\n",
                             true } });
   Client client(server.Endpoint());
-  BOOST_TEST(client.Send(200ms).isRefusal);
-  const ServerExchange failed = client.Send(200ms);
-  BOOST_TEST(!failed.isRefusal);
-  BOOST_TEST((failed.kind == core::ErrorKind::None));
+  BOOST_TEST((client.Send().progress == AttemptProgress::Refused));
+  BOOST_TEST((client.Send().progress == AttemptProgress::Answered));
 }
 
 // Guards against reporting "outcome unknown" when nothing listened.
@@ -211,6 +219,5 @@
   unused.close();
   Client client(closed);
   const ServerExchange exchange = client.Send();
-  BOOST_TEST((exchange.kind == core::ErrorKind::ConnectFailed));
-  BOOST_TEST((exchange.progress == ExchangeProgress::NotSent));
+  BOOST_TEST((exchange.progress == AttemptProgress::NothingSent));
 }
--- a/modules/gateway/ServerExchange.h
+++ b/modules/gateway/ServerExchange.h
@@ -1,38 +1,20 @@
 #pragma once
 
-#include "core/ErrorKind.h"
-#include "gateway/CallAnswer.h"
+#include "calls/AttemptResult.h"
 
 #include <chrono>
-#include <cstdint>
+#include <memory>
 #include <optional>
 #include <string>
 
 namespace fireflytrail::gateway {
 
-/** How far one attempt at a server got, as seen on its connection. */
-enum class ExchangeProgress : std::uint8_t
-{
-  /** No byte of the request was handed to the network. */
-  NotSent,
-  /** Some or all of the request was sent and no answer byte came. */
-  Sent,
-  /** A part of the answer came. */
-  AnswerBegun,
-  /** The whole answer came. */
-  Answered,
-};
-
-/** The end of one attempt at a server. */
+/** The end of one attempt at a server, as seen on its connection. */
 struct ServerExchange
 {
-  ExchangeProgress progress = ExchangeProgress::NotSent;
-  /** `None` only if `progress` is `Answered`. */
-  core::ErrorKind kind = core::ErrorKind::ConnectFailed;
-  /** The server's answer; set only if `progress` is `Answered`. */
-  CallAnswer answer;
-  /** True if the answer says that the server refused before running. */
-  bool isRefusal = false;
+  calls::AttemptProgress progress = calls::AttemptProgress::NothingSent;
+  /** Set if and only if the progress is `Answered`. */
+  std::shared_ptr<const calls::Answer> answer;
   /** Value of the `Server-Load` field, if the answer has one. */
   std::optional<std::string> serverLoad;
   /** Time from the start of sending to the end. */
--- a/modules/gateway/ServerPool.cpp
+++ b/modules/gateway/ServerPool.cpp
@@ -20,7 +20,8 @@
 
 std::shared_ptr<ServerConnection>
 ServerPool::Send(const CallRequest& aCall,
-                 std::chrono::steady_clock::duration aTimeLeft,
+                 std::chrono::milliseconds aTimeLeft,
+                 unsigned aAttempt,
                  ExchangeFunction aOnEnd)
 {
   std::shared_ptr<ServerConnection> connection;
@@ -46,11 +47,35 @@
   return connection;
 }
 
+void
+ServerPool::Cancel(ServerConnection& aConnection)
+{
+  assert(this->inUse > 0);
+  --this->inUse;
+  aConnection.Cancel();
+}
+
+void
+ServerPool::CheckListening(std::function<void(bool)> aOnChecked)
+{
+  const auto connection = std::make_shared<ServerConnection>(this->context);
+  ++this->inUse;
+  connection->Open(
+    this->server,
+    [self = this->shared_from_this(),
+     connection,
+     onChecked = std::move(aOnChecked)](boost::system::error_code aError) {
+      --self->inUse;
+      self->Return(connection);
+      onChecked(aError == boost::asio::error::connection_refused);
+    });
+}
+
 void
 ServerPool::CloseIdle()
 {
   for (const auto& connection : std::exchange(this->idle, {})) {
-    connection->Cancel(core::ErrorKind::Stopping);
+    connection->Cancel();
   }
 }
 
@@ -67,7 +92,7 @@
     return;
   }
   if (this->idle.size() >= this->maxIdle) {
-    aConnection->Cancel(core::ErrorKind::Stopping);
+    aConnection->Cancel();
     return;
   }
   this->idle.push_back(aConnection);
--- a/modules/gateway/ServerPool.h
+++ b/modules/gateway/ServerPool.h
@@ -37,10 +37,24 @@
    * once. The returned connection can be used to cancel the call. `aTimeLeft`
    * is positive. Call on the context's thread.
    */
-  std::shared_ptr<ServerConnection> Send(
-    const CallRequest& aCall,
-    std::chrono::steady_clock::duration aTimeLeft,
-    ExchangeFunction aOnEnd);
+  std::shared_ptr<ServerConnection> Send(const CallRequest& aCall,
+                                         std::chrono::milliseconds aTimeLeft,
+                                         unsigned aAttempt,
+                                         ExchangeFunction aOnEnd);
+
+  /**
+   * Cancels a pending call at the server by closing its connection, which must
+   * be one that `Send` returned and that has not ended. Its end function is not
+   * called. Call on the context's thread.
+   */
+  void Cancel(ServerConnection& aConnection);
+
+  /**
+   * Opens a connection and keeps it for later calls. Tells the function whether
+   * the server's host refused it, which shows that no process listens. Call on
+   * the context's thread.
+   */
+  void CheckListening(std::function<void(bool)> aOnChecked);
 
   /** Closes the idle connections. Call on the context's thread. */
   void CloseIdle();
