Add the gossip module

Daemons need membership, records and the desired state version from each other without a consensus service or store calls that grow with the fleet.

Records are reconciled per origin by version (Scuttlebutt); heartbeats are reconciled apart from records, so a backlog of records cannot delay failure detection. Starts of the same name are ordered by incarnation.

--- /dev/null
+++ b/modules/gossip/GossipExchanger.cpp
@@ -0,0 +1,375 @@
+#include "gossip/GossipExchanger.h"
+
+#include "gossip/GossipState.h"
+#include "gossip/GossipTiming.h"
+#include "gossip/Membership.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace fireflytrail::gossip {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+// A push round goes to the next host by name and to this many others at
+// random. The next host by name closes gaps that random choice leaves.
+constexpr std::size_t kRandomPushTargets = 2;
+constexpr int kPushRounds = 3;
+constexpr auto kPushRoundInterval = 250ms;
+
+// Bytes of records that one daemon sends in exchanges: average and burst.
+// Received bytes are bounded by the same figure on average.
+constexpr double kRecordBytesPerSecond = 1000;
+constexpr double kRecordBytesBurst = 16.0 * 1024;
+constexpr double kRecordBytesPerExchange = 8.0 * 1024;
+
+// Received bytes of paced records of all hosts together. It must stay below
+// kRecordBytesPerSecond, or a backlog would build up.
+constexpr double kPacedBytesPerSecond = 700;
+
+// Every fourth exchange tries a host believed dead, so that two sides of a
+// healed partition find each other within seconds.
+constexpr unsigned kDeadPeerTurn = 4;
+
+constexpr std::size_t kBroadViewPeers = 3;
+constexpr auto kBroadViewWait = 3s;
+
+bool
+IsReachable(const Member& aMember)
+{
+  return aMember.state != MemberState::Dead && !aMember.peer.address.empty();
+}
+
+} // namespace
+
+GossipExchanger::GossipExchanger(GossipState& aState,
+                                 Membership& aMembership,
+                                 core::NowFunction aNow,
+                                 core::RandomFunction aRandom,
+                                 SendFunction aSend)
+  : state(aState)
+  , membership(aMembership)
+  , now(std::move(aNow))
+  , random(std::move(aRandom))
+  , send(std::move(aSend))
+  , byteTokens(kRecordBytesBurst)
+{
+  assert(this->now);
+  assert(this->random);
+  assert(this->send);
+  this->started = this->now();
+  this->lastTick = this->started;
+  this->nextExchange = this->started;
+  this->tokensUpdated = this->started;
+}
+
+void
+GossipExchanger::Tick()
+{
+  this->CheckPause();
+  const core::TimePoint current = this->now();
+  this->WriteDuePaced();
+  this->SendDuePushes();
+  if (current < this->nextExchange) {
+    return;
+  }
+  const auto interval = ExchangeInterval(this->state.Origins().size());
+  // Jitter of a tenth keeps hosts that started together from staying in step.
+  const auto jitter = interval / 10;
+  this->nextExchange =
+    current + interval - jitter / 2 +
+    std::chrono::milliseconds(this->random() %
+                              static_cast<std::uint64_t>(jitter.count()));
+  this->membership.RemoveDead();
+  this->state.Beat();
+  this->StartExchange();
+}
+
+void
+GossipExchanger::CheckPause()
+{
+  const core::TimePoint current = this->now();
+  if (current - this->lastTick > kPauseLimit) {
+    this->stale = true;
+    this->firstValidExchange = this->exchange + 1;
+    this->repliedSinceWake.clear();
+    this->membership.NotePause();
+    this->state.EndJoinWindow();
+    this->nextExchange = current;
+  }
+  this->lastTick = current;
+}
+
+bool
+GossipExchanger::IsStale() const
+{
+  return this->stale || this->now() - this->lastTick > kPauseLimit;
+}
+
+std::optional<Peer>
+GossipExchanger::NextPeer()
+{
+  const std::vector<Member> members = this->membership.Members();
+  ++this->turnCount;
+  std::vector<Peer> dead;
+  std::map<std::string_view, const Peer*> reachable;
+  for (const Member& member : members) {
+    if (member.peer.name == this->state.Self().name) {
+      continue;
+    }
+    if (IsReachable(member)) {
+      reachable.emplace(member.peer.name, &member.peer);
+    } else if (!member.peer.address.empty()) {
+      dead.push_back(member.peer);
+    }
+  }
+  if (!dead.empty() &&
+      (reachable.empty() || this->turnCount % kDeadPeerTurn == 0)) {
+    return dead[this->random() % dead.size()];
+  }
+  // Each reachable peer has its turn before any has the next one.
+  for (int attempt = 0; attempt < 2; ++attempt) {
+    while (!this->turnOrder.empty()) {
+      const std::string name = std::move(this->turnOrder.back());
+      this->turnOrder.pop_back();
+      const auto position = reachable.find(name);
+      if (position != reachable.end()) {
+        return *position->second;
+      }
+    }
+    for (const auto& [name, peer] : reachable) {
+      this->turnOrder.emplace_back(name);
+    }
+    for (std::size_t left = this->turnOrder.size(); left > 1; --left) {
+      std::swap(this->turnOrder[left - 1],
+                this->turnOrder[this->random() % left]);
+    }
+  }
+  return std::nullopt;
+}
+
+void
+GossipExchanger::StartExchange()
+{
+  const std::optional<Peer> peer = this->NextPeer();
+  if (!peer) {
+    return;
+  }
+  this->send(*peer, this->state.MakeDigest(++this->exchange));
+}
+
+std::size_t
+GossipExchanger::TakeByteLimit()
+{
+  const core::TimePoint current = this->now();
+  const std::chrono::duration<double> passed = current - this->tokensUpdated;
+  this->tokensUpdated = current;
+  this->byteTokens =
+    std::min(kRecordBytesBurst,
+             this->byteTokens + passed.count() * kRecordBytesPerSecond);
+  return static_cast<std::size_t>(
+    std::clamp(this->byteTokens, 0.0, kRecordBytesPerExchange));
+}
+
+void
+GossipExchanger::ChargeRecords(const Delta& aDelta)
+{
+  for (const OriginDelta& origin : aDelta.origins) {
+    for (const Record& record : origin.records) {
+      this->byteTokens -= static_cast<double>(GossipState::EncodedSize(record));
+    }
+  }
+}
+
+bool
+GossipExchanger::IsVouching() const
+{
+  return !this->stale && this->HasBroadView();
+}
+
+void
+GossipExchanger::Receive(const std::string& aFrom, const Digest& aDigest)
+{
+  this->CheckPause();
+  Delta reply = this->state.AnswerDigest(aDigest, this->TakeByteLimit());
+  reply.senderIsStale = !this->IsVouching();
+  this->ChargeRecords(reply);
+  if (const std::optional<Peer> peer = this->membership.PeerOf(aFrom)) {
+    this->send(*peer, reply);
+  } else {
+    // The sender is new: its connection is known to the transport by name.
+    this->send(Peer{ aFrom, "" }, reply);
+  }
+}
+
+void
+GossipExchanger::Receive(const std::string& aFrom, const Delta& aDelta)
+{
+  this->CheckPause();
+  const auto changed = this->state.Apply(aDelta);
+  switch (aDelta.kind) {
+    case DeltaKind::Push:
+      for (const auto& [name, key] : changed) {
+        this->StartPush(name, key);
+      }
+      return;
+    case DeltaKind::Final:
+      return;
+    case DeltaKind::Reply:
+      break;
+  }
+  if (!aDelta.wanted.empty()) {
+    Delta answer = this->state.AnswerWanted(aDelta, this->TakeByteLimit());
+    answer.senderIsStale = !this->IsVouching();
+    this->ChargeRecords(answer);
+    if (!answer.origins.empty()) {
+      this->send(this->membership.PeerOf(aFrom).value_or(Peer{ aFrom, "" }),
+                 answer);
+    }
+  }
+  if (aDelta.exchange < this->firstValidExchange ||
+      aDelta.exchange > this->exchange) {
+    return;
+  }
+  this->lastExchange = this->now();
+  this->repliedSinceWake.insert(aFrom);
+  if (!aDelta.senderIsStale || 2 * this->repliedSinceWake.size() >=
+                                 this->membership.PlausibleHostCount()) {
+    this->stale = false;
+  }
+}
+
+bool
+GossipExchanger::HasBroadView() const
+{
+  return this->repliedSinceWake.size() >= kBroadViewPeers ||
+         (this->lastExchange && this->now() - this->started >= kBroadViewWait);
+}
+
+bool
+GossipExchanger::PublishUrgent(std::string_view aKey, std::string_view aValue)
+{
+  if (!this->state.SetRecord(aKey, aValue)) {
+    return false;
+  }
+  this->StartPush(this->state.Self().name, std::string(aKey));
+  return true;
+}
+
+void
+GossipExchanger::StartPush(const std::string& aName, const std::string& aKey)
+{
+  std::erase_if(this->pushes, [&](const Push& aPush) {
+    return aPush.name == aName && aPush.key == aKey;
+  });
+  const Origin* origin = this->state.FindOrigin(aName);
+  if (origin == nullptr) {
+    return;
+  }
+  Push push;
+  push.name = aName;
+  push.key = aKey;
+  push.version = origin->records.find(aKey)->second.version;
+  push.roundsLeft = kPushRounds;
+  this->SendPushRound(push);
+  this->pushes.push_back(std::move(push));
+}
+
+void
+GossipExchanger::SendPushRound(Push& aPush)
+{
+  --aPush.roundsLeft;
+  aPush.due = this->now() + kPushRoundInterval;
+  std::vector<Peer> targets;
+  std::optional<Peer> next;
+  for (const Member& member : this->membership.Members()) {
+    if (member.peer.name == this->state.Self().name ||
+        member.peer.name == aPush.name || !IsReachable(member)) {
+      continue;
+    }
+    targets.push_back(member.peer);
+    if (!next && member.peer.name > this->state.Self().name) {
+      next = member.peer;
+    }
+  }
+  if (targets.empty()) {
+    return;
+  }
+  const Delta push = this->state.MakePush(aPush.name, aPush.key);
+  const Peer ringPeer = next.value_or(targets.front());
+  this->send(ringPeer, push);
+  std::erase(targets, ringPeer);
+  for (std::size_t sent = 0; sent < kRandomPushTargets && !targets.empty();
+       ++sent) {
+    const auto index =
+      static_cast<std::ptrdiff_t>(this->random() % targets.size());
+    this->send(targets[static_cast<std::size_t>(index)], push);
+    targets.erase(targets.begin() + index);
+  }
+}
+
+void
+GossipExchanger::SendDuePushes()
+{
+  const core::TimePoint current = this->now();
+  std::erase_if(this->pushes, [&](Push& aPush) {
+    const Origin* origin = this->state.FindOrigin(aPush.name);
+    if (origin == nullptr) {
+      return true;
+    }
+    // A newer value of the record is pushed by its own entry.
+    const auto record = origin->records.find(aPush.key);
+    if (record == origin->records.end() ||
+        record->second.version != aPush.version) {
+      return true;
+    }
+    if (current >= aPush.due) {
+      this->SendPushRound(aPush);
+    }
+    return aPush.roundsLeft == 0;
+  });
+}
+
+std::chrono::milliseconds
+GossipExchanger::PacedInterval() const
+{
+  std::size_t size = 0;
+  for (const auto& [key, record] : this->paced) {
+    size += GossipState::EncodedSize(Record{ key, record.value, 0, false });
+  }
+  const double total = static_cast<double>(size * this->state.Origins().size());
+  return std::max(std::chrono::milliseconds(1000),
+                  std::chrono::milliseconds(static_cast<std::int64_t>(
+                    1000 * total / kPacedBytesPerSecond)));
+}
+
+void
+GossipExchanger::PublishPaced(std::string_view aKey, std::string_view aValue)
+{
+  auto position = this->paced.find(aKey);
+  if (position == this->paced.end()) {
+    position = this->paced.emplace(std::string(aKey), Paced{}).first;
+    position->second.nextWrite = this->now();
+  }
+  position->second.value = aValue;
+  position->second.isPending = true;
+  this->WriteDuePaced();
+}
+
+void
+GossipExchanger::WriteDuePaced()
+{
+  const core::TimePoint current = this->now();
+  for (auto& [key, record] : this->paced) {
+    if (record.isPending && current >= record.nextWrite) {
+      record.isPending = false;
+      record.nextWrite = current + this->PacedInterval();
+      this->state.SetRecord(key, record.value);
+    }
+  }
+}
+
+} // namespace fireflytrail::gossip
--- /dev/null
+++ b/modules/gossip/GossipNodeTest.cpp
@@ -0,0 +1,388 @@
+#include "gossip/VirtualNetwork.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <numeric>
+#include <set>
+
+using namespace fireflytrail::gossip;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::size_t kHostCount = 19;
+
+std::vector<std::size_t>
+AllHosts(std::size_t aCount = kHostCount)
+{
+  std::vector<std::size_t> all(aCount);
+  std::iota(all.begin(), all.end(), 0);
+  return all;
+}
+
+/** Starts 19 hosts with a correct host list and lets them meet. */
+struct Fleet
+{
+  explicit Fleet(std::uint64_t aSeed, std::size_t aCount = kHostCount)
+    : network(aSeed)
+    , count(aCount)
+  {
+    this->network.accepted = [this](std::size_t aIndex,
+                                    std::uint64_t aVersion) {
+      // A process applies only newer versions; a restarted one may apply the
+      // version of its predecessor again, but never a lower one.
+      const unsigned generation = this->network.hosts[aIndex].generation;
+      Applied& last = this->applied[aIndex];
+      BOOST_TEST(aVersion >=
+                 last.version + (generation == last.generation ? 1 : 0));
+      last = { generation, aVersion };
+    };
+    this->applied.resize(aCount);
+    for (std::size_t index = 0; index < aCount; ++index) {
+      this->network.Start(index);
+    }
+    for (std::size_t index = 0; index < aCount; ++index) {
+      this->network.SetList(index, AllHosts(aCount));
+    }
+    this->network.Run(20s);
+  }
+
+  std::uint64_t Held(std::size_t aIndex)
+  {
+    return this->network.Node(aIndex).Desired().HeldVersion();
+  }
+
+  std::size_t CountHolding(std::uint64_t aVersion)
+  {
+    std::size_t holding = 0;
+    for (std::size_t index = 0; index < this->count; ++index) {
+      holding += this->Held(index) == aVersion ? 1 : 0;
+    }
+    return holding;
+  }
+
+  std::size_t CountKnowing(std::size_t aOrigin, std::string_view aKey)
+  {
+    std::size_t knowing = 0;
+    for (std::size_t index = 0; index < this->count; ++index) {
+      knowing += this->network.Node(index).State().FindRecord(
+                   this->network.hosts[aOrigin].name, aKey) != nullptr
+                   ? 1
+                   : 0;
+    }
+    return knowing;
+  }
+
+  MemberState StateAt(std::size_t aObserver, std::size_t aHost)
+  {
+    return this->network.Node(aObserver)
+      .Members()
+      .StateOf(this->network.hosts[aHost].name)
+      .value_or(MemberState::Dead);
+  }
+
+  /** Runs in steps and checks the count of hosts at every live daemon. */
+  void RunChecked(std::chrono::seconds aTime, std::size_t aTrueCount)
+  {
+    for (auto passed = 0s; passed < aTime; passed += 1s) {
+      this->network.Run(1s);
+      for (std::size_t index = 0; index < this->count; ++index) {
+        const auto& host = this->network.hosts[index];
+        if (host.isUp && host.pausedUntil <= this->network.Now()) {
+          BOOST_TEST(host.node->Members().PlausibleHostCount() >= aTrueCount);
+        }
+      }
+    }
+  }
+
+  struct Applied
+  {
+    unsigned generation = 0;
+    std::uint64_t version = 0;
+  };
+
+  VirtualNetwork network;
+  std::size_t count;
+  std::vector<Applied> applied;
+};
+
+} // namespace
+
+// Guards against a change that is not in force everywhere within 5 s.
+BOOST_AUTO_TEST_CASE(AllAgreeOnNewestVersionWithinFiveSeconds)
+{
+  for (const std::uint64_t seed : { 1, 2, 3, 4, 5 }) {
+    Fleet fleet(seed);
+    fleet.network.Node(3).Desired().OfferFromStore(1, "one");
+    fleet.network.Run(5s);
+    BOOST_TEST(fleet.CountHolding(1) == kHostCount);
+    // Several watchers read the next version at about the same time.
+    for (const std::size_t watcher : { 1, 7, 11 }) {
+      fleet.network.Node(watcher).Desired().OfferFromStore(2, "two");
+    }
+    fleet.network.Run(5s);
+    BOOST_TEST(fleet.CountHolding(2) == kHostCount);
+    BOOST_TEST(fleet.network.Node(0).Desired().Document() == "two");
+    for (std::size_t index = 0; index < kHostCount; ++index) {
+      const auto status = fleet.network.Node(0).Desired().StatusOf(
+        fleet.network.hosts[index].name);
+      BOOST_REQUIRE(status.has_value());
+      BOOST_TEST(status->inForce == 2U);
+    }
+  }
+}
+
+// Guards against urgent records (verdicts, crash digests) that wait for an
+// exchange.
+BOOST_AUTO_TEST_CASE(UrgentRecordReachesAllWithinOneSecond)
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Fleet fleet(seed);
+    fleet.network.Node(5).Exchanger().PublishUrgent("verdict", "taken back");
+    fleet.network.Run(1s);
+    BOOST_TEST(fleet.CountKnowing(5, "verdict") == kHostCount);
+  }
+}
+
+// Guards against urgent records that depend on single messages.
+BOOST_AUTO_TEST_CASE(UrgentRecordReachesAllWithinThreeSecondsUnderLoss)
+{
+  for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+    Fleet fleet(seed);
+    fleet.network.loss = 0.2;
+    fleet.network.Node(5).Exchanger().PublishUrgent("verdict", "taken back");
+    fleet.network.Run(3s);
+    BOOST_TEST(fleet.CountKnowing(5, "verdict") == kHostCount);
+  }
+}
+
+// Guards against a peer that was cut off handing its old version to others.
+BOOST_AUTO_TEST_CASE(LaggingPeerNeverBringsBackAnOlderVersion)
+{
+  Fleet fleet(1);
+  auto& network = fleet.network;
+  network.Node(0).Desired().OfferFromStore(1, "one");
+  network.Run(5s);
+  network.isCut = [](std::size_t aFrom, std::size_t aTo) {
+    return (aFrom == 18) != (aTo == 18);
+  };
+  network.Node(0).Desired().OfferFromStore(2, "two");
+  network.Run(5s);
+  BOOST_TEST(fleet.CountHolding(2) == kHostCount - 1);
+  BOOST_TEST(fleet.Held(18) == 1U);
+  network.isCut = nullptr;
+  network.Run(10s);
+  BOOST_TEST(fleet.CountHolding(2) == kHostCount);
+  BOOST_TEST(!network.Node(0).Desired().OfferFromStore(1, "one"));
+}
+
+// Guards against a restarted daemon that takes an old version from the first
+// peer that it hears, here one that was cut off until a moment ago.
+BOOST_AUTO_TEST_CASE(RestartNeverBringsBackAnOlderVersion)
+{
+  for (const std::uint64_t seed : { 1, 2, 3, 4, 5 }) {
+    Fleet fleet(seed);
+    auto& network = fleet.network;
+    network.Node(0).Desired().OfferFromStore(1, "one");
+    network.Run(5s);
+    network.isCut = [](std::size_t aFrom, std::size_t aTo) {
+      return (aFrom == 18) != (aTo == 18);
+    };
+    network.Node(0).Desired().OfferFromStore(2, "two");
+    network.Run(5s);
+    network.isCut = nullptr;
+    network.Start(4);
+    network.SetList(4, AllHosts());
+    network.Run(10s);
+    // The check of `accepted` covers all processes of a host.
+    BOOST_TEST(fleet.CountHolding(2) == kHostCount);
+  }
+}
+
+// Guards against paused daemons that take themselves for healthy, or that
+// declare all others dead on waking.
+BOOST_AUTO_TEST_CASE(PausedDaemonsWakeStaleAndRecover)
+{
+  for (const std::uint64_t seed : { 1, 2, 3 }) {
+    Fleet fleet(seed);
+    auto& network = fleet.network;
+    network.Pause(2, 30s);
+    network.Pause(9, 30s);
+    fleet.RunChecked(29s, kHostCount);
+    BOOST_TEST((fleet.StateAt(0, 2) != MemberState::Alive));
+    BOOST_TEST(network.Node(2).Exchanger().IsStale());
+    network.Run(1001ms);
+    BOOST_TEST((fleet.StateAt(2, 0) == MemberState::Alive));
+    fleet.RunChecked(5s, kHostCount);
+    BOOST_TEST(!network.Node(2).Exchanger().IsStale());
+    BOOST_TEST(!network.Node(9).Exchanger().IsStale());
+    BOOST_TEST((fleet.StateAt(0, 2) == MemberState::Alive));
+    BOOST_TEST((fleet.StateAt(0, 9) == MemberState::Alive));
+  }
+}
+
+// Guards against two daemons that wake together and vouch for each other
+// while both are cut off from the rest.
+BOOST_AUTO_TEST_CASE(StaleDaemonsDoNotVouchForEachOther)
+{
+  Fleet fleet(1);
+  auto& network = fleet.network;
+  network.isCut = [](std::size_t aFrom, std::size_t aTo) {
+    return (aFrom < 2) != (aTo < 2);
+  };
+  network.Pause(0, 30s);
+  network.Pause(1, 30s);
+  network.Run(100s);
+  BOOST_TEST(network.Node(0).Exchanger().IsStale());
+  BOOST_TEST(network.Node(1).Exchanger().IsStale());
+  network.isCut = nullptr;
+  network.Run(20s);
+  BOOST_TEST(!network.Node(0).Exchanger().IsStale());
+  BOOST_TEST(!network.Node(1).Exchanger().IsStale());
+}
+
+// Guards against a fleet that stays stale for good after all hosts paused.
+BOOST_AUTO_TEST_CASE(FleetRecoversWhenAllPause)
+{
+  Fleet fleet(1);
+  for (std::size_t index = 0; index < kHostCount; ++index) {
+    fleet.network.Pause(index, 30s);
+  }
+  fleet.network.Run(60s);
+  for (std::size_t index = 0; index < kHostCount; ++index) {
+    BOOST_TEST(!fleet.network.Node(index).Exchanger().IsStale());
+    BOOST_TEST((fleet.StateAt(0, index) == MemberState::Alive));
+  }
+}
+
+// Guards against budgets divided by too few hosts during a partition, and
+// against sides that do not find each other afterwards.
+BOOST_AUTO_TEST_CASE(ThirdCutOffForMinutesRejoins)
+{
+  for (const bool isListed : { true, false }) {
+    Fleet fleet(1);
+    auto& network = fleet.network;
+    network.Node(0).Desired().OfferFromStore(1, "one");
+    network.Run(5s);
+    network.isCut = [](std::size_t aFrom, std::size_t aTo) {
+      return (aFrom < 6) != (aTo < 6);
+    };
+    if (!isListed) {
+      // The list lags and is wrong by half at the same time.
+      for (std::size_t index = 0; index < kHostCount; ++index) {
+        network.SetList(index, { 0, 2, 4, 6, 8, 10, 12, 14, 16 });
+      }
+    }
+    fleet.RunChecked(60s, kHostCount);
+    network.Node(10).Desired().OfferFromStore(2, "two");
+    fleet.RunChecked(240s, kHostCount);
+    BOOST_TEST(fleet.CountHolding(2) == 13U);
+    BOOST_TEST((fleet.StateAt(10, 0) == MemberState::Dead));
+    const auto startBefore =
+      network.Node(10).State().FindOrigin("entry-00")->id.start;
+    network.isCut = nullptr;
+    fleet.RunChecked(20s, kHostCount);
+    BOOST_TEST(fleet.CountHolding(2) == kHostCount);
+    for (std::size_t index = 0; index < kHostCount; ++index) {
+      BOOST_TEST((fleet.StateAt(10, index) == MemberState::Alive));
+      BOOST_TEST((fleet.StateAt(0, index) == MemberState::Alive));
+    }
+    BOOST_TEST(network.Node(10).State().FindOrigin("entry-00")->id.start ==
+               startBefore);
+  }
+}
+
+// Guards against daemons that stay unknown because the list lacks them, and
+// against listed hosts that do not exist being taken for alive.
+BOOST_AUTO_TEST_CASE(ListWrongByHalf)
+{
+  VirtualNetwork network(1);
+  for (std::size_t index = 0; index < kHostCount; ++index) {
+    network.Start(index);
+  }
+  // Half of the listed hosts do not exist; half of the hosts are not listed.
+  std::vector<ListedHost> list;
+  for (std::size_t index = 0; index < kHostCount; index += 2) {
+    list.push_back(
+      { network.hosts[index].name, "10.0.0." + std::to_string(index), false });
+    list.push_back({ "gone-" + std::to_string(index), "10.0.1.1", false });
+  }
+  for (std::size_t index = 0; index < kHostCount; ++index) {
+    network.Node(index).Members().SetHostList(list);
+  }
+  network.Run(40s);
+  for (std::size_t index = 0; index < kHostCount; ++index) {
+    const Membership& members = network.Node(index).Members();
+    BOOST_TEST(members.BelievedAlive().size() == kHostCount);
+    BOOST_TEST(members.PlausibleHostCount() >= kHostCount);
+    BOOST_TEST((members.StateOf("gone-0") == MemberState::Suspect));
+  }
+}
+
+// Guards against records of the earlier process staying or coming back, and
+// against the new process being taken for the old one.
+BOOST_AUTO_TEST_CASE(RestartWithSameNameReplacesTheOldProcess)
+{
+  for (const auto skew : { 0ms, -3'600'000ms }) {
+    Fleet fleet(1);
+    auto& network = fleet.network;
+    network.Node(4).Exchanger().PublishUrgent("old", "x");
+    network.Run(2s);
+    BOOST_TEST(fleet.CountKnowing(4, "old") == kHostCount);
+    // One peer is cut off meanwhile and keeps the old process's records.
+    network.isCut = [](std::size_t aFrom, std::size_t aTo) {
+      return (aFrom == 18) != (aTo == 18);
+    };
+    network.hosts[4].clockSkew = skew;
+    network.Start(4);
+    network.SetList(4, AllHosts());
+    network.Node(4).Exchanger().PublishUrgent("new", "y");
+    fleet.RunChecked(40s, kHostCount);
+    BOOST_TEST(fleet.CountKnowing(4, "old") == 1U);
+    BOOST_TEST(fleet.CountKnowing(4, "new") == kHostCount - 1);
+    network.isCut = nullptr;
+    fleet.RunChecked(20s, kHostCount);
+    BOOST_TEST(fleet.CountKnowing(4, "old") == 0U);
+    BOOST_TEST(fleet.CountKnowing(4, "new") == kHostCount);
+    BOOST_TEST(!network.Node(4).State().IsSuperseded());
+    BOOST_TEST((fleet.StateAt(0, 4) == MemberState::Alive));
+  }
+}
+
+// Guards against a leaving daemon that others count for minutes after its
+// end, and against one that others learn of too late.
+BOOST_AUTO_TEST_CASE(LeavingIsSeenAtOnceAndNotCountedAfterTheEnd)
+{
+  Fleet fleet(1);
+  auto& network = fleet.network;
+  network.Node(7).AnnounceLeaving();
+  network.Run(1s);
+  BOOST_TEST((fleet.StateAt(0, 7) == MemberState::Leaving));
+  network.Stop(7);
+  network.SetList(0, { 0, 1 });
+  network.Run(60s);
+  BOOST_TEST(network.Node(0).Members().PlausibleHostCount() == kHostCount - 1);
+}
+
+// Guards against all daemons fetching from one, which would exceed its byte
+// budget.
+BOOST_AUTO_TEST_CASE(NoDaemonSendsTheDocumentToTheWholeFleet)
+{
+  Fleet fleet(1);
+  auto& network = fleet.network;
+  std::vector<std::size_t> documents(kHostCount);
+  network.Node(0).Desired().OfferFromStore(1, std::string(30'000, 'x'));
+  network.sizeOf = [](const GossipMessage& aMessage) {
+    const auto* response = std::get_if<DesiredResponse>(&aMessage);
+    return response == nullptr ? 0 : response->document.size();
+  };
+  for (auto& host : network.hosts) {
+    host.bytesSent = 0;
+  }
+  network.Run(5s);
+  BOOST_TEST(fleet.CountHolding(1) == kHostCount);
+  for (const auto& host : network.hosts) {
+    BOOST_TEST(host.bytesSent <= 4U * 30'000U);
+  }
+}
--- /dev/null
+++ b/modules/gossip/GossipState.cpp
@@ -0,0 +1,455 @@
+#include "gossip/GossipState.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace fireflytrail::gossip {
+
+using namespace std::chrono_literals;
+
+namespace {
+
+// A daemon reaches every peer that knows an earlier start of its name within
+// this time of its start. Later, a higher incarnation means that it was
+// replaced while it was cut off.
+constexpr auto kJoinWindow = 30s;
+
+// Replaced starts are asked for again after this time, because a daemon whose
+// clock was set back raises its incarnation a moment after it was first seen.
+constexpr auto kReplacedStartQuiet = 10s;
+
+// Peers that were cut off for less than this cannot bring back a removed
+// origin. 100 hosts a day are restarted or replaced, so few are kept.
+constexpr auto kTombstoneLifetime = 24h;
+
+// FlatBuffers overhead of a record and of an origin, measured by the wire
+// module's tests.
+constexpr std::size_t kRecordOverhead = 36;
+constexpr std::size_t kOriginOverhead = 60;
+
+std::vector<const Record*>
+RecordsAbove(const Origin& aOrigin, std::uint32_t aVersion)
+{
+  std::vector<const Record*> records;
+  for (const auto& [key, record] : aOrigin.records) {
+    if (record.version > aVersion && record.version <= aOrigin.version) {
+      records.push_back(&record);
+    }
+  }
+  std::sort(records.begin(),
+            records.end(),
+            [](const Record* aLeft, const Record* aRight) {
+              return aLeft->version < aRight->version;
+            });
+  return records;
+}
+
+OriginDelta
+HeaderOf(const Origin& aOrigin)
+{
+  OriginDelta delta;
+  delta.id = aOrigin.id;
+  delta.incarnation = aOrigin.incarnation;
+  delta.heartbeat = aOrigin.heartbeat;
+  return delta;
+}
+
+} // namespace
+
+GossipState::GossipState(core::DaemonId aSelf,
+                         std::uint64_t aIncarnation,
+                         core::NowFunction aNow)
+  : self(std::move(aSelf))
+  , now(std::move(aNow))
+{
+  assert(this->now);
+  assert(!this->self.name.empty());
+  this->started = this->now();
+  Origin own;
+  own.id = this->self;
+  own.incarnation = aIncarnation;
+  own.heartbeat = 1;
+  own.heartbeatSeen = this->started;
+  this->origins.emplace(this->self.name, std::move(own));
+  this->nameByStart.emplace(this->self.start, this->self.name);
+}
+
+void
+GossipState::OnRecordChanged(RecordChangedFunction aFunction)
+{
+  this->recordChanged = std::move(aFunction);
+}
+
+void
+GossipState::Beat()
+{
+  Origin& own = this->Own();
+  ++own.heartbeat;
+  own.heartbeatSeen = this->now();
+  this->DropOldTombstones();
+}
+
+bool
+GossipState::SetRecord(std::string_view aKey, std::string_view aValue)
+{
+  assert(!aKey.empty());
+  Origin& own = this->Own();
+  auto position = own.records.find(aKey);
+  if (aValue.size() > kMaxValueSize ||
+      (position == own.records.end() &&
+       own.records.size() >= kMaxRecordsPerOrigin)) {
+    return false;
+  }
+  if (position == own.records.end()) {
+    position = own.records.emplace(std::string(aKey), Record{}).first;
+    position->second.key = position->first;
+  }
+  Record& record = position->second;
+  record.value = aValue;
+  record.removed = false;
+  record.version = ++own.version;
+  return true;
+}
+
+void
+GossipState::RemoveRecord(std::string_view aKey)
+{
+  Origin& own = this->Own();
+  const auto position = own.records.find(aKey);
+  if (position == own.records.end() || position->second.removed) {
+    return;
+  }
+  position->second.value.clear();
+  position->second.removed = true;
+  position->second.version = ++own.version;
+}
+
+const Record*
+GossipState::FindRecord(std::string_view aName, std::string_view aKey) const
+{
+  const Origin* origin = this->FindOrigin(aName);
+  if (origin == nullptr) {
+    return nullptr;
+  }
+  const auto position = origin->records.find(aKey);
+  return position == origin->records.end() || position->second.removed
+           ? nullptr
+           : &position->second;
+}
+
+const Origin*
+GossipState::FindOrigin(std::string_view aName) const
+{
+  const auto position = this->origins.find(aName);
+  return position == this->origins.end() ? nullptr : &position->second;
+}
+
+Origin*
+GossipState::FindByStart(std::uint64_t aStart)
+{
+  const auto position = this->nameByStart.find(aStart);
+  return position == this->nameByStart.end()
+           ? nullptr
+           : &this->origins.find(position->second)->second;
+}
+
+Digest
+GossipState::MakeDigest(std::uint32_t aExchange) const
+{
+  Digest digest;
+  digest.exchange = aExchange;
+  digest.entries.reserve(this->origins.size());
+  for (const auto& [name, origin] : this->origins) {
+    digest.entries.push_back(
+      { origin.id.start, origin.heartbeat, origin.version });
+  }
+  return digest;
+}
+
+bool
+GossipState::IsWanted(const DigestEntry& aEntry) const
+{
+  const auto replaced = this->replacedStarts.find(aEntry.start);
+  if (replaced != this->replacedStarts.end() &&
+      this->now() < replaced->second) {
+    return false;
+  }
+  return std::none_of(this->tombstones.begin(),
+                      this->tombstones.end(),
+                      [&](const auto& aTombstone) {
+                        return aTombstone.second.start == aEntry.start &&
+                               aTombstone.second.heartbeat >= aEntry.heartbeat;
+                      });
+}
+
+void
+GossipState::Advance(Origin& aOrigin, std::uint32_t aHeartbeat) const
+{
+  if (aHeartbeat > aOrigin.heartbeat && aOrigin.id != this->self) {
+    aOrigin.heartbeat = aHeartbeat;
+    aOrigin.heartbeatSeen = this->now();
+  }
+}
+
+Delta
+GossipState::AnswerDigest(const Digest& aDigest, std::size_t aByteLimit)
+{
+  Delta reply;
+  reply.kind = DeltaKind::Reply;
+  reply.exchange = aDigest.exchange;
+  std::unordered_map<std::uint64_t, const DigestEntry*> theirs;
+  std::size_t unresolved = 0;
+  for (const DigestEntry& entry : aDigest.entries) {
+    theirs.emplace(entry.start, &entry);
+    Origin* origin = this->FindByStart(entry.start);
+    if (origin == nullptr) {
+      if (this->IsWanted(entry)) {
+        ++unresolved;
+        reply.wanted.push_back({ entry.start, 0, 0 });
+      }
+      continue;
+    }
+    if (origin->heartbeat > entry.heartbeat) {
+      reply.heartbeats.push_back({ entry.start, origin->heartbeat });
+    }
+    this->Advance(*origin, entry.heartbeat);
+    if (entry.version > origin->version && origin->id != this->self) {
+      reply.wanted.push_back(
+        { entry.start, origin->heartbeat, origin->version });
+    }
+  }
+  this->unresolvedCount = unresolved;
+  std::vector<DigestEntry> behind;
+  for (const auto& [name, origin] : this->origins) {
+    const auto position = theirs.find(origin.id.start);
+    if (position == theirs.end()) {
+      behind.push_back({ origin.id.start, 0, 0 });
+    } else if (origin.version > position->second->version) {
+      behind.push_back(*position->second);
+    }
+  }
+  this->AppendRecords(reply, behind, aByteLimit);
+  return reply;
+}
+
+Delta
+GossipState::AnswerWanted(const Delta& aReply, std::size_t aByteLimit)
+{
+  Delta answer;
+  answer.kind = DeltaKind::Final;
+  answer.exchange = aReply.exchange;
+  this->AppendRecords(answer, aReply.wanted, aByteLimit);
+  return answer;
+}
+
+void
+GossipState::AppendRecords(Delta& aDelta,
+                           std::span<const DigestEntry> aKnown,
+                           std::size_t aByteLimit)
+{
+  // Starting with a different origin each time keeps a few large origins from
+  // holding back the others when the limit is hit.
+  ++this->turn;
+  std::size_t used = 0;
+  for (std::size_t step = 0; step < aKnown.size(); ++step) {
+    const DigestEntry& known = aKnown[(this->turn + step) % aKnown.size()];
+    const Origin* origin = this->FindByStart(known.start);
+    if (origin == nullptr ||
+        (known.heartbeat != 0 && origin->version <= known.version)) {
+      continue;
+    }
+    used += kOriginOverhead + origin->id.name.size();
+    if (used > aByteLimit) {
+      return;
+    }
+    OriginDelta delta = HeaderOf(*origin);
+    delta.from = known.version;
+    delta.upTo = origin->version;
+    for (const Record* record : RecordsAbove(*origin, known.version)) {
+      used += EncodedSize(*record);
+      // One record larger than the limit is sent nevertheless, or it would
+      // never be sent.
+      const bool isFirst = aDelta.origins.empty() && delta.records.empty();
+      if (used > aByteLimit && !isFirst) {
+        delta.upTo = record->version - 1;
+        break;
+      }
+      delta.records.push_back(*record);
+    }
+    aDelta.origins.push_back(std::move(delta));
+  }
+}
+
+Delta
+GossipState::MakePush(std::string_view aName, std::string_view aKey) const
+{
+  const Origin* origin = this->FindOrigin(aName);
+  assert(origin != nullptr);
+  const auto position = origin->records.find(aKey);
+  assert(position != origin->records.end());
+  const Record& record = position->second;
+  Delta push;
+  push.kind = DeltaKind::Push;
+  OriginDelta delta = HeaderOf(*origin);
+  delta.upTo = record.version;
+  delta.from = record.version;
+  // The receiver's version may advance only if this daemon knows that no
+  // other record lies between.
+  if (record.version <= origin->version) {
+    delta.from = 0;
+    for (const auto& [key, other] : origin->records) {
+      if (other.version < record.version) {
+        delta.from = std::max(delta.from, other.version);
+      }
+    }
+  }
+  delta.records.push_back(record);
+  push.origins.push_back(std::move(delta));
+  return push;
+}
+
+void
+GossipState::MeetOwnName(const OriginDelta& aDelta)
+{
+  Origin& own = this->Own();
+  if (aDelta.id.start == this->self.start ||
+      std::pair(aDelta.incarnation, aDelta.id.start) <
+        std::pair(own.incarnation, own.id.start)) {
+    return;
+  }
+  if (!this->joinWindowOpen || this->now() - this->started > kJoinWindow) {
+    this->superseded = true;
+    return;
+  }
+  own.incarnation = aDelta.incarnation + 1;
+  // A new version makes peers that know the lower incarnation ask again.
+  ++own.version;
+}
+
+Origin*
+GossipState::Accept(const OriginDelta& aDelta)
+{
+  if (aDelta.id.name.empty()) {
+    return nullptr;
+  }
+  if (aDelta.id.name == this->self.name) {
+    this->MeetOwnName(aDelta);
+    return nullptr;
+  }
+  const auto incoming = std::pair(aDelta.incarnation, aDelta.id.start);
+  const auto position = this->origins.find(aDelta.id.name);
+  if (position != this->origins.end()) {
+    Origin& known = position->second;
+    if (known.id == aDelta.id) {
+      known.incarnation = std::max(known.incarnation, aDelta.incarnation);
+      return &known;
+    }
+    if (incoming < std::pair(known.incarnation, known.id.start)) {
+      return nullptr;
+    }
+    this->nameByStart.erase(known.id.start);
+    this->replacedStarts[known.id.start] = this->now() + kReplacedStartQuiet;
+    this->origins.erase(position);
+  }
+  const auto tombstone = this->tombstones.find(aDelta.id.name);
+  if (tombstone != this->tombstones.end()) {
+    const Tombstone& last = tombstone->second;
+    const bool isSame = last.start == aDelta.id.start;
+    if (isSame ? aDelta.heartbeat <= last.heartbeat
+               : incoming < std::pair(last.incarnation, last.start)) {
+      return nullptr;
+    }
+    this->tombstones.erase(tombstone);
+  }
+  // A start identity that appears under two names is a forgery or a fault.
+  if (this->origins.size() >= kMaxOrigins ||
+      this->nameByStart.contains(aDelta.id.start)) {
+    return nullptr;
+  }
+  Origin origin;
+  origin.id = aDelta.id;
+  origin.incarnation = aDelta.incarnation;
+  origin.heartbeat = aDelta.heartbeat;
+  origin.heartbeatSeen = this->now();
+  this->nameByStart.emplace(origin.id.start, origin.id.name);
+  return &this->origins.emplace(origin.id.name, std::move(origin))
+            .first->second;
+}
+
+std::vector<std::pair<std::string, std::string>>
+GossipState::Apply(const Delta& aDelta)
+{
+  for (const HeartbeatEntry& entry : aDelta.heartbeats) {
+    if (Origin* origin = this->FindByStart(entry.start)) {
+      this->Advance(*origin, entry.heartbeat);
+    }
+  }
+  std::vector<std::pair<std::string, std::string>> changed;
+  std::vector<std::pair<core::DaemonId, Record>> reports;
+  for (const OriginDelta& delta : aDelta.origins) {
+    Origin* origin = this->Accept(delta);
+    if (origin == nullptr) {
+      continue;
+    }
+    this->Advance(*origin, delta.heartbeat);
+    for (const Record& record : delta.records) {
+      const auto position = origin->records.find(record.key);
+      const bool isKnown = position != origin->records.end();
+      if (record.value.size() > kMaxValueSize ||
+          (isKnown && position->second.version >= record.version) ||
+          (!isKnown && origin->records.size() >= kMaxRecordsPerOrigin)) {
+        continue;
+      }
+      origin->records.insert_or_assign(record.key, record);
+      changed.emplace_back(origin->id.name, record.key);
+      reports.emplace_back(origin->id, record);
+    }
+    if (delta.from <= origin->version) {
+      origin->version = std::max(origin->version, delta.upTo);
+    }
+  }
+  if (this->recordChanged) {
+    for (const auto& [id, record] : reports) {
+      this->recordChanged(id, record);
+    }
+  }
+  return changed;
+}
+
+void
+GossipState::RemoveOrigin(std::string_view aName)
+{
+  assert(aName != this->self.name);
+  const auto position = this->origins.find(aName);
+  if (position == this->origins.end()) {
+    return;
+  }
+  const Origin& origin = position->second;
+  this->tombstones.insert_or_assign(
+    origin.id.name,
+    Tombstone{
+      origin.id.start, origin.incarnation, origin.heartbeat, this->now() });
+  this->nameByStart.erase(origin.id.start);
+  this->origins.erase(position);
+}
+
+void
+GossipState::DropOldTombstones()
+{
+  const core::TimePoint current = this->now();
+  std::erase_if(this->tombstones, [&](const auto& aTombstone) {
+    return current - aTombstone.second.created > kTombstoneLifetime;
+  });
+  std::erase_if(this->replacedStarts, [&](const auto& aReplaced) {
+    return current > aReplaced.second;
+  });
+}
+
+std::size_t
+GossipState::EncodedSize(const Record& aRecord)
+{
+  return kRecordOverhead + aRecord.key.size() + aRecord.value.size();
+}
+
+} // namespace fireflytrail::gossip
--- /dev/null
+++ b/modules/gossip/Record.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <cstdint>
+#include <string>
+
+namespace fireflytrail::gossip {
+
+/** One replicated record. Only its origin writes it. */
+struct Record
+{
+  std::string key;
+  /** Opaque bytes; empty for a removed record. */
+  std::string value;
+  /** Position in the origin's write order, from 1. */
+  std::uint32_t version = 0;
+  /** A removed record stays as a tombstone while its origin lives. */
+  bool removed = false;
+
+  bool operator==(const Record&) const = default;
+};
+
+} // namespace fireflytrail::gossip
