--- /dev/null
+++ b/modules/wire/FrameCodecTest.cpp
@@ -0,0 +1,189 @@
+#include "wire/FrameCodec.h"
+
+#include "wire/MessageConversion.h"
+#include "wire/messages_generated.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace fireflytrail;
+using namespace fireflytrail::wire;
+using namespace std::chrono_literals;
+
+namespace {
+
+std::span<const std::uint8_t>
+BytesOf(const std::string& aText)
+{
+  return { reinterpret_cast<const std::uint8_t*>(aText.data()), aText.size() };
+}
+
+/** One message of each type with every field set. */
+std::vector<WireMessage>
+AllMessages()
+{
+  gossip::Delta delta;
+  delta.kind = gossip::DeltaKind::Push;
+  delta.exchange = 7;
+  delta.senderIsStale = true;
+  delta.heartbeats = { { 1, 2 }, { 0xffffffffffffffff, 4 } };
+  delta.origins.push_back(
+    { { "entry-01", 99 },
+      1'700'000'000'000,
+      5,
+      3,
+      8,
+      { { "addr", "10.0.0.1:7000", 4, false }, { "verdict", "", 8, true } } });
+  delta.wanted = { { 11, 12, 13 } };
+  return {
+    Hello{ { "entry-01", 42 }, "10.0.0.1:7000" },
+    gossip::Digest{ 3, { { 1, 2, 3 }, { 4, 5, 6 } } },
+    delta,
+    gossip::DesiredRequest{ 1, 2, 3, true },
+    gossip::DesiredResponse{ 1, 9, std::string("a\0b", 3), "entry-02" },
+    ForwardCall{ 5,
+                 "ticket",
+                 "till-sales",
+                 "POST",
+                 "/sell?x=1",
+                 { { "Accept", "*/*" }, { "X-Empty", "" } },
+                 std::string("\0\xff", 2),
+                 1500ms,
+                 2,
+                 17 },
+    ForwardAnswer{ 5,
+                   503,
+                   { { "Retry-After", "1" } },
+                   "body",
+                   core::ErrorKind::Internal,
+                   core::CallOutcome::NotRun },
+  };
+}
+
+std::string
+FrameOf(const std::string& aEnvelope)
+{
+  std::string frame(FrameCodec::kLengthSize, '\0');
+  for (std::size_t index = 0; index < FrameCodec::kLengthSize; ++index) {
+    frame[index] = static_cast<char>((aEnvelope.size() >> (8 * index)) & 0xff);
+  }
+  return frame + aEnvelope;
+}
+
+} // namespace
+
+// Guards against a field that is lost or swapped in a conversion.
+BOOST_AUTO_TEST_CASE(EveryMessageSurvivesARoundTrip)
+{
+  for (const WireMessage& message : AllMessages()) {
+    FrameCodec codec;
+    codec.Feed(BytesOf(FrameCodec::Encode(message).value()));
+    const auto decoded = codec.Next();
+    BOOST_REQUIRE(decoded.has_value());
+    BOOST_TEST((*decoded == message), "type " << message.index());
+    BOOST_TEST(codec.BufferedSize() == 0U);
+  }
+}
+
+// Guards against frames that are lost or merged when TCP splits them
+// anywhere.
+BOOST_AUTO_TEST_CASE(DecodesByteByByte)
+{
+  std::string stream;
+  const auto messages = AllMessages();
+  for (const WireMessage& message : messages) {
+    stream += FrameCodec::Encode(message).value();
+  }
+  FrameCodec codec;
+  std::size_t count = 0;
+  for (const char byte : stream) {
+    codec.Feed(BytesOf(std::string(1, byte)));
+    while (const auto decoded = codec.Next()) {
+      BOOST_REQUIRE(count < messages.size());
+      BOOST_TEST((*decoded == messages[count]));
+      ++count;
+    }
+  }
+  BOOST_TEST(count == messages.size());
+  BOOST_TEST((codec.Error() == FrameError::None));
+}
+
+// Guards against a peer that makes the daemon buffer without limit.
+BOOST_AUTO_TEST_CASE(RejectsOversizedFrameAtItsLength)
+{
+  FrameCodec codec;
+  codec.Feed(BytesOf(std::string("\x01\x00\x20\x00", 4)));
+  BOOST_TEST(!codec.Next().has_value());
+  BOOST_TEST((codec.Error() == FrameError::Oversized));
+  codec.Feed(BytesOf(FrameCodec::Encode(Hello{ { "a", 1 }, "" }).value()));
+  BOOST_TEST(!codec.Next().has_value());
+}
+
+// Guards against an encoder that sends what the receiver must reject.
+BOOST_AUTO_TEST_CASE(DoesNotEncodeBeyondTheLimit)
+{
+  gossip::DesiredResponse response;
+  response.document.assign(FrameCodec::kMaxFrameSize, 'x');
+  BOOST_TEST(!FrameCodec::Encode(response).has_value());
+}
+
+// Guards against a later protocol being read with this version's meaning.
+BOOST_AUTO_TEST_CASE(ReportsUnknownProtocolVersion)
+{
+  flatbuffers::FlatBufferBuilder builder;
+  const auto request = fbs::CreateDesiredRequest(builder, 1, 2, 3, false);
+  fbs::FinishEnvelopeBuffer(
+    builder,
+    fbs::CreateEnvelope(builder,
+                        MessageConversion::kProtocolVersion + 1,
+                        fbs::Message::DesiredRequest,
+                        request.Union()));
+  FrameCodec codec;
+  codec.Feed(BytesOf(FrameOf(std::string(
+    reinterpret_cast<char*>(builder.GetBufferPointer()), builder.GetSize()))));
+  BOOST_TEST(!codec.Next().has_value());
+  BOOST_TEST((codec.Error() == FrameError::UnknownVersion));
+}
+
+// Guards against reads outside a frame cut short with a matching length.
+BOOST_AUTO_TEST_CASE(ReportsTruncatedEnvelopesAsCorrupt)
+{
+  for (const WireMessage& message : AllMessages()) {
+    const std::string frame = FrameCodec::Encode(message).value();
+    const std::string envelope = frame.substr(FrameCodec::kLengthSize);
+    for (std::size_t size = 0; size + 8 < envelope.size(); size += 5) {
+      FrameCodec codec;
+      codec.Feed(BytesOf(FrameOf(envelope.substr(0, size))));
+      if (!codec.Next().has_value()) {
+        BOOST_TEST((codec.Error() != FrameError::None));
+      }
+    }
+  }
+}
+
+// Guards against an error kind outside the closed list reaching the table.
+BOOST_AUTO_TEST_CASE(RejectsErrorKindOutsideTheList)
+{
+  flatbuffers::FlatBufferBuilder builder;
+  const auto answer = fbs::CreateForwardAnswer(builder, 1, 200, 0, 0, 200, 0);
+  fbs::FinishEnvelopeBuffer(
+    builder,
+    fbs::CreateEnvelope(builder,
+                        MessageConversion::kProtocolVersion,
+                        fbs::Message::ForwardAnswer,
+                        answer.Union()));
+  FrameCodec codec;
+  codec.Feed(BytesOf(FrameOf(std::string(
+    reinterpret_cast<char*>(builder.GetBufferPointer()), builder.GetSize()))));
+  BOOST_TEST(!codec.Next().has_value());
+  BOOST_TEST((codec.Error() == FrameError::Corrupt));
+}
+
+// Guards against digests that outgrow the byte budget of CAPACITY.md: 16
+// bytes a host plus a fixed part.
+BOOST_AUTO_TEST_CASE(DigestTakesSixteenBytesAHost)
+{
+  gossip::Digest digest;
+  digest.exchange = 1;
+  digest.entries.resize(100, { 0x1234567890abcdef, 1000, 100 });
+  BOOST_TEST(FrameCodec::Encode(digest)->size() <= 1600U + 80U);
+}
--- /dev/null
+++ b/modules/wire/MessageConversion.cpp
@@ -0,0 +1,459 @@
+#include "wire/MessageConversion.h"
+
+#include "wire/messages_generated.h"
+
+#include <flatbuffers/flatbuffers.h>
+
+#include <algorithm>
+#include <limits>
+#include <string_view>
+#include <utility>
+
+namespace fireflytrail::wire {
+
+namespace {
+
+using flatbuffers::FlatBufferBuilder;
+using flatbuffers::Offset;
+
+// Tables of the schema nest at most 5 deep. Every field can be absent, so a
+// table takes at least 4 bytes and the frame limit bounds their number.
+constexpr flatbuffers::uoffset_t kMaxDepth = 8;
+constexpr flatbuffers::uoffset_t kMaxTables = 1'000'000;
+
+template<typename T>
+struct Written
+{
+  fbs::Message type;
+  Offset<T> offset;
+
+  Offset<void> Union() const { return this->offset.Union(); }
+};
+
+Offset<flatbuffers::Vector<std::uint8_t>>
+WriteBytes(FlatBufferBuilder& aBuilder, std::string_view aBytes)
+{
+  return aBytes.empty()
+           ? Offset<flatbuffers::Vector<std::uint8_t>>()
+           : aBuilder.CreateVector(
+               reinterpret_cast<const std::uint8_t*>(aBytes.data()),
+               aBytes.size());
+}
+
+Offset<flatbuffers::String>
+WriteOptional(FlatBufferBuilder& aBuilder, std::string_view aText)
+{
+  return aText.empty() ? Offset<flatbuffers::String>()
+                       : aBuilder.CreateString(aText);
+}
+
+Offset<fbs::DaemonId>
+WriteId(FlatBufferBuilder& aBuilder, const core::DaemonId& aId)
+{
+  return fbs::CreateDaemonId(
+    aBuilder, aBuilder.CreateString(aId.name), aId.start);
+}
+
+Offset<flatbuffers::Vector<const fbs::DigestEntry*>>
+WriteEntries(FlatBufferBuilder& aBuilder,
+             const std::vector<gossip::DigestEntry>& aEntries)
+{
+  if (aEntries.empty()) {
+    return {};
+  }
+  std::vector<fbs::DigestEntry> entries;
+  entries.reserve(aEntries.size());
+  for (const gossip::DigestEntry& entry : aEntries) {
+    entries.emplace_back(entry.start, entry.heartbeat, entry.version);
+  }
+  return aBuilder.CreateVectorOfStructs(entries);
+}
+
+Offset<flatbuffers::Vector<Offset<fbs::Header>>>
+WriteHeaders(FlatBufferBuilder& aBuilder, const std::vector<Header>& aHeaders)
+{
+  std::vector<Offset<fbs::Header>> headers;
+  headers.reserve(aHeaders.size());
+  for (const Header& header : aHeaders) {
+    const auto name = aBuilder.CreateString(header.name);
+    const auto value = aBuilder.CreateString(header.value);
+    headers.push_back(fbs::CreateHeader(aBuilder, name, value));
+  }
+  return aBuilder.CreateVector(headers);
+}
+
+Written<fbs::Hello>
+Write(FlatBufferBuilder& aBuilder, const Hello& aHello)
+{
+  const auto id = WriteId(aBuilder, aHello.id);
+  const auto address = WriteOptional(aBuilder, aHello.address);
+  return { fbs::Message::Hello, fbs::CreateHello(aBuilder, id, address) };
+}
+
+Written<fbs::GossipDigest>
+Write(FlatBufferBuilder& aBuilder, const gossip::Digest& aDigest)
+{
+  const auto entries = WriteEntries(aBuilder, aDigest.entries);
+  return { fbs::Message::GossipDigest,
+           fbs::CreateGossipDigest(aBuilder, aDigest.exchange, entries) };
+}
+
+Offset<fbs::OriginDelta>
+WriteOrigin(FlatBufferBuilder& aBuilder, const gossip::OriginDelta& aOrigin)
+{
+  std::vector<Offset<fbs::Record>> records;
+  records.reserve(aOrigin.records.size());
+  for (const gossip::Record& record : aOrigin.records) {
+    // Keys repeat over origins, so equal ones share their bytes.
+    const auto key = aBuilder.CreateSharedString(record.key);
+    const auto value = WriteBytes(aBuilder, record.value);
+    records.push_back(
+      fbs::CreateRecord(aBuilder, key, value, record.version, record.removed));
+  }
+  const auto id = WriteId(aBuilder, aOrigin.id);
+  const auto written = records.empty()
+                         ? Offset<flatbuffers::Vector<Offset<fbs::Record>>>()
+                         : aBuilder.CreateVector(records);
+  return fbs::CreateOriginDelta(aBuilder,
+                                id,
+                                aOrigin.incarnation,
+                                aOrigin.heartbeat,
+                                aOrigin.from,
+                                aOrigin.upTo,
+                                written);
+}
+
+Written<fbs::GossipDelta>
+Write(FlatBufferBuilder& aBuilder, const gossip::Delta& aDelta)
+{
+  std::vector<std::uint64_t> starts;
+  std::vector<std::uint32_t> beats;
+  starts.reserve(aDelta.heartbeats.size());
+  beats.reserve(aDelta.heartbeats.size());
+  for (const gossip::HeartbeatEntry& entry : aDelta.heartbeats) {
+    starts.push_back(entry.start);
+    beats.push_back(entry.heartbeat);
+  }
+  std::vector<Offset<fbs::OriginDelta>> origins;
+  origins.reserve(aDelta.origins.size());
+  for (const gossip::OriginDelta& origin : aDelta.origins) {
+    origins.push_back(WriteOrigin(aBuilder, origin));
+  }
+  const auto writtenStarts = starts.empty()
+                               ? Offset<flatbuffers::Vector<std::uint64_t>>()
+                               : aBuilder.CreateVector(starts);
+  const auto writtenBeats = beats.empty()
+                              ? Offset<flatbuffers::Vector<std::uint32_t>>()
+                              : aBuilder.CreateVector(beats);
+  const auto writtenOrigins =
+    origins.empty() ? Offset<flatbuffers::Vector<Offset<fbs::OriginDelta>>>()
+                    : aBuilder.CreateVector(origins);
+  const auto wanted = WriteEntries(aBuilder, aDelta.wanted);
+  return { fbs::Message::GossipDelta,
+           fbs::CreateGossipDelta(aBuilder,
+                                  static_cast<fbs::DeltaKind>(aDelta.kind),
+                                  aDelta.exchange,
+                                  aDelta.senderIsStale,
+                                  writtenStarts,
+                                  writtenBeats,
+                                  writtenOrigins,
+                                  wanted) };
+}
+
+Written<fbs::DesiredRequest>
+Write(FlatBufferBuilder& aBuilder, const gossip::DesiredRequest& aRequest)
+{
+  return { fbs::Message::DesiredRequest,
+           fbs::CreateDesiredRequest(aBuilder,
+                                     aRequest.requestId,
+                                     aRequest.version,
+                                     aRequest.haveVersion,
+                                     aRequest.insist) };
+}
+
+Written<fbs::DesiredResponse>
+Write(FlatBufferBuilder& aBuilder, const gossip::DesiredResponse& aResponse)
+{
+  const auto document = WriteBytes(aBuilder, aResponse.document);
+  const auto askInstead = WriteOptional(aBuilder, aResponse.askInstead);
+  return {
+    fbs::Message::DesiredResponse,
+    fbs::CreateDesiredResponse(
+      aBuilder, aResponse.requestId, aResponse.version, document, askInstead)
+  };
+}
+
+Written<fbs::ForwardCall>
+Write(FlatBufferBuilder& aBuilder, const ForwardCall& aCall)
+{
+  const auto ticket = WriteOptional(aBuilder, aCall.ticket);
+  const auto service = aBuilder.CreateString(aCall.service);
+  const auto method = aBuilder.CreateString(aCall.method);
+  const auto target = aBuilder.CreateString(aCall.target);
+  const auto headers = WriteHeaders(aBuilder, aCall.headers);
+  const auto body = WriteBytes(aBuilder, aCall.body);
+  return {
+    fbs::Message::ForwardCall,
+    fbs::CreateForwardCall(
+      aBuilder,
+      aCall.requestId,
+      ticket,
+      service,
+      method,
+      target,
+      headers,
+      body,
+      static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+        aCall.deadline.count(), 0, std::numeric_limits<std::uint32_t>::max())),
+      aCall.attempt,
+      aCall.callDepth)
+  };
+}
+
+Written<fbs::ForwardAnswer>
+Write(FlatBufferBuilder& aBuilder, const ForwardAnswer& aAnswer)
+{
+  const auto headers = WriteHeaders(aBuilder, aAnswer.headers);
+  const auto body = WriteBytes(aBuilder, aAnswer.body);
+  return { fbs::Message::ForwardAnswer,
+           fbs::CreateForwardAnswer(
+             aBuilder,
+             aAnswer.requestId,
+             aAnswer.status,
+             headers,
+             body,
+             static_cast<std::uint8_t>(aAnswer.errorKind),
+             static_cast<std::uint8_t>(aAnswer.outcome)) };
+}
+
+std::string
+TextOf(const flatbuffers::String* aText)
+{
+  return aText == nullptr ? std::string() : aText->str();
+}
+
+std::string
+BytesOf(const flatbuffers::Vector<std::uint8_t>* aBytes)
+{
+  return aBytes == nullptr
+           ? std::string()
+           : std::string(reinterpret_cast<const char*>(aBytes->data()),
+                         aBytes->size());
+}
+
+core::DaemonId
+IdOf(const fbs::DaemonId* aId)
+{
+  return { aId->name()->str(), aId->start() };
+}
+
+std::vector<gossip::DigestEntry>
+EntriesOf(const flatbuffers::Vector<const fbs::DigestEntry*>* aEntries)
+{
+  std::vector<gossip::DigestEntry> entries;
+  if (aEntries == nullptr) {
+    return entries;
+  }
+  entries.reserve(aEntries->size());
+  for (const fbs::DigestEntry* entry : *aEntries) {
+    entries.push_back({ entry->start(), entry->heartbeat(), entry->version() });
+  }
+  return entries;
+}
+
+std::vector<Header>
+HeadersOf(const flatbuffers::Vector<Offset<fbs::Header>>* aHeaders)
+{
+  std::vector<Header> headers;
+  if (aHeaders == nullptr) {
+    return headers;
+  }
+  headers.reserve(aHeaders->size());
+  for (const fbs::Header* header : *aHeaders) {
+    headers.push_back({ header->name()->str(), header->value()->str() });
+  }
+  return headers;
+}
+
+gossip::OriginDelta
+OriginOf(const fbs::OriginDelta& aOrigin)
+{
+  gossip::OriginDelta origin;
+  origin.id = IdOf(aOrigin.id());
+  origin.incarnation = aOrigin.incarnation();
+  origin.heartbeat = aOrigin.heartbeat();
+  origin.from = aOrigin.from();
+  origin.upTo = aOrigin.up_to();
+  if (aOrigin.records() == nullptr) {
+    return origin;
+  }
+  origin.records.reserve(aOrigin.records()->size());
+  for (const fbs::Record* record : *aOrigin.records()) {
+    origin.records.push_back({ record->key()->str(),
+                               BytesOf(record->value()),
+                               record->version(),
+                               record->removed() });
+  }
+  return origin;
+}
+
+FrameError
+Read(const fbs::Hello& aHello, WireMessage& aMessage)
+{
+  aMessage = Hello{ IdOf(aHello.id()), TextOf(aHello.address()) };
+  return FrameError::None;
+}
+
+FrameError
+Read(const fbs::GossipDigest& aDigest, WireMessage& aMessage)
+{
+  aMessage = gossip::Digest{ aDigest.exchange(), EntriesOf(aDigest.entries()) };
+  return FrameError::None;
+}
+
+FrameError
+Read(const fbs::GossipDelta& aDelta, WireMessage& aMessage)
+{
+  const auto* starts = aDelta.heartbeat_starts();
+  const auto* beats = aDelta.heartbeats();
+  const std::size_t count = starts == nullptr ? 0 : starts->size();
+  if (aDelta.kind() > fbs::DeltaKind::MAX ||
+      count != (beats == nullptr ? 0 : beats->size())) {
+    return FrameError::Corrupt;
+  }
+  gossip::Delta delta;
+  delta.kind = static_cast<gossip::DeltaKind>(aDelta.kind());
+  delta.exchange = aDelta.exchange();
+  delta.senderIsStale = aDelta.sender_is_stale();
+  delta.heartbeats.reserve(count);
+  for (std::size_t index = 0; index < count; ++index) {
+    const auto position = static_cast<flatbuffers::uoffset_t>(index);
+    delta.heartbeats.push_back({ starts->Get(position), beats->Get(position) });
+  }
+  if (aDelta.origins() != nullptr) {
+    delta.origins.reserve(aDelta.origins()->size());
+    for (const fbs::OriginDelta* origin : *aDelta.origins()) {
+      delta.origins.push_back(OriginOf(*origin));
+    }
+  }
+  delta.wanted = EntriesOf(aDelta.wanted());
+  aMessage = std::move(delta);
+  return FrameError::None;
+}
+
+FrameError
+Read(const fbs::DesiredRequest& aRequest, WireMessage& aMessage)
+{
+  aMessage = gossip::DesiredRequest{ aRequest.request_id(),
+                                     aRequest.version(),
+                                     aRequest.have_version(),
+                                     aRequest.insist() };
+  return FrameError::None;
+}
+
+FrameError
+Read(const fbs::DesiredResponse& aResponse, WireMessage& aMessage)
+{
+  aMessage = gossip::DesiredResponse{ aResponse.request_id(),
+                                      aResponse.version(),
+                                      BytesOf(aResponse.document()),
+                                      TextOf(aResponse.ask_instead()) };
+  return FrameError::None;
+}
+
+FrameError
+Read(const fbs::ForwardCall& aCall, WireMessage& aMessage)
+{
+  ForwardCall call;
+  call.requestId = aCall.request_id();
+  call.ticket = TextOf(aCall.ticket());
+  call.service = aCall.service()->str();
+  call.method = aCall.method()->str();
+  call.target = aCall.target()->str();
+  call.headers = HeadersOf(aCall.headers());
+  call.body = BytesOf(aCall.body());
+  call.deadline = std::chrono::milliseconds(aCall.deadline_ms());
+  call.attempt = aCall.attempt();
+  call.callDepth = aCall.call_depth();
+  aMessage = std::move(call);
+  return FrameError::None;
+}
+
+FrameError
+Read(const fbs::ForwardAnswer& aAnswer, WireMessage& aMessage)
+{
+  if (aAnswer.error_kind() >
+        static_cast<std::uint8_t>(core::ErrorKind::Internal) ||
+      aAnswer.outcome() >
+        static_cast<std::uint8_t>(core::CallOutcome::Unknown)) {
+    return FrameError::Corrupt;
+  }
+  ForwardAnswer answer;
+  answer.requestId = aAnswer.request_id();
+  answer.status = aAnswer.status();
+  answer.headers = HeadersOf(aAnswer.headers());
+  answer.body = BytesOf(aAnswer.body());
+  answer.errorKind = static_cast<core::ErrorKind>(aAnswer.error_kind());
+  answer.outcome = static_cast<core::CallOutcome>(aAnswer.outcome());
+  aMessage = std::move(answer);
+  return FrameError::None;
+}
+
+} // namespace
+
+void
+MessageConversion::AppendEnvelope(const WireMessage& aMessage,
+                                  std::string& aBytes)
+{
+  FlatBufferBuilder builder(1024);
+  std::visit(
+    [&](const auto& aValue) {
+      const auto written = Write(builder, aValue);
+      fbs::FinishEnvelopeBuffer(
+        builder,
+        fbs::CreateEnvelope(
+          builder, kProtocolVersion, written.type, written.Union()));
+    },
+    aMessage);
+  aBytes.append(reinterpret_cast<const char*>(builder.GetBufferPointer()),
+                builder.GetSize());
+}
+
+FrameError
+MessageConversion::ReadEnvelope(std::span<const std::uint8_t> aBytes,
+                                WireMessage& aMessage)
+{
+  flatbuffers::Verifier verifier(
+    aBytes.data(), aBytes.size(), kMaxDepth, kMaxTables);
+  if (!fbs::VerifyEnvelopeBuffer(verifier)) {
+    return FrameError::Corrupt;
+  }
+  const fbs::Envelope& envelope = *fbs::GetEnvelope(aBytes.data());
+  if (envelope.protocol() != kProtocolVersion) {
+    return FrameError::UnknownVersion;
+  }
+  if (envelope.message() == nullptr) {
+    return FrameError::Corrupt;
+  }
+  switch (envelope.message_type()) {
+    case fbs::Message::Hello:
+      return Read(*envelope.message_as_Hello(), aMessage);
+    case fbs::Message::GossipDigest:
+      return Read(*envelope.message_as_GossipDigest(), aMessage);
+    case fbs::Message::GossipDelta:
+      return Read(*envelope.message_as_GossipDelta(), aMessage);
+    case fbs::Message::DesiredRequest:
+      return Read(*envelope.message_as_DesiredRequest(), aMessage);
+    case fbs::Message::DesiredResponse:
+      return Read(*envelope.message_as_DesiredResponse(), aMessage);
+    case fbs::Message::ForwardCall:
+      return Read(*envelope.message_as_ForwardCall(), aMessage);
+    case fbs::Message::ForwardAnswer:
+      return Read(*envelope.message_as_ForwardAnswer(), aMessage);
+    case fbs::Message::NONE:
+      break;
+  }
+  return FrameError::UnknownVersion;
+}
+
+} // namespace fireflytrail::wire
