Add server health, measuring budget, connection pacing and admission

ServerHealth ramps the concurrency of the whole fleet: with a concurrency of 1 only the first host in the server's rendezvous order sends.

--- /dev/null
+++ b/modules/routing/ConnectionPacer.cpp
@@ -0,0 +1,60 @@
+#include "routing/ConnectionPacer.h"
+
+#include "routing/SharedLimit.h"
+
+#include <cassert>
+#include <utility>
+
+namespace fireflytrail::routing {
+
+namespace {
+
+/** Part of a cold server's time that new connections of one host may take.
+ * Few hosts may send to a cold server, so the sum stays small. */
+constexpr int kColdTimeDivisor = 20;
+
+} // namespace
+
+ConnectionPacer::ConnectionPacer(std::shared_ptr<ServerLoad> aLoad,
+                                 std::uint32_t aTotal,
+                                 std::chrono::microseconds aCost,
+                                 std::string aSelf,
+                                 core::NowFunction aNow)
+  : load(std::move(aLoad))
+  , total(aTotal)
+  , cost(aCost)
+  , self(std::move(aSelf))
+  , now(std::move(aNow))
+{
+  assert(this->load && this->now);
+  this->SetHosts({});
+}
+
+void
+ConnectionPacer::SetHosts(std::vector<std::string> aHosts)
+{
+  this->share = SharedLimit::CautiousShareOf(
+    this->load->Identity().id, this->total, this->self, aHosts);
+}
+
+bool
+ConnectionPacer::TryOpen(ServerState aState)
+{
+  if (aState == ServerState::Draining || aState == ServerState::Gone) {
+    return false;
+  }
+  if (this->load->Connections() >= static_cast<std::int32_t>(this->share)) {
+    return false;
+  }
+  const core::TimePoint time = this->now();
+  if (aState != ServerState::Ready) {
+    if (time < this->notBefore || this->load->Limit() == 0) {
+      return false;
+    }
+    this->notBefore = time + this->cost * kColdTimeDivisor;
+  }
+  this->load->AddConnections(1);
+  return true;
+}
+
+} // namespace fireflytrail::routing
--- /dev/null
+++ b/modules/routing/HealthMonitor.cpp
@@ -0,0 +1,133 @@
+#include "routing/HealthMonitor.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace fireflytrail::routing {
+
+namespace {
+
+/** A report older than this says nothing about the present load. */
+constexpr std::chrono::seconds kReportUse{ 2 };
+
+template<typename Number>
+Number
+MedianOf(std::vector<Number>& aValues)
+{
+  if (aValues.empty()) {
+    return Number{};
+  }
+  const auto middle =
+    aValues.begin() + static_cast<std::ptrdiff_t>(aValues.size() / 2);
+  std::nth_element(aValues.begin(), middle, aValues.end());
+  return *middle;
+}
+
+} // namespace
+
+HealthMonitor::HealthMonitor(std::string aSelf,
+                             core::NowFunction aNow,
+                             ServerHealth::PublishFunction aPublish)
+  : self(std::move(aSelf))
+  , now(std::move(aNow))
+  , publish(std::move(aPublish))
+{
+  assert(this->now && this->publish);
+}
+
+void
+HealthMonitor::SetServers(const RoutingTableBuilder& aBuilder,
+                          const RoutingTable& aTable)
+{
+  std::map<std::string, Entry, std::less<>> kept;
+  for (const auto& [id, load] : aBuilder.Loads()) {
+    const auto old = this->entries.find(id);
+    if (old != this->entries.end() && old->second.load == load) {
+      kept.emplace(id, std::move(old->second));
+      continue;
+    }
+    Entry entry{ load,
+                 std::make_unique<ServerHealth>(
+                   load, this->self, this->now, this->publish) };
+    entry.health->SetHosts(this->hosts);
+    kept.emplace(id, std::move(entry));
+  }
+  this->entries = std::move(kept);
+  this->services.clear();
+  for (const ServiceRoute& route : aTable.Services()) {
+    Service service{ route.load, {} };
+    for (const VersionRoute& version : route.versions) {
+      for (const ServerRoute& server : version.servers) {
+        service.servers.push_back(server.load->Identity().id);
+      }
+    }
+    this->services.push_back(std::move(service));
+  }
+}
+
+void
+HealthMonitor::SetHosts(const std::vector<std::string>& aHosts)
+{
+  this->hosts = aHosts;
+  for (auto& [id, entry] : this->entries) {
+    entry.health->SetHosts(aHosts);
+  }
+}
+
+void
+HealthMonitor::PeerObserved(std::string_view aPeer,
+                            const HealthObservation& aObservation)
+{
+  if (ServerHealth* health = this->Find(aObservation.serverId)) {
+    health->PeerObserved(aPeer, aObservation);
+  }
+}
+
+void
+HealthMonitor::Tick()
+{
+  const core::TimePoint time = this->now();
+  std::vector<std::chrono::nanoseconds> serviceTimes;
+  std::vector<double> failureRatios;
+  for (const Service& service : this->services) {
+    serviceTimes.clear();
+    failureRatios.clear();
+    double reported = 0;
+    double slots = 0;
+    bool canServe = false;
+    for (const std::string& id : service.servers) {
+      const Entry& entry = this->entries.at(id);
+      const ServerLoad& load = *entry.load;
+      if (load.ServiceTime().count() > 0) {
+        serviceTimes.push_back(load.ServiceTime());
+      }
+      failureRatios.push_back(load.FailureRatio());
+      const auto reportedAt = load.ReportedAt();
+      if (reportedAt && time - *reportedAt < kReportUse &&
+          entry.health->State() == ServerState::Ready) {
+        reported += load.ReportedInFlight();
+        slots += load.Slots();
+      }
+      canServe = canServe || (entry.health->State() != ServerState::Gone &&
+                              entry.health->State() != ServerState::Draining);
+    }
+    const ServerHealth::Peers peers{ MedianOf(serviceTimes),
+                                     MedianOf(failureRatios) };
+    service.load->SetTypicalServiceTime(peers.serviceTime);
+    service.load->SetUtilization(slots > 0 ? reported / slots : 0);
+    service.load->SetCanServe(canServe);
+    for (const std::string& id : service.servers) {
+      this->entries.at(id).health->Tick(peers);
+    }
+  }
+}
+
+ServerHealth*
+HealthMonitor::Find(std::string_view aServerId)
+{
+  const auto found = this->entries.find(aServerId);
+  return found == this->entries.end() ? nullptr : found->second.health.get();
+}
+
+} // namespace fireflytrail::routing
--- /dev/null
+++ b/modules/routing/HealthMonitor.h
@@ -0,0 +1,69 @@
+#pragma once
+
+#include "core/Hooks.h"
+#include "routing/RoutingTable.h"
+#include "routing/RoutingTableBuilder.h"
+#include "routing/ServerHealth.h"
+
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fireflytrail::routing {
+
+/**
+ * Health of all servers that the daemon knows. Compares each with the others
+ * of its service and writes the averages into `ServiceLoad`. Belongs to the
+ * control thread.
+ */
+class HealthMonitor
+{
+public:
+  /** `aPublish` passes observations on to the other daemons. */
+  HealthMonitor(std::string aSelf,
+                core::NowFunction aNow,
+                ServerHealth::PublishFunction aPublish);
+
+  /** Follows the servers of a new table. Those that are new start cold. */
+  void SetServers(const RoutingTableBuilder& aBuilder,
+                  const RoutingTable& aTable);
+
+  /** Sets the entry hosts: the larger plausible list. */
+  void SetHosts(const std::vector<std::string>& aHosts);
+
+  /** Another daemon has published an observation. One of a server that is not
+   * known here is ignored. */
+  void PeerObserved(std::string_view aPeer,
+                    const HealthObservation& aObservation);
+
+  /** Evaluates all servers. To be called every
+   * `ServerHealth::kTickInterval`. */
+  void Tick();
+
+  /** Returns the health of a server, or nothing. */
+  ServerHealth* Find(std::string_view aServerId);
+
+private:
+  struct Entry
+  {
+    std::shared_ptr<ServerLoad> load;
+    std::unique_ptr<ServerHealth> health;
+  };
+
+  struct Service
+  {
+    std::shared_ptr<ServiceLoad> load;
+    std::vector<std::string> servers;
+  };
+
+  std::string self;
+  core::NowFunction now;
+  ServerHealth::PublishFunction publish;
+  std::vector<std::string> hosts;
+  std::map<std::string, Entry, std::less<>> entries;
+  std::vector<Service> services;
+};
+
+} // namespace fireflytrail::routing
--- a/modules/routing/RoutingTableBuilder.cpp
+++ b/modules/routing/RoutingTableBuilder.cpp
@@ -4,10 +4,36 @@
 
 #include <algorithm>
 #include <cassert>
+#include <set>
 #include <utility>
 
 namespace fireflytrail::routing {
 
+namespace {
+
+/** Adds the loads of all services that a service depends on. The text has no
+ * cycles; a cycle would end here too, since each service is added once. */
+void
+AddDependencyLoads(const RoutingTable& aTable, ServiceRoute& aRoute)
+{
+  std::set<std::string_view> seen;
+  std::vector<std::string_view> open(aRoute.dependsOn.begin(),
+                                     aRoute.dependsOn.end());
+  while (!open.empty()) {
+    const std::string_view name = open.back();
+    open.pop_back();
+    const ServiceRoute* dependency = aTable.Find(name);
+    if (dependency == nullptr || !seen.insert(name).second) {
+      continue;
+    }
+    aRoute.dependencyLoads.push_back(dependency->load);
+    open.insert(
+      open.end(), dependency->dependsOn.begin(), dependency->dependsOn.end());
+  }
+}
+
+} // namespace
+
 RoutingTableBuilder::RoutingTableBuilder(std::string aSelf)
   : self(std::move(aSelf))
 {
@@ -126,8 +152,12 @@
       version.share /= total;
       route.versions.push_back(std::move(version));
     }
+    route.load->SetCanServe(!route.versions.empty());
     table->services.push_back(std::move(route));
   }
+  for (ServiceRoute& route : table->services) {
+    AddDependencyLoads(*table, route);
+  }
   this->loads = std::move(keptLoads);
   this->serviceLoads = std::move(keptServices);
   return table;
--- a/modules/routing/RoutingTableBuilder.h
+++ b/modules/routing/RoutingTableBuilder.h
@@ -6,7 +6,6 @@
 #include <cstdint>
 #include <map>
 #include <memory>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
--- /dev/null
+++ b/modules/routing/ServerHealth.cpp
@@ -0,0 +1,367 @@
+#include "routing/ServerHealth.h"
+
+#include "core/Hash.h"
+#include "routing/SharedLimit.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace fireflytrail::routing {
+
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
+
+/** A call that takes this many times the usual is a sign of a fault. Noisy
+ * neighbours slow calls two- to threefold for up to 50 ms. */
+constexpr int kSuspectFactor = 6;
+
+/** Suspicions of different daemons within this time add up. */
+constexpr milliseconds kSuspicionLifetime{ 150 };
+
+/** A daemon that suspects a server alone leaves it out for this time. */
+constexpr milliseconds kSuspicionPause{ 100 };
+
+/** Least time at each concurrency. Four steps of it and a report that is 0.5 s
+ * old stay below the 2 s in which a server must get its full share. */
+constexpr milliseconds kHold{ 250 };
+
+/** Longest time at one concurrency after repeated falls. */
+constexpr milliseconds kMaximumHold{ 4000 };
+
+/** Answers in normal time that are needed before the concurrency is raised. */
+constexpr std::uint64_t kAnswersNeeded = 3;
+
+/** A server whose calls take up to this many times the usual is taken as
+ * warm. Cold servers take about three times as long. */
+constexpr int kWarmFactor = 2;
+
+/** After this time without a fault a server that stays slow is ramped up
+ * nevertheless: it may just be a slower one. */
+constexpr milliseconds kSlowRaise{ 10000 };
+
+/** Share of failed calls above that of the other servers, and number of failed
+ * calls, from which a server counts as failing. */
+constexpr double kFailingExcess = 0.5;
+constexpr std::uint64_t kFailuresNeeded = 3;
+
+/** Time between calls to a failing server, per daemon that may send any. */
+constexpr milliseconds kFailingPace{ 250 };
+
+} // namespace
+
+ServerHealth::ServerHealth(std::shared_ptr<ServerLoad> aLoad,
+                           std::string aSelf,
+                           core::NowFunction aNow,
+                           PublishFunction aPublish)
+  : load(std::move(aLoad))
+  , self(std::move(aSelf))
+  , now(std::move(aNow))
+  , publish(std::move(aPublish))
+  , hold(kHold)
+{
+  assert(this->load && this->now && this->publish);
+  this->SetHosts({});
+  this->StartWindow();
+}
+
+void
+ServerHealth::SetHosts(std::vector<std::string> aHosts)
+{
+  if (std::find(aHosts.begin(), aHosts.end(), this->self) == aHosts.end()) {
+    aHosts.push_back(this->self);
+  }
+  this->hosts = std::move(aHosts);
+  const std::string& id = this->load->Identity().id;
+  this->leader =
+    *std::max_element(this->hosts.begin(),
+                      this->hosts.end(),
+                      [&](const std::string& aLeft, const std::string& aRight) {
+                        return std::pair(core::RendezvousWeight(id, aLeft),
+                                         std::string_view(aLeft)) <
+                               std::pair(core::RendezvousWeight(id, aRight),
+                                         std::string_view(aRight));
+                      });
+  this->ApplyLimit();
+}
+
+bool
+ServerHealth::Leads() const
+{
+  return this->leader == this->self;
+}
+
+void
+ServerHealth::SetListed(bool aListed, bool aLeaving)
+{
+  const bool returned =
+    (aListed && !this->listed) || (!aLeaving && this->leaving);
+  this->listed = aListed;
+  this->leaving = aLeaving;
+  if (!aListed) {
+    this->state = ServerState::Gone;
+  } else if (aLeaving) {
+    this->state = ServerState::Draining;
+  } else if (returned) {
+    this->load->ClearReportedState();
+    this->start = 0;
+    this->TurnCold(false);
+  }
+  this->ApplyLimit();
+}
+
+void
+ServerHealth::PeerObserved(std::string_view aPeer,
+                           const HealthObservation& aObservation)
+{
+  if (this->state == ServerState::Gone ||
+      this->state == ServerState::Draining) {
+    return;
+  }
+  switch (aObservation.evidence) {
+    case HealthEvidence::Suspect:
+      this->Suspect(aPeer);
+      if (this->Leads()) {
+        // The peer may have turned cold on evidence that never arrived here;
+        // it then waits for the leader's word.
+        this->answerPeersAt =
+          std::min(this->answerPeersAt, this->now() + 2 * kSuspicionLifetime);
+      }
+      break;
+    case HealthEvidence::Cold:
+      if (this->state != ServerState::Cold || this->concurrency > 1) {
+        this->TurnCold(false);
+      }
+      break;
+    case HealthEvidence::Concurrency:
+      // A raise counts only from the host that leads by this host's view. The
+      // smaller value counts from anyone, since two may believe that they lead.
+      if (!this->Leads() && (aPeer == this->leader ||
+                             aObservation.concurrency < this->concurrency)) {
+        if (aObservation.concurrency != this->concurrency) {
+          this->SetConcurrency(aObservation.concurrency);
+        }
+      }
+      break;
+  }
+  this->ApplyLimit();
+}
+
+void
+ServerHealth::ConnectionsReset()
+{
+  if (this->state == ServerState::Gone ||
+      this->state == ServerState::Draining) {
+    return;
+  }
+  this->TurnCold(false);
+  this->publish({ .serverId = this->load->Identity().id,
+                  .evidence = HealthEvidence::Suspect });
+  this->ApplyLimit();
+}
+
+void
+ServerHealth::Tick(const Peers& aPeers)
+{
+  const core::TimePoint time = this->now();
+  if (this->state == ServerState::Gone) {
+    return;
+  }
+  if (this->load->State() == ReportedState::Draining) {
+    this->state = ServerState::Draining;
+  }
+  if (this->state == ServerState::Draining) {
+    this->ApplyLimit();
+    return;
+  }
+  if (time >= this->answerPeersAt) {
+    this->answerPeersAt = core::TimePoint::max();
+    this->publish({ .serverId = this->load->Identity().id,
+                    .evidence = HealthEvidence::Concurrency,
+                    .concurrency = this->concurrency });
+  }
+  this->CheckLoad(aPeers);
+  this->CheckFailures(aPeers);
+  this->CheckRamp(aPeers);
+  this->lastTotals = this->load->Counts();
+  this->ApplyLimit();
+}
+
+void
+ServerHealth::CheckLoad(const Peers& aPeers)
+{
+  const core::TimePoint time = this->now();
+  const std::uint64_t reported = this->load->ReportedStart();
+  const bool restarted =
+    this->start != 0 && reported != 0 && reported != this->start;
+  this->start = reported;
+  const bool restricted =
+    this->state == ServerState::Cold && this->concurrency == 1;
+  if (restarted || (this->load->State() == ReportedState::Cold &&
+                    this->state == ServerState::Ready)) {
+    this->TurnCold(true);
+    return;
+  }
+  const ServerLoad::Totals totals = this->load->Counts();
+  const bool lost = totals.lost > this->lastTotals.lost;
+  bool slow = false;
+  if (aPeers.serviceTime.count() > 0 && !restricted) {
+    const nanoseconds limit = aPeers.serviceTime * kSuspectFactor;
+    slow = this->load->OldestInFlight(time) > limit ||
+           (totals.answered > this->lastTotals.answered &&
+            (totals.answeredTime - this->lastTotals.answeredTime) >
+              limit * (totals.answered - this->lastTotals.answered));
+  }
+  if (lost && restricted) {
+    // It fell although only one call at a time was sent: wait longer.
+    this->hold = std::min<nanoseconds>(this->hold * 2, kMaximumHold);
+    this->StartWindow();
+  }
+  if ((lost || slow) && time >= this->suspectedUntil) {
+    this->suspectedUntil = time + kSuspicionPause;
+    this->publish({ .serverId = this->load->Identity().id,
+                    .evidence = HealthEvidence::Suspect });
+    this->Suspect(this->self);
+  }
+}
+
+void
+ServerHealth::CheckFailures(const Peers& aPeers)
+{
+  const ServerLoad::Totals totals = this->load->Counts();
+  if (this->state == ServerState::FailingFast) {
+    if (this->load->FailureRatio() < aPeers.failureRatio + kFailingExcess / 2) {
+      this->TurnCold(false);
+    }
+    return;
+  }
+  const bool failing =
+    this->load->FailureRatio() > aPeers.failureRatio + kFailingExcess &&
+    totals.failed > this->lastTotals.failed && totals.failed >= kFailuresNeeded;
+  if (failing) {
+    this->state = ServerState::FailingFast;
+    this->SetConcurrency(this->concurrency);
+  }
+}
+
+void
+ServerHealth::CheckRamp(const Peers& aPeers)
+{
+  if (this->state != ServerState::Cold || !this->Leads()) {
+    return;
+  }
+  const core::TimePoint time = this->now();
+  const ServerLoad::Totals totals = this->load->Counts();
+  if (time - this->windowStart < this->hold ||
+      this->load->State() == ReportedState::Cold) {
+    return;
+  }
+  const std::uint64_t answers = totals.answered - this->windowTotals.answered;
+  if (answers < kAnswersNeeded) {
+    return;
+  }
+  const bool warm =
+    aPeers.serviceTime.count() == 0 ||
+    this->load->ServiceTime() <= aPeers.serviceTime * kWarmFactor;
+  if (warm || time - this->windowStart >= kSlowRaise) {
+    this->Raise();
+  }
+}
+
+void
+ServerHealth::Raise()
+{
+  const std::uint32_t slots = this->load->Slots();
+  this->SetConcurrency(this->concurrency >= slots
+                         ? kFull
+                         : std::min(this->concurrency * 2, slots));
+  if (this->concurrency == kFull) {
+    this->hold = kHold;
+  }
+  this->publish({ .serverId = this->load->Identity().id,
+                  .evidence = HealthEvidence::Concurrency,
+                  .concurrency = this->concurrency });
+}
+
+void
+ServerHealth::TurnCold(bool aStrong)
+{
+  this->state = ServerState::Cold;
+  this->concurrency = 1;
+  this->suspects.clear();
+  this->StartWindow();
+  if (aStrong) {
+    this->publish({ .serverId = this->load->Identity().id,
+                    .evidence = HealthEvidence::Cold });
+  }
+}
+
+void
+ServerHealth::SetConcurrency(std::uint32_t aConcurrency)
+{
+  this->concurrency = aConcurrency;
+  if (this->state != ServerState::FailingFast) {
+    this->state =
+      aConcurrency == kFull ? ServerState::Ready : ServerState::Cold;
+  }
+  this->StartWindow();
+}
+
+void
+ServerHealth::Suspect(std::string_view aDaemon)
+{
+  const core::TimePoint time = this->now();
+  this->suspects.insert_or_assign(std::string(aDaemon), time);
+  std::erase_if(this->suspects, [&](const auto& aEntry) {
+    return time - aEntry.second > kSuspicionLifetime;
+  });
+  if (this->suspects.size() >= this->SuspectsNeeded() &&
+      (this->state == ServerState::Ready ||
+       (this->state == ServerState::Cold && this->concurrency > 1))) {
+    this->TurnCold(false);
+  }
+}
+
+std::size_t
+ServerHealth::SuspectsNeeded() const
+{
+  // With few hosts too few use one server at the same time to agree.
+  return this->hosts.size() <= 3 ? 1 : 2;
+}
+
+void
+ServerHealth::StartWindow()
+{
+  this->windowTotals = this->load->Counts();
+  this->windowStart = this->now();
+}
+
+void
+ServerHealth::ApplyLimit()
+{
+  std::uint32_t limit = 0;
+  nanoseconds pace{ 0 };
+  switch (this->state) {
+    case ServerState::Ready:
+      limit = this->now() < this->suspectedUntil ? 0 : ServerLoad::kUnlimited;
+      break;
+    case ServerState::Cold:
+      limit = SharedLimit::ShareOf(
+        this->load->Identity().id, this->concurrency, this->self, this->hosts);
+      break;
+    case ServerState::FailingFast:
+      limit = SharedLimit::ShareOf(
+        this->load->Identity().id, 1, this->self, this->hosts);
+      pace = kFailingPace;
+      break;
+    case ServerState::Draining:
+    case ServerState::Gone:
+      break;
+  }
+  this->load->SetLimit(limit);
+  this->load->SetPace(pace);
+}
+
+} // namespace fireflytrail::routing
--- /dev/null
+++ b/modules/routing/ServerHealthTest.cpp
@@ -0,0 +1,233 @@
+#include "routing/ServerHealth.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <deque>
+#include <memory>
+#include <numeric>
+#include <vector>
+
+using namespace fireflytrail;
+using namespace fireflytrail::routing;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** The same server as several daemons see it; observations arrive 20 ms after
+ * they are published. */
+class HealthFleet
+{
+public:
+  explicit HealthFleet(unsigned aCount)
+  {
+    std::vector<std::string> names;
+    for (unsigned index = 0; index < aCount; ++index) {
+      names.push_back("entry-" + std::to_string(index));
+    }
+    for (const auto& name : names) {
+      const auto load =
+        std::make_shared<ServerLoad>(ServerIdentity{ .id = "till-1",
+                                                     .service = "till-sales",
+                                                     .version = "1",
+                                                     .address = "127.0.0.1:1",
+                                                     .failureDomain = "akl-a" },
+                                     4);
+      this->loads.push_back(load);
+      this->healths.push_back(std::make_unique<ServerHealth>(
+        load,
+        name,
+        [this] { return this->time; },
+        [this, name](const HealthObservation& aObservation) {
+          this->messages.push_back({ this->time + 20ms, name, aObservation });
+        }));
+      this->healths.back()->SetHosts(names);
+    }
+    this->names = names;
+  }
+
+  /** Each daemon sends as many calls as it may; each takes `aServiceTime`. */
+  void Run(std::chrono::milliseconds aDuration,
+           std::chrono::milliseconds aServiceTime,
+           SelectionOutcome aOutcome = SelectionOutcome::Answered)
+  {
+    const core::TimePoint end = this->time + aDuration;
+    while (this->time < end) {
+      this->time += 1ms;
+      for (std::size_t index = 0; index < this->loads.size(); ++index) {
+        auto& load = *this->loads[index];
+        auto& calls = this->calls[index];
+        if (!calls.empty() && calls.front().ends <= this->time) {
+          load.Release(
+            calls.front().token, aOutcome, calls.front().duration, this->time);
+          calls.pop_front();
+          if (this->report.slots > 0) {
+            load.RecordReport(this->report, this->time);
+          }
+        }
+        if (calls.empty()) {
+          if (const auto token = load.TryAcquire(this->time)) {
+            ++this->sent;
+            calls.push_back(
+              { *token, this->time + aServiceTime, aServiceTime });
+          }
+        }
+      }
+      std::size_t inFlight = 0;
+      for (const auto& load : this->loads) {
+        inFlight += load->InFlight();
+      }
+      this->mostInFlight = std::max(this->mostInFlight, inFlight);
+      while (!this->messages.empty() &&
+             this->messages.front().at <= this->time) {
+        const Message message = this->messages.front();
+        this->messages.pop_front();
+        for (std::size_t index = 0; index < this->healths.size(); ++index) {
+          if (this->names[index] != message.from) {
+            this->healths[index]->PeerObserved(message.from,
+                                               message.observation);
+          }
+        }
+      }
+      if (this->time.time_since_epoch() % 10ms == 0ms) {
+        for (auto& health : this->healths) {
+          health->Tick({ .serviceTime = 10ms, .failureRatio = 0 });
+        }
+      }
+    }
+  }
+
+  std::uint32_t SumOfLimits() const
+  {
+    std::uint32_t sum = 0;
+    for (const auto& load : this->loads) {
+      sum += load->Limit() == ServerLoad::kUnlimited ? 100 : load->Limit();
+    }
+    return sum;
+  }
+
+  struct Message
+  {
+    core::TimePoint at;
+    std::string from;
+    HealthObservation observation;
+  };
+  struct Call
+  {
+    ServerLoad::Token token;
+    core::TimePoint ends;
+    std::chrono::milliseconds duration;
+  };
+
+  core::TimePoint time{ 1s };
+  std::vector<std::string> names;
+  std::vector<std::shared_ptr<ServerLoad>> loads;
+  std::vector<std::unique_ptr<ServerHealth>> healths;
+  std::deque<Message> messages;
+  std::deque<Call> calls[32];
+  LoadReport report;
+  std::size_t mostInFlight = 0;
+  std::size_t sent = 0;
+};
+
+} // namespace
+
+// Guards against 19 daemons that each send one call to a cold server.
+BOOST_AUTO_TEST_CASE(NewServerGetsOneCallOfAllDaemons)
+{
+  HealthFleet fleet(19);
+  BOOST_TEST(fleet.SumOfLimits() == 1U);
+  fleet.Run(200ms, 10ms);
+  BOOST_TEST(fleet.mostInFlight == 1U);
+}
+
+// Guards against a cold server getting more than one call while it reports
+// that it is cold, and against a ramp that takes more than 2 s after that.
+BOOST_AUTO_TEST_CASE(ColdServerIsRampedUpOnceItReportsReady)
+{
+  HealthFleet fleet(19);
+  fleet.report = {
+    .inFlight = 1, .slots = 4, .start = 7, .state = ReportedState::Cold
+  };
+  fleet.Run(5000ms, 30ms);
+  BOOST_TEST(fleet.mostInFlight == 1U);
+  fleet.report.state = ReportedState::Ready;
+  fleet.Run(200ms, 10ms);
+  BOOST_TEST(fleet.mostInFlight <= 2U);
+  fleet.Run(1800ms, 10ms);
+  for (const auto& health : fleet.healths) {
+    BOOST_TEST((health->State() == ServerState::Ready));
+  }
+}
+
+// Guards against a server that is slowed tenfold keeping its traffic, and
+// against one that recovered never getting it back.
+BOOST_AUTO_TEST_CASE(SlowServerKeepsATrickleAndRecovers)
+{
+  HealthFleet fleet(19);
+  fleet.Run(2000ms, 10ms);
+  BOOST_REQUIRE(fleet.SumOfLimits() > 19U);
+  fleet.Run(250ms, 100ms);
+  BOOST_TEST(fleet.SumOfLimits() == 1U);
+  fleet.Run(3000ms, 100ms);
+  BOOST_TEST(fleet.SumOfLimits() == 1U);
+  fleet.Run(2000ms, 10ms);
+  BOOST_TEST(fleet.SumOfLimits() > 19U);
+}
+
+// Guards against one daemon's broken network taking a server from all.
+BOOST_AUTO_TEST_CASE(OneDaemonAloneDoesNotRestrictAServer)
+{
+  HealthFleet fleet(19);
+  fleet.Run(2000ms, 10ms);
+  fleet.healths[3]->PeerObserved(
+    "entry-5", { .serverId = "till-1", .evidence = HealthEvidence::Suspect });
+  fleet.Run(100ms, 10ms);
+  BOOST_TEST((fleet.healths[3]->State() == ServerState::Ready));
+}
+
+// Guards against work for a server that restarted cold between two answers.
+BOOST_AUTO_TEST_CASE(ChangedStartIdentityMakesAServerCold)
+{
+  HealthFleet fleet(19);
+  fleet.report = {
+    .inFlight = 1, .slots = 4, .start = 7, .state = ReportedState::Ready
+  };
+  fleet.Run(2000ms, 10ms);
+  BOOST_REQUIRE(fleet.SumOfLimits() > 19U);
+  fleet.report.start = 8;
+  fleet.Run(50ms, 10ms);
+  BOOST_TEST(fleet.SumOfLimits() == 1U);
+}
+
+// Guards against a server that fails at once attracting calls by looking idle:
+// without a pace, one call at a time is hundreds a second.
+BOOST_AUTO_TEST_CASE(FailingServerGetsOnlySingleCalls)
+{
+  HealthFleet fleet(19);
+  fleet.Run(2000ms, 10ms);
+  fleet.Run(250ms, 1ms, SelectionOutcome::Failed);
+  const std::size_t before = fleet.sent;
+  fleet.Run(2000ms, 1ms, SelectionOutcome::Failed);
+  BOOST_TEST(fleet.sent - before <= 10U);
+  fleet.Run(3000ms, 10ms);
+  BOOST_TEST(fleet.SumOfLimits() > 19U);
+}
+
+// Guards against new work for a server that leaves or is gone, and against one
+// that comes back getting its full share at once.
+BOOST_AUTO_TEST_CASE(LeavingServerGetsNothingAndReturnsCold)
+{
+  HealthFleet fleet(3);
+  fleet.Run(2000ms, 10ms);
+  auto& health = *fleet.healths[0];
+  auto& load = *fleet.loads[0];
+  BOOST_REQUIRE(load.Limit() == ServerLoad::kUnlimited);
+  health.SetListed(true, true);
+  BOOST_TEST(load.Limit() == 0U);
+  BOOST_TEST((health.State() == ServerState::Draining));
+  health.SetListed(false, false);
+  BOOST_TEST((health.State() == ServerState::Gone));
+  health.SetListed(true, false);
+  BOOST_TEST((health.State() == ServerState::Cold));
+  BOOST_TEST(load.Limit() <= 1U);
+}
--- a/modules/routing/ServerLoad.cpp
+++ b/modules/routing/ServerLoad.cpp
@@ -53,6 +53,15 @@
     this->inFlight.fetch_sub(1, kRelaxed);
     return std::nullopt;
   }
+  if (const std::int64_t interval = this->pace.load(kRelaxed); interval > 0) {
+    const std::int64_t now = Nanoseconds(aNow);
+    std::int64_t earliest = this->notBefore.load(kRelaxed);
+    if (now < earliest || !this->notBefore.compare_exchange_strong(
+                            earliest, now + interval, kRelaxed)) {
+      this->inFlight.fetch_sub(1, kRelaxed);
+      return std::nullopt;
+    }
+  }
   this->acquired.fetch_add(1, kRelaxed);
   Token token;
   for (std::uint32_t index = 0; index < kTrackedStarts; ++index) {
@@ -78,8 +87,14 @@
   }
   [[maybe_unused]] const auto before = this->inFlight.fetch_sub(1, kRelaxed);
   assert(before > 0);
+  if (aOutcome != SelectionOutcome::Cancelled) {
+    const float old = this->failureRatio.load(kRelaxed);
+    const float sample = aOutcome == SelectionOutcome::Answered ? 0.0F : 1.0F;
+    this->failureRatio.store(old + (sample - old) / kSampleDivisor, kRelaxed);
+  }
   switch (aOutcome) {
     case SelectionOutcome::Answered: {
+      this->answeredTime.fetch_add(aDuration.count(), kRelaxed);
       this->answered.fetch_add(1, kRelaxed);
       const std::int64_t old = this->serviceTime.load(kRelaxed);
       const std::int64_t sample = aDuration.count();
@@ -114,6 +129,15 @@
   this->reportedAt.store(Nanoseconds(aNow), kRelaxed);
 }
 
+void
+ServerLoad::SetPace(std::chrono::nanoseconds aInterval)
+{
+  this->pace.store(aInterval.count(), kRelaxed);
+  if (aInterval.count() == 0) {
+    this->notBefore.store(kNever, kRelaxed);
+  }
+}
+
 void
 ServerLoad::SetLimit(std::uint32_t aLimit)
 {
@@ -161,7 +185,9 @@
                  .answered = this->answered.load(kRelaxed),
                  .failed = this->failed.load(kRelaxed),
                  .refused = this->refused.load(kRelaxed),
-                 .lost = this->lost.load(kRelaxed) };
+                 .lost = this->lost.load(kRelaxed),
+                 .answeredTime = std::chrono::nanoseconds(
+                   this->answeredTime.load(kRelaxed)) };
 }
 
 void
--- a/modules/routing/ServerLoad.h
+++ b/modules/routing/ServerLoad.h
@@ -63,6 +63,8 @@
     std::uint64_t refused = 0;
     /** Failed connects and broken connections. */
     std::uint64_t lost = 0;
+    /** Sum of the durations of answered calls. */
+    std::chrono::nanoseconds answeredTime{ 0 };
   };
 
   /** Makes an idle server with `aSlots` > 0 and a limit. */
@@ -80,8 +82,8 @@
   std::uint32_t Slots() const { return this->slots; }
 
   /**
-   * Counts a call as in flight unless the limit is reached or the server
-   * reported that it drains. Thread-safe and lock-free.
+   * Counts a call as in flight unless the limit is reached, the pace is
+   * exceeded or the server reported that it drains. Thread-safe and lock-free.
    */
   std::optional<Token> TryAcquire(core::TimePoint aNow);
 
@@ -102,6 +104,13 @@
    * Thread-safe; called by the control thread. */
   void SetLimit(std::uint32_t aLimit);
 
+  /**
+   * Sets the least time between two acquisitions; 0 for none. Used for servers
+   * that end calls at once, which a limit of calls in flight does not bound.
+   * Thread-safe; called by the control thread.
+   */
+  void SetPace(std::chrono::nanoseconds aInterval);
+
   /** Returns the limit. Thread-safe. */
   std::uint32_t Limit() const
   {
@@ -161,6 +170,13 @@
   /** Returns when a server last refused a call, if it did. Thread-safe. */
   std::optional<core::TimePoint> RefusedAt() const;
 
+  /** Returns the smoothed share of calls that failed, were refused or were
+   * lost, from 0 to 1. Thread-safe. */
+  double FailureRatio() const
+  {
+    return this->failureRatio.load(std::memory_order_relaxed);
+  }
+
   /** Returns the totals. Thread-safe. */
   Totals Counts() const;
 
@@ -188,11 +204,15 @@
   std::atomic<std::int64_t> refusedAt{ kNever };
   std::atomic<std::int64_t> serviceTime{ 0 };
   std::atomic<std::int32_t> connections{ 0 };
+  std::atomic<float> failureRatio{ 0 };
+  std::atomic<std::int64_t> pace{ 0 };
+  std::atomic<std::int64_t> notBefore{ kNever };
   std::atomic<std::uint64_t> acquired{ 0 };
   std::atomic<std::uint64_t> answered{ 0 };
   std::atomic<std::uint64_t> failed{ 0 };
   std::atomic<std::uint64_t> refused{ 0 };
   std::atomic<std::uint64_t> lost{ 0 };
+  std::atomic<std::int64_t> answeredTime{ 0 };
   std::array<std::atomic<std::int64_t>, kTrackedStarts> starts;
 };
 
--- a/modules/routing/ServerLoadTest.cpp
+++ b/modules/routing/ServerLoadTest.cpp
@@ -31,6 +31,7 @@
   std::atomic<unsigned> running{ 0 };
   std::atomic<unsigned> excess{ 0 };
   std::vector<std::thread> threads;
+  threads.reserve(4);
   for (int thread = 0; thread < 4; ++thread) {
     threads.emplace_back([&] {
       for (int round = 0; round < 20000; ++round) {
--- a/modules/routing/ServiceLoad.h
+++ b/modules/routing/ServiceLoad.h
@@ -51,8 +51,21 @@
     return this->utilization.load(std::memory_order_relaxed);
   }
 
+  /** Sets whether the service has a server that may take calls. */
+  void SetCanServe(bool aCanServe)
+  {
+    this->canServe.store(aCanServe, std::memory_order_relaxed);
+  }
+
+  /** Whether the service has a server that may take calls. */
+  bool CanServe() const
+  {
+    return this->canServe.load(std::memory_order_relaxed);
+  }
+
 private:
   std::atomic<std::int32_t> inFlight{ 0 };
+  std::atomic<bool> canServe{ true };
   std::atomic<std::int64_t> typicalServiceTime{ 0 };
   std::atomic<double> utilization{ 0 };
 };
--- a/modules/routing/ServiceRoute.h
+++ b/modules/routing/ServiceRoute.h
@@ -23,6 +23,8 @@
   /** Versions with a share above 0; the shares add up to 1. */
   std::vector<VersionRoute> versions;
   std::shared_ptr<ServiceLoad> load;
+  /** Loads of all services that this one depends on, directly or not. */
+  std::vector<std::shared_ptr<const ServiceLoad>> dependencyLoads;
 
   /** Returns the call with this method and path, or nothing. Thread-safe. */
   const CallRoute* FindCall(std::string_view aMethod,
--- a/modules/routing/routing.h
+++ b/modules/routing/routing.h
@@ -11,15 +11,22 @@
  * control thread.
  */
 
+#include "routing/AdmissionControl.h"
 #include "routing/CallRoute.h"
+#include "routing/ConnectionPacer.h"
+#include "routing/HealthMonitor.h"
+#include "routing/HealthObservation.h"
 #include "routing/LoadReport.h"
+#include "routing/MeasuringBudget.h"
 #include "routing/RoutingTable.h"
 #include "routing/RoutingTableBuilder.h"
 #include "routing/Selection.h"
+#include "routing/ServerHealth.h"
 #include "routing/ServerIdentity.h"
 #include "routing/ServerLoad.h"
 #include "routing/ServerRoute.h"
 #include "routing/ServerSelector.h"
+#include "routing/ServerState.h"
 #include "routing/ServiceLoad.h"
 #include "routing/ServiceRoute.h"
 #include "routing/SharedLimit.h"
