Add the scenario runner

scenario_runner drives the real CallFlow, TicketLedger, CrashGuard and RetryBudget of many daemons under a virtual clock, between small fakes of servers, callers, store and network. Steps and expectations are tables of readers (StepReaders, ExpectationReaders); server choice and the spread of records between daemons are hooks until routing and gossip are in place. Fields that a script's reader does not know are errors, so that a misspelled bound cannot pass.

--- /dev/null
+++ b/scenario/Fields.cpp
@@ -0,0 +1,125 @@
+#include "scenario/Fields.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/value.hpp>
+#include <fmt/format.h>
+
+#include <stdexcept>
+
+namespace fireflytrail::scenario {
+
+Fields::Fields(const boost::json::object& aObject, std::string aWhere)
+  : object(aObject)
+  , where(std::move(aWhere))
+{
+}
+
+bool
+Fields::Has(const std::string& aKey) const
+{
+  return this->object.contains(aKey);
+}
+
+double
+Fields::Number(const std::string& aKey, std::optional<double> aDefault)
+{
+  const boost::json::value* value = this->Find(aKey);
+  if (value == nullptr && aDefault) {
+    return *aDefault;
+  }
+  if (value == nullptr || !value->is_number()) {
+    this->Fail(aKey, "must be a number");
+  }
+  return value->to_number<double>();
+}
+
+bool
+Fields::Flag(const std::string& aKey)
+{
+  const boost::json::value* value = this->Find(aKey);
+  if (value != nullptr && !value->is_bool()) {
+    this->Fail(aKey, "must be true or false");
+  }
+  return value != nullptr && value->as_bool();
+}
+
+std::string
+Fields::Text(const std::string& aKey, std::optional<std::string> aDefault)
+{
+  const boost::json::value* value = this->Find(aKey);
+  if (value == nullptr && aDefault) {
+    return *aDefault;
+  }
+  if (value == nullptr || !value->is_string()) {
+    this->Fail(aKey, "must be a text");
+  }
+  return std::string(value->as_string());
+}
+
+std::vector<std::string>
+Fields::Texts(const std::string& aKey)
+{
+  std::vector<std::string> texts;
+  const boost::json::value* value = this->Find(aKey);
+  if (value == nullptr) {
+    return texts;
+  }
+  if (!value->is_array()) {
+    this->Fail(aKey, "must be a list");
+  }
+  for (const boost::json::value& element : value->as_array()) {
+    if (!element.is_string()) {
+      this->Fail(aKey, "must be a list of texts");
+    }
+    texts.emplace_back(element.as_string());
+  }
+  return texts;
+}
+
+std::chrono::microseconds
+Fields::Milliseconds(const std::string& aKey, std::optional<double> aDefault)
+{
+  return std::chrono::microseconds(
+    static_cast<std::int64_t>(this->Number(aKey, aDefault) * 1000.0));
+}
+
+std::chrono::microseconds
+Fields::Microseconds(const std::string& aKey, std::optional<double> aDefault)
+{
+  return std::chrono::microseconds(
+    static_cast<std::int64_t>(this->Number(aKey, aDefault)));
+}
+
+const boost::json::value&
+Fields::Value(const std::string& aKey)
+{
+  static const boost::json::value kNull;
+  const boost::json::value* value = this->Find(aKey);
+  return value != nullptr ? *value : kNull;
+}
+
+void
+Fields::Finish() const
+{
+  for (const auto& field : this->object) {
+    if (!this->read.contains(std::string_view(field.key()))) {
+      this->Fail(std::string(field.key()), "is unknown");
+    }
+  }
+}
+
+const boost::json::value*
+Fields::Find(const std::string& aKey)
+{
+  this->read.insert(aKey);
+  return this->object.if_contains(aKey);
+}
+
+void
+Fields::Fail(const std::string& aKey, const char* aWhat) const
+{
+  throw std::runtime_error(
+    fmt::format("{}: field \"{}\" {}", this->where, aKey, aWhat));
+}
+
+} // namespace fireflytrail::scenario
--- /dev/null
+++ b/scenario/Random.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <chrono>
+#include <cmath>
+#include <cstdint>
+#include <random>
+
+namespace fireflytrail::scenario {
+
+/** The one source of random numbers of a scenario. */
+class Random
+{
+public:
+  explicit Random(std::uint64_t aSeed)
+    : engine(aSeed)
+  {
+  }
+
+  std::uint64_t Next() { return this->engine(); }
+
+  /** Returns a number below `aBound`, which must not be zero. */
+  std::uint64_t Below(std::uint64_t aBound) { return this->engine() % aBound; }
+
+  /** Returns a number from 0 to below 1. */
+  double Unit()
+  {
+    return static_cast<double>(this->engine() >> 11) * 0x1.0p-53;
+  }
+
+  /** Returns a time from 0 to below `aBound`. */
+  std::chrono::microseconds Time(std::chrono::microseconds aBound)
+  {
+    return std::chrono::microseconds(static_cast<std::int64_t>(
+      this->Unit() * static_cast<double>(aBound.count())));
+  }
+
+  /** Returns an exponentially distributed time. */
+  std::chrono::microseconds Exponential(double aMeanUs)
+  {
+    return std::chrono::microseconds(
+      static_cast<std::int64_t>(-std::log(1.0 - this->Unit()) * aMeanUs));
+  }
+
+private:
+  std::mt19937_64 engine;
+};
+
+} // namespace fireflytrail::scenario
--- /dev/null
+++ b/scenario/Scenario.cpp
@@ -0,0 +1,101 @@
+#include "scenario/Scenario.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/value.hpp>
+
+#include <stdexcept>
+
+namespace fireflytrail::scenario {
+
+namespace {
+
+const boost::json::array&
+ArrayIn(Fields& aFields, const std::string& aKey)
+{
+  static const boost::json::array kEmpty;
+  const boost::json::value& value = aFields.Value(aKey);
+  return value.is_array() ? value.as_array() : kEmpty;
+}
+
+void
+ScheduleStep(World& aWorld, const boost::json::object& aStep)
+{
+  Fields fields(aStep, "step");
+  const auto at = fields.Milliseconds("at_ms");
+  const std::string name = fields.Text("do");
+  const auto reader = StepReaders().find(name);
+  if (reader == StepReaders().end()) {
+    throw std::runtime_error("no such step: " + name);
+  }
+  StepFunction function = reader->second(aWorld, fields);
+  fields.Finish();
+  aWorld.clock.After(
+    at, [&aWorld, function = std::move(function)] { function(aWorld); });
+}
+
+boost::json::object
+Judge(const World& aWorld, const boost::json::object& aExpectation)
+{
+  Fields fields(aExpectation, "expectation");
+  const std::string name = fields.Text("what");
+  const auto reader = ExpectationReaders().find(name);
+  if (reader == ExpectationReaders().end()) {
+    throw std::runtime_error("no such expectation: " + name);
+  }
+  boost::json::object result = aExpectation;
+  const double figure = reader->second(aWorld, fields);
+  bool passed = fields.Has("max") || fields.Has("min");
+  if (!passed) {
+    throw std::runtime_error("expectation without a bound: " + name);
+  }
+  passed = passed && (!fields.Has("max") || figure <= fields.Number("max"));
+  passed = passed && (!fields.Has("min") || figure >= fields.Number("min"));
+  // Read both, so that neither counts as unknown.
+  fields.Number("max", 0);
+  fields.Number("min", 0);
+  fields.Finish();
+  result["figure"] = figure;
+  result["passed"] = passed;
+  return result;
+}
+
+} // namespace
+
+boost::json::object
+RunScenario(const boost::json::object& aScript, std::uint64_t aSeed)
+{
+  Fields script(aScript, "script");
+  const std::string name = script.Text("name");
+  const auto duration = script.Milliseconds("duration_ms");
+  // Read by the world; named here so that other fields are errors.
+  for (const char* const key : { "topology", "calls", "policy", "note" }) {
+    script.Value(key);
+  }
+  World world(aScript, aSeed);
+  for (const boost::json::value& load : ArrayIn(script, "load")) {
+    world.callers.push_back(
+      std::make_unique<SimulatedCaller>(world, load.as_object()));
+    world.callers.back()->Start();
+  }
+  for (const boost::json::value& step : ArrayIn(script, "steps")) {
+    ScheduleStep(world, step.as_object());
+  }
+  world.clock.RunUntil(duration);
+
+  boost::json::array expectations;
+  bool passed = true;
+  for (const boost::json::value& expected : ArrayIn(script, "expect")) {
+    expectations.push_back(Judge(world, expected.as_object()));
+    passed = passed && expectations.back().as_object().at("passed").as_bool();
+  }
+  script.Finish();
+  if (expectations.empty()) {
+    throw std::runtime_error("script without expectations: " + name);
+  }
+  return { { "scenario", name },
+           { "seed", aSeed },
+           { "passed", passed },
+           { "expectations", std::move(expectations) } };
+}
+
+} // namespace fireflytrail::scenario
--- /dev/null
+++ b/scenario/World.cpp
@@ -0,0 +1,247 @@
+#include "scenario/World.h"
+
+#include "core/Hash.h"
+#include "scenario/ServerChoice.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <stdexcept>
+
+namespace fireflytrail::scenario {
+
+namespace {
+
+const boost::json::object&
+ObjectIn(Fields& aFields, const std::string& aKey)
+{
+  static const boost::json::object kEmpty;
+  const boost::json::value& value = aFields.Value(aKey);
+  return value.is_object() ? value.as_object() : kEmpty;
+}
+
+} // namespace
+
+World::World(const boost::json::object& aScript, std::uint64_t aSeed)
+  : random(aSeed)
+{
+  Fields script(aScript, "script");
+  Fields topology(ObjectIn(script, "topology"), "topology");
+  this->domains = topology.Texts("domains");
+  if (this->domains.empty()) {
+    throw std::runtime_error("topology: \"domains\" must not be empty");
+  }
+  this->domainLatency = topology.Microseconds("domain_latency_us", 500);
+  this->clientLatency = topology.Microseconds("client_latency_us", 3000);
+  this->ticketLimits.lifetime =
+    std::chrono::duration_cast<std::chrono::milliseconds>(
+      topology.Milliseconds("ticket_lifetime_ms", 300'000));
+  this->ticketLimits.tickets =
+    static_cast<std::size_t>(topology.Number("tickets", 65536));
+  this->ticketLimits.answerBytes =
+    static_cast<std::size_t>(topology.Number("answer_bytes", 8 << 20));
+  this->chooseServer =
+    ServerChoice(*this, script.Text("policy", "least_in_flight"));
+  this->ReadServices(ObjectIn(topology, "services"));
+  this->ReadCalls(ObjectIn(script, "calls"));
+  const auto daemonCount = static_cast<unsigned>(topology.Number("daemons"));
+  for (unsigned index = 0; index < daemonCount; ++index) {
+    this->daemons.push_back(std::make_unique<SimulatedDaemon>(
+      *this,
+      fmt::format("entry-{}", index),
+      this->domains[index % this->domains.size()]));
+  }
+  topology.Finish();
+}
+
+SimulatedServer*
+World::ServerOf(std::uint64_t aKey)
+{
+  return this->servers.at(aKey - 1).get();
+}
+
+SimulatedDaemon*
+World::DaemonOf(const std::string& aName)
+{
+  const auto found = std::ranges::find(
+    this->daemons, aName, [](const auto& aDaemon) { return aDaemon->name; });
+  return found == this->daemons.end() ? nullptr : found->get();
+}
+
+SimulatedDaemon&
+World::AnyDaemon()
+{
+  return *this->daemons[this->random.Below(this->daemons.size())];
+}
+
+calls::IssuerState
+World::IssuerStateOf(const core::DaemonId& aIssuer)
+{
+  SimulatedDaemon* daemon = this->DaemonOf(aIssuer.name);
+  if (daemon == nullptr || daemon->Process().id.start != aIssuer.start) {
+    return calls::IssuerState::Gone;
+  }
+  return daemon->IsAlive() ? calls::IssuerState::Reachable
+                           : calls::IssuerState::Unreachable;
+}
+
+microseconds
+World::Latency(const std::string& aFrom, const std::string& aTo) const
+{
+  return aFrom == aTo ? this->domainLatency / 5 : this->domainLatency;
+}
+
+microseconds
+World::MessageDelay(const std::string& aFrom, const std::string& aTo)
+{
+  return this->Latency(aFrom, aTo) + this->random.Time(this->peerJitter);
+}
+
+bool
+World::IsCut(const SimulatedDaemon& aFrom, const SimulatedDaemon& aTo) const
+{
+  return this->cuts.contains({ aFrom.name, aTo.name });
+}
+
+void
+World::SendMessage(const SimulatedDaemon& aFrom,
+                   const SimulatedDaemon& aTo,
+                   std::function<void()> aEvent)
+{
+  if (this->IsCut(aFrom, aTo) || this->random.Unit() < this->messageLoss) {
+    return;
+  }
+  this->clock.After(this->MessageDelay(aFrom.domain, aTo.domain),
+                    std::move(aEvent));
+}
+
+std::optional<unsigned>
+World::DrawCut(const CallModel& aCall)
+{
+  const unsigned bytes = aCall.requestBytes + aCall.answerBytes;
+  if (this->nextCut) {
+    return (*this->nextCut)++ % bytes;
+  }
+  if (this->cutShare > 0.0 && this->random.Unit() < this->cutShare) {
+    return static_cast<unsigned>(this->random.Below(bytes));
+  }
+  return std::nullopt;
+}
+
+void
+World::CallFromServer(const SimulatedRequest& aAbove,
+                      microseconds aTimeLeftAbove,
+                      const std::string& aCall,
+                      std::function<void(bool)> aDone)
+{
+  SimulatedRequest request;
+  request.call = &this->calls.at(aCall);
+  request.sale = this->NextId();
+  request.runKey = fmt::format("send-{}", request.sale);
+  request.digest =
+    core::HashOf(aCall + std::to_string(aAbove.digest), request.sale);
+  request.deadline = aAbove.deadline;
+  request.attempt = aAbove.attempt;
+  request.timeLeftAbove = aTimeLeftAbove;
+  // The answer and the deadline race; only the first of them counts.
+  auto done = std::make_shared<std::function<void(bool)>>(std::move(aDone));
+  const auto finish = [done](bool aIsGood) {
+    if (auto function = std::exchange(*done, {})) {
+      function(aIsGood);
+    }
+  };
+  const auto timeLeft = std::chrono::duration_cast<microseconds>(
+    aAbove.deadline - this->clock.Now());
+  this->clock.After(std::max(timeLeft, microseconds(0)),
+                    [finish] { finish(false); });
+  if (timeLeft <= this->domainLatency) {
+    return;
+  }
+  this->clock.After(this->domainLatency, [this, request, finish] {
+    this->AnyDaemon().Handle(
+      request, [this, finish](const SimulatedReply& aReply) {
+        const bool isGood = !aReply.isLost &&
+                            aReply.kind == core::ErrorKind::None &&
+                            aReply.status < 500;
+        this->clock.After(this->domainLatency,
+                          [finish, isGood] { finish(isGood); });
+      });
+  });
+}
+
+void
+World::ReadServices(const boost::json::object& aServices)
+{
+  for (const auto& entry : aServices) {
+    const std::string name(entry.key());
+    Fields fields(entry.value().as_object(), "service " + name);
+    ServiceModel& model = this->services[name];
+    model.name = name;
+    model.slots = static_cast<unsigned>(fields.Number("slots", 4));
+    model.serviceTime = fields.Microseconds("service_us");
+    model.connectTime = fields.Microseconds("connect_us", 1000);
+    model.restartTime = fields.Milliseconds("restart_ms", 2000);
+    model.callsBelow = fields.Texts("calls_below");
+    model.whenBelowFails = fields.Text("when_below_fails", "answer");
+    if (model.whenBelowFails != "answer" && model.whenBelowFails != "reset") {
+      throw std::runtime_error("\"when_below_fails\" is answer or reset");
+    }
+    const auto count = static_cast<unsigned>(fields.Number("servers"));
+    for (unsigned index = 0; index < count; ++index) {
+      this->servers.push_back(std::make_unique<SimulatedServer>(
+        *this,
+        model,
+        fmt::format("{}/{}", name, index),
+        this->domains[index % this->domains.size()],
+        this->servers.size() + 1));
+    }
+    fields.Finish();
+  }
+}
+
+void
+World::ReadCalls(const boost::json::object& aCalls)
+{
+  for (const auto& entry : aCalls) {
+    const std::string name(entry.key());
+    Fields fields(entry.value().as_object(), "call " + name);
+    CallModel& model = this->calls[name];
+    model.name = name;
+    model.service = fields.Text("service");
+    model.atMostOnce = fields.Flag("at_most_once");
+    model.repeatable = fields.Flag("repeatable");
+    model.crashes = fields.Flag("crashes");
+    model.deadline = fields.Milliseconds("deadline_ms", 2000);
+    model.requestBytes =
+      static_cast<unsigned>(fields.Number("request_bytes", 300));
+    model.answerBytes =
+      static_cast<unsigned>(fields.Number("answer_bytes", 200));
+    if (!this->services.contains(model.service)) {
+      throw std::runtime_error(fmt::format("call {}: no such service", name));
+    }
+    fields.Finish();
+  }
+  for (auto& [name, service] : this->services) {
+    this->AddBelow(name, service.servicesBelow);
+    if (service.servicesBelow.contains(name)) {
+      throw std::runtime_error(fmt::format("service {} calls itself", name));
+    }
+  }
+}
+
+void
+World::AddBelow(const std::string& aService, std::set<std::string>& aInto)
+{
+  for (const std::string& call : this->services.at(aService).callsBelow) {
+    const CallModel& model = this->calls.at(call);
+    if (model.atMostOnce) {
+      throw std::runtime_error(
+        fmt::format("call {}: servers take no tickets", call));
+    }
+    if (aInto.insert(model.service).second) {
+      this->AddBelow(model.service, aInto);
+    }
+  }
+}
+
+} // namespace fireflytrail::scenario
