--- a/modules/gateway/ServerPool.cpp
+++ b/modules/gateway/ServerPool.cpp
@@ -35,6 +35,7 @@
   connection->Send(this->server,
                    aCall,
                    aTimeLeft,
+                   aAttempt,
                    [self = this->shared_from_this(),
                     weak = std::weak_ptr(connection),
                     onEnd = std::move(aOnEnd)](ServerExchange aExchange) {
