Add the store client and its HTTP transport

The daemon and the operators' commands need the object API with a call budget, backoff and a truthful result for writes whose answer was lost.

StoreClient holds the decisions without I/O. Each write carries a random tag as the first member of the stored object; after a lost answer the client reads back and reports ok, conflict, or, if the version has moved on by more than one, unknown. Readers get the object without the tag. Versions below the newest seen, or below one learned by gossip, are not accepted. After a failure one request at a time finds out whether the store is back.

--- /dev/null
+++ b/modules/store/HostList.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include "core/Result.h"
+#include "store/HostEntry.h"
+
+#include <cstdint>
+#include <string_view>
+#include <vector>
+
+namespace fireflytrail::store {
+
+/** The platform's list of live and leaving hosts, which lags. */
+struct HostList
+{
+  /** Grows with each change of the list. */
+  std::uint64_t version = 0;
+  std::vector<HostEntry> hosts;
+
+  /**
+   * Parses the answer of `GET /hosts`. Members that this program does not
+   * know are ignored, because the platform may add some. The error names the
+   * first wrong member. Thread-safe.
+   */
+  static core::Result<HostList> Parse(std::string_view aText);
+
+  bool operator==(const HostList&) const = default;
+};
+
+} // namespace fireflytrail::store
--- /dev/null
+++ b/modules/store/StoreConnection.cpp
@@ -0,0 +1,192 @@
+#include "store/StoreConnection.h"
+
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+#include <fmt/format.h>
+
+#include <cassert>
+#include <charconv>
+#include <string_view>
+#include <utility>
+
+namespace fireflytrail::store {
+
+namespace http = boost::beast::http;
+using boost::asio::ip::tcp;
+
+namespace {
+
+// Values hold up to 1 MB; a host list of two years on stays far below.
+constexpr std::uint64_t kBodyLimit = 4U << 20U;
+
+std::string
+TargetOf(const StoreRequest& aRequest)
+{
+  if (aRequest.kind == StoreRequestKind::Hosts) {
+    return "/hosts";
+  }
+  if (aRequest.kind == StoreRequestKind::Watch) {
+    return fmt::format("/objects/{}?watch={}&timeout_ms={}",
+                       aRequest.key,
+                       aRequest.version,
+                       aRequest.watchTime.count());
+  }
+  return "/objects/" + aRequest.key;
+}
+
+std::uint64_t
+VersionOf(std::string_view aText)
+{
+  std::uint64_t version = 0;
+  const char* end = aText.data() + aText.size();
+  const auto [rest, error] = std::from_chars(aText.data(), end, version);
+  return error == std::errc() && rest == end ? version : 0;
+}
+
+} // namespace
+
+StoreConnection::StoreConnection(boost::asio::io_context& aContext,
+                                 tcp::endpoint aEndpoint)
+  : endpoint(std::move(aEndpoint))
+  , socket(aContext)
+  , timer(aContext)
+{
+}
+
+void
+StoreConnection::Run(const StoreRequest& aRequest, ResponseFunction aDone)
+{
+  assert(!this->done && aDone);
+  this->done = std::move(aDone);
+  this->reached = StoreDelivery::NotSent;
+  const bool isWrite = aRequest.kind == StoreRequestKind::Write;
+  this->request = { isWrite ? http::verb::put : http::verb::get,
+                    TargetOf(aRequest),
+                    11 };
+  this->request.set(http::field::host,
+                    fmt::format("{}:{}",
+                                this->endpoint.address().to_string(),
+                                this->endpoint.port()));
+  if (isWrite) {
+    this->request.set("If-Version", std::to_string(aRequest.version));
+    this->request.body() = aRequest.body;
+  }
+  this->request.prepare_payload();
+  this->timer.expires_after(aRequest.timeout);
+  this->timer.async_wait(
+    [self = this->shared_from_this()](boost::system::error_code aError) {
+      if (!aError) {
+        self->Fail(self->reached, "no answer in time");
+      }
+    });
+  if (this->isReusable) {
+    this->Write();
+  } else {
+    this->Connect();
+  }
+}
+
+bool
+StoreConnection::IsReusable() const
+{
+  return this->isReusable;
+}
+
+void
+StoreConnection::Close()
+{
+  this->Fail(this->reached, "connection closed");
+}
+
+void
+StoreConnection::Connect()
+{
+  this->socket.async_connect(
+    this->endpoint,
+    [self = this->shared_from_this()](boost::system::error_code aError) {
+      if (!self->done) {
+        return;
+      }
+      if (aError) {
+        self->Fail(StoreDelivery::NotSent, "connect: " + aError.message());
+        return;
+      }
+      boost::system::error_code ignored;
+      self->socket.set_option(tcp::no_delay(true), ignored);
+      self->Write();
+    });
+}
+
+void
+StoreConnection::Write()
+{
+  this->isReusable = false;
+  this->reached = StoreDelivery::Lost;
+  http::async_write(this->socket,
+                    this->request,
+                    [self = this->shared_from_this()](
+                      boost::system::error_code aError, std::size_t) {
+                      if (!self->done) {
+                        return;
+                      }
+                      if (aError) {
+                        self->Fail(StoreDelivery::Lost,
+                                   "send: " + aError.message());
+                        return;
+                      }
+                      self->Read();
+                    });
+}
+
+void
+StoreConnection::Read()
+{
+  this->parser.emplace();
+  this->parser->body_limit(kBodyLimit);
+  http::async_read(this->socket,
+                   this->buffer,
+                   *this->parser,
+                   [self = this->shared_from_this()](
+                     boost::system::error_code aError, std::size_t) {
+                     if (!self->done) {
+                       return;
+                     }
+                     if (aError) {
+                       self->Fail(StoreDelivery::Lost,
+                                  "receive: " + aError.message());
+                       return;
+                     }
+                     auto message = self->parser->release();
+                     self->isReusable = message.keep_alive();
+                     StoreResponse response;
+                     response.delivery = StoreDelivery::Answered;
+                     response.status = message.result_int();
+                     response.version = VersionOf(message["Object-Version"]);
+                     response.body = std::move(message.body());
+                     self->Finish(std::move(response));
+                   });
+}
+
+void
+StoreConnection::Fail(StoreDelivery aDelivery, std::string aDetail)
+{
+  this->isReusable = false;
+  boost::system::error_code ignored;
+  this->socket.close(ignored);
+  this->buffer.clear();
+  if (this->done) {
+    StoreResponse response;
+    response.delivery = aDelivery;
+    response.detail = std::move(aDetail);
+    this->Finish(std::move(response));
+  }
+}
+
+void
+StoreConnection::Finish(StoreResponse aResponse)
+{
+  this->timer.cancel();
+  std::exchange(this->done, nullptr)(std::move(aResponse));
+}
+
+} // namespace fireflytrail::store
--- /dev/null
+++ b/modules/store/StoreConnection.h
@@ -0,0 +1,66 @@
+#pragma once
+
+#include "store/StoreRequest.h"
+#include "store/StoreResponse.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+
+namespace fireflytrail::store {
+
+/**
+ * One HTTP connection to the platform. It runs one request at a time and keeps
+ * itself alive by shared ownership while it does. Not thread-safe.
+ */
+class StoreConnection : public std::enable_shared_from_this<StoreConnection>
+{
+public:
+  using ResponseFunction = std::function<void(StoreResponse)>;
+
+  StoreConnection(boost::asio::io_context& aContext,
+                  boost::asio::ip::tcp::endpoint aEndpoint);
+
+  /**
+   * Connects if necessary, sends the request and calls `aDone` once. No other
+   * request may be running.
+   */
+  void Run(const StoreRequest& aRequest, ResponseFunction aDone);
+
+  /** Tells whether the connection can take another request. */
+  bool IsReusable() const;
+
+  /** Ends a running request as lost and closes the connection. */
+  void Close();
+
+private:
+  using Request = boost::beast::http::request<boost::beast::http::string_body>;
+  using Parser =
+    boost::beast::http::response_parser<boost::beast::http::string_body>;
+
+  void Connect();
+  void Write();
+  void Read();
+  void Fail(StoreDelivery aDelivery, std::string aDetail);
+  void Finish(StoreResponse aResponse);
+
+  boost::asio::ip::tcp::endpoint endpoint;
+  boost::asio::ip::tcp::socket socket;
+  boost::asio::steady_timer timer;
+  boost::beast::flat_buffer buffer;
+  Request request;
+  std::optional<Parser> parser;
+  ResponseFunction done;
+  StoreDelivery reached = StoreDelivery::NotSent;
+  bool isReusable = false;
+};
+
+} // namespace fireflytrail::store
--- /dev/null
+++ b/modules/store/StoreHooks.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "core/Hooks.h"
+#include "store/StoreRequest.h"
+#include "store/StoreResponse.h"
+
+#include <chrono>
+#include <functional>
+
+namespace fireflytrail::store {
+
+/** What a `StoreClient` needs from its surroundings. All must be set. */
+struct StoreHooks
+{
+  core::NowFunction now;
+  core::RandomFunction random;
+  /** Calls the function once after the delay. */
+  std::function<void(std::chrono::milliseconds, std::function<void()>)>
+    schedule;
+  /** Sends a request and calls the function once with what came of it. */
+  std::function<void(StoreRequest, std::function<void(StoreResponse)>)> send;
+};
+
+} // namespace fireflytrail::store
--- /dev/null
+++ b/modules/store/StoreTransport.cpp
@@ -0,0 +1,89 @@
+#include "store/StoreTransport.h"
+
+#include "store/StoreConnection.h"
+
+#include <set>
+#include <utility>
+#include <vector>
+
+namespace fireflytrail::store {
+
+namespace {
+
+// A daemon has a watch and seldom more than one other request at a time.
+constexpr std::size_t kMaxIdle = 2;
+
+} // namespace
+
+struct StoreTransport::Pool
+{
+  boost::asio::io_context& context;
+  boost::asio::ip::tcp::endpoint endpoint;
+  std::vector<std::shared_ptr<StoreConnection>> idle;
+  std::set<std::shared_ptr<StoreConnection>> running;
+  bool isClosed = false;
+};
+
+StoreTransport::StoreTransport(boost::asio::io_context& aContext,
+                               boost::asio::ip::tcp::endpoint aEndpoint)
+  : pool(new Pool{ aContext, std::move(aEndpoint), {}, {}, false })
+{
+}
+
+StoreTransport::~StoreTransport()
+{
+  this->pool->isClosed = true;
+  this->pool->idle.clear();
+  for (const auto& connection : std::exchange(this->pool->running, {})) {
+    connection->Close();
+  }
+}
+
+void
+StoreTransport::Send(const StoreRequest& aRequest, ResponseFunction aDone)
+{
+  Run(this->pool,
+      aRequest,
+      aRequest.kind != StoreRequestKind::Write,
+      std::move(aDone));
+}
+
+void
+StoreTransport::Run(const std::shared_ptr<Pool>& aPool,
+                    const StoreRequest& aRequest,
+                    bool aMayReuse,
+                    ResponseFunction aDone)
+{
+  std::shared_ptr<StoreConnection> connection;
+  const bool isReused = aMayReuse && !aPool->idle.empty();
+  if (isReused) {
+    connection = std::move(aPool->idle.back());
+    aPool->idle.pop_back();
+  } else {
+    connection =
+      std::make_shared<StoreConnection>(aPool->context, aPool->endpoint);
+  }
+  aPool->running.insert(connection);
+  connection->Run(
+    aRequest,
+    [aPool, connection, aRequest, isReused, done = std::move(aDone)](
+      StoreResponse aResponse) mutable {
+      aPool->running.erase(connection);
+      if (aPool->isClosed) {
+        done(std::move(aResponse));
+        return;
+      }
+      if (connection->IsReusable() && aPool->idle.size() < kMaxIdle) {
+        aPool->idle.push_back(connection);
+      }
+      if (isReused && aResponse.delivery == StoreDelivery::Lost) {
+        // The platform may have closed the kept connection before the request
+        // arrived; reads can be sent twice.
+        Run(aPool, aRequest, false, std::move(done));
+        return;
+      }
+      done(std::move(aResponse));
+    });
+}
+
+} // namespace fireflytrail::store
--- /dev/null
+++ b/standins/StoreAgainstPlatformTest.cpp
@@ -0,0 +1,155 @@
+#include "standins/PlatformStandin.h"
+#include "store/BlockingStore.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include <future>
+#include <memory>
+#include <string>
+#include <thread>
+
+using namespace fireflytrail;
+using namespace fireflytrail::store;
+using std::chrono::milliseconds;
+
+namespace {
+
+/** A platform stand-in on a free port, on a thread of its own. */
+class PlatformFixture
+{
+public:
+  PlatformFixture()
+    : work(boost::asio::make_work_guard(this->context))
+    , platform(this->context, { boost::asio::ip::address_v4::loopback(), 0 })
+    , thread([this]() { this->context.run(); })
+  {
+  }
+
+  ~PlatformFixture()
+  {
+    this->context.stop();
+    this->thread.join();
+  }
+
+  boost::asio::ip::tcp::endpoint Endpoint() const
+  {
+    const std::string address = this->platform.Address();
+    const auto colon = address.rfind(':');
+    return { boost::asio::ip::make_address(address.substr(0, colon)),
+             static_cast<std::uint16_t>(std::stoi(address.substr(colon + 1))) };
+  }
+
+  void Control(const std::string& aText)
+  {
+    std::promise<std::string> reason;
+    boost::asio::post(this->context, [&]() {
+      reason.set_value(
+        this->platform.Control(boost::json::parse(aText).as_object()));
+    });
+    BOOST_TEST(reason.get_future().get() == "");
+  }
+
+  boost::asio::io_context context{ 1 };
+  boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work;
+  standins::PlatformStandin platform;
+  std::thread thread;
+};
+
+StoreClientSettings
+QuickSettings()
+{
+  return { .requestTimeout = milliseconds(300),
+           .watchTime = milliseconds(200),
+           .operationLimit = milliseconds(1500),
+           .firstBackoff = milliseconds(20),
+           .longestBackoff = milliseconds(100) };
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(StoreAgainstPlatformTest, PlatformFixture)
+
+// Guards against a transport that sends or reads a member of the HTTP exchange
+// wrongly: versions, bodies, conflicts, watches and the host list.
+BOOST_AUTO_TEST_CASE(AllOperationsWorkOverHttp)
+{
+  BlockingStore store(this->Endpoint(), QuickSettings());
+  BOOST_TEST((store.Read("desired").status == StoreStatus::NotFound));
+  const std::string body = R"({"text":")" + std::string(900'000, 'x') + "\"}";
+  const StoreResult written = store.Write("desired", body, 0);
+  BOOST_TEST((written.status == StoreStatus::Ok));
+  BOOST_TEST(written.object.version == 1U);
+  const StoreResult read = store.Read("desired");
+  BOOST_TEST((read.status == StoreStatus::Ok));
+  BOOST_TEST((read.object.body == body));
+  const StoreResult conflict = store.Write("desired", "{}", 0);
+  BOOST_TEST((conflict.status == StoreStatus::Conflict));
+  BOOST_TEST(conflict.object.version == 1U);
+  BOOST_TEST((store.Watch("desired", 1).status == StoreStatus::NotModified));
+  BOOST_TEST((store.Watch("desired", 0).status == StoreStatus::Ok));
+  this->Control(R"({"add_hosts":[{"id":"s1","kind":"server","service":"a",
+    "version":"1","address":"127.0.0.1:1","domain":"d","region":"r"}]})");
+  const HostsResult hosts = store.Hosts();
+  BOOST_TEST((hosts.status == StoreStatus::Ok));
+  BOOST_REQUIRE(hosts.list.hosts.size() == 1U);
+  BOOST_TEST(hosts.list.hosts[0].id == "s1");
+}
+
+// Guards against values that the store refuses being sent over and over.
+BOOST_AUTO_TEST_CASE(TooLargeValueIsRefused)
+{
+  BlockingStore store(this->Endpoint(), QuickSettings());
+  const std::string body = R"({"text":")" + std::string(1'100'000, 'x') + "\"}";
+  const StoreResult result = store.Write("desired", body, 0);
+  BOOST_TEST((result.status == StoreStatus::Refused));
+  BOOST_TEST(result.detail == "store answered 413");
+}
+
+// Guards against a second write after the connection broke with the answer.
+BOOST_AUTO_TEST_CASE(LostAnswerIsReadBackOverHttp)
+{
+  this->Control(R"({"lose_write_answers":1})");
+  BlockingStore store(this->Endpoint(), QuickSettings());
+  const StoreResult written = store.Write("desired", R"({"a":1})", 0);
+  BOOST_TEST((written.status == StoreStatus::Ok));
+  BOOST_TEST(written.object.version == 1U);
+}
+
+// Guards against operations that block without end while the store is down,
+// silent or slow, and against not recovering from it.
+BOOST_AUTO_TEST_CASE(OutageAndSilenceEndAsUnavailable)
+{
+  BlockingStore store(this->Endpoint(), QuickSettings());
+  BOOST_TEST((store.Write("desired", "{}", 0).status == StoreStatus::Ok));
+  this->Control(R"({"down":true})");
+  BOOST_TEST((store.Read("desired").status == StoreStatus::Unavailable));
+  this->Control(R"({"down":false,"silent":true})");
+  const StoreResult silent = store.Read("desired");
+  BOOST_TEST((silent.status == StoreStatus::Unavailable));
+  BOOST_TEST(silent.detail == "no answer in time");
+  this->Control(R"({"silent":false})");
+  BOOST_TEST((store.Read("desired").status == StoreStatus::Ok));
+}
+
+// Guards against an unknown outcome of a write that was never sent, and against
+// an error that does not say what failed.
+BOOST_AUTO_TEST_CASE(NothingListensIsUnavailableWithReason)
+{
+  auto endpoint = this->Endpoint();
+  {
+    boost::asio::io_context other;
+    boost::asio::ip::tcp::acceptor taken(
+      other, { boost::asio::ip::address_v4::loopback(), 0 }, false);
+    endpoint = taken.local_endpoint();
+  }
+  BlockingStore store(endpoint, QuickSettings());
+  const StoreResult result = store.Write("desired", "{}", 0);
+  // No byte was sent, so that the write is known not to have been made.
+  BOOST_TEST((result.status == StoreStatus::Unavailable));
+  BOOST_TEST(result.detail == "connect: Connection refused");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
