--- a/bench/PoliciesBench.cpp
+++ b/bench/PoliciesBench.cpp
@@ -22,6 +22,9 @@
 DEFINE_uint32(backlog, 4, "calls that a server lets wait for a slot");
 DEFINE_double(seconds, 20, "virtual seconds measured for each load");
 DEFINE_string(policy, "", "only this policy");
+DEFINE_double(load, 0, "only this load, as a share of the slots");
+DEFINE_bool(health, true, "use server health");
+DEFINE_bool(admission, true, "use admission control");
 DEFINE_bool(table, true, "print the table of policies");
 DEFINE_bool(faults, true, "print the fault scenarios of the default policy");
 
@@ -66,6 +69,8 @@
   settings.load = aLoad;
   settings.seed = FLAGS_seed;
   settings.server.backlog = FLAGS_backlog;
+  settings.health = FLAGS_health;
+  settings.admission = FLAGS_admission;
   return settings;
 }
 
@@ -91,6 +96,9 @@
              "imbal. ms",
              "msgs/s");
   for (const double load : { 0.5, 0.7, 0.85, 1.5 }) {
+    if (FLAGS_load > 0 && FLAGS_load != load) {
+      continue;
+    }
     for (const std::string_view policy : ServerSelector::PolicyNames()) {
       if (!FLAGS_policy.empty() && policy != FLAGS_policy) {
         continue;
--- a/modules/routing/ServerLoad.cpp
+++ b/modules/routing/ServerLoad.cpp
@@ -95,6 +95,7 @@
   switch (aOutcome) {
     case SelectionOutcome::Answered: {
       this->answeredTime.fetch_add(aDuration.count(), kRelaxed);
+      this->answeredAt.store(Nanoseconds(aNow), kRelaxed);
       this->answered.fetch_add(1, kRelaxed);
       const std::int64_t old = this->serviceTime.load(kRelaxed);
       const std::int64_t sample = aDuration.count();
@@ -178,6 +179,13 @@
   return time == kNever ? std::nullopt : std::optional(FromNanoseconds(time));
 }
 
+std::optional<core::TimePoint>
+ServerLoad::AnsweredAt() const
+{
+  const std::int64_t time = this->answeredAt.load(kRelaxed);
+  return time == kNever ? std::nullopt : std::optional(FromNanoseconds(time));
+}
+
 ServerLoad::Totals
 ServerLoad::Counts() const
 {
--- a/modules/routing/ServerLoad.h
+++ b/modules/routing/ServerLoad.h
@@ -170,6 +170,9 @@
   /** Returns when a server last refused a call, if it did. Thread-safe. */
   std::optional<core::TimePoint> RefusedAt() const;
 
+  /** Returns when the last call was answered, if one was. Thread-safe. */
+  std::optional<core::TimePoint> AnsweredAt() const;
+
   /** Returns the smoothed share of calls that failed, were refused or were
    * lost, from 0 to 1. Thread-safe. */
   double FailureRatio() const
@@ -202,6 +205,7 @@
   std::atomic<std::uint64_t> reportedStart{ 0 };
   std::atomic<std::int64_t> reportedAt{ kNever };
   std::atomic<std::int64_t> refusedAt{ kNever };
+  std::atomic<std::int64_t> answeredAt{ kNever };
   std::atomic<std::int64_t> serviceTime{ 0 };
   std::atomic<std::int32_t> connections{ 0 };
   std::atomic<float> failureRatio{ 0 };
--- a/modules/routing/ServerSelector.cpp
+++ b/modules/routing/ServerSelector.cpp
@@ -86,6 +86,37 @@
   return secondCost < firstCost ? second : first;
 }
 
+/** Returns the home server with a free home slot that answered last: its slot
+ * became free last, so that others have had the least time to take it. */
+std::optional<std::size_t>
+FreeHome(const Context& aContext)
+{
+  std::optional<std::size_t> best;
+  std::optional<core::TimePoint> bestAnswer;
+  for (const std::uint32_t index : aContext.version.homeServers) {
+    const ServerRoute& server = aContext.version.servers[index];
+    if (server.load->InFlight() >= server.homeSlots ||
+        !aContext.Usable(index)) {
+      continue;
+    }
+    const auto answer = server.load->AnsweredAt();
+    if (!best || answer > bestAnswer) {
+      best = index;
+      bestAnswer = answer;
+    }
+  }
+  return best;
+}
+
+std::optional<std::size_t>
+HomeSlots(const Context& aContext)
+{
+  if (const auto home = FreeHome(aContext)) {
+    return home;
+  }
+  return TwoChoices(aContext);
+}
+
 std::optional<std::size_t>
 Random(const Context& aContext)
 {
@@ -129,6 +160,7 @@
 
 constexpr std::array kPolicies{
   NamedPolicy{ "two_choices", TwoChoices },
+  NamedPolicy{ "home_slots", HomeSlots },
   NamedPolicy{ "random", Random },
   NamedPolicy{ "round_robin", RoundRobin },
   NamedPolicy{ "least_in_flight", LeastInFlight },
