--- /dev/null
+++ b/modules/daemon/CallRunner.h
@@ -0,0 +1,104 @@
+#pragma once
+
+#include "calls/CallFlow.h"
+#include "gateway/CallAnswer.h"
+#include "gateway/CallRequest.h"
+#include "gateway/PeerHub.h"
+#include "gateway/ServerExchange.h"
+#include "routing/Selection.h"
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace fireflytrail::gateway {
+class ServerConnection;
+class ServerPool;
+}
+
+namespace fireflytrail::routing {
+struct CallRoute;
+}
+
+namespace fireflytrail::daemon {
+
+class TrafficThread;
+
+/**
+ * Runs one call: carries out the steps of its `CallFlow` with the connections
+ * of a traffic thread. It keeps itself alive by shared ownership until the
+ * flow has ended. Belongs to its traffic thread.
+ */
+class CallRunner : public std::enable_shared_from_this<CallRunner>
+{
+public:
+  using AnswerFunction = std::function<void(gateway::CallAnswer)>;
+
+  /**
+   * `aThread` must outlive the call. `aIsForwarded` tells that another daemon
+   * sent it on. `aGuard` is released when the flow has ended, which may be
+   * after the answer.
+   */
+  CallRunner(TrafficThread& aThread,
+             gateway::CallRequest aCall,
+             const routing::CallRoute& aRoute,
+             bool aIsForwarded,
+             std::shared_ptr<void> aGuard,
+             AnswerFunction aOnAnswer);
+  ~CallRunner();
+  CallRunner(const CallRunner&) = delete;
+  CallRunner& operator=(const CallRunner&) = delete;
+
+  /** Starts the call. Call once. */
+  void Begin();
+
+  /** The caller has closed its connection. */
+  void CallerGone();
+
+private:
+  void Do(calls::CallStep aStep);
+  void DoSend(calls::SendStep aStep);
+  void DoForward(const calls::ForwardStep& aStep);
+  void DoAnswer(const calls::AnswerStep& aStep);
+  void AnswerAfterHold(const calls::AnswerStep& aStep);
+  void Deliver(const calls::AnswerStep& aStep);
+  core::Result<calls::ServerHandle> ChooseServer(
+    std::span<const std::uint64_t> aAvoid);
+  bool TakeRetry();
+  calls::IssuerState StateOfIssuer(const core::DaemonId& aIssuer) const;
+  void OnExchange(const gateway::ServerExchange& aExchange);
+  void ReleaseSelection(const gateway::ServerExchange& aExchange);
+  void RecordAttempt(bool aIsFailure,
+                     std::chrono::steady_clock::duration aDuration);
+  void OnLost(const gateway::ServerExchange& aExchange);
+  void OnForwardEnded(gateway::PeerHub::ForwardProgress aProgress,
+                      std::optional<wire::ForwardAnswer> aAnswer);
+  /** Closes the connection of a running attempt, which cancels it. */
+  void CancelAttempt(bool aIsDeadline);
+  void SetTimer(std::chrono::steady_clock::duration aTime);
+  calls::AttemptProgress Progress() const;
+
+  TrafficThread& thread;
+  gateway::CallRequest call;
+  std::string callName;
+  std::shared_ptr<void> guard;
+  AnswerFunction onAnswer;
+  core::TimePoint begin;
+  boost::asio::steady_timer timer;
+  boost::asio::steady_timer holdTimer;
+  calls::CallRequest request;
+  std::optional<calls::CallFlow> flow;
+  std::shared_ptr<routing::Selection> selection;
+  /** Server of the running or last attempt. */
+  std::shared_ptr<routing::ServerLoad> server;
+  std::shared_ptr<gateway::ServerPool> pool;
+  std::shared_ptr<gateway::ServerConnection> connection;
+  /** Distinguishes the running attempt from ended and cancelled ones. */
+  unsigned attemptNumber = 0;
+  core::TimePoint attemptBegin;
+};
+
+} // namespace fireflytrail::daemon
--- /dev/null
+++ b/modules/daemon/Controller.cpp
@@ -0,0 +1,674 @@
+#include "daemon/Controller.h"
+
+#include "core/ErrorTable.h"
+#include "daemon/StatusReport.h"
+#include "daemon/TrafficState.h"
+#include "daemon/TrafficThread.h"
+#include "gateway/SocketAddress.h"
+#include "gossip/WatcherElection.h"
+#include "routing/ServerHealth.h"
+#include "statechart/Chart.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/beast/http/verb.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+#include <fmt/format.h>
+#include <sys/resource.h>
+#include <unistd.h>
+
+#include <cassert>
+#include <csignal>
+#include <fstream>
+#include <random>
+#include <set>
+#include <utility>
+
+namespace fireflytrail::daemon {
+
+namespace json = boost::json;
+using boost::asio::ip::tcp;
+using core::ErrorKind;
+using core::LogLevel;
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+
+namespace {
+
+// Time between the failing balancer check and the end of accepting, so that
+// the balancer stops sending before connections would be refused.
+constexpr auto kAcceptGrace = 2s;
+// Idle connections stay open this much longer, since a caller may be sending
+// its next request on one while it is told to close it.
+constexpr auto kIdleGrace = 1s;
+constexpr auto kDrainCheck = 50ms;
+
+std::uint64_t
+RandomNumber()
+{
+  thread_local std::mt19937_64 engine{
+    std::random_device{}() ^ (std::uint64_t{ std::random_device{}() } << 32U)
+  };
+  return engine();
+}
+
+tcp::endpoint
+SocketEndpoint(const configuration::Endpoint& aEndpoint)
+{
+  return { boost::asio::ip::make_address(aEndpoint.address), aEndpoint.port };
+}
+
+double
+ControlSeconds()
+{
+  rusage usage{};
+  getrusage(RUSAGE_THREAD, &usage);
+  const auto seconds = [](const timeval& aTime) {
+    constexpr double kMicrosecondsPerSecond = 1e6;
+    return static_cast<double>(aTime.tv_sec) +
+           static_cast<double>(aTime.tv_usec) / kMicrosecondsPerSecond;
+  };
+  return seconds(usage.ru_utime) + seconds(usage.ru_stime);
+}
+
+double
+ResidentBytes()
+{
+  std::ifstream file("/proc/self/statm");
+  double total = 0;
+  double resident = 0;
+  file >> total >> resident;
+  return resident * static_cast<double>(sysconf(_SC_PAGESIZE));
+}
+
+} // namespace
+
+Controller::Controller(const configuration::DaemonSettings& aSettings,
+                       const core::Log& aLog)
+  : settings(aSettings)
+  , log(aLog)
+  , random(RandomNumber)
+  , self{ aSettings.name, RandomNumber() }
+  , signals(this->context, SIGTERM, SIGINT)
+  , healthTimer(this->context)
+  , gossipTimer(this->context)
+  , secondTimer(this->context)
+  , stopTimer(this->context)
+  , ledger(this->self, RandomNumber(), std::chrono::steady_clock::now)
+  , guard(std::chrono::steady_clock::now,
+          [this](const calls::CrashEntry& aEntry) {
+            boost::asio::post(this->context, [this, aEntry] {
+              this->records->Publish(aEntry);
+            });
+          })
+  , trafficHooks{ .ledger = this->ledger,
+                  .guard = this->guard,
+                  .metrics = this->metrics,
+                  .log = aLog,
+                  .now = std::chrono::steady_clock::now,
+                  .random = RandomNumber,
+                  .forward =
+                    [this](gossip::Peer aPeer,
+                           wire::ForwardCall aCall,
+                           gateway::PeerHub::ForwardFunction aOnEnd) {
+                      boost::asio::post(this->context,
+                                        [this,
+                                         peer = std::move(aPeer),
+                                         call = std::move(aCall),
+                                         onEnd = std::move(aOnEnd)]() mutable {
+                                          this->hub->Forward(peer,
+                                                             std::move(call),
+                                                             std::move(onEnd));
+                                        });
+                    },
+                  .recordAttempt = [](const CallRecord&) {} }
+  , tableMaker(aSettings.name)
+  , machine(statechart::Chart::Embedded("daemon"),
+            [this](std::string_view aAction) { this->RunAction(aAction); })
+  , table(std::make_shared<routing::RoutingTable>())
+{
+}
+
+Controller::~Controller()
+{
+  this->threads.clear();
+}
+
+bool
+Controller::Run()
+{
+  if (!this->OpenPorts()) {
+    return false;
+  }
+  this->feed->Start();
+  this->StartTimers();
+  for (const auto& thread : this->threads) {
+    thread->Start();
+  }
+  this->signals.async_wait([this](boost::system::error_code aError, int) {
+    if (!aError) {
+      this->machine.Handle("stop_requested");
+    }
+  });
+  this->log.Write(
+    LogLevel::Info,
+    "daemon_started",
+    { { "name", this->self.name },
+      { "start", fmt::format("{:x}", this->self.start) },
+      { "listen",
+        gateway::FormatSocketAddress(this->threads[0]->LocalEndpoint()) },
+      { "operator_listen",
+        gateway::FormatSocketAddress(this->endpoint->LocalEndpoint()) },
+      { "peer_listen",
+        gateway::FormatSocketAddress(this->hub->LocalEndpoint()) } });
+  this->context.run();
+  return true;
+}
+
+bool
+Controller::OpenPorts()
+{
+  const auto report = [this](std::string_view aPort,
+                             const boost::system::error_code& aError) {
+    this->log.Write(LogLevel::Error,
+                    "bind_failed",
+                    { { "port", aPort }, { "error", aError.message() } });
+    return false;
+  };
+  this->hub = std::make_shared<gateway::PeerHub>(
+    this->context,
+    this->self,
+    gateway::PeerHubHooks{
+      .onGossip =
+        [this](const std::string& aFrom, const gossip::GossipMessage& aPart) {
+          this->node->Receive(aFrom, aPart);
+        },
+      .onForwardCall =
+        [this](wire::ForwardCall aCall,
+               gateway::PeerHubHooks::ReplyFunction aReply) {
+          this->OnForwardedCall(std::move(aCall), std::move(aReply));
+        } });
+  if (const auto error =
+        this->hub->Open(SocketEndpoint(this->settings.peerListen))) {
+    return report("peer_listen", error);
+  }
+  this->node = std::make_unique<gossip::GossipNode>(
+    this->self,
+    gateway::FormatSocketAddress(this->hub->LocalEndpoint()),
+    gossip::GossipHooks{
+      .now = std::chrono::steady_clock::now,
+      .wallNow = std::chrono::system_clock::now,
+      .random = RandomNumber,
+      .send =
+        [this](const gossip::Peer& aPeer, const gossip::GossipMessage& aPart) {
+          this->hub->SendGossip(aPeer, aPart);
+        },
+      .recordChanged =
+        [this](const core::DaemonId& aOrigin, const gossip::Record& aRecord) {
+          this->OnRecord(aOrigin, aRecord);
+        },
+      .desiredAccepted =
+        [this](std::uint64_t aVersion, const std::string& aDocument) {
+          this->OnDesired(aVersion, aDocument);
+        } });
+  this->records = std::make_unique<GossipRecords>(
+    std::chrono::steady_clock::now,
+    [this](std::string_view aKey, std::string_view aValue) {
+      this->node->Exchanger().PublishUrgent(aKey, aValue);
+    });
+  this->health = std::make_unique<routing::HealthMonitor>(
+    this->self.name,
+    std::chrono::steady_clock::now,
+    [this](const routing::HealthObservation& aObservation) {
+      this->records->Publish(aObservation);
+    });
+  this->feed = std::make_unique<StoreFeed>(
+    this->context,
+    SocketEndpoint(this->settings.store),
+    StoreFeedHooks{
+      .random = RandomNumber,
+      .isWatcher =
+        [this] {
+          return gossip::WatcherElection::IsWatcher(
+            this->self.name, this->node->Members().BelievedAlive());
+        },
+      .onDesired =
+        [this](std::uint64_t aVersion, std::string aDocument) {
+          this->node->Desired().OfferFromStore(aVersion, std::move(aDocument));
+        },
+      .onHosts = [this](const store::HostList& aList) { this->OnHosts(aList); },
+      .onContact = [this] { this->node->Exchanger().NoteStoreRead(); } });
+  this->endpoint = std::make_unique<OperatorEndpoint>(
+    this->context,
+    OperatorPages{ .metrics = [this] { return this->MetricsText(); },
+                   .dump = [this] { return this->DumpText(); },
+                   .status = [this] { return this->StatusText(); } });
+  if (const auto error =
+        this->endpoint->Open(SocketEndpoint(this->settings.operatorListen))) {
+    return report("operator_listen", error);
+  }
+  tcp::endpoint listen = SocketEndpoint(this->settings.listen);
+  for (unsigned index = 0; index < this->settings.trafficThreads; ++index) {
+    auto thread = std::make_unique<TrafficThread>(
+      this->trafficHooks, routing::ServerSelector::kDefaultPolicy);
+    if (const auto error = thread->Open(listen)) {
+      return report("listen", error);
+    }
+    // All threads share the port that the first one got.
+    listen = thread->LocalEndpoint();
+    this->threads.push_back(std::move(thread));
+  }
+  return true;
+}
+
+void
+Controller::StartTimers()
+{
+  this->Repeat(this->healthTimer, routing::ServerHealth::kTickInterval, [this] {
+    this->health->Tick();
+  });
+  this->Repeat(this->gossipTimer,
+               gossip::GossipExchanger::kTickInterval,
+               [this] { this->OnGossipTick(); });
+  this->Repeat(this->secondTimer, 1s, [this] { this->OnSecond(); });
+}
+
+void
+Controller::Repeat(boost::asio::steady_timer& aTimer,
+                   milliseconds aInterval,
+                   std::function<void()> aFunction)
+{
+  aTimer.expires_after(aInterval);
+  aTimer.async_wait([this, &aTimer, aInterval, function = std::move(aFunction)](
+                      boost::system::error_code aError) mutable {
+    if (aError) {
+      return;
+    }
+    function();
+    this->Repeat(aTimer, aInterval, std::move(function));
+  });
+}
+
+void
+Controller::OnDesired(std::uint64_t aVersion, const std::string& aDocument)
+{
+  auto state = configuration::DesiredState::Parse(aDocument);
+  if (!state) {
+    this->log.Write(LogLevel::Error,
+                    "desired_state_invalid",
+                    { { "version", static_cast<std::int64_t>(aVersion) },
+                      { "error", state.error().front().ToString() } });
+    return;
+  }
+  if (state.value().text.empty()) {
+    return;
+  }
+  auto parsed = configuration::OperatorText::Parse(state.value().text);
+  if (!parsed) {
+    this->log.Write(LogLevel::Error,
+                    "text_invalid",
+                    { { "version", static_cast<std::int64_t>(aVersion) },
+                      { "error", parsed.error().front().ToString() } });
+    return;
+  }
+  this->desiredVersion = aVersion;
+  this->desired = std::move(state).value();
+  this->text = std::move(parsed).value();
+  for (const auto& error : this->settings.CheckAgainst(*this->text)) {
+    this->log.Write(LogLevel::Warning,
+                    "settings_do_not_fit_text",
+                    { { "error", error.ToString() } });
+  }
+  this->feed->Client().NoteVersion(configuration::DesiredState::kKey, aVersion);
+  this->log.Write(LogLevel::Info,
+                  "desired_state_accepted",
+                  { { "version", static_cast<std::int64_t>(aVersion) } });
+  this->machine.Handle("configured");
+  this->RebuildTable();
+}
+
+void
+Controller::OnHosts(const store::HostList& aList)
+{
+  if (aList.version <= this->hosts.version) {
+    return;
+  }
+  this->hosts = aList;
+  std::vector<gossip::ListedHost> listed;
+  for (const store::HostEntry& host : aList.hosts) {
+    if (host.kind == store::HostKind::Entry) {
+      listed.push_back(
+        { host.id, host.peerAddress, host.state == store::HostState::Leaving });
+    }
+  }
+  this->node->Members().SetHostList(std::move(listed));
+  this->RebuildTable();
+}
+
+void
+Controller::OnRecord(const core::DaemonId& aOrigin,
+                     const gossip::Record& aRecord)
+{
+  for (const auto& observation :
+       GossipRecords::ParseHealth(aRecord.key, aRecord.value)) {
+    this->health->PeerObserved(aOrigin.name, observation);
+  }
+  for (const auto& entry :
+       GossipRecords::ParseCrashes(aRecord.key, aRecord.value)) {
+    this->guard.Merge(entry);
+  }
+}
+
+void
+Controller::OnForwardedCall(wire::ForwardCall aCall,
+                            gateway::PeerHubHooks::ReplyFunction aReply)
+{
+  gateway::CallRequest call;
+  call.method = boost::beast::http::string_to_verb(aCall.method);
+  call.service = std::move(aCall.service);
+  call.target = std::move(aCall.target);
+  for (const wire::Header& header : aCall.headers) {
+    call.fields.insert(header.name, header.value);
+  }
+  call.body = std::move(aCall.body);
+  call.deadline = aCall.deadline;
+  call.ticket = std::move(aCall.ticket);
+  call.attempt = aCall.attempt;
+  call.depth = aCall.callDepth;
+  TrafficThread& thread =
+    *this->threads[this->nextForwardThread++ % this->threads.size()];
+  thread.RunForwarded(
+    std::move(call),
+    [this, reply = std::move(aReply)](const gateway::CallAnswer& aAnswer) {
+      wire::ForwardAnswer answer;
+      answer.status = aAnswer.answer->status;
+      for (const auto& [name, value] : aAnswer.answer->headers) {
+        answer.headers.push_back({ name, value });
+      }
+      answer.body = aAnswer.answer->body;
+      answer.errorKind = aAnswer.kind;
+      answer.outcome = core::ErrorTable::RowOf(aAnswer.kind).outcome;
+      boost::asio::post(this->context,
+                        [reply, answer = std::move(answer)] { reply(answer); });
+    });
+}
+
+void
+Controller::OnGossipTick()
+{
+  this->node->Tick();
+  this->machine.Handle(this->node->Exchanger().IsStale() ? "pause_detected"
+                                                         : "contact_confirmed");
+}
+
+void
+Controller::OnSecond()
+{
+  // Membership changes without an event of its own.
+  if (this->text) {
+    this->RebuildTable();
+  }
+}
+
+void
+Controller::RebuildTable()
+{
+  if (!this->text) {
+    return;
+  }
+  this->entryHosts = this->EntryHosts();
+  this->table = this->tableMaker.Make(
+    { .desiredVersion = this->desiredVersion,
+      .text = *this->text,
+      .hosts = this->hosts,
+      .entryHosts = this->entryHosts,
+      .versionShares =
+        [this](const configuration::ServiceSettings& aService) {
+          return std::map<std::string, double>{
+            { this->desired.VersionInForce(aService.name, aService.version),
+              1.0 }
+          };
+        },
+      .domainShare =
+        [this](const std::string& aDomain) {
+          return this->desired.IsDomainOut(aDomain) ? 0.0 : 1.0;
+        } });
+  this->health->SetHosts(this->entryHosts);
+  this->health->SetServers(this->tableMaker.Builder(), *this->table);
+  this->Publish();
+}
+
+void
+Controller::Publish()
+{
+  auto state = std::make_shared<TrafficState>();
+  state->refusal = this->Refusal();
+  state->table = this->table;
+  state->admission = routing::AdmissionControl(
+    static_cast<std::uint32_t>(this->node->Members().PlausibleHostCount()));
+  state->budgets = this->Budgets();
+  state->daemons = this->KnownDaemons();
+  ++this->publication;
+  this->appliedThreads = 0;
+  for (const auto& thread : this->threads) {
+    thread->Publish(
+      state,
+      [this, version = this->desiredVersion, number = this->publication] {
+        boost::asio::post(this->context, [this, version, number] {
+          this->OnApplied(version, number);
+        });
+      });
+  }
+}
+
+void
+Controller::OnApplied(std::uint64_t aVersion, std::uint64_t aPublication)
+{
+  if (aPublication != this->publication) {
+    return;
+  }
+  ++this->appliedThreads;
+  const bool isNew =
+    this->appliedThreads == this->threads.size() &&
+    this->node->Desired().StatusOf(this->self.name)->inForce != aVersion;
+  if (isNew && aVersion > 0) {
+    this->node->Desired().ConfirmInForce(aVersion);
+    this->log.Write(LogLevel::Info,
+                    "desired_state_in_force",
+                    { { "version", static_cast<std::int64_t>(aVersion) } });
+  }
+}
+
+std::vector<std::string>
+Controller::EntryHosts() const
+{
+  std::vector<std::string> names;
+  for (const gossip::Member& member : this->node->Members().Members()) {
+    if (member.listed || member.state != gossip::MemberState::Dead) {
+      names.push_back(member.peer.name);
+    }
+  }
+  return names;
+}
+
+std::map<std::string, KnownDaemon, std::less<>>
+Controller::KnownDaemons() const
+{
+  std::map<std::string, KnownDaemon, std::less<>> daemons;
+  for (const gossip::Member& member : this->node->Members().Members()) {
+    const gossip::Origin* origin =
+      this->node->State().FindOrigin(member.peer.name);
+    if (origin == nullptr || member.peer.name == this->self.name) {
+      continue;
+    }
+    daemons.emplace(member.peer.name,
+                    KnownDaemon{ origin->id.start,
+                                 member.peer.address,
+                                 member.state == gossip::MemberState::Alive });
+  }
+  return daemons;
+}
+
+std::map<std::string, ServiceBudgets, std::less<>>
+Controller::Budgets()
+{
+  for (const auto& [name, service] : this->text->services) {
+    auto& budget = this->retryBudgets[name];
+    if (!budget) {
+      budget =
+        std::make_shared<calls::RetryBudget>(std::chrono::steady_clock::now);
+    }
+  }
+  std::map<std::string, ServiceBudgets, std::less<>> budgets;
+  for (const auto& [name, service] : this->text->services) {
+    ServiceBudgets entry{ .own = this->retryBudgets[name], .below = {} };
+    std::set<std::string> seen{ name };
+    std::vector<std::string> open = service.dependsOn;
+    while (!open.empty()) {
+      const std::string below = std::move(open.back());
+      open.pop_back();
+      if (!seen.insert(below).second) {
+        continue;
+      }
+      entry.below.push_back(this->retryBudgets[below].get());
+      const auto& next = this->text->services.at(below).dependsOn;
+      open.insert(open.end(), next.begin(), next.end());
+    }
+    budgets.emplace(name, std::move(entry));
+  }
+  return budgets;
+}
+
+ErrorKind
+Controller::Refusal() const
+{
+  if (this->machine.Is("serving")) {
+    return ErrorKind::None;
+  }
+  // During a stop, callers that are still connected are served to the end.
+  if (this->machine.Is("stopping") && this->text) {
+    return ErrorKind::None;
+  }
+  return this->machine.Is("stopped") ? ErrorKind::Stopping
+                                     : ErrorKind::NoConfiguration;
+}
+
+void
+Controller::RunAction(std::string_view aAction)
+{
+  this->log.Write(
+    LogLevel::Info,
+    "daemon_state",
+    { { "action", aAction }, { "state", this->machine.State() } });
+  if (aAction == "start_drain") {
+    this->BeginStop();
+  } else if (aAction == "close_all") {
+    this->context.stop();
+  } else if (this->text) {
+    this->Publish();
+  }
+}
+
+void
+Controller::BeginStop()
+{
+  this->stopBegin = std::chrono::steady_clock::now();
+  this->node->AnnounceLeaving();
+  for (const auto& thread : this->threads) {
+    thread->BeginStop();
+  }
+  this->CheckDrained();
+}
+
+void
+Controller::CheckDrained()
+{
+  const auto elapsed = std::chrono::steady_clock::now() - this->stopBegin;
+  std::size_t sessions = 0;
+  std::size_t calls = 0;
+  for (const auto& thread : this->threads) {
+    if (elapsed >= kAcceptGrace) {
+      thread->CloseListener();
+    }
+    if (elapsed >= kAcceptGrace + kIdleGrace) {
+      thread->CloseIdleSessions();
+    }
+    sessions += thread->SessionCount();
+    calls += thread->CallCount();
+  }
+  if (elapsed >= kAcceptGrace && sessions == 0 && calls == 0) {
+    this->machine.Handle("drained");
+    return;
+  }
+  if (elapsed >= this->settings.drainLimit) {
+    this->log.Write(LogLevel::Warning,
+                    "drain_limit_reached",
+                    { { "sessions", static_cast<std::int64_t>(sessions) },
+                      { "calls", static_cast<std::int64_t>(calls) } });
+    this->machine.Handle("drain_limit_reached");
+    return;
+  }
+  this->stopTimer.expires_after(kDrainCheck);
+  this->stopTimer.async_wait([this](boost::system::error_code aError) {
+    if (!aError) {
+      this->CheckDrained();
+    }
+  });
+}
+
+std::string
+Controller::DumpText() const
+{
+  json::object dump{
+    { "name", this->self.name },
+    { "start", fmt::format("{:x}", this->self.start) },
+    { "state", this->machine.State() },
+    { "desired_version", this->desiredVersion },
+    { "host_list_version", this->hosts.version },
+    { "plausible_hosts", this->node->Members().PlausibleHostCount() },
+    { "is_watcher",
+      gossip::WatcherElection::IsWatcher(
+        this->self.name, this->node->Members().BelievedAlive()) },
+    { "tickets_outstanding", this->ledger.Outstanding() },
+    { "kept_answer_bytes", this->ledger.KeptBytes() },
+    { "crash_entries", this->guard.Entries().size() },
+    { "hosts", StatusReport::Hosts(*this->node) },
+    { "moves", StatusReport::Moves(this->desired) },
+    { "servers",
+      StatusReport::Servers(this->tableMaker.Builder(), *this->health) }
+  };
+  return json::serialize(dump) + "\n";
+}
+
+std::string
+Controller::StatusText() const
+{
+  const json::object status{ { "name", this->self.name },
+                             { "state", this->machine.State() },
+                             { "desired_version", this->desiredVersion },
+                             { "newest_version_seen",
+                               this->node->Desired().NewestSeen() },
+                             { "hosts", StatusReport::Hosts(*this->node) },
+                             { "moves", StatusReport::Moves(this->desired) } };
+  return json::serialize(status) + "\n";
+}
+
+std::string
+Controller::MetricsText()
+{
+  this->metrics.Set("control_processor_seconds", ControlSeconds());
+  this->metrics.Set("resident_bytes", ResidentBytes());
+  this->metrics.Set("peer_bytes",
+                    static_cast<double>(this->hub->Counts().bytes));
+  this->metrics.Set("peer_corrupt_frames",
+                    static_cast<double>(this->hub->Counts().corruptFrames));
+  this->metrics.Set("store_requests",
+                    static_cast<double>(this->feed->Client().RequestCount()));
+  this->metrics.Set("desired_version",
+                    static_cast<double>(this->desiredVersion));
+  this->metrics.Set("tickets_outstanding",
+                    static_cast<double>(this->ledger.Outstanding()));
+  return this->metrics.Text();
+}
+
+} // namespace fireflytrail::daemon
--- /dev/null
+++ b/modules/daemon/Controller.h
@@ -0,0 +1,128 @@
+#pragma once
+
+#include "calls/CrashGuard.h"
+#include "calls/RetryBudget.h"
+#include "calls/TicketLedger.h"
+#include "configuration/DaemonSettings.h"
+#include "configuration/DesiredState.h"
+#include "configuration/OperatorText.h"
+#include "core/DaemonId.h"
+#include "core/Log.h"
+#include "daemon/GossipRecords.h"
+#include "daemon/Metrics.h"
+#include "daemon/OperatorEndpoint.h"
+#include "daemon/StoreFeed.h"
+#include "daemon/TableMaker.h"
+#include "daemon/TrafficHooks.h"
+#include "daemon/TrafficState.h"
+#include "gateway/PeerHub.h"
+#include "gossip/GossipNode.h"
+#include "routing/HealthMonitor.h"
+#include "statechart/Machine.h"
+#include "store/HostList.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace fireflytrail::daemon {
+
+class TrafficThread;
+
+/**
+ * Owns the control state of an entry daemon and publishes snapshots of it to
+ * the traffic threads. The thread that calls `Run` becomes the control thread.
+ */
+class Controller
+{
+public:
+  /** `aSettings` must be checked. `aLog` must outlive the controller. */
+  Controller(const configuration::DaemonSettings& aSettings,
+             const core::Log& aLog);
+  ~Controller();
+  Controller(const Controller&) = delete;
+  Controller& operator=(const Controller&) = delete;
+
+  /**
+   * Binds the addresses and serves until SIGTERM or SIGINT. Returns false if
+   * an address could not be bound. Call once.
+   */
+  bool Run();
+
+private:
+  bool OpenPorts();
+  void StartTimers();
+  void Repeat(boost::asio::steady_timer& aTimer,
+              std::chrono::milliseconds aInterval,
+              std::function<void()> aFunction);
+
+  void OnDesired(std::uint64_t aVersion, const std::string& aDocument);
+  void OnHosts(const store::HostList& aList);
+  void OnRecord(const core::DaemonId& aOrigin, const gossip::Record& aRecord);
+  void OnForwardedCall(wire::ForwardCall aCall,
+                       gateway::PeerHubHooks::ReplyFunction aReply);
+  void OnGossipTick();
+  void OnSecond();
+
+  void RebuildTable();
+  void Publish();
+  void OnApplied(std::uint64_t aVersion, std::uint64_t aPublication);
+  std::vector<std::string> EntryHosts() const;
+  std::map<std::string, KnownDaemon, std::less<>> KnownDaemons() const;
+  std::map<std::string, ServiceBudgets, std::less<>> Budgets();
+  core::ErrorKind Refusal() const;
+
+  void RunAction(std::string_view aAction);
+  void BeginStop();
+  void CheckDrained();
+
+  std::string DumpText() const;
+  std::string StatusText() const;
+  std::string MetricsText();
+
+  configuration::DaemonSettings settings;
+  const core::Log& log;
+  core::RandomFunction random;
+  core::DaemonId self;
+  boost::asio::io_context context{ 1 };
+  boost::asio::signal_set signals;
+  boost::asio::steady_timer healthTimer;
+  boost::asio::steady_timer gossipTimer;
+  boost::asio::steady_timer secondTimer;
+  boost::asio::steady_timer stopTimer;
+  Metrics metrics;
+  calls::TicketLedger ledger;
+  calls::CrashGuard guard;
+  TrafficHooks trafficHooks;
+  std::shared_ptr<gateway::PeerHub> hub;
+  std::unique_ptr<gossip::GossipNode> node;
+  std::unique_ptr<GossipRecords> records;
+  std::unique_ptr<routing::HealthMonitor> health;
+  std::unique_ptr<StoreFeed> feed;
+  std::unique_ptr<OperatorEndpoint> endpoint;
+  TableMaker tableMaker;
+  statechart::Machine machine;
+  std::uint64_t desiredVersion = 0;
+  configuration::DesiredState desired;
+  std::optional<configuration::OperatorText> text;
+  store::HostList hosts;
+  std::shared_ptr<const routing::RoutingTable> table;
+  std::map<std::string, std::shared_ptr<calls::RetryBudget>> retryBudgets;
+  std::vector<std::string> entryHosts;
+  std::vector<std::unique_ptr<TrafficThread>> threads;
+  std::size_t nextForwardThread = 0;
+  std::uint64_t publication = 0;
+  std::size_t appliedThreads = 0;
+  core::TimePoint stopBegin;
+};
+
+} // namespace fireflytrail::daemon
--- /dev/null
+++ b/modules/daemon/GossipRecords.cpp
@@ -0,0 +1,145 @@
+#include "daemon/GossipRecords.h"
+
+#include "core/Hash.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/parse.hpp>
+#include <boost/json/serialize.hpp>
+#include <fmt/format.h>
+
+#include <cassert>
+#include <utility>
+
+namespace fireflytrail::daemon {
+
+namespace json = boost::json;
+using calls::CrashEntry;
+using routing::HealthEvidence;
+using routing::HealthObservation;
+
+namespace {
+
+constexpr std::string_view kHealthPrefix = "health.";
+constexpr std::string_view kCrashKey = "crashes";
+
+/** Calls a function with each inner array of at least `aLength` values. */
+template<typename Function>
+void
+ForEachRow(std::string_view aValue, std::size_t aLength, Function aFunction)
+{
+  boost::system::error_code error;
+  const json::value root = json::parse(aValue, error);
+  const json::array* rows = error ? nullptr : root.if_array();
+  if (rows == nullptr) {
+    return;
+  }
+  for (const json::value& row : *rows) {
+    const json::array* values = row.if_array();
+    if (values != nullptr && values->size() >= aLength) {
+      aFunction(*values);
+    }
+  }
+}
+
+template<typename Number>
+std::optional<Number>
+NumberOf(const json::value& aValue)
+{
+  boost::system::error_code error;
+  const auto number = aValue.to_number<Number>(error);
+  return error ? std::nullopt : std::optional(number);
+}
+
+} // namespace
+
+GossipRecords::GossipRecords(core::NowFunction aNow, PublishFunction aPublish)
+  : now(std::move(aNow))
+  , publish(std::move(aPublish))
+{
+  assert(this->now && this->publish);
+}
+
+void
+GossipRecords::Publish(const HealthObservation& aObservation)
+{
+  const std::size_t index =
+    core::HashOf(aObservation.serverId) % kHealthRecords;
+  auto& group = this->recent[index];
+  const core::TimePoint time = this->now();
+  group.insert_or_assign(aObservation.serverId,
+                         TimedObservation{ aObservation, time });
+  std::erase_if(group, [&](const auto& aItem) {
+    return time - aItem.second.at > kRepeatTime;
+  });
+  json::array rows;
+  for (const auto& [server, item] : group) {
+    rows.push_back(json::array{ server,
+                                static_cast<int>(item.observation.evidence),
+                                item.observation.concurrency });
+  }
+  this->publish(fmt::format("{}{}", kHealthPrefix, index),
+                json::serialize(rows));
+}
+
+void
+GossipRecords::Publish(const CrashEntry& aEntry)
+{
+  const core::TimePoint time = this->now();
+  this->crashes.push_back({ aEntry, time });
+  if (this->crashes.size() > kMaxCrashEntries) {
+    this->crashes.pop_front();
+  }
+  json::array rows;
+  for (const TimedCrash& item : this->crashes) {
+    const auto age =
+      item.entry.age +
+      std::chrono::duration_cast<std::chrono::milliseconds>(time - item.at);
+    rows.push_back(json::array{ item.entry.digest,
+                                item.entry.death,
+                                item.entry.cleared ? 1 : 0,
+                                age.count() });
+  }
+  this->publish(kCrashKey, json::serialize(rows));
+}
+
+std::vector<HealthObservation>
+GossipRecords::ParseHealth(std::string_view aKey, std::string_view aValue)
+{
+  std::vector<HealthObservation> observations;
+  if (!aKey.starts_with(kHealthPrefix)) {
+    return observations;
+  }
+  ForEachRow(aValue, 3, [&](const json::array& aRow) {
+    const auto evidence = NumberOf<std::uint8_t>(aRow[1]);
+    const auto concurrency = NumberOf<std::uint32_t>(aRow[2]);
+    if (aRow[0].is_string() && evidence && concurrency &&
+        *evidence <= static_cast<std::uint8_t>(HealthEvidence::Concurrency)) {
+      observations.push_back({ std::string(aRow[0].get_string()),
+                               static_cast<HealthEvidence>(*evidence),
+                               *concurrency });
+    }
+  });
+  return observations;
+}
+
+std::vector<CrashEntry>
+GossipRecords::ParseCrashes(std::string_view aKey, std::string_view aValue)
+{
+  std::vector<CrashEntry> entries;
+  if (aKey != kCrashKey) {
+    return entries;
+  }
+  ForEachRow(aValue, 4, [&](const json::array& aRow) {
+    const auto digest = NumberOf<std::uint64_t>(aRow[0]);
+    const auto death = NumberOf<std::uint64_t>(aRow[1]);
+    const auto cleared = NumberOf<std::uint8_t>(aRow[2]);
+    const auto age = NumberOf<std::uint32_t>(aRow[3]);
+    if (digest && death && cleared && age) {
+      entries.push_back(
+        { *digest, *death, *cleared != 0, std::chrono::milliseconds(*age) });
+    }
+  });
+  return entries;
+}
+
+} // namespace fireflytrail::daemon
--- /dev/null
+++ b/modules/daemon/GossipRecords.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "calls/CrashGuard.h"
+#include "core/Hooks.h"
+#include "routing/HealthObservation.h"
+
+#include <array>
+#include <cstddef>
+#include <deque>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fireflytrail::daemon {
+
+/**
+ * Spreads server observations and crash entries through a few urgent gossip
+ * records of bounded size. Each record repeats the recent items of its group,
+ * so that one that is overwritten before it was sent is not lost. Belongs to
+ * the control thread.
+ */
+class GossipRecords
+{
+public:
+  /** Writes an own record and pushes it at once. */
+  using PublishFunction =
+    std::function<void(std::string_view aKey, std::string_view aValue)>;
+
+  /** Servers are spread over this many records. */
+  static constexpr std::size_t kHealthRecords = 8;
+  /** Time for which an observation is repeated. */
+  static constexpr std::chrono::seconds kRepeatTime{ 5 };
+  static constexpr std::size_t kMaxCrashEntries = 64;
+
+  GossipRecords(core::NowFunction aNow, PublishFunction aPublish);
+
+  void Publish(const routing::HealthObservation& aObservation);
+  void Publish(const calls::CrashEntry& aEntry);
+
+  /** Returns the observations of a record; none if it is another record. */
+  static std::vector<routing::HealthObservation> ParseHealth(
+    std::string_view aKey,
+    std::string_view aValue);
+
+  /** Returns the crash entries of a record; none if it is another record. */
+  static std::vector<calls::CrashEntry> ParseCrashes(std::string_view aKey,
+                                                     std::string_view aValue);
+
+private:
+  struct TimedObservation
+  {
+    routing::HealthObservation observation;
+    core::TimePoint at;
+  };
+  struct TimedCrash
+  {
+    calls::CrashEntry entry;
+    core::TimePoint at;
+  };
+
+  core::NowFunction now;
+  PublishFunction publish;
+  std::array<std::map<std::string, TimedObservation>, kHealthRecords> recent;
+  std::deque<TimedCrash> crashes;
+};
+
+} // namespace fireflytrail::daemon
--- /dev/null
+++ b/modules/daemon/OperatorEndpoint.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include "gateway/CallerSession.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace fireflytrail::gateway {
+class CallerListener;
+}
+
+namespace fireflytrail::daemon {
+
+/** The texts that the operators' port serves. All functions must be set. */
+struct OperatorPages
+{
+  std::function<std::string()> metrics;
+  std::function<std::string()> dump;
+  std::function<std::string()> status;
+};
+
+/**
+ * The operators' read-only port: `/metrics`, `/dump` and `/status`. Changes go
+ * through the store only. Belongs to the control thread.
+ */
+class OperatorEndpoint
+{
+public:
+  OperatorEndpoint(boost::asio::io_context& aContext, OperatorPages aPages);
+
+  /** Binds the address. Returns an error if it cannot be bound. */
+  boost::system::error_code Open(
+    const boost::asio::ip::tcp::endpoint& aEndpoint);
+
+  /** Returns the bound endpoint; `Open` must have succeeded. */
+  boost::asio::ip::tcp::endpoint LocalEndpoint() const;
+
+  /** Stops accepting connections. */
+  void Close();
+
+private:
+  gateway::CallAnswer Answer(const gateway::CallRequest& aRequest) const;
+
+  OperatorPages pages;
+  std::shared_ptr<gateway::CallerSessionHooks> hooks;
+  std::shared_ptr<gateway::CallerListener> listener;
+};
+
+} // namespace fireflytrail::daemon
--- /dev/null
+++ b/modules/daemon/StatusReport.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "configuration/DesiredState.h"
+#include "gossip/GossipNode.h"
+#include "routing/HealthMonitor.h"
+#include "routing/RoutingTableBuilder.h"
+
+#include <boost/json/array.hpp>
+
+#include <string_view>
+
+namespace fireflytrail::daemon {
+
+/** Parts of the operators' reports. Belongs to the control thread. */
+class StatusReport
+{
+public:
+  /** One entry a host: state, version in force and since when. */
+  static boost::json::array Hosts(const gossip::GossipNode& aNode);
+
+  /** One entry a server: state, load and the reason for its limit. */
+  static boost::json::array Servers(
+    const routing::RoutingTableBuilder& aBuilder,
+    routing::HealthMonitor& aHealth);
+
+  /** One entry a move. */
+  static boost::json::array Moves(const configuration::DesiredState& aState);
+};
+
+} // namespace fireflytrail::daemon
--- /dev/null
+++ b/modules/daemon/StoreFeed.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "core/Hooks.h"
+#include "store/AsyncStore.h"
+#include "store/HostList.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+
+namespace fireflytrail::daemon {
+
+/** What a `StoreFeed` tells and asks. All functions must be set. */
+struct StoreFeedHooks
+{
+  core::RandomFunction random;
+  /** Whether this daemon is among those that watch the store. */
+  std::function<bool()> isWatcher;
+  /** Receives a desired state document and its version. */
+  std::function<void(std::uint64_t, std::string)> onDesired;
+  std::function<void(const store::HostList&)> onHosts;
+  /** Told after each successful read. */
+  std::function<void()> onContact;
+};
+
+/**
+ * Reads the desired state and the host list from the store. Elected daemons
+ * watch the desired state; the others read it about once a minute, because a
+ * pending watch counts as a call and the store's rates do not grow with the
+ * fleet. Belongs to the control thread.
+ */
+class StoreFeed
+{
+public:
+  /** Time between two reads of the host list. */
+  static constexpr std::chrono::milliseconds kHostsInterval{ 2000 };
+
+  StoreFeed(boost::asio::io_context& aContext,
+            const boost::asio::ip::tcp::endpoint& aStore,
+            StoreFeedHooks aHooks);
+
+  /** Starts reading. Call once. */
+  void Start();
+
+  /** Stops all timers. */
+  void Stop();
+
+  /** Returns the client, for writes. */
+  store::StoreClient& Client() { return this->store.Client(); }
+
+private:
+  void ReadDesired();
+  void WatchDesired();
+  void ScheduleDesired(std::chrono::milliseconds aDelay);
+  void WaitForTurn(core::TimePoint aEnd);
+  void TakeDesired(const store::StoreResult& aResult);
+  void ReadHosts();
+  void ScheduleHosts();
+
+  StoreFeedHooks hooks;
+  store::AsyncStore store;
+  boost::asio::steady_timer desiredTimer;
+  boost::asio::steady_timer hostsTimer;
+  std::uint64_t seenVersion = 0;
+};
+
+} // namespace fireflytrail::daemon
--- /dev/null
+++ b/modules/daemon/TrafficState.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "calls/RetryBudget.h"
+#include "core/ErrorKind.h"
+#include "routing/AdmissionControl.h"
+#include "routing/RoutingTable.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace fireflytrail::daemon {
+
+/** The retry budgets that a retry of one service is paid from. */
+struct ServiceBudgets
+{
+  std::shared_ptr<calls::RetryBudget> own;
+  /** Budgets of all services that a call of this one can reach. */
+  std::vector<calls::RetryBudget*> below;
+};
+
+/** A daemon that forwarded calls can be sent to. */
+struct KnownDaemon
+{
+  std::uint64_t start = 0;
+  std::string address;
+  bool isAlive = false;
+};
+
+/**
+ * Immutable snapshot of the control state that traffic threads need. The
+ * control thread makes a new one after each change.
+ */
+struct TrafficState
+{
+  /** `None` if calls are accepted, otherwise the kind to refuse them with. */
+  core::ErrorKind refusal = core::ErrorKind::NoConfiguration;
+  /** Never null. */
+  std::shared_ptr<const routing::RoutingTable> table =
+    std::make_shared<routing::RoutingTable>();
+  routing::AdmissionControl admission{ 1 };
+  std::map<std::string, ServiceBudgets, std::less<>> budgets;
+  /** Other daemons by name. */
+  std::map<std::string, KnownDaemon, std::less<>> daemons;
+};
+
+} // namespace fireflytrail::daemon
--- /dev/null
+++ b/modules/gateway/PeerConnection.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "wire/FrameCodec.h"
+#include "wire/WireMessage.h"
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace fireflytrail::gateway {
+
+/**
+ * A framed connection to another daemon. It keeps itself alive by shared
+ * ownership while operations are pending. A corrupt frame closes it.
+ */
+class PeerConnection : public std::enable_shared_from_this<PeerConnection>
+{
+public:
+  using MessageFunction = std::function<void(wire::WireMessage)>;
+  using ClosedFunction = std::function<void(wire::FrameError)>;
+  /** Told the bytes of each frame that was sent or received. */
+  using BytesFunction = std::function<void(std::size_t)>;
+
+  /** Queued bytes beyond which messages are dropped: the peer is stuck. */
+  static constexpr std::size_t kMaxQueuedBytes = std::size_t{ 4 } << 20;
+
+  /** Takes an open socket. Call on the socket's thread, like every method. */
+  explicit PeerConnection(boost::asio::ip::tcp::socket aSocket);
+  ~PeerConnection();
+  PeerConnection(const PeerConnection&) = delete;
+  PeerConnection& operator=(const PeerConnection&) = delete;
+
+  /**
+   * Starts reading. `aOnClosed` is called once when the connection has ended;
+   * both functions are released then. All functions must be set.
+   */
+  void Start(MessageFunction aOnMessage,
+             ClosedFunction aOnClosed,
+             BytesFunction aOnBytes);
+
+  /** Queues a message. Returns false if it was dropped. */
+  bool Send(const wire::WireMessage& aMessage);
+
+  /** Ends the connection. */
+  void Close();
+
+private:
+  void Read();
+  void Write();
+  void End(wire::FrameError aError);
+
+  boost::asio::ip::tcp::socket socket;
+  wire::FrameCodec codec;
+  std::array<std::uint8_t, 16 * 1024> readBuffer;
+  std::deque<std::string> queue;
+  std::size_t queuedBytes = 0;
+  MessageFunction onMessage;
+  ClosedFunction onClosed;
+  BytesFunction onBytes;
+};
+
+} // namespace fireflytrail::gateway
--- /dev/null
+++ b/modules/gateway/PeerHub.cpp
@@ -0,0 +1,177 @@
+#include "gateway/PeerHub.h"
+
+#include "gateway/CallerListener.h"
+#include "gateway/PeerConnection.h"
+#include "gateway/PeerLink.h"
+#include "gateway/SocketAddress.h"
+
+#include <fmt/format.h>
+
+#include <cassert>
+#include <type_traits>
+#include <utility>
+#include <variant>
+
+namespace fireflytrail::gateway {
+
+using boost::asio::ip::tcp;
+
+PeerHub::PeerHub(boost::asio::io_context& aContext,
+                 core::DaemonId aSelf,
+                 PeerHubHooks aHooks)
+  : context(aContext)
+  , self(std::move(aSelf))
+  , hooks(std::move(aHooks))
+{
+  assert(this->hooks.onGossip && this->hooks.onForwardCall);
+}
+
+PeerHub::~PeerHub() = default;
+
+boost::system::error_code
+PeerHub::Open(const tcp::endpoint& aEndpoint)
+{
+  this->listener = std::make_shared<CallerListener>(
+    this->context, [weak = this->weak_from_this()](tcp::socket aSocket) {
+      if (const auto hub = weak.lock()) {
+        hub->Serve(std::move(aSocket));
+      }
+    });
+  return this->listener->Open(aEndpoint);
+}
+
+tcp::endpoint
+PeerHub::LocalEndpoint() const
+{
+  return this->listener->LocalEndpoint();
+}
+
+void
+PeerHub::SendGossip(const gossip::Peer& aPeer,
+                    const gossip::GossipMessage& aMessage)
+{
+  if (const auto link = this->LinkTo(aPeer)) {
+    link->Send(std::visit(
+      [](const auto& aPart) { return wire::WireMessage(aPart); }, aMessage));
+  }
+}
+
+void
+PeerHub::Forward(const gossip::Peer& aPeer,
+                 wire::ForwardCall aCall,
+                 ForwardFunction aOnEnd)
+{
+  const auto link = this->LinkTo(aPeer);
+  if (!link) {
+    aOnEnd(ForwardProgress::NothingSent, std::nullopt);
+    return;
+  }
+  link->Forward(std::move(aCall), std::move(aOnEnd));
+}
+
+void
+PeerHub::Close()
+{
+  if (this->listener) {
+    this->listener->Close();
+  }
+  for (const auto& [address, link] : std::exchange(this->links, {})) {
+    link->Close();
+  }
+  for (const auto& [key, weak] : std::exchange(this->served, {})) {
+    if (const auto connection = weak.lock()) {
+      connection->Close();
+    }
+  }
+}
+
+std::shared_ptr<PeerLink>
+PeerHub::LinkTo(const gossip::Peer& aPeer)
+{
+  const auto found = this->links.find(aPeer.address);
+  if (found != this->links.end()) {
+    return found->second;
+  }
+  const auto endpoint = ParseSocketAddress(aPeer.address);
+  if (!endpoint) {
+    return nullptr;
+  }
+  auto link = std::make_shared<PeerLink>(*this, *endpoint);
+  this->links.emplace(aPeer.address, link);
+  return link;
+}
+
+void
+PeerHub::Serve(tcp::socket aSocket)
+{
+  const auto connection = std::make_shared<PeerConnection>(std::move(aSocket));
+  this->served.emplace(connection.get(), connection);
+  connection->Start(
+    [weak = this->weak_from_this(),
+     weakConnection = std::weak_ptr(connection),
+     sender = std::string()](wire::WireMessage aMessage) mutable {
+      const auto hub = weak.lock();
+      const auto current = weakConnection.lock();
+      if (!hub || !current) {
+        return;
+      }
+      if (const auto* hello = std::get_if<wire::Hello>(&aMessage)) {
+        sender = hello->id.name;
+        return;
+      }
+      // The first message must tell who sends.
+      if (sender.empty()) {
+        current->Close();
+        return;
+      }
+      if (auto* call = std::get_if<wire::ForwardCall>(&aMessage)) {
+        const std::uint64_t id = call->requestId;
+        hub->hooks.onForwardCall(
+          std::move(*call), [weakConnection, id](wire::ForwardAnswer aAnswer) {
+            aAnswer.requestId = id;
+            if (const auto open = weakConnection.lock()) {
+              open->Send(std::move(aAnswer));
+            }
+          });
+        return;
+      }
+      std::visit(
+        [&](const auto& aPart) {
+          if constexpr (std::is_constructible_v<gossip::GossipMessage,
+                                                decltype(aPart)>) {
+            hub->hooks.onGossip(sender, gossip::GossipMessage(aPart));
+          }
+        },
+        aMessage);
+    },
+    [weak = this->weak_from_this(),
+     key = connection.get()](wire::FrameError aError) {
+      if (const auto hub = weak.lock()) {
+        hub->CountError(aError);
+        hub->served.erase(key);
+      }
+    },
+    [weak = this->weak_from_this()](std::size_t aBytes) {
+      if (const auto hub = weak.lock()) {
+        hub->counts.bytes += aBytes;
+      }
+    });
+}
+
+void
+PeerHub::CountError(wire::FrameError aError)
+{
+  if (aError == wire::FrameError::UnknownVersion) {
+    ++this->counts.unknownVersions;
+  } else if (aError != wire::FrameError::None) {
+    ++this->counts.corruptFrames;
+  }
+}
+
+wire::Hello
+PeerHub::OwnHello() const
+{
+  return { this->self, FormatSocketAddress(this->LocalEndpoint()) };
+}
+
+} // namespace fireflytrail::gateway
--- /dev/null
+++ b/modules/gateway/PeerHub.h
@@ -0,0 +1,117 @@
+#pragma once
+
+#include "core/DaemonId.h"
+#include "gossip/GossipMessage.h"
+#include "wire/ForwardAnswer.h"
+#include "wire/ForwardCall.h"
+#include "wire/FrameError.h"
+#include "wire/Hello.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace fireflytrail::gateway {
+
+class CallerListener;
+class PeerConnection;
+class PeerLink;
+
+/** Totals of the connections between daemons. */
+struct PeerCounts
+{
+  std::uint64_t bytes = 0;
+  std::uint64_t corruptFrames = 0;
+  std::uint64_t unknownVersions = 0;
+};
+
+/** What the hub hands on. All functions are called on its thread. */
+struct PeerHubHooks
+{
+  using ReplyFunction = std::function<void(wire::ForwardAnswer)>;
+
+  /** Receives a gossip message and the name of its sender. */
+  std::function<void(const std::string&, const gossip::GossipMessage&)>
+    onGossip;
+  /** Receives a call to run; the reply function may be called on the hub's
+   * thread only. */
+  std::function<void(wire::ForwardCall, ReplyFunction)> onForwardCall;
+};
+
+/**
+ * The connections to other daemons. Each daemon opens one connection to each
+ * peer that it sends to, on first use; answers to forwarded calls return on
+ * the connection that carried the call. Belongs to the control thread.
+ */
+class PeerHub : public std::enable_shared_from_this<PeerHub>
+{
+public:
+  /** How far a forwarded call got without an answer. */
+  enum class ForwardProgress : std::uint8_t
+  {
+    NothingSent,
+    Sent,
+    Answered,
+  };
+  using ForwardFunction =
+    std::function<void(ForwardProgress, std::optional<wire::ForwardAnswer>)>;
+
+  /** All hooks must be set. */
+  PeerHub(boost::asio::io_context& aContext,
+          core::DaemonId aSelf,
+          PeerHubHooks aHooks);
+  ~PeerHub();
+  PeerHub(const PeerHub&) = delete;
+  PeerHub& operator=(const PeerHub&) = delete;
+
+  /** Starts to listen. Returns an error if the address cannot be bound. */
+  boost::system::error_code Open(
+    const boost::asio::ip::tcp::endpoint& aEndpoint);
+
+  /** Returns the bound endpoint; `Open` must have succeeded. */
+  boost::asio::ip::tcp::endpoint LocalEndpoint() const;
+
+  /** Sends a gossip message; it is dropped if there is no way to the peer. */
+  void SendGossip(const gossip::Peer& aPeer,
+                  const gossip::GossipMessage& aMessage);
+
+  /**
+   * Forwards a call and calls `aOnEnd` once. The request identity is set
+   * here.
+   */
+  void Forward(const gossip::Peer& aPeer,
+               wire::ForwardCall aCall,
+               ForwardFunction aOnEnd);
+
+  /** Closes all connections and stops listening. */
+  void Close();
+
+  /** Returns the totals since the start. */
+  const PeerCounts& Counts() const { return this->counts; }
+
+private:
+  friend class PeerLink;
+
+  std::shared_ptr<PeerLink> LinkTo(const gossip::Peer& aPeer);
+  void Serve(boost::asio::ip::tcp::socket aSocket);
+  void CountError(wire::FrameError aError);
+  wire::Hello OwnHello() const;
+
+  boost::asio::io_context& context;
+  core::DaemonId self;
+  PeerHubHooks hooks;
+  PeerCounts counts;
+  std::shared_ptr<CallerListener> listener;
+  /** By the peer's address, since a name may move to another host. */
+  std::map<std::string, std::shared_ptr<PeerLink>, std::less<>> links;
+  std::map<const PeerConnection*, std::weak_ptr<PeerConnection>> served;
+};
+
+} // namespace fireflytrail::gateway
--- /dev/null
+++ b/modules/gateway/PeerLink.cpp
@@ -0,0 +1,149 @@
+#include "gateway/PeerLink.h"
+
+#include "gateway/PeerConnection.h"
+
+#include <utility>
+#include <variant>
+
+namespace fireflytrail::gateway {
+
+using boost::asio::ip::tcp;
+using ForwardProgress = PeerHub::ForwardProgress;
+
+PeerLink::PeerLink(PeerHub& aHub, tcp::endpoint aEndpoint)
+  : hub(aHub)
+  , endpoint(std::move(aEndpoint))
+  , stream(aHub.context)
+{
+}
+
+PeerLink::~PeerLink() = default;
+
+void
+PeerLink::Send(wire::WireMessage aMessage)
+{
+  if (this->connection) {
+    this->connection->Send(aMessage);
+    return;
+  }
+  if (this->isClosed || this->waiting.size() >= kMaxWaiting ||
+      (!this->isConnecting &&
+       std::chrono::steady_clock::now() < this->notBefore)) {
+    return;
+  }
+  this->waiting.push_back(std::move(aMessage));
+  this->Connect();
+}
+
+void
+PeerLink::Forward(wire::ForwardCall aCall, PeerHub::ForwardFunction aOnEnd)
+{
+  const bool mayConnect =
+    this->isConnecting || std::chrono::steady_clock::now() >= this->notBefore;
+  if (this->isClosed || (!this->connection && !mayConnect) ||
+      this->waiting.size() >= kMaxWaiting) {
+    aOnEnd(ForwardProgress::NothingSent, std::nullopt);
+    return;
+  }
+  aCall.requestId = this->nextRequestId++;
+  this->forwards.emplace(aCall.requestId, std::move(aOnEnd));
+  if (!this->connection) {
+    this->waiting.emplace_back(std::move(aCall));
+    this->Connect();
+    return;
+  }
+  const std::uint64_t id = aCall.requestId;
+  if (!this->connection->Send(std::move(aCall))) {
+    auto dropped = this->forwards.extract(id);
+    dropped.mapped()(ForwardProgress::NothingSent, std::nullopt);
+  }
+}
+
+void
+PeerLink::Close()
+{
+  this->isClosed = true;
+  this->stream.close();
+  if (const auto open = std::exchange(this->connection, nullptr)) {
+    open->Close();
+  }
+}
+
+void
+PeerLink::Connect()
+{
+  if (this->isConnecting) {
+    return;
+  }
+  this->isConnecting = true;
+  this->stream.expires_after(kConnectTimeout);
+  this->stream.async_connect(
+    this->endpoint,
+    [self = this->shared_from_this()](boost::system::error_code aError) {
+      self->OnConnected(aError);
+    });
+}
+
+void
+PeerLink::OnConnected(boost::system::error_code aError)
+{
+  this->isConnecting = false;
+  const auto messages = std::exchange(this->waiting, {});
+  if (aError || this->isClosed) {
+    this->notBefore = std::chrono::steady_clock::now() + kRetryInterval;
+    this->stream.close();
+    this->EndForwards(ForwardProgress::NothingSent);
+    return;
+  }
+  this->stream.expires_never();
+  this->connection =
+    std::make_shared<PeerConnection>(this->stream.release_socket());
+  this->connection->Start(
+    [weak = this->weak_from_this()](wire::WireMessage aMessage) {
+      if (const auto self = weak.lock()) {
+        self->OnMessage(std::move(aMessage));
+      }
+    },
+    [weak = this->weak_from_this()](wire::FrameError aFrameError) {
+      if (const auto self = weak.lock()) {
+        self->hub.CountError(aFrameError);
+        self->connection = nullptr;
+        self->EndForwards(ForwardProgress::Sent);
+      }
+    },
+    [weak = this->weak_from_this()](std::size_t aBytes) {
+      if (const auto self = weak.lock()) {
+        self->hub.counts.bytes += aBytes;
+      }
+    });
+  this->connection->Send(this->hub.OwnHello());
+  for (const wire::WireMessage& message : messages) {
+    if (!this->connection) {
+      return;
+    }
+    this->connection->Send(message);
+  }
+}
+
+void
+PeerLink::OnMessage(wire::WireMessage aMessage)
+{
+  auto* answer = std::get_if<wire::ForwardAnswer>(&aMessage);
+  if (answer == nullptr) {
+    return;
+  }
+  auto found = this->forwards.extract(answer->requestId);
+  if (!found.empty()) {
+    found.mapped()(ForwardProgress::Answered, std::move(*answer));
+  }
+}
+
+void
+PeerLink::EndForwards(ForwardProgress aProgress)
+{
+  for (const auto& [id, onEnd] : std::exchange(this->forwards, {})) {
+    onEnd(aProgress, std::nullopt);
+  }
+}
+
+} // namespace fireflytrail::gateway
