Add the program and the operators' subcommands

Operators need to check and submit texts, request moves and see what became of them. The program has the subcommands serve, check, submit, status, move, dump and version.

Taking a domain out asks a capacity function, which is to be filled in once the moves module is there. serve reports that the daemon is not built in until modules/daemon/Serve.h exists.

--- /dev/null
+++ b/app/main.cpp
@@ -0,0 +1,438 @@
+#include "configuration/DaemonSettings.h"
+#include "configuration/Endpoint.h"
+#include "core/Log.h"
+#include "operator_client/operator_client.h"
+#include "store/BlockingStore.h"
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include <boost/asio/ip/address.hpp>
+
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <cstdlib>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#if __has_include("daemon/Serve.h")
+#include "daemon/Serve.h"
+#define FIREFLYTRAIL_HAS_DAEMON 1
+#endif
+
+DEFINE_string(store, "", "store's address, IP:PORT");
+DEFINE_string(daemon, "", "operator port of an entry daemon, IP:PORT");
+DEFINE_int64(expected_version,
+             -1,
+             "version of the desired state that the text replaces, 0 for none "
+             "yet; -1 takes the version that is read first");
+DEFINE_string(settings, "", "daemon settings file to check as well");
+DEFINE_bool(insist, false, "take the domain out in spite of missing capacity");
+DEFINE_string(by,
+              "",
+              "time by which the version is to be in force, "
+              "2026-12-04T10:30:00Z or from now +90s, +30m, +2h");
+DEFINE_bool(wait, false, "wait until the move is done or taken back");
+DEFINE_uint32(wait_limit_s, 3600, "longest wait in seconds");
+DEFINE_string(operator_name, "", "name to record with a move; $USER if empty");
+DEFINE_uint32(timeout_ms, 10000, "time limit for the store and for a daemon");
+
+using namespace fireflytrail;
+using namespace fireflytrail::operator_client;
+
+namespace {
+
+struct Subcommand
+{
+  std::string_view name;
+  std::string_view usage;
+  std::string_view summary;
+  FlagSet flags;
+  /** Allowed numbers of arguments. */
+  std::size_t least;
+  std::size_t most;
+  std::function<ExitCode(const std::vector<std::string>&)> run;
+};
+
+CommandOutput
+StandardOutput()
+{
+  return { [](std::string_view aLine) {
+            fmt::print("{}\n", aLine);
+            std::fflush(stdout);
+          },
+           [](std::string_view aLine) {
+             fmt::print(stderr, "fireflytrail: {}\n", aLine);
+           } };
+}
+
+ExitCode
+UsageError(std::string_view aMessage)
+{
+  StandardOutput().error(aMessage);
+  return ExitCode::Usage;
+}
+
+/** Returns access to the store of `--store`, or nothing after an error line. */
+std::optional<StoreAccess>
+OpenStore()
+{
+  const auto endpoint = configuration::Endpoint::Parse(FLAGS_store);
+  if (!endpoint || endpoint->port == 0) {
+    UsageError(FLAGS_store.empty()
+                 ? "--store IP:PORT is required"
+                 : fmt::format("bad value \"{}\" of flag --store, which takes "
+                               "IP:PORT",
+                               FLAGS_store));
+    return std::nullopt;
+  }
+  // One operator's command may use more calls a second than a daemon, which
+  // runs all the time.
+  const store::StoreClientSettings settings{
+    .callsPerSecond = 20,
+    .burst = 20,
+    .operationLimit = std::chrono::milliseconds(FLAGS_timeout_ms),
+    .longestBackoff = std::chrono::milliseconds(1000),
+  };
+  auto client = std::make_shared<store::BlockingStore>(
+    boost::asio::ip::tcp::endpoint(
+      boost::asio::ip::make_address(endpoint->address), endpoint->port),
+    settings);
+  return StoreAccess{
+    [client](const std::string& aKey) { return client->Read(aKey); },
+    [client](const std::string& aKey,
+             const std::string& aBody,
+             std::uint64_t aExpected) {
+      return client->Write(aKey, aBody, aExpected);
+    },
+    [client](const std::string& aKey, std::uint64_t aVersion) {
+      return client->Watch(aKey, aVersion);
+    },
+    [client]() { return client->Hosts(); }
+  };
+}
+
+bool
+IsDaemonFlagValid()
+{
+  if (FLAGS_daemon.empty() || configuration::Endpoint::Parse(FLAGS_daemon)) {
+    return true;
+  }
+  UsageError(fmt::format(
+    "bad value \"{}\" of flag --daemon, which takes IP:PORT", FLAGS_daemon));
+  return false;
+}
+
+DaemonAccess
+OpenDaemons()
+{
+  return [](const std::string& aAddress, const std::string& aTarget) {
+    return HttpGet(
+      aAddress, aTarget, std::chrono::milliseconds(FLAGS_timeout_ms));
+  };
+}
+
+ExitCode
+RunServe(const std::vector<std::string>& aArguments)
+{
+  const auto file = ReadTextFile(aArguments[0]);
+  if (!file) {
+    return UsageError(file.error().detail);
+  }
+  const auto settings = configuration::DaemonSettings::Parse(file.value().text);
+  if (!settings) {
+    for (const auto& error : settings.error()) {
+      UsageError(fmt::format("{}: {}", aArguments[0], error.ToString()));
+    }
+    return ExitCode::Refused;
+  }
+#ifdef FIREFLYTRAIL_HAS_DAEMON
+  const core::Log log(settings.value().logLevel);
+  return static_cast<ExitCode>(daemon::Serve(settings.value(), log));
+#else
+  return UsageError("the daemon is not built into this program");
+#endif
+}
+
+ExitCode
+RunCheck(const std::vector<std::string>& aArguments)
+{
+  const auto text = ReadTextFile(aArguments[0]);
+  if (!text) {
+    return UsageError(text.error().detail);
+  }
+  std::optional<NamedText> settings;
+  if (!FLAGS_settings.empty()) {
+    auto file = ReadTextFile(FLAGS_settings);
+    if (!file) {
+      return UsageError(file.error().detail);
+    }
+    settings = std::move(file).value();
+  }
+  return CheckCommand(StandardOutput()).Run(text.value(), settings);
+}
+
+ExitCode
+RunSubmit(const std::vector<std::string>& aArguments)
+{
+  if (FLAGS_expected_version < -1) {
+    return UsageError(
+      fmt::format("bad value \"{}\" of flag --expected-version, which takes a "
+                  "version from 0",
+                  FLAGS_expected_version));
+  }
+  const auto text = ReadTextFile(aArguments[0]);
+  if (!text) {
+    return UsageError(text.error().detail);
+  }
+  const auto access = OpenStore();
+  if (!access) {
+    return ExitCode::Usage;
+  }
+  std::optional<std::uint64_t> expected;
+  if (FLAGS_expected_version >= 0) {
+    expected = static_cast<std::uint64_t>(FLAGS_expected_version);
+  }
+  return SubmitCommand(*access, StandardOutput()).Run(text.value(), expected);
+}
+
+ExitCode
+RunStatus(const std::vector<std::string>&)
+{
+  if (!IsDaemonFlagValid()) {
+    return ExitCode::Usage;
+  }
+  const auto access = OpenStore();
+  if (!access) {
+    return ExitCode::Usage;
+  }
+  return StatusCommand(*access, OpenDaemons(), StandardOutput())
+    .Run(FLAGS_daemon);
+}
+
+std::string
+OperatorName()
+{
+  if (!FLAGS_operator_name.empty()) {
+    return FLAGS_operator_name;
+  }
+  const char* user = std::getenv("USER");
+  return user == nullptr || *user == '\0' ? "unknown" : user;
+}
+
+ExitCode
+RunMove(const std::vector<std::string>& aArguments)
+{
+  const std::string& kind = aArguments[0];
+  const bool isDomain = kind == "domain";
+  if ((!isDomain && kind != "version") ||
+      (isDomain && aArguments[1] != "out" && aArguments[1] != "back")) {
+    return UsageError(
+      "use: move domain out|back NAME, or move version SERVICE VERSION");
+  }
+  const auto now = std::chrono::system_clock::now();
+  const auto setTime = ParseTime(FLAGS_by, now);
+  if (!isDomain && FLAGS_by.empty()) {
+    return UsageError("move version needs --by TIME");
+  }
+  if (!isDomain && !setTime) {
+    return UsageError(fmt::format("bad value \"{}\" of flag --by, which takes "
+                                  "2026-12-04T10:30:00Z or +90s, +30m, +2h",
+                                  FLAGS_by));
+  }
+  if (isDomain && !FLAGS_by.empty()) {
+    return UsageError("--by belongs to move version only");
+  }
+  if (FLAGS_insist && (!isDomain || aArguments[1] != "out")) {
+    return UsageError("--insist belongs to move domain out only");
+  }
+  if (!IsDaemonFlagValid()) {
+    return ExitCode::Usage;
+  }
+  const auto access = OpenStore();
+  if (!access) {
+    return ExitCode::Usage;
+  }
+  MoveCommand::Hooks hooks;
+  hooks.now = std::chrono::system_clock::now;
+  hooks.random = std::mt19937_64(std::random_device{}());
+  hooks.capacity = [](const configuration::DesiredState&, const std::string&) {
+    return MoveCommand::Capacity{ true, "capacity is not checked yet" };
+  };
+  const MoveCommand command(
+    *access, std::move(hooks), StandardOutput(), OperatorName());
+  std::optional<std::chrono::seconds> wait;
+  if (FLAGS_wait) {
+    wait = std::chrono::seconds(FLAGS_wait_limit_s);
+  }
+  return isDomain
+           ? command.RunDomain(
+               aArguments[1] == "out", aArguments[2], FLAGS_insist, wait)
+           : command.RunVersion(aArguments[1], aArguments[2], *setTime, wait);
+}
+
+ExitCode
+RunDump(const std::vector<std::string>&)
+{
+  if (FLAGS_daemon.empty()) {
+    return UsageError("--daemon IP:PORT is required");
+  }
+  if (!IsDaemonFlagValid()) {
+    return ExitCode::Usage;
+  }
+  return DumpCommand(OpenDaemons(), StandardOutput()).Run(FLAGS_daemon);
+}
+
+const std::vector<Subcommand>&
+Subcommands()
+{
+  static const std::vector<Subcommand> kSubcommands{
+    { "serve",
+      "serve SETTINGS_FILE",
+      "Runs the entry daemon.\n"
+      "It serves until SIGTERM or SIGINT, then stops without cutting off any\n"
+      "call.",
+      {},
+      1,
+      1,
+      RunServe },
+    { "check",
+      "check FILE [--settings SETTINGS_FILE]",
+      "Checks the operators' text without a network.\n"
+      "Every error is printed with its line.",
+      { "settings" },
+      1,
+      1,
+      RunCheck },
+    { "submit",
+      "submit FILE --store IP:PORT [--expected-version N]",
+      "Puts the operators' text in force.\n"
+      "The text is checked and written by one conditional update. If another\n"
+      "operator is first, the winner's version is named. A refused text\n"
+      "changes nothing.",
+      { "store", "expected_version", "timeout_ms" },
+      1,
+      1,
+      RunSubmit },
+    { "status",
+      "status --store IP:PORT [--daemon IP:PORT]",
+      "Prints one line for each host and for each move.\n"
+      "Both are read from the store and from one entry daemon.",
+      { "store", "daemon", "timeout_ms" },
+      0,
+      0,
+      RunStatus },
+    { "move",
+      "move domain out|back NAME --store IP:PORT [--insist] [--wait]\n"
+      "       fireflytrail move version SERVICE VERSION --by TIME --store "
+      "IP:PORT [--wait]",
+      "Moves a failure domain out or back, or a service to a version.\n"
+      "Taking a domain out is refused if the other domains cannot carry the\n"
+      "load, unless --insist is given. A version is to be in force by a time;\n"
+      "it is taken back if it proves bad.",
+      { "store",
+        "daemon",
+        "insist",
+        "by",
+        "wait",
+        "wait_limit_s",
+        "operator_name",
+        "timeout_ms" },
+      3,
+      3,
+      RunMove },
+    { "dump",
+      "dump --daemon IP:PORT",
+      "Prints the state dump of one entry daemon as JSON.",
+      { "daemon", "timeout_ms" },
+      0,
+      0,
+      RunDump },
+    { "version",
+      "version",
+      "Prints the version of this program.",
+      {},
+      0,
+      0,
+      [](const std::vector<std::string>&) {
+        StandardOutput().out("fireflytrail " FIREFLYTRAIL_VERSION);
+        return ExitCode::Ok;
+      } },
+  };
+  return kSubcommands;
+}
+
+void
+PrintOverview()
+{
+  fmt::print("Usage: fireflytrail SUBCOMMAND ...\n\nSubcommands:\n");
+  for (const Subcommand& subcommand : Subcommands()) {
+    const auto summary =
+      subcommand.summary.substr(0, subcommand.summary.find('\n'));
+    fmt::print("  {:<8} {}\n", subcommand.name, summary);
+  }
+  fmt::print("\nfireflytrail SUBCOMMAND --help describes one of them.\n");
+}
+
+void
+PrintHelp(const Subcommand& aSubcommand)
+{
+  fmt::print(
+    "Usage: fireflytrail {}\n\n{}\n\n", aSubcommand.usage, aSubcommand.summary);
+  fmt::print("Flags:\n{}  --help               print this text\n\n{}",
+             CommandLine::DescribeFlags(aSubcommand.flags),
+             kExitCodeHelp);
+}
+
+ExitCode
+Run(const std::vector<std::string>& aArguments)
+{
+  if (aArguments.empty()) {
+    return UsageError("a subcommand is missing; see fireflytrail --help");
+  }
+  const std::string& name = aArguments[0];
+  if (name == "--help" || name == "-h" || name == "help") {
+    PrintOverview();
+    return ExitCode::Ok;
+  }
+  for (const Subcommand& subcommand : Subcommands()) {
+    if (subcommand.name != name) {
+      continue;
+    }
+    const auto line = CommandLine::Parse(
+      { aArguments.begin() + 1, aArguments.end() }, subcommand.flags);
+    if (line.wantsHelp) {
+      PrintHelp(subcommand);
+      return ExitCode::Ok;
+    }
+    if (!line.error.empty()) {
+      return UsageError(fmt::format("{}: {}", name, line.error));
+    }
+    if (line.arguments.size() < subcommand.least) {
+      return UsageError(fmt::format(
+        "{}: an argument is missing; see fireflytrail {} --help", name, name));
+    }
+    if (line.arguments.size() > subcommand.most) {
+      return UsageError(fmt::format("{}: unexpected argument \"{}\"",
+                                    name,
+                                    line.arguments[subcommand.most]));
+    }
+    return subcommand.run(line.arguments);
+  }
+  return UsageError(
+    fmt::format("unknown subcommand \"{}\"; see fireflytrail --help", name));
+}
+
+} // namespace
+
+int
+main(int aCount, char** aValues)
+{
+  return static_cast<int>(Run({ aValues + 1, aValues + aCount }));
+}
--- /dev/null
+++ b/modules/operator_client/NamedText.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <string>
+
+namespace fireflytrail::operator_client {
+
+/** The content of a file with its path for messages. */
+struct NamedText
+{
+  std::string name;
+  std::string text;
+};
+
+} // namespace fireflytrail::operator_client
