--- a/app/main.cpp
+++ b/app/main.cpp
@@ -1,6 +1,7 @@
 #include "configuration/DaemonSettings.h"
 #include "configuration/Endpoint.h"
 #include "core/Log.h"
+#include "daemon/Serve.h"
 #include "operator_client/operator_client.h"
 #include "store/BlockingStore.h"
 
@@ -21,11 +22,6 @@
 #include <string_view>
 #include <vector>
 
-#if __has_include("daemon/Serve.h")
-#include "daemon/Serve.h"
-#define FIREFLYTRAIL_HAS_DAEMON 1
-#endif
-
 DEFINE_string(store, "", "store's address, IP:PORT");
 DEFINE_string(daemon, "", "operator port of an entry daemon, IP:PORT");
 DEFINE_int64(expected_version,
@@ -152,12 +148,8 @@
     }
     return ExitCode::Refused;
   }
-#ifdef FIREFLYTRAIL_HAS_DAEMON
   const core::Log log(settings.value().logLevel);
   return static_cast<ExitCode>(daemon::Serve(settings.value(), log));
-#else
-  return UsageError("the daemon is not built into this program");
-#endif
 }
 
 ExitCode
