--- a/modules/daemon/Controller.cpp
+++ b/modules/daemon/Controller.cpp
@@ -131,15 +131,18 @@
 
 Controller::~Controller()
 {
+  // Pending handlers may hold calls, which must end before their threads.
+  if (this->hub) {
+    this->hub->Close();
+  }
+  this->context.restart();
+  this->context.poll();
   this->threads.clear();
 }
 
-bool
+void
 Controller::Run()
 {
-  if (!this->OpenPorts()) {
-    return false;
-  }
   this->feed->Start();
   this->StartTimers();
   for (const auto& thread : this->threads) {
@@ -155,18 +158,42 @@
     "daemon_started",
     { { "name", this->self.name },
       { "start", fmt::format("{:x}", this->self.start) },
-      { "listen",
-        gateway::FormatSocketAddress(this->threads[0]->LocalEndpoint()) },
+      { "listen", gateway::FormatSocketAddress(this->CallerEndpoint()) },
       { "operator_listen",
-        gateway::FormatSocketAddress(this->endpoint->LocalEndpoint()) },
-      { "peer_listen",
-        gateway::FormatSocketAddress(this->hub->LocalEndpoint()) } });
+        gateway::FormatSocketAddress(this->OperatorEndpointAddress()) },
+      { "peer_listen", gateway::FormatSocketAddress(this->PeerEndpoint()) } });
   this->context.run();
-  return true;
+  this->log.Write(
+    LogLevel::Info, "daemon_stopped", { { "name", this->self.name } });
+}
+
+void
+Controller::RequestStop()
+{
+  boost::asio::post(this->context,
+                    [this] { this->machine.Handle("stop_requested"); });
+}
+
+tcp::endpoint
+Controller::CallerEndpoint() const
+{
+  return this->threads.front()->LocalEndpoint();
+}
+
+tcp::endpoint
+Controller::PeerEndpoint() const
+{
+  return this->hub->LocalEndpoint();
+}
+
+tcp::endpoint
+Controller::OperatorEndpointAddress() const
+{
+  return this->endpoint->LocalEndpoint();
 }
 
 bool
-Controller::OpenPorts()
+Controller::Open()
 {
   const auto report = [this](std::string_view aPort,
                              const boost::system::error_code& aError) {
--- a/modules/daemon/Controller.h
+++ b/modules/daemon/Controller.h
@@ -52,14 +52,23 @@
   Controller(const Controller&) = delete;
   Controller& operator=(const Controller&) = delete;
 
-  /**
-   * Binds the addresses and serves until SIGTERM or SIGINT. Returns false if
-   * an address could not be bound. Call once.
-   */
-  bool Run();
+  /** Binds the addresses. Returns false, after a log line, if one is not
+   * available. Call once. */
+  bool Open();
+
+  /** Serves until `RequestStop` or SIGTERM or SIGINT and the end of all calls
+   * in progress. `Open` must have succeeded. Call once. */
+  void Run();
+
+  /** Starts a graceful stop. Callable from any thread. */
+  void RequestStop();
+
+  /** The bound addresses; `Open` must have succeeded. */
+  boost::asio::ip::tcp::endpoint CallerEndpoint() const;
+  boost::asio::ip::tcp::endpoint PeerEndpoint() const;
+  boost::asio::ip::tcp::endpoint OperatorEndpointAddress() const;
 
 private:
-  bool OpenPorts();
   void StartTimers();
   void Repeat(boost::asio::steady_timer& aTimer,
               std::chrono::milliseconds aInterval,
--- a/modules/daemon/Serve.cpp
+++ b/modules/daemon/Serve.cpp
@@ -8,7 +8,11 @@
 Serve(const configuration::DaemonSettings& aSettings, const core::Log& aLog)
 {
   Controller controller(aSettings, aLog);
-  return controller.Run() ? 0 : 1;
+  if (!controller.Open()) {
+    return 1;
+  }
+  controller.Run();
+  return 0;
 }
 
 } // namespace fireflytrail::daemon
--- /dev/null
+++ b/tests/FleetTest.cpp
@@ -0,0 +1,274 @@
+#include "tests/DaemonFleet.h"
+
+#include "configuration/DesiredState.h"
+
+#include <boost/json/array.hpp>
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+
+#include <atomic>
+#include <set>
+#include <thread>
+
+using namespace fireflytrail;
+using namespace fireflytrail::tests;
+using namespace std::chrono_literals;
+namespace json = boost::json;
+
+namespace {
+
+const std::string kText = R"({
+  "name": "test", "weighs_most": "latency",
+  "regions": { "north": ["north-a", "north-b"] },
+  "services": {
+    "lookup": { "slots": 4, "version": "1",
+      "calls": { "get": { "method": "GET", "path": "/get",
+                          "deadline_ms": 5000 } } },
+    "sales": { "slots": 4, "version": "1", "depends_on": ["lookup"],
+      "calls": {
+        "sell": { "method": "POST", "path": "/sell", "at_most_once": true,
+                  "deadline_ms": 5000 },
+        "list": { "method": "GET", "path": "/list",
+                  "deadline_ms": 5000 } } } }
+})";
+
+json::object
+Servers(std::string_view aService,
+        std::string_view aDomain,
+        unsigned aCount,
+        std::string_view aVersion = "1")
+{
+  return { { "service", aService }, { "version", aVersion },
+           { "domain", aDomain },   { "region", "north" },
+           { "count", aCount },     { "service_time_us", 1000 } };
+}
+
+std::map<std::string, std::string>
+Sale(const std::string& aRequestId, const std::string& aTicket)
+{
+  return { { "Request-Id", aRequestId }, { "Ticket", aTicket } };
+}
+
+std::string
+ValueOf(const CallerAnswer& aAnswer, const std::string& aName)
+{
+  const auto found = aAnswer.headers.find(aName);
+  return found == aAnswer.headers.end() ? "" : found->second;
+}
+
+/** Two daemons and servers of both services in both domains. */
+class Fleet : public DaemonFleet
+{
+public:
+  explicit Fleet(std::size_t aDaemons = 2)
+    : DaemonFleet(kText, aDaemons)
+  {
+    this->AddServers(Servers("lookup", "north-a", 2));
+    this->AddServers(Servers("lookup", "north-b", 2));
+    this->AddServers(Servers("sales", "north-a", 2));
+    this->AddServers(Servers("sales", "north-b", 2));
+    BOOST_REQUIRE(this->AwaitReady());
+    for (std::size_t index = 0; index < aDaemons; ++index) {
+      BOOST_REQUIRE(Await([&] {
+        return this->Call(index, "GET", "/lookup/get").status == 200 &&
+               this->Call(index, "GET", "/sales/list").status == 200;
+      }));
+    }
+  }
+};
+
+} // namespace
+
+// Guards against a second run when a caller resends through another daemon,
+// and against the resend losing the first answer.
+BOOST_AUTO_TEST_CASE(ResendThroughAnotherDaemonRunsOnce)
+{
+  Fleet fleet;
+  const std::string ticket = fleet.TakeTicket(0);
+  const CallerAnswer first =
+    fleet.Call(0, "POST", "/sales/sell", Sale("sale-1", ticket), "packet");
+  const CallerAnswer again =
+    fleet.Call(1, "POST", "/sales/sell", Sale("sale-1", ticket), "packet");
+  BOOST_TEST(first.status == 200U);
+  BOOST_TEST(again.status == 200U);
+  BOOST_TEST(first.body == again.body);
+  BOOST_TEST(fleet.RunsOf("sale-1") == 1U);
+}
+
+// Guards against two runs when the first send goes to a daemon that did not
+// issue the ticket, and against the ticket being used for another request.
+BOOST_AUTO_TEST_CASE(FirstSendThroughAnotherDaemonRunsOnce)
+{
+  Fleet fleet;
+  const std::string ticket = fleet.TakeTicket(0);
+  const CallerAnswer first =
+    fleet.Call(1, "POST", "/sales/sell", Sale("sale-1", ticket), "packet");
+  BOOST_TEST(first.status == 200U);
+  const CallerAnswer other =
+    fleet.Call(0, "POST", "/sales/sell", Sale("sale-2", ticket), "other");
+  BOOST_TEST(ValueOf(other, "Error-Kind") == "ticket_mismatch");
+  BOOST_TEST(ValueOf(other, "Call-Outcome") == "not-run");
+  BOOST_TEST(fleet.RunsOf("sale-1") == 1U);
+  BOOST_TEST(fleet.RunsOf("sale-2") == 0U);
+}
+
+// Guards against an at-most-once call without a ticket being run.
+BOOST_AUTO_TEST_CASE(AtMostOnceCallWithoutTicketIsNotRun)
+{
+  Fleet fleet(1);
+  const CallerAnswer answer = fleet.Call(
+    0, "POST", "/sales/sell", { { "Request-Id", "sale-1" } }, "packet");
+  BOOST_TEST(ValueOf(answer, "Error-Kind") == "ticket_required");
+  BOOST_TEST(fleet.RunsOf("sale-1") == 0U);
+}
+
+// Guards against a second run or a lost answer when the caller's deadline ends
+// before the server's answer: the late answer is kept for the resend.
+BOOST_AUTO_TEST_CASE(LateAnswerOfATicketedCallIsKept)
+{
+  Fleet fleet;
+  fleet.ControlServers(
+    { { "action", "faults" },
+      { "faults",
+        json::array{
+          json::object{ { "service", "sales" }, { "slow_factor", 300 } } } } });
+  const std::string ticket = fleet.TakeTicket(0);
+  auto headers = Sale("sale-1", ticket);
+  headers["Deadline-Ms"] = "50";
+  const CallerAnswer late =
+    fleet.Call(0, "POST", "/sales/sell", headers, "packet");
+  BOOST_TEST(ValueOf(late, "Error-Kind") == "deadline_after_send");
+  BOOST_TEST(ValueOf(late, "Call-Outcome") == "unknown");
+  const CallerAnswer again =
+    fleet.Call(1, "POST", "/sales/sell", Sale("sale-1", ticket), "packet");
+  BOOST_TEST(again.status == 200U);
+  BOOST_TEST(fleet.RunsOf("sale-1") == 1U);
+}
+
+// Guards against a cut answer being passed on as complete.
+BOOST_AUTO_TEST_CASE(TruncatedAnswerIsNotPassedOn)
+{
+  Fleet fleet(1);
+  fleet.ControlServers(
+    { { "action", "faults" },
+      { "faults",
+        json::array{ json::object{ { "service", "sales" },
+                                   { "truncate_ratio", 1 } } } } });
+  const CallerAnswer answer = fleet.Call(
+    0, "POST", "/sales/sell", Sale("sale-1", fleet.TakeTicket(0)), "packet");
+  BOOST_TEST(ValueOf(answer, "Error-Kind") == "answer_truncated");
+  BOOST_TEST(ValueOf(answer, "Call-Outcome") == "unknown");
+}
+
+// Guards against "not run" being wrong when servers refuse.
+BOOST_AUTO_TEST_CASE(RefusalByEveryServerIsNotRun)
+{
+  Fleet fleet(1);
+  fleet.ControlServers(
+    { { "action", "shed" }, { "service", "sales" }, { "enabled", true } });
+  const CallerAnswer answer = fleet.Call(
+    0, "POST", "/sales/sell", Sale("sale-1", fleet.TakeTicket(0)), "packet");
+  BOOST_TEST(answer.status == 503U);
+  BOOST_TEST(ValueOf(answer, "Call-Outcome") == "not-run");
+  BOOST_TEST(fleet.RunsOf("sale-1") == 0U);
+}
+
+// Guards against a request that crashes servers taking down more than three of
+// them when its caller resends it through any daemon.
+BOOST_AUTO_TEST_CASE(CrashingRequestIsBlockedAfterThreeServers)
+{
+  Fleet fleet;
+  fleet.AddServers(Servers("lookup", "north-a", 4));
+  fleet.ControlServers({ { "action", "crash_marker" }, { "marker", "bomb" } });
+  bool isBlocked = false;
+  for (std::size_t tries = 0; tries < 12; ++tries) {
+    const CallerAnswer answer =
+      fleet.Call(tries % 2, "GET", "/lookup/get?bomb");
+    isBlocked = ValueOf(answer, "Error-Kind") == "request_crashes_servers";
+  }
+  BOOST_TEST(isBlocked);
+  unsigned down = 0;
+  const json::object dump = fleet.Page(0, "/dump");
+  for (const auto& server : dump.at("servers").as_array()) {
+    down += server.at("lost").to_number<unsigned>() > 0 ? 1 : 0;
+  }
+  BOOST_TEST(down <= 3U);
+  BOOST_TEST(DaemonFleet::Await(
+    [&] { return fleet.Call(1, "GET", "/lookup/get").status == 200; }));
+}
+
+// Guards against losing the configuration in a store outage, and against first
+// sends of at-most-once calls depending on the store.
+BOOST_AUTO_TEST_CASE(StoreOutageChangesNothingForCallers)
+{
+  Fleet fleet;
+  fleet.ControlPlatform({ { "down", true } });
+  BOOST_TEST(fleet.Call(0, "GET", "/lookup/get").status == 200U);
+  const std::string ticket = fleet.TakeTicket(1);
+  const CallerAnswer sold =
+    fleet.Call(1, "POST", "/sales/sell", Sale("sale-1", ticket), "packet");
+  BOOST_TEST(sold.status == 200U);
+  BOOST_TEST(fleet.RunsOf("sale-1") == 1U);
+}
+
+// Guards against a daemon that starts during a store outage serving nothing,
+// although a peer holds the configuration and the host list.
+BOOST_AUTO_TEST_CASE(DaemonStartedDuringAStoreOutageLearnsFromItsPeers)
+{
+  Fleet fleet;
+  fleet.ControlPlatform({ { "down", true } });
+  const std::size_t late = fleet.StartDaemon();
+  BOOST_TEST(DaemonFleet::Await(
+    [&] { return fleet.Call(late, "GET", "/lookup/get").status == 200; }));
+}
+
+// Guards against new work in a failure domain that operators have taken out.
+BOOST_AUTO_TEST_CASE(DomainTakenOutGetsNoNewCalls)
+{
+  Fleet fleet;
+  fleet.ChangeDesired([](configuration::DesiredState& aState) {
+    configuration::Move move;
+    move.id = "move-1";
+    move.kind = configuration::MoveKind::DomainOut;
+    move.failureDomain = "north-a";
+    aState = aState.WithMove(move).value();
+  });
+  const auto isInForce = [&](std::size_t aDaemon) {
+    return fleet.Page(aDaemon, "/status").at("desired_version").as_int64() >= 2;
+  };
+  BOOST_REQUIRE(DaemonFleet::Await([&] { return isInForce(0); }));
+  BOOST_REQUIRE(DaemonFleet::Await([&] { return isInForce(1); }));
+  const auto callsOf = [&](std::size_t aDaemon) {
+    std::uint64_t calls = 0;
+    const json::object dump = fleet.Page(aDaemon, "/dump");
+    for (const auto& server : dump.at("servers").as_array()) {
+      if (server.at("domain").as_string() == "north-a") {
+        calls += server.at("acquired").to_number<std::uint64_t>();
+      }
+    }
+    return calls;
+  };
+  const std::uint64_t before = callsOf(0) + callsOf(1);
+  for (std::size_t count = 0; count < 40; ++count) {
+    BOOST_TEST(fleet.Call(count % 2, "GET", "/lookup/get").status == 200U);
+  }
+  BOOST_TEST(callsOf(0) + callsOf(1) == before);
+}
+
+// Guards against a planned stop cutting a call in progress.
+BOOST_AUTO_TEST_CASE(GracefulStopFinishesCallsInProgress)
+{
+  Fleet fleet;
+  fleet.ControlServers(
+    { { "action", "faults" },
+      { "faults",
+        json::array{ json::object{ { "service", "lookup" },
+                                   { "slow_factor", 3500 } } } } });
+  CallerAnswer answer;
+  std::thread caller([&] { answer = fleet.Call(1, "GET", "/lookup/get"); });
+  std::this_thread::sleep_for(200ms);
+  fleet.RequestStop(1);
+  fleet.AwaitStop(1);
+  caller.join();
+  BOOST_TEST(answer.status == 200U);
+}
