--- a/modules/calls/RetryBudget.cpp
+++ b/modules/calls/RetryBudget.cpp
@@ -10,8 +10,10 @@
 namespace {
 
 constexpr std::uint64_t kMilli = 1000;
-/** One retry for each ten first attempts. */
-constexpr std::uint64_t kFirstsPerRetry = 10;
+// Each daemon keeps its share in windows that end with its own last retry.
+// With exactly one tenth the fleet reached 10.25 % over a common window
+// (scenario retry-everything-fails-reset, seed 1).
+constexpr std::uint64_t kFirstsPerRetry = 11;
 
 // A word holds the low 32 bits of the span's number and a 32-bit count.
 constexpr unsigned kCountBits = 32;
@@ -98,8 +100,14 @@
   for (RetryBudget* below : aBelow) {
     assert(below != nullptr && below != this);
     // A call causes as many calls there as the traffic shows, on average.
-    const std::uint64_t milli =
+
+    const std::uint64_t ratio =
       (below->FirstAttempts() * kMilli + ownFirsts - 1) / ownFirsts;
+    // A ratio near one counts as one: this daemon's sample of the traffic is
+    // noisy, and 18 levels reached 10.14 % with the plain ratio (scenario
+    // retry-18-deep-deepest-fails, seed 1).
+    const std::uint64_t milli =
+      ratio >= kMilli / 2 ? std::max(ratio, kMilli) : ratio;
     if (!below->Charge(milli)) {
       this->Refund(kMilli, span);
       for (const auto& [budget, amount] : charged) {
--- a/modules/calls/RetryBudgetTest.cpp
+++ b/modules/calls/RetryBudgetTest.cpp
@@ -107,7 +107,7 @@
   for (const std::uint64_t calls : callsFromRetries) {
     BOOST_TEST(calls * 10 <= kCalls);
   }
-  BOOST_TEST(callsFromRetries.back() * 12 >= kCalls);
+  BOOST_TEST(callsFromRetries.back() * 13 >= kCalls);
 }
 
 // Guards against a refused retry that still uses up the budget above the
@@ -117,10 +117,10 @@
   Clock clock;
   RetryBudget above(clock.Function());
   RetryBudget below(clock.Function());
-  for (int call = 0; call < 20; ++call) {
+  for (int call = 0; call < 22; ++call) {
     above.CountFirstAttempt();
   }
-  for (int call = 0; call < 10; ++call) {
+  for (int call = 0; call < 11; ++call) {
     below.CountFirstAttempt();
   }
   BOOST_TEST(below.TryTake());
@@ -149,5 +149,5 @@
     });
   }
   threads.clear();
-  BOOST_TEST(taken == 100);
+  BOOST_TEST(taken == 90);
 }
--- a/scenario/DaemonProcess.h
+++ b/scenario/DaemonProcess.h
@@ -34,6 +34,8 @@
   std::map<std::uint64_t, unsigned> inFlight;
   /** Start identity of the server process with a kept connection. */
   std::map<std::uint64_t, std::uint64_t> connections;
+  /** Time at which a connection to a server last failed. */
+  std::map<std::uint64_t, core::TimePoint> connectFailed;
   std::map<std::uint64_t, std::shared_ptr<SimulatedSession>> sessions;
   SimulatedDesire desire;
 };
--- a/scenario/ServerChoice.cpp
+++ b/scenario/ServerChoice.cpp
@@ -8,6 +8,9 @@
 
 namespace {
 
+/** Servers that refuse connections are left out for this time. */
+constexpr std::chrono::milliseconds kAvoidAfterFailure{ 500 };
+
 std::vector<SimulatedServer*>
 Candidates(World& aWorld,
            const DaemonProcess& aProcess,
@@ -16,6 +19,12 @@
 {
   std::vector<SimulatedServer*> all;
   std::vector<SimulatedServer*> ofVersion;
+
+  const auto hasFailed = [&](const SimulatedServer& aServer) {
+    const auto failed = aProcess.connectFailed.find(aServer.key);
+    return failed != aProcess.connectFailed.end() &&
+           aWorld.clock.Now() - failed->second < kAvoidAfterFailure;
+  };
   const auto share = aProcess.desire.newVersionShare.find(aService);
   const bool wantsNew = share != aProcess.desire.newVersionShare.end() &&
                         aWorld.random.Unit() < share->second;
@@ -26,6 +35,9 @@
       continue;
     }
     all.push_back(server.get());
+    if (hasFailed(*server)) {
+      continue;
+    }
     if (server->isNewVersion == wantsNew) {
       ofVersion.push_back(server.get());
     }
--- a/scenario/SimulatedCaller.h
+++ b/scenario/SimulatedCaller.h
@@ -43,6 +43,7 @@
   void SendWithTicket(const std::shared_ptr<Sale>& aSale, bool aIsFirst);
   void Send(const std::shared_ptr<Sale>& aSale, bool aIsFirst);
   void Answered(const std::shared_ptr<Sale>& aSale,
+                const std::string& aTicket,
                 const SimulatedReply& aReply);
   void Resend(const std::shared_ptr<Sale>& aSale, bool aWithNewTicket);
 
@@ -52,6 +53,8 @@
   microseconds from;
   microseconds to;
   unsigned resends;
+  /** Calls still to be started. */
+  std::uint64_t count;
   /** If above zero, a copy is sent when there is no answer by then. */
   microseconds impatience;
   /** All calls are the same request. */
--- a/scenario/SimulatedDaemon.cpp
+++ b/scenario/SimulatedDaemon.cpp
@@ -123,6 +123,17 @@
              [this, aEntry] { this->process->guard.Merge(aEntry); });
 }
 
+void
+SimulatedDaemon::ConnectionClosed(std::uint64_t aServer,
+                                  std::uint64_t aServerStart)
+{
+  auto& connections = this->process->connections;
+  const auto found = connections.find(aServer);
+  if (found != connections.end() && found->second == aServerStart) {
+    connections.erase(found);
+  }
+}
+
 void
 SimulatedDaemon::StartProcess()
 {
@@ -136,8 +147,37 @@
     this->process->budgets[service] =
       std::make_unique<calls::RetryBudget>(this->world.clock.NowHook());
   }
+
   this->Post(this->world.random.Time(std::chrono::seconds(1)),
              [this] { this->Tick(); });
+  if (this->world.clock.Elapsed().count() > 0) {
+    this->LearnFromPeers();
+  }
+}
+
+void
+SimulatedDaemon::LearnFromPeers()
+{
+  // As the daemon does: no calls before one exchange with a peer, or until
+  // the store has been read instead.
+  this->isReady = false;
+  this->Post(std::chrono::seconds(1), [this] { this->isReady = true; });
+  for (const auto& peer : this->world.daemons) {
+    if (peer.get() == this) {
+      continue;
+    }
+    this->world.SendMessage(*this, *peer, [this, &peer] {
+      peer->Post(microseconds(0), [this, &peer] {
+        this->world.SendMessage(
+          *peer, *this, [this, entries = peer->Process().guard.Entries()] {
+            for (const calls::CrashEntry& entry : entries) {
+              this->MergeCrash(entry);
+            }
+            this->Post(microseconds(0), [this] { this->isReady = true; });
+          });
+      });
+    });
+  }
 }
 
 void
--- a/scenario/SimulatedDaemon.h
+++ b/scenario/SimulatedDaemon.h
@@ -47,6 +47,9 @@
   /** Takes news that another daemon's guard has sent. */
   void MergeCrash(const calls::CrashEntry& aEntry);
 
+  /** A server has closed its kept connections. */
+  void ConnectionClosed(std::uint64_t aServer, std::uint64_t aServerStart);
+
   bool IsAlive() const { return this->process && this->process->isAlive; }
   DaemonProcess& Process() { return *this->process; }
 
@@ -61,6 +64,7 @@
   friend class SimulatedSession;
 
   void StartProcess();
+  void LearnFromPeers();
   void Run(std::function<void()> aEvent);
   void SpreadCrash(const calls::CrashEntry& aEntry);
   void Tick();
@@ -68,6 +72,7 @@
   World& world;
   std::shared_ptr<DaemonProcess> process;
   bool isPaused = false;
+  bool isReady = true;
   std::vector<std::function<void()>> waiting;
 };
 
--- a/scenario/SimulatedServer.cpp
+++ b/scenario/SimulatedServer.cpp
@@ -82,6 +82,13 @@
       work.reply({ ServerReply::Kind::Reset, 0, death });
     }
   }
+
+  for (const auto& daemon : this->world.daemons) {
+    daemon->Post(this->world.Latency(daemon->domain, this->domain),
+                 [&daemon, this, process = this->start] {
+                   daemon->ConnectionClosed(this->key, process);
+                 });
+  }
   this->world.clock.After(this->service.restartTime, [this] {
     this->start = this->world.random.Next();
     this->isAlive = true;
