--- a/scenario/Scenario.h
+++ b/scenario/Scenario.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <map>
+#include <memory>
 #include <string>
 
 namespace fireflytrail::scenario {
@@ -28,6 +29,13 @@
 const std::map<std::string, ExpectationReader>&
 ExpectationReaders();
 
+/**
+ * Runs a script and returns the world at its end, for other judgements than
+ * the script's own. Throws `std::exception` on a faulty script.
+ */
+std::unique_ptr<World>
+PlayScript(const boost::json::object& aScript, std::uint64_t aSeed);
+
 /**
  * Runs a script and returns scenario, seed, passed and each expectation with
  * its bound and figure. Throws `std::exception` on a faulty script.
