Add the moves module

Domain moves and version moves need decisions that every daemon computes alike from the desired state, the clock and merged evidence.

The judge multiplies conditional likelihood ratios over time windows and failure domains and mixes them over alternatives and over the window in which a fault begins, so that it may be looked at at any time. Clusters of slow calls are discounted by the spread between random groups of moments; failures in few moments count as one event. The set time is met by a ramp computed backwards from it.

clang-tidy 14 reports the defaulted comparison in DaemonId as a null pointer; the line is excluded.

--- /dev/null
+++ b/bench/VersionsBench.cpp
@@ -0,0 +1,550 @@
+/**
+ * Monte Carlo of version moves: 19 daemons with gossip delay, servers whose
+ * speed shifts every 5 to 50 ms, and versions with different faults. Prints one
+ * line for each kind of version and one block of columns for each weight.
+ */
+
+#include "configuration/configuration.h"
+#include "moves/moves.h"
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include <algorithm>
+#include <array>
+#include <atomic>
+#include <chrono>
+#include <cmath>
+#include <memory>
+#include <optional>
+#include <random>
+#include <string>
+#include <thread>
+#include <vector>
+
+DEFINE_int32(runs, 100, "runs of each kind and weight");
+DEFINE_uint64(seed, 1, "seed of the first run");
+DEFINE_double(rate, 1000, "calls a second of the service, all daemons");
+DEFINE_double(seconds, 300, "time from the request to the set time");
+DEFINE_int32(threads, 3, "threads that share the runs");
+DEFINE_string(kind, "", "runs only kinds whose name contains this text");
+DEFINE_string(thin_evidence, "take_back", "take_back or finish");
+
+namespace fireflytrail::bench {
+
+namespace {
+
+using configuration::Weight;
+using core::WallTimePoint;
+using std::chrono::microseconds;
+using std::chrono::milliseconds;
+
+constexpr std::size_t kDaemons = 19;
+constexpr std::size_t kServers = 20;
+constexpr std::array<const char*, 3> kDomains = { "a", "b", "c" };
+constexpr double kRareRoutePart = 0.02;
+constexpr double kBaseFailures = 0.001;
+constexpr milliseconds kStep{ 250 };
+constexpr int kStepsPerSecond = 4;
+
+/** What a version does wrong, and when. */
+struct Kind
+{
+  std::string name;
+  bool isBad = false;
+  bool isNoisy = false;
+  /** Share of affected calls that fail. */
+  double failures = 0;
+  /** Share of affected calls that are slower, and by which factor. */
+  double slowCalls = 0;
+  double slowFactor = 1;
+  /** Begin as a part of the move's time. */
+  double begin = 0;
+  /** The fault shows only above this share. */
+  double minShare = 0;
+  bool isRareRouteOnly = false;
+};
+
+std::vector<Kind>
+Kinds()
+{
+  return {
+    { .name = "good, quiet servers" },
+    { .name = "good, noisy servers", .isNoisy = true },
+    { .name = "20 % fail at once", .isBad = true, .failures = 0.2 },
+    { .name = "2 % fail at once", .isBad = true, .failures = 0.02 },
+    { .name = "1 % fail at once", .isBad = true, .failures = 0.01 },
+    { .name = "10 % fail, from 40 % of the time",
+      .isBad = true,
+      .failures = 0.1,
+      .begin = 0.4 },
+    { .name = "10 % fail, after the set time",
+      .isBad = true,
+      .failures = 0.1,
+      .begin = 1.02 },
+    { .name = "20 % fail above a share of 0.5",
+      .isBad = true,
+      .failures = 0.2,
+      .minShare = 0.5 },
+    { .name = "50 % fail on a route with 2 % of calls",
+      .isBad = true,
+      .failures = 0.5,
+      .isRareRouteOnly = true },
+    { .name = "all 2 times slower, noisy",
+      .isBad = true,
+      .isNoisy = true,
+      .slowCalls = 1,
+      .slowFactor = 2 },
+    { .name = "all 1.5 times slower, noisy",
+      .isBad = true,
+      .isNoisy = true,
+      .slowCalls = 1,
+      .slowFactor = 1.5 },
+    { .name = "10 % are 10 times slower, noisy",
+      .isBad = true,
+      .isNoisy = true,
+      .slowCalls = 0.1,
+      .slowFactor = 10 },
+    { .name = "all 3 times slower above 0.5, noisy",
+      .isBad = true,
+      .isNoisy = true,
+      .slowCalls = 1,
+      .slowFactor = 3,
+      .minShare = 0.5 },
+    { .name = "3 times slower, route with 2 %, noisy",
+      .isBad = true,
+      .isNoisy = true,
+      .slowCalls = 1,
+      .slowFactor = 3,
+      .isRareRouteOnly = true },
+  };
+}
+
+/** Result of one run; times in seconds, negative when it did not happen. */
+struct RunResult
+{
+  double harmedShare = 0;
+  double shareBeforeEvidence = 0;
+  /** From the first harmed call until no daemon uses the new version. */
+  double timeToTakenBack = -1;
+  /** From the pooled evidence showing the fault until then. */
+  double delayAfterEvidence = -1;
+  bool isTakenBack = false;
+  bool isFinishedInTime = false;
+};
+
+/** A server whose speed shifts every 5 to 50 ms when it has noisy neighbours.
+ */
+struct Server
+{
+  double factor = 1;
+  double until = 0;
+};
+
+configuration::OperatorText
+TextFor(Weight aWeight)
+{
+  const std::string text = fmt::format(
+    R"({{ "name": "bench", "weighs_most": "{}",
+      "regions": {{ "north": ["a", "b", "c"] }},
+      "services": {{ "service": {{ "slots": 4, "version": "1", "calls": {{
+        "main": {{ "method": "GET", "path": "/main", "deadline_ms": 2000 }},
+        "rare": {{ "method": "POST", "path": "/rare", "at_most_once": true,
+                   "deadline_ms": 2000 }} }} }} }},
+      "moves": {{ "confidence": 0.99, "thin_evidence": "{}" }} }})",
+    aWeight == Weight::Latency ? "latency" : "bad_versions",
+    FLAGS_thin_evidence);
+  return configuration::OperatorText::Parse(text).value();
+}
+
+/** One run of one kind of version. */
+class Run
+{
+public:
+  Run(const Kind& aKind, Weight aWeight, std::uint64_t aSeed)
+    : kind(aKind)
+    , text(TextFor(aWeight))
+    , engine(aSeed)
+    , judge(this->text.moves, moves::MovePolicy::For(aWeight), 2)
+  {
+    configuration::Move move;
+    move.id = "m1";
+    move.kind = configuration::MoveKind::Version;
+    move.service = "service";
+    move.fromVersion = "1";
+    move.toVersion = "2";
+    move.askedAt = this->start;
+    move.setTime =
+      this->start + std::chrono::duration_cast<WallTimePoint::duration>(
+                      std::chrono::duration<double>(FLAGS_seconds));
+    for (std::size_t index = 0; index < kDaemons; ++index) {
+      auto daemon = std::make_unique<Daemon>();
+      daemon->id = { fmt::format("entry-{}", index), index + 1 };
+      daemon->move = std::make_unique<moves::VersionMove>(
+        move,
+        this->text,
+        daemon->id.name,
+        moves::VersionMove::Hooks{ .now = [this] { return this->now; },
+                                   .publishVerdict =
+                                     [this](const moves::Verdict& aVerdict) {
+                                       this->verdict = aVerdict;
+                                     },
+                                   .reportDone = {} });
+      daemon->move->ConfirmContact();
+      daemon->nextPeer = (index + 1) % kDaemons;
+      this->daemons.push_back(std::move(daemon));
+    }
+  }
+
+  RunResult Go()
+  {
+    const int steps = static_cast<int>(FLAGS_seconds * 1.2 * kStepsPerSecond);
+    for (int step = 0; step < steps; ++step) {
+      const double begin = static_cast<double>(step) / kStepsPerSecond;
+      SendCalls(begin);
+      this->now = this->start + kStep * (step + 1);
+      Exchange(step);
+      Judge(step);
+      if (this->verdict && !this->result.isTakenBack) {
+        SpreadVerdict(begin + 1.0 / kStepsPerSecond);
+        break;
+      }
+      if (this->now == this->start + milliseconds(static_cast<std::int64_t>(
+                                       FLAGS_seconds * 1000))) {
+        this->result.isFinishedInTime =
+          std::ranges::all_of(this->daemons, [](const auto& aDaemon) {
+            return aDaemon->move->State() == "watched";
+          });
+      }
+    }
+    this->result.harmedShare = static_cast<double>(this->harmed) /
+                               std::max(1.0, FLAGS_rate * FLAGS_seconds * 1.2);
+    return this->result;
+  }
+
+private:
+  struct Daemon
+  {
+    core::DaemonId id;
+    std::unique_ptr<moves::VersionMove> move;
+    moves::EvidenceRecorder recorder;
+    moves::Evidence evidence;
+    std::array<moves::ShareSampler, 2> samplers;
+    std::size_t nextPeer = 0;
+    /** States of the daemons' current windows that this daemon has. */
+    std::array<std::array<moves::EvidenceWindow, moves::Evidence::kWindows>,
+               kDaemons>
+      records;
+  };
+
+  double Uniform()
+  {
+    return std::uniform_real_distribution<>(0, 1)(this->engine);
+  }
+
+  double SpeedOf(Server& aServer, double aTime)
+  {
+    if (!this->kind.isNoisy) {
+      return 1;
+    }
+    // A long time without calls needs no more than the last shift.
+    aServer.until = std::max(aServer.until, aTime - 0.05);
+    while (aServer.until <= aTime) {
+      aServer.until += 0.005 + 0.045 * Uniform();
+      aServer.factor = Uniform() < 0.2 ? 2 + 4 * Uniform() : 1;
+    }
+    return aServer.factor;
+  }
+
+  void SendCalls(double aBegin)
+  {
+    const double length = 1.0 / kStepsPerSecond;
+    std::array<double, kDaemons> shares{};
+    for (std::size_t index = 0; index < kDaemons; ++index) {
+      shares[index] = this->daemons[index]->move->Share();
+    }
+    const auto window = this->daemons[0]->move->Window();
+    const double share = shares[0];
+    const auto newServers = std::clamp<std::size_t>(
+      static_cast<std::size_t>(std::lround(share * kServers)), 1, kServers);
+    const auto oldServers = std::max<std::size_t>(1, kServers - newServers);
+    std::vector<double> times(std::poisson_distribution<std::size_t>(
+      FLAGS_rate * length)(this->engine));
+    for (double& time : times) {
+      time = aBegin + length * Uniform();
+    }
+    std::ranges::sort(times);
+    const core::RandomFunction random = [this] { return this->engine(); };
+    std::lognormal_distribution<> duration(std::log(5000.0), 0.5);
+    for (const double time : times) {
+      const std::size_t daemonIndex = this->engine() % kDaemons;
+      Daemon& daemon = *this->daemons[daemonIndex];
+      const bool isRare = Uniform() < kRareRoutePart;
+      const bool isNew =
+        daemon.samplers[isRare].Next(shares[daemonIndex], random);
+      this->newCalls += isNew ? 1 : 0;
+      ++this->allCalls;
+      const std::size_t server =
+        this->engine() % (isNew ? newServers : oldServers);
+      moves::EvidenceRecorder::Observation call;
+      call.call = isRare ? "rare" : "main";
+      call.side = isNew ? moves::VersionSide::New : moves::VersionSide::Old;
+      call.failureDomain = kDomains[server % kDomains.size()];
+      call.isFailure = Uniform() < kBaseFailures;
+      double microsecondsTaken =
+        duration(this->engine) *
+        SpeedOf(this->servers[isNew ? 1 : 0][server], time);
+      const bool isFaulty =
+        isNew && this->kind.isBad && time >= this->kind.begin * FLAGS_seconds &&
+        share >= this->kind.minShare && (isRare || !this->kind.isRareRouteOnly);
+      if (isFaulty) {
+        const bool fails = Uniform() < this->kind.failures;
+        const bool isSlowed = Uniform() < this->kind.slowCalls;
+        call.isFailure = call.isFailure || fails;
+        microsecondsTaken *= isSlowed ? this->kind.slowFactor : 1;
+        if (fails || isSlowed) {
+          ++this->harmed;
+          this->firstHarm = this->firstHarm < 0 ? time : this->firstHarm;
+        }
+      }
+      if (!call.isFailure) {
+        call.duration = microseconds(std::llround(microsecondsTaken));
+      }
+      if (window) {
+        daemon.recorder.Record(
+          *window, this->start + microseconds(std::llround(time * 1e6)), call);
+      }
+    }
+  }
+
+  /** Every daemon publishes its counters and exchanges with one peer once a
+   * second, each at its own time within the second. */
+  void Exchange(int aStep)
+  {
+    const auto window = this->daemons[0]->move->Window();
+    if (!window) {
+      return;
+    }
+    for (std::size_t index = 0; index < kDaemons; ++index) {
+      if (static_cast<int>(index % kStepsPerSecond) !=
+          aStep % kStepsPerSecond) {
+        continue;
+      }
+      Daemon& daemon = *this->daemons[index];
+      Publish(index, *window);
+      Daemon& peer = *this->daemons[daemon.nextPeer];
+      CopyNewer(daemon, peer);
+      CopyNewer(peer, daemon);
+      do {
+        daemon.nextPeer = (daemon.nextPeer + 1) % kDaemons;
+      } while (daemon.nextPeer == index);
+    }
+  }
+
+  void Publish(std::size_t aIndex, std::size_t aWindow)
+  {
+    Daemon& daemon = *this->daemons[aIndex];
+    // The window before gets its last calls after the last publication.
+    for (std::size_t window = aWindow > 0 ? aWindow - 1 : 0; window <= aWindow;
+         ++window) {
+      const moves::EvidenceWindow& own = daemon.recorder.Window(window);
+      if (own.sequence > daemon.records[aIndex][window].sequence) {
+        daemon.records[aIndex][window] = own;
+        daemon.evidence.Merge(daemon.id, window, own);
+      }
+    }
+  }
+
+  void CopyNewer(const Daemon& aFrom, Daemon& aTo)
+  {
+    for (std::size_t origin = 0; origin < kDaemons; ++origin) {
+      for (std::size_t window = 0; window < moves::Evidence::kWindows;
+           ++window) {
+        const auto& record = aFrom.records[origin][window];
+        if (record.sequence > aTo.records[origin][window].sequence) {
+          aTo.records[origin][window] = record;
+          aTo.evidence.Merge(this->daemons[origin]->id, window, record);
+        }
+      }
+    }
+  }
+
+  void Judge(int aStep)
+  {
+    if (this->pooledAt < 0) {
+      const auto window = this->daemons[0]->move->Window();
+      if (window) {
+        for (const auto& daemon : this->daemons) {
+          for (std::size_t index = *window > 0 ? *window - 1 : 0;
+               index <= *window;
+               ++index) {
+            this->pooled.Merge(
+              daemon->id, index, daemon->recorder.Window(index));
+          }
+        }
+      }
+      if (this->judge.Judge(this->pooled.Sums()).isBad) {
+        this->pooledAt = static_cast<double>(aStep + 1) / kStepsPerSecond;
+      }
+    }
+    const bool wasWaiting = this->daemons[0]->move->State() == "first_share";
+    for (std::size_t index = 0; index < kDaemons && !this->verdict; ++index) {
+      // Judging follows the daemon's own exchange.
+      if (static_cast<int>(index % kStepsPerSecond) ==
+          aStep % kStepsPerSecond) {
+        this->daemons[index]->move->Evaluate(this->daemons[index]->evidence);
+      }
+    }
+    if (wasWaiting) {
+      this->result.shareBeforeEvidence =
+        std::max(this->result.shareBeforeEvidence,
+                 static_cast<double>(this->newCalls) /
+                   std::max(1.0, static_cast<double>(this->allCalls)));
+    }
+  }
+
+  /** A verdict is pushed at once over a few hops; the figures count it as
+   * arrived one step later. */
+  void SpreadVerdict(double aTime)
+  {
+    const double arrived = aTime + 1.0 / kStepsPerSecond;
+    for (const auto& daemon : this->daemons) {
+      if (daemon->move->State() != "taken_back") {
+        daemon->move->ApplyVerdict(*this->verdict);
+      }
+    }
+    this->result.isTakenBack = true;
+    if (this->firstHarm >= 0) {
+      this->result.timeToTakenBack = arrived - this->firstHarm;
+    }
+    if (this->pooledAt >= 0) {
+      this->result.delayAfterEvidence = std::max(0.0, arrived - this->pooledAt);
+    }
+  }
+
+  const Kind& kind;
+  configuration::OperatorText text;
+  std::mt19937_64 engine;
+  moves::VersionJudge judge;
+  WallTimePoint start{ std::chrono::seconds(1'800'000'000) };
+  WallTimePoint now = start;
+  std::vector<std::unique_ptr<Daemon>> daemons;
+  std::array<std::array<Server, kServers>, 2> servers;
+  std::optional<moves::Verdict> verdict;
+  moves::Evidence pooled;
+  double pooledAt = -1;
+  double firstHarm = -1;
+  std::uint64_t harmed = 0;
+  std::uint64_t newCalls = 0;
+  std::uint64_t allCalls = 0;
+  RunResult result;
+};
+
+double
+Quantile(std::vector<double> aValues, double aShare)
+{
+  if (aValues.empty()) {
+    return NAN;
+  }
+  std::ranges::sort(aValues);
+  const auto rank = static_cast<std::size_t>(
+    std::ceil(aShare * static_cast<double>(aValues.size())));
+  return aValues[std::max<std::size_t>(rank, 1) - 1];
+}
+
+std::vector<RunResult>
+RunAll(const Kind& aKind, Weight aWeight)
+{
+  std::vector<RunResult> results(static_cast<std::size_t>(FLAGS_runs));
+  std::atomic<std::size_t> next = 0;
+  std::vector<std::jthread> threads;
+  threads.reserve(static_cast<std::size_t>(FLAGS_threads));
+  for (int thread = 0; thread < FLAGS_threads; ++thread) {
+    threads.emplace_back([&] {
+      for (std::size_t run = next++; run < results.size(); run = next++) {
+        results[run] = Run(aKind, aWeight, FLAGS_seed * 1'000'003 + run).Go();
+      }
+    });
+  }
+  threads.clear();
+  return results;
+}
+
+std::string
+Columns(const Kind& aKind, const std::vector<RunResult>& aResults)
+{
+  std::vector<double> harmed;
+  std::vector<double> times;
+  std::vector<double> delays;
+  double maxFirstShare = 0;
+  int takenBack = 0;
+  int finished = 0;
+  for (const RunResult& result : aResults) {
+    harmed.push_back(result.harmedShare * 100);
+    if (result.timeToTakenBack >= 0) {
+      times.push_back(result.timeToTakenBack);
+    }
+    if (result.delayAfterEvidence >= 0) {
+      delays.push_back(result.delayAfterEvidence);
+    }
+    takenBack += result.isTakenBack ? 1 : 0;
+    finished += result.isFinishedInTime ? 1 : 0;
+    maxFirstShare = std::max(maxFirstShare, result.shareBeforeEvidence);
+  }
+  const int runs = static_cast<int>(aResults.size());
+  const auto seconds = [](double aValue) {
+    return std::isnan(aValue) ? std::string("-")
+                              : fmt::format("{:.1f}", aValue);
+  };
+  return fmt::format(" {:>6.3f} {:>6} {:>6} {:>5} {:>5} {:>5} {:>6} {:>6.3f} |",
+                     Quantile(harmed, 0.5),
+                     seconds(Quantile(times, 0.5)),
+                     seconds(Quantile(times, 0.95)),
+                     seconds(Quantile(delays, 1)),
+                     aKind.isBad ? fmt::format("{}", runs - takenBack) : "-",
+                     aKind.isBad ? "-" : fmt::format("{}", takenBack),
+                     aKind.isBad ? "-" : fmt::format("{}", finished),
+                     maxFirstShare * 100);
+}
+
+} // namespace
+
+} // namespace fireflytrail::bench
+
+int
+main(int aCount, char** aArguments)
+{
+  using namespace fireflytrail::bench;
+  gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
+  fmt::print("{} runs of each, seed {}, {} daemons, {} calls/s, {} s from "
+             "request to set time, thin_evidence {}\n\n",
+             FLAGS_runs,
+             FLAGS_seed,
+             kDaemons,
+             FLAGS_rate,
+             FLAGS_seconds,
+             FLAGS_thin_evidence);
+  fmt::print(
+    "harmed: calls harmed in % of all calls, median; back: seconds "
+    "from the first harmed call\nuntil no daemon uses the version, "
+    "median and 95 %; delay: longest time from the pooled\nevidence "
+    "showing the fault until then; miss: bad versions not taken back; "
+    "wrong: good versions\ntaken back; done: good versions finished by "
+    "the set time; first: largest share in % before\nevidence\n\n");
+  constexpr std::string_view kHead =
+    " harmed   back   95 % delay  miss wrong   done  first |";
+  fmt::print("{:<40}|{:^55}|{:^55}|\n", "", "latency", "bad_versions");
+  fmt::print("{:<40}|{}{}\n", "kind of version", kHead, kHead);
+  for (const Kind& kind : Kinds()) {
+    if (kind.name.find(FLAGS_kind) == std::string::npos) {
+      continue;
+    }
+    fmt::print("{:<40}|", kind.name);
+    for (const Weight weight : { Weight::Latency, Weight::BadVersions }) {
+      fmt::print("{}", Columns(kind, RunAll(kind, weight)));
+    }
+    fmt::print("\n");
+    std::fflush(stdout);
+  }
+  return 0;
+}
--- a/modules/core/DaemonId.h
+++ b/modules/core/DaemonId.h
@@ -16,7 +16,9 @@
   std::string name;
   std::uint64_t start = 0;
 
-  auto operator<=>(const DaemonId&) const = default;
+  // clang-tidy 14 takes the generated comparison with 0 for a null pointer.
+  auto operator<=>(const DaemonId&) const =
+    default; // NOLINT(modernize-use-nullptr)
 };
 
 } // namespace fireflytrail::core
--- /dev/null
+++ b/modules/moves/Evidence.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include "core/DaemonId.h"
+#include "moves/EvidenceWindow.h"
+
+#include <array>
+#include <cstddef>
+#include <map>
+
+namespace fireflytrail::moves {
+
+/**
+ * The counters of all daemons for one version move. Each daemon is the single
+ * writer of its own; merging is independent of the order of messages.
+ */
+class Evidence
+{
+public:
+  /** Time windows of a move and of the watch after it; see `MoveSchedule`. */
+  static constexpr std::size_t kWindows = 48;
+
+  /** Sums over all daemons by window. */
+  using Totals = std::array<EvidenceWindow, kWindows>;
+
+  /**
+   * Takes over a daemon's state of one window unless a newer one is known.
+   * Returns whether anything changed. `aWindow` must be below `kWindows`. Not
+   * thread-safe.
+   */
+  bool Merge(const core::DaemonId& aOrigin,
+             std::size_t aWindow,
+             const EvidenceWindow& aState);
+
+  /** Returns the sums. The reference holds until `Merge`. Not thread-safe. */
+  const Totals& Sums() const;
+
+  /** Returns the daemons that contributed. Not thread-safe. */
+  std::size_t OriginCount() const;
+
+private:
+  std::map<core::DaemonId, Totals> origins;
+  Totals sums;
+};
+
+} // namespace fireflytrail::moves
--- /dev/null
+++ b/modules/moves/EvidenceRecorderTest.cpp
@@ -0,0 +1,95 @@
+#include "moves/EvidenceRecorder.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <bit>
+
+using namespace fireflytrail::moves;
+using fireflytrail::core::WallTimePoint;
+using std::chrono::milliseconds;
+
+namespace {
+
+EvidenceRecorder::Observation
+CallOf(VersionSide aSide, milliseconds aDuration)
+{
+  return { "sell", aSide, "a", false, aDuration };
+}
+
+} // namespace
+
+// Guards against calls of the new version that shift the bounds they are
+// measured against.
+BOOST_AUTO_TEST_CASE(BoundsComeFromTheOldVersion)
+{
+  EvidenceRecorder recorder;
+  for (int call = 0; call < 100; ++call) {
+    recorder.Record(
+      0, WallTimePoint{}, CallOf(VersionSide::Old, milliseconds(10)));
+    recorder.Record(
+      0, WallTimePoint{}, CallOf(VersionSide::New, milliseconds(30)));
+  }
+  const auto& domain = recorder.Window(0).routes.at("sell").domains.at("a");
+  BOOST_TEST(domain.old.calls == 100U);
+  BOOST_TEST(domain.fresh.calls == 100U);
+  // The first 20 calls of the old version set the bounds.
+  BOOST_TEST(domain.old.timed == 80U);
+  BOOST_TEST(domain.old.slow == 0U);
+  BOOST_TEST(domain.fresh.slow == domain.fresh.timed);
+  BOOST_TEST(domain.fresh.verySlow == domain.fresh.timed);
+  BOOST_TEST(recorder.Window(0).sequence == 200U);
+}
+
+// Guards against bounds that change within a window, which would compare early
+// calls of one version with late calls of the other.
+BOOST_AUTO_TEST_CASE(BoundsChangeOnlyBetweenWindows)
+{
+  EvidenceRecorder recorder;
+  for (int call = 0; call < 20; ++call) {
+    recorder.Record(
+      0, WallTimePoint{}, CallOf(VersionSide::Old, milliseconds(10)));
+  }
+  for (int call = 0; call < 200; ++call) {
+    recorder.Record(
+      0, WallTimePoint{}, CallOf(VersionSide::Old, milliseconds(20)));
+  }
+  BOOST_TEST(recorder.Window(0).routes.at("sell").domains.at("a").old.slow ==
+             200U);
+  recorder.Record(
+    1, WallTimePoint{}, CallOf(VersionSide::Old, milliseconds(20)));
+  BOOST_TEST(recorder.Window(1).routes.at("sell").domains.at("a").old.slow ==
+             0U);
+}
+
+// Guards against one short event counting as many independent failures.
+BOOST_AUTO_TEST_CASE(FailuresWithinOneMomentShareAGroup)
+{
+  EvidenceRecorder recorder;
+  const EvidenceRecorder::Observation failure{
+    "sell", VersionSide::New, "a", true, {}
+  };
+  for (int call = 0; call < 4; ++call) {
+    recorder.Record(0, WallTimePoint(milliseconds(1000 + call)), failure);
+  }
+  BOOST_TEST(
+    std::popcount(recorder.Window(0).routes.at("sell").newFailureGroups) == 1);
+  for (int moment = 0; moment < 100; ++moment) {
+    recorder.Record(
+      0, WallTimePoint(milliseconds(2000 + 100 * moment)), failure);
+  }
+  BOOST_TEST(
+    std::popcount(recorder.Window(0).routes.at("sell").newFailureGroups) ==
+    static_cast<int>(RouteEvidence::kGroups));
+}
+
+// Guards against memory that grows with call names from outside.
+BOOST_AUTO_TEST_CASE(NumberOfRoutesIsBounded)
+{
+  EvidenceRecorder recorder;
+  for (int call = 0; call < 1000; ++call) {
+    auto observation = CallOf(VersionSide::Old, milliseconds(1));
+    observation.call = std::to_string(call);
+    recorder.Record(0, WallTimePoint{}, observation);
+  }
+  BOOST_TEST(recorder.Window(0).routes.size() == EvidenceWindow::kMaxRoutes);
+}
--- /dev/null
+++ b/modules/moves/EvidenceTest.cpp
@@ -0,0 +1,67 @@
+#include "moves/Evidence.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <random>
+#include <tuple>
+#include <vector>
+
+using namespace fireflytrail::moves;
+using fireflytrail::core::DaemonId;
+
+namespace {
+
+EvidenceWindow
+StateOf(std::uint64_t aCalls)
+{
+  EvidenceWindow window;
+  window.sequence = aCalls;
+  auto& route = window.routes["sell"];
+  route.domains["a"].fresh.calls = aCalls;
+  route.domains["a"].fresh.failures = aCalls / 10;
+  route.newFailureGroups = aCalls >= 10 ? 1 : 0;
+  return window;
+}
+
+} // namespace
+
+// Guards against sums that depend on the order of messages, or on messages
+// that arrive twice.
+BOOST_AUTO_TEST_CASE(MergingIsIndependentOfOrder)
+{
+  std::vector<std::tuple<DaemonId, std::size_t, std::uint64_t>> messages;
+  for (std::uint64_t daemon = 1; daemon <= 5; ++daemon) {
+    for (std::uint64_t calls = 1; calls <= 40; calls += 3) {
+      messages.emplace_back(
+        DaemonId{ "entry", daemon }, calls % 2, calls * daemon);
+    }
+  }
+  Evidence inOrder;
+  for (const auto& [origin, window, calls] : messages) {
+    inOrder.Merge(origin, window, StateOf(calls));
+  }
+  std::mt19937_64 engine(3);
+  for (int round = 0; round < 20; ++round) {
+    auto shuffled = messages;
+    shuffled.insert(shuffled.end(), messages.begin(), messages.begin() + 10);
+    std::ranges::shuffle(shuffled, engine);
+    Evidence evidence;
+    for (const auto& [origin, window, calls] : shuffled) {
+      evidence.Merge(origin, window, StateOf(calls));
+    }
+    BOOST_TEST((evidence.Sums() == inOrder.Sums()));
+  }
+}
+
+// Guards against a restarted daemon replacing the counters of the process
+// before it.
+BOOST_AUTO_TEST_CASE(RestartedDaemonIsAnotherOrigin)
+{
+  Evidence evidence;
+  evidence.Merge({ "entry", 1 }, 0, StateOf(50));
+  evidence.Merge({ "entry", 2 }, 0, StateOf(7));
+  BOOST_TEST(evidence.OriginCount() == 2U);
+  BOOST_TEST(evidence.Sums()[0].routes.at("sell").domains.at("a").fresh.calls ==
+             57U);
+}
--- /dev/null
+++ b/modules/moves/MoveConfirmation.cpp
@@ -0,0 +1,45 @@
+#include "moves/MoveConfirmation.h"
+
+#include <fmt/format.h>
+#include <fmt/ranges.h>
+
+namespace fireflytrail::moves {
+
+MoveConfirmation
+MoveConfirmation::Of(const std::vector<Member>& aMembers,
+                     const std::set<core::DaemonId>& aConfirmations)
+{
+  MoveConfirmation result;
+  bool isHeldUp = false;
+  for (const Member& member : aMembers) {
+    if (aConfirmations.contains(member.id)) {
+      result.confirmed.push_back(member.id.name);
+    } else if (member.reachability == Reachability::Alive) {
+      result.awaited.push_back(member.id.name);
+      isHeldUp = true;
+    } else {
+      result.notAsked.push_back(member.id.name);
+      isHeldUp = isHeldUp || member.reachability == Reachability::Suspect;
+    }
+  }
+  result.isDone = !isHeldUp && !result.confirmed.empty();
+  return result;
+}
+
+std::string
+MoveConfirmation::ToString() const
+{
+  std::string text = fmt::format("{}: {} confirmed",
+                                 this->isDone ? "done" : "not done",
+                                 this->confirmed.size());
+  if (!this->awaited.empty()) {
+    text += fmt::format(", waiting for {}", fmt::join(this->awaited, ", "));
+  }
+  if (!this->notAsked.empty()) {
+    text +=
+      fmt::format(", could not be asked: {}", fmt::join(this->notAsked, ", "));
+  }
+  return text;
+}
+
+} // namespace fireflytrail::moves
--- /dev/null
+++ b/modules/moves/MovePolicy.cpp
@@ -0,0 +1,20 @@
+#include "moves/MovePolicy.h"
+
+namespace fireflytrail::moves {
+
+MovePolicy
+MovePolicy::For(configuration::Weight aWeight)
+{
+  if (aWeight == configuration::Weight::BadVersions) {
+    return { .toleratedRatio = 1.1,
+             .excludedFailureShare = 0.05,
+             .rampPart = 0.65,
+             .holdsOnSuspicion = true };
+  }
+  return { .toleratedRatio = 1.25,
+           .excludedFailureShare = 0.1,
+           .rampPart = 0.45,
+           .holdsOnSuspicion = false };
+}
+
+} // namespace fireflytrail::moves
--- /dev/null
+++ b/modules/moves/MoveSchedule.cpp
@@ -0,0 +1,78 @@
+#include "moves/MoveSchedule.h"
+
+#include "moves/Evidence.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace fireflytrail::moves {
+
+namespace {
+
+using Real = std::chrono::duration<double>;
+
+/** Windows within the move's own time; the others belong to the watch. */
+constexpr std::size_t kMoveWindows = 40;
+
+} // namespace
+
+MoveSchedule::MoveSchedule(core::WallTimePoint aAskedAt,
+                           core::WallTimePoint aSetTime,
+                           const MovePolicy& aPolicy)
+  : askedAt(aAskedAt)
+  , time(std::max<Duration>(aSetTime - aAskedAt, std::chrono::seconds(1)))
+  , rampTime(
+      std::chrono::duration_cast<Duration>(Real(this->time) * aPolicy.rampPart))
+{
+}
+
+std::optional<std::size_t>
+MoveSchedule::WindowAt(core::WallTimePoint aNow) const
+{
+  const Duration elapsed = std::max(Duration(0), aNow - this->askedAt);
+  const auto window =
+    static_cast<std::size_t>(elapsed / (this->time / kMoveWindows));
+  return window < Evidence::kWindows ? std::optional(window) : std::nullopt;
+}
+
+core::WallTimePoint
+MoveSchedule::RampStart() const
+{
+  return this->askedAt + this->time * 9 / 10 - this->rampTime;
+}
+
+core::WallTimePoint
+MoveSchedule::RampEnd(core::WallTimePoint aFrom) const
+{
+  // A late ramp takes at least a tenth of the move's time.
+  return std::max(this->askedAt + this->time * 9 / 10, aFrom + this->time / 10);
+}
+
+core::WallTimePoint
+MoveSchedule::LatestRampStart() const
+{
+  return this->askedAt + this->time * 9 / 10;
+}
+
+core::WallTimePoint
+MoveSchedule::WatchEnd() const
+{
+  return this->askedAt + this->time * 6 / 5;
+}
+
+double
+MoveSchedule::ShareAt(core::WallTimePoint aNow,
+                      core::WallTimePoint aFrom,
+                      double aFromShare) const
+{
+  assert(aFromShare > 0);
+  const core::WallTimePoint end = RampEnd(aFrom);
+  if (aNow >= end) {
+    return 1;
+  }
+  const double part = std::max(0.0, Real(aNow - aFrom) / Real(end - aFrom));
+  return std::min(1.0, std::pow(aFromShare, 1 - part));
+}
+
+} // namespace fireflytrail::moves
--- /dev/null
+++ b/modules/moves/RateComparison.cpp
@@ -0,0 +1,72 @@
+#include "moves/RateComparison.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace fireflytrail::moves {
+
+namespace {
+
+/** Weight of a fault that is there from the start; the rest is spread over the
+ * later windows. */
+constexpr double kWeightOfFirstWindow = 0.25;
+
+/** Keeps the exponential finite; far beyond every threshold. */
+constexpr double kMaxLogRatio = 500;
+
+} // namespace
+
+RateComparison::RateComparison(double aToleratedRatio, double aDispersion)
+  : toleratedRatio(aToleratedRatio)
+  , dispersion(aDispersion)
+{
+  assert(aToleratedRatio > 0);
+  assert(aDispersion >= 1);
+}
+
+void
+RateComparison::AddWindow(std::span<const Stratum> aStrata)
+{
+  LogRatios sums{};
+  for (const Stratum& stratum : aStrata) {
+    if (stratum.oldCalls <= 0 || stratum.newCalls <= 0) {
+      continue;
+    }
+    const double newPart =
+      stratum.newCalls / (stratum.newCalls + stratum.oldCalls);
+    const double events = stratum.newEvents + stratum.oldEvents;
+    const double tolerated = 1 - newPart + newPart * this->toleratedRatio;
+    for (std::size_t index = 0; index < kAlternatives.size(); ++index) {
+      const double ratio = this->toleratedRatio * kAlternatives[index];
+      sums[index] +=
+        stratum.newEvents * std::log(kAlternatives[index]) -
+        events * std::log((1 - newPart + newPart * ratio) / tolerated);
+    }
+  }
+  this->windows.push_back(sums);
+}
+
+double
+RateComparison::Value(std::size_t aWindowCount) const
+{
+  assert(aWindowCount >= this->windows.size());
+  const bool isSingle = aWindowCount <= 1;
+  const double firstWeight = isSingle ? 1 : kWeightOfFirstWindow;
+  const double laterWeight =
+    isSingle ? 0 : (1 - firstWeight) / static_cast<double>(aWindowCount - 1);
+  double value = 0;
+  LogRatios sums{};
+  // Sums from each window to the last one, from the back.
+  for (std::size_t window = this->windows.size(); window-- > 0;) {
+    const double weight = window == 0 ? firstWeight : laterWeight;
+    for (std::size_t index = 0; index < kAlternatives.size(); ++index) {
+      sums[index] += this->windows[window][index];
+      value += weight / static_cast<double>(kAlternatives.size()) *
+               std::exp(std::min(kMaxLogRatio, sums[index] / this->dispersion));
+    }
+  }
+  return value;
+}
+
+} // namespace fireflytrail::moves
--- /dev/null
+++ b/modules/moves/RouteEvidence.cpp
@@ -0,0 +1,34 @@
+#include "moves/RouteEvidence.h"
+
+namespace fireflytrail::moves {
+
+RouteEvidence&
+RouteEvidence::operator+=(const RouteEvidence& aOther)
+{
+  for (const auto& [name, domain] : aOther.domains) {
+    Domain& own = this->domains[name];
+    own.old += domain.old;
+    own.fresh += domain.fresh;
+  }
+  for (std::size_t group = 0; group < kGroups; ++group) {
+    this->oldGroups[group] += aOther.oldGroups[group];
+  }
+  this->newFailureGroups |= aOther.newFailureGroups;
+  return *this;
+}
+
+RouteEvidence&
+RouteEvidence::operator-=(const RouteEvidence& aOther)
+{
+  for (const auto& [name, domain] : aOther.domains) {
+    Domain& own = this->domains[name];
+    own.old -= domain.old;
+    own.fresh -= domain.fresh;
+  }
+  for (std::size_t group = 0; group < kGroups; ++group) {
+    this->oldGroups[group] -= aOther.oldGroups[group];
+  }
+  return *this;
+}
+
+} // namespace fireflytrail::moves
--- /dev/null
+++ b/modules/moves/ShareSampler.cpp
@@ -0,0 +1,46 @@
+#include "moves/ShareSampler.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace fireflytrail::moves {
+
+namespace {
+
+/** Above every threshold; a larger credit would only let a burst follow when
+ * the share grows. */
+constexpr double kMaxCredit = 2;
+
+/** Returns a number from 1 up to 2, uniformly distributed. */
+double
+DrawThreshold(const core::RandomFunction& aRandom)
+{
+  return 1 + std::ldexp(static_cast<double>(aRandom() >> 11), -53);
+}
+
+} // namespace
+
+bool
+ShareSampler::Next(double aShare, const core::RandomFunction& aRandom)
+{
+  assert(aShare >= 0 && aShare <= 1);
+  if (aShare <= 0) {
+    return false;
+  }
+  if (aShare >= 1) {
+    return true;
+  }
+  if (this->threshold < 1) {
+    this->threshold = DrawThreshold(aRandom);
+  }
+  this->credit = std::min(kMaxCredit, this->credit + aShare);
+  if (this->credit < this->threshold) {
+    return false;
+  }
+  this->credit -= 1;
+  this->threshold = DrawThreshold(aRandom);
+  return true;
+}
+
+} // namespace fireflytrail::moves
--- /dev/null
+++ b/modules/moves/VersionJudgeTest.cpp
@@ -0,0 +1,129 @@
+#include "moves/VersionJudge.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace fireflytrail::moves;
+using fireflytrail::configuration::MovesSettings;
+using fireflytrail::configuration::Weight;
+
+namespace {
+
+VersionJudge
+JudgeFor(Weight aWeight = Weight::Latency)
+{
+  return { MovesSettings{}, MovePolicy::For(aWeight), 2 };
+}
+
+/** Sets one window of a route; the old version has 19 times the calls. */
+void
+SetRoute(Evidence::Totals& aSums,
+         std::size_t aWindow,
+         const std::string& aCall,
+         std::uint64_t aNewCalls,
+         std::uint64_t aNewFailures,
+         std::uint64_t aOldFailures = 0)
+{
+  RouteEvidence& route = aSums[aWindow].routes[aCall];
+  route.domains["a"].old = { 19 * aNewCalls, aOldFailures, 0, 0, 0 };
+  route.domains["a"].fresh = { aNewCalls, aNewFailures, 0, 0, 0 };
+  route.newFailureGroups = aNewFailures > 0 ? 0xff : 0;
+}
+
+} // namespace
+
+// Guards against a fault on a rare route that the other routes' good calls
+// hide.
+BOOST_AUTO_TEST_CASE(JudgesEachRouteOnItsOwn)
+{
+  Evidence::Totals sums;
+  SetRoute(sums, 0, "sell", 5000, 5, 95);
+  SetRoute(sums, 0, "list", 100, 0);
+  BOOST_TEST(!JudgeFor().Judge(sums).isBad);
+  SetRoute(sums, 0, "list", 100, 10);
+  const auto judgement = JudgeFor().Judge(sums);
+  BOOST_TEST(judgement.isBad);
+  BOOST_TEST(judgement.reason.find("call list: 10 of 100 calls") !=
+             std::string::npos);
+}
+
+// Guards against a good version that is taken back because one of its servers
+// died with all slots in use.
+BOOST_AUTO_TEST_CASE(OneMomentOfFailuresIsNotEnough)
+{
+  Evidence::Totals sums;
+  SetRoute(sums, 0, "sell", 200, 5);
+  sums[0].routes["sell"].newFailureGroups = 1;
+  BOOST_TEST(!JudgeFor().Judge(sums).isBad);
+  // The same number in four separate moments is.
+  sums[0].routes["sell"].newFailureGroups = 0xf;
+  BOOST_TEST(JudgeFor().Judge(sums).isBad);
+}
+
+// Guards against a version that is judged by other failure domains' calls.
+BOOST_AUTO_TEST_CASE(ComparesWithinFailureDomains)
+{
+  Evidence::Totals sums;
+  // Domain b fails 10 % of all calls, and the new version has most of its
+  // calls there.
+  RouteEvidence& route = sums[0].routes["sell"];
+  route.domains["a"].old = { 10'000, 10, 0, 0, 0 };
+  route.domains["a"].fresh = { 100, 0, 0, 0, 0 };
+  route.domains["b"].old = { 1000, 100, 0, 0, 0 };
+  route.domains["b"].fresh = { 500, 50, 0, 0, 0 };
+  route.newFailureGroups = 0xff;
+  BOOST_TEST(!JudgeFor().Judge(sums).isBad);
+}
+
+// Guards against noisy servers that make a good version look slow: the same
+// counts are no evidence when the old version's groups differ as much.
+BOOST_AUTO_TEST_CASE(ClustersOfSlowCallsWeighLess)
+{
+  const auto sumsWith = [](std::uint64_t aSpread) {
+    Evidence::Totals sums;
+    RouteEvidence& route = sums[0].routes["sell"];
+    route.domains["a"].old = { 8000, 0, 8000, 2000, 400 };
+    route.domains["a"].fresh = { 400, 0, 400, 220, 30 };
+    for (std::size_t group = 0; group < RouteEvidence::kGroups; ++group) {
+      const std::uint64_t slow = group % 2 == 0 ? 250 + aSpread : 250 - aSpread;
+      route.oldGroups[group] = { 1000, 0, 1000, slow, 50 };
+    }
+    return sums;
+  };
+  BOOST_TEST(JudgeFor().Judge(sumsWith(10)).isBad);
+  BOOST_TEST(!JudgeFor().Judge(sumsWith(100)).isBad);
+}
+
+// Guards against a version that turns bad after all calls go to it, when there
+// are no calls of the old version at the same time.
+BOOST_AUTO_TEST_CASE(JudgesOnAfterTheMove)
+{
+  Evidence::Totals sums;
+  for (std::size_t window = 0; window < 36; ++window) {
+    SetRoute(sums, window, "sell", 100, 0, 2);
+  }
+  RouteEvidence& after = sums[40].routes["sell"];
+  after.domains["a"].fresh = { 3000, 4, 0, 0, 0 };
+  after.newFailureGroups = 0xff;
+  BOOST_TEST(!JudgeFor().Judge(sums).isBad);
+  after.domains["a"].fresh = { 3000, 60, 0, 0, 0 };
+  BOOST_TEST(JudgeFor().Judge(sums).isBad);
+}
+
+// Guards against a share that grows without evidence on every route, and
+// against the weight `bad_versions` asking for less than `latency`.
+BOOST_AUTO_TEST_CASE(AsksForEnoughCallsOnEveryRoute)
+{
+  const std::size_t enough = JudgeFor().EnoughCalls();
+  BOOST_TEST(enough == 44U);
+  BOOST_TEST(JudgeFor(Weight::BadVersions).EnoughCalls() == 90U);
+  Evidence::Totals sums;
+  BOOST_TEST(!JudgeFor().Judge(sums).isEvidenceSufficient);
+  SetRoute(sums, 0, "sell", 1000, 0);
+  SetRoute(sums, 0, "list", enough - 1, 0);
+  const auto thin = JudgeFor().Judge(sums);
+  BOOST_TEST(!thin.isEvidenceSufficient);
+  BOOST_REQUIRE_EQUAL(thin.thinRoutes.size(), 1U);
+  BOOST_TEST(thin.thinRoutes[0] == "call list: 43 of 44 calls needed");
+  SetRoute(sums, 0, "list", enough, 0);
+  BOOST_TEST(JudgeFor().Judge(sums).isEvidenceSufficient);
+}
--- /dev/null
+++ b/modules/moves/moves.h
@@ -0,0 +1,16 @@
+#pragma once
+
+/**
+ * Moves that operators declare: failure domains out and back, and new versions
+ * by a set time. Version moves count evidence, judge the new version and
+ * compute its share of calls. The module performs no I/O; clock, random numbers
+ * and output are hooks.
+ */
+
+#include "moves/DomainCapacity.h"
+#include "moves/DomainMove.h"
+#include "moves/Evidence.h"
+#include "moves/EvidenceRecorder.h"
+#include "moves/MoveConfirmation.h"
+#include "moves/ShareSampler.h"
+#include "moves/VersionMove.h"
