Keep gossip within 4 KB a second up to 100 hosts

Above 40 hosts the exchange interval now grows with the number of hosts, documents are sent as differences where the requester has the version before, large records are paced by a byte rate for the whole fleet, known origins are sent without their names, and a reply asks for only as many origins as peers were able to serve.

--- a/modules/gossip/Delta.h
+++ b/modules/gossip/Delta.h
@@ -32,8 +32,9 @@
 /** Records of one origin in the order of their versions. */
 struct OriginDelta
 {
+  /** The name is empty if the receiver knows the start. */
   core::DaemonId id;
-  /** Orders the starts of daemons with the same name. */
+  /** Orders the starts of daemons with the same name; 0 without a name. */
   std::uint64_t incarnation = 0;
   std::uint32_t heartbeat = 0;
   /** The records are complete for the versions above `from`, up to `upTo`. */
--- a/modules/gossip/DesiredResponse.h
+++ b/modules/gossip/DesiredResponse.h
@@ -1,17 +1,25 @@
 #pragma once
 
+#include "gossip/DocumentPatch.h"
+
 #include <cstdint>
 #include <string>
+#include <vector>
 
 namespace fireflytrail::gossip {
 
-/** Answer to a `DesiredRequest`. */
+/** Answer to a `DesiredRequest`: a document, a patch, or a referral. */
 struct DesiredResponse
 {
   std::uint64_t requestId = 0;
-  /** 0 if the response carries no document. */
+  /** 0 if the response carries neither document nor patch. */
   std::uint64_t version = 0;
   std::string document;
+  /** Version that the patch applies to; 0 if there is no patch. */
+  std::uint64_t patchBase = 0;
+  std::vector<PatchPart> patch;
+  /** `core::HashOf` of the whole document. */
+  std::uint64_t documentHash = 0;
   /** Without a document: the name of a peer to ask instead, or empty. */
   std::string askInstead;
 
--- a/modules/gossip/DesiredStateSpread.cpp
+++ b/modules/gossip/DesiredStateSpread.cpp
@@ -1,5 +1,6 @@
 #include "gossip/DesiredStateSpread.h"
 
+#include "core/Hash.h"
 #include "gossip/GossipExchanger.h"
 #include "gossip/GossipState.h"
 #include "gossip/Membership.h"
@@ -16,11 +17,16 @@
 
 constexpr auto kRequestTimeout = 700ms;
 
-// A daemon sends the document to this many peers within the period and refers
-// others to them, which makes a tree with this fan-out.
-constexpr std::size_t kServeLimit = 2;
+// A daemon sends the document to `documentServeLimit` peers within this time
+// and refers others to them, which makes a tree with this fan-out.
 constexpr auto kServePeriod = 3s;
 
+// Larger patches count like documents.
+constexpr std::size_t kSmallPatch = 2048;
+
+// The store holds values of up to 1 MB.
+constexpr std::size_t kMaxDocumentSize = std::size_t{ 1024 } * 1024;
+
 // After this many failed or referred requests the next one insists.
 constexpr unsigned kInsistAfter = 8;
 
@@ -54,7 +60,8 @@
                                        core::WallNowFunction aWallNow,
                                        core::RandomFunction aRandom,
                                        SendFunction aSend,
-                                       AcceptedFunction aAccepted)
+                                       AcceptedFunction aAccepted,
+                                       const GossipSettings& aSettings)
   : state(aState)
   , exchanger(aExchanger)
   , membership(aMembership)
@@ -63,12 +70,14 @@
   , random(std::move(aRandom))
   , send(std::move(aSend))
   , accepted(std::move(aAccepted))
+  , settings(aSettings)
 {
   assert(this->now);
   assert(this->wallNow);
   assert(this->random);
   assert(this->send);
   assert(this->accepted);
+  assert(this->settings.documentServeLimit > 0);
 }
 
 std::string
@@ -139,6 +148,10 @@
                            bool aIsUrgent)
 {
   assert(aVersion > this->status.held);
+  this->previousVersion = this->status.held;
+  this->previousDocument = std::move(this->document);
+  this->patch.reset();
+  this->wantsWholeDocument = false;
   this->status.held = aVersion;
   this->newestSeen = std::max(this->newestSeen, aVersion);
   this->document = std::move(aDocument);
@@ -156,7 +169,9 @@
     this->state.SetRecord(kDesiredKey, value);
   }
   for (const Waiting& entry : std::exchange(this->waiting, {})) {
-    this->Respond(entry.name, entry.request);
+    if (!this->RespondWithPatch(entry.name, entry.request)) {
+      this->Respond(entry.name, entry.request);
+    }
   }
 }
 
@@ -215,7 +230,7 @@
   request.requestId = ++this->requestId;
   request.version =
     this->status.held == 0 ? this->newestSeen : this->status.held + 1;
-  request.haveVersion = this->status.held;
+  request.haveVersion = this->wantsWholeDocument ? 0 : this->status.held;
   request.insist = this->attempts > kInsistAfter;
   this->pending =
     Pending{ request.requestId, aName, this->now() + kRequestTimeout };
@@ -262,10 +277,51 @@
   response.requestId = aRequest.requestId;
   response.version = this->status.held;
   response.document = this->document;
+  response.documentHash = core::HashOf(this->document);
   this->served.push_back({ aTo, this->now() });
   this->send(this->PeerFor(aTo), response);
 }
 
+bool
+DesiredStateSpread::RespondWithPatch(const std::string& aTo,
+                                     const DesiredRequest& aRequest)
+{
+  if (!this->settings.sendsPatches || aRequest.haveVersion == 0 ||
+      aRequest.haveVersion != this->previousVersion) {
+    return false;
+  }
+  if (!this->patch) {
+    this->patch = DocumentPatch::Make(this->previousDocument, this->document);
+  }
+  if (DocumentPatch::EncodedSize(*this->patch) > kSmallPatch) {
+    return false;
+  }
+  DesiredResponse response;
+  response.requestId = aRequest.requestId;
+  response.version = this->status.held;
+  response.patchBase = this->previousVersion;
+  response.patch = *this->patch;
+  response.documentHash = core::HashOf(this->document);
+  this->send(this->PeerFor(aTo), response);
+  return true;
+}
+
+std::optional<std::string>
+DesiredStateSpread::DocumentOf(const DesiredResponse& aResponse) const
+{
+  std::optional<std::string> made;
+  if (aResponse.patchBase == 0) {
+    made = aResponse.document;
+  } else if (aResponse.patchBase == this->status.held) {
+    made =
+      DocumentPatch::Apply(this->document, aResponse.patch, kMaxDocumentSize);
+  }
+  if (made && core::HashOf(*made) != aResponse.documentHash) {
+    made.reset();
+  }
+  return made;
+}
+
 void
 DesiredStateSpread::Receive(const std::string& aFrom,
                             const DesiredRequest& aRequest)
@@ -273,19 +329,24 @@
   if (this->status.held < aRequest.version) {
     if (!this->pending) {
       this->Refer(aFrom, aRequest, "");
-    } else if (this->waiting.size() < kServeLimit) {
+    } else if (this->waiting.size() < this->settings.documentServeLimit) {
       this->waiting.push_back({ aFrom, aRequest });
     } else {
-      this->Refer(
-        aFrom, aRequest, this->waiting[this->referTurn++ % kServeLimit].name);
+      this->Refer(aFrom,
+                  aRequest,
+                  this->waiting[this->referTurn++ % this->waiting.size()].name);
     }
     return;
   }
+  if (this->RespondWithPatch(aFrom, aRequest)) {
+    return;
+  }
   const core::TimePoint current = this->now();
   std::erase_if(this->served, [&](const Served& aServed) {
     return current - aServed.at > kServePeriod;
   });
-  if (this->served.size() < kServeLimit || aRequest.insist) {
+  if (this->served.size() < this->settings.documentServeLimit ||
+      aRequest.insist) {
     this->Respond(aFrom, aRequest);
     return;
   }
@@ -302,8 +363,11 @@
     this->pending && this->pending->id == aResponse.requestId;
   if (aResponse.version > this->status.held &&
       (this->status.held != 0 || aResponse.version >= this->newestSeen)) {
-    this->Accept(aResponse.version, aResponse.document, false);
-    return;
+    if (auto document = this->DocumentOf(aResponse)) {
+      this->Accept(aResponse.version, std::move(*document), false);
+      return;
+    }
+    this->wantsWholeDocument = true;
   }
   if (!isAwaited) {
     return;
--- a/modules/gossip/DesiredStateSpread.h
+++ b/modules/gossip/DesiredStateSpread.h
@@ -5,6 +5,7 @@
 #include "gossip/DesiredRequest.h"
 #include "gossip/DesiredResponse.h"
 #include "gossip/GossipMessage.h"
+#include "gossip/GossipSettings.h"
 
 #include <cstdint>
 #include <functional>
@@ -35,10 +36,12 @@
 
 /**
  * Distributes the desired state document. Records carry only versions; the
- * document is requested from one peer that holds it. A daemon that has served
- * it to a few peers refers further ones to these, so that no daemon sends it
- * to the whole fleet. No version is accepted below the newest one ever seen,
- * and none from a peer until enough peers were heard after the start.
+ * document is requested from one peer that holds it, which sends the
+ * difference if the requester has the version before. A daemon that has sent
+ * the whole document to a few peers refers further ones to these, so that no
+ * daemon sends it to the whole fleet. No version is accepted below the newest
+ * one ever seen, and none from a peer until enough peers were heard after the
+ * start.
  */
 class DesiredStateSpread
 {
@@ -58,7 +61,8 @@
                      core::WallNowFunction aWallNow,
                      core::RandomFunction aRandom,
                      SendFunction aSend,
-                     AcceptedFunction aAccepted);
+                     AcceptedFunction aAccepted,
+                     const GossipSettings& aSettings = {});
 
   /**
    * Requests the document if a newer version is known. Call with each tick.
@@ -122,6 +126,10 @@
   void RequestFrom(const std::string& aName);
   std::optional<std::string> ChooseHolder();
   void Respond(const std::string& aTo, const DesiredRequest& aRequest);
+  /** Sends a patch; returns false if there is none of use. */
+  bool RespondWithPatch(const std::string& aTo, const DesiredRequest& aRequest);
+  /** Returns the document of a response, or nothing if it cannot be made. */
+  std::optional<std::string> DocumentOf(const DesiredResponse& aResponse) const;
   void Refer(const std::string& aTo,
              const DesiredRequest& aRequest,
              std::string aInstead);
@@ -135,8 +143,16 @@
   core::RandomFunction random;
   SendFunction send;
   AcceptedFunction accepted;
+  GossipSettings settings;
   DesiredStatus status;
   std::string document;
+  /** The document before, as the base of patches. */
+  std::uint64_t previousVersion = 0;
+  std::string previousDocument;
+  /** Patch from the previous document; made on the first request. */
+  std::optional<std::vector<PatchPart>> patch;
+  /** Set after a patch failed, until a document is accepted. */
+  bool wantsWholeDocument = false;
   std::uint64_t newestSeen = 0;
   bool isAccepting = false;
   std::optional<Pending> pending;
--- /dev/null
+++ b/modules/gossip/DocumentPatch.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fireflytrail::gossip {
+
+/** Literal bytes followed by a range of the old document. */
+struct PatchPart
+{
+  std::string literal;
+  std::uint32_t offset = 0;
+  std::uint32_t length = 0;
+
+  bool operator==(const PatchPart&) const = default;
+};
+
+/**
+ * Difference between two versions of the desired state document. A change
+ * usually touches a few lines of a document of 30 KB or more.
+ */
+class DocumentPatch
+{
+public:
+  /** Returns the parts that make `aNew` from `aOld`. Thread-safe. */
+  static std::vector<PatchPart> Make(std::string_view aOld,
+                                     std::string_view aNew);
+
+  /**
+   * Returns the new document, or nothing if a part lies outside the old one
+   * or the result exceeds `aMaxSize`. Thread-safe.
+   */
+  static std::optional<std::string> Apply(std::string_view aOld,
+                                          const std::vector<PatchPart>& aParts,
+                                          std::size_t aMaxSize);
+
+  /** Estimate of the encoded size of the parts. Thread-safe. */
+  static std::size_t EncodedSize(const std::vector<PatchPart>& aParts);
+};
+
+} // namespace fireflytrail::gossip
--- a/modules/gossip/GossipExchanger.cpp
+++ b/modules/gossip/GossipExchanger.cpp
@@ -1,7 +1,6 @@
 #include "gossip/GossipExchanger.h"
 
 #include "gossip/GossipState.h"
-#include "gossip/GossipTiming.h"
 #include "gossip/Membership.h"
 
 #include <algorithm>
@@ -20,20 +19,16 @@
 constexpr int kPushRounds = 3;
 constexpr auto kPushRoundInterval = 250ms;
 
-// Bytes of records that one daemon sends in exchanges: average and burst.
-// Received bytes are bounded by the same figure on average.
-constexpr double kRecordBytesPerSecond = 1000;
+// Records that one daemon may send at once, for peers that have just joined.
 constexpr double kRecordBytesBurst = 16.0 * 1024;
 constexpr double kRecordBytesPerExchange = 8.0 * 1024;
 
-// Received bytes of paced records of all hosts together. It must stay below
-// kRecordBytesPerSecond, or a backlog would build up.
-constexpr double kPacedBytesPerSecond = 700;
-
 // Every fourth exchange tries a host believed dead, so that two sides of a
 // healed partition find each other within seconds.
 constexpr unsigned kDeadPeerTurn = 4;
 
+constexpr std::chrono::milliseconds kMinPacedInterval{ 1000 };
+
 constexpr std::size_t kBroadViewPeers = 3;
 constexpr auto kBroadViewWait = 3s;
 
@@ -49,12 +44,14 @@
                                  Membership& aMembership,
                                  core::NowFunction aNow,
                                  core::RandomFunction aRandom,
-                                 SendFunction aSend)
+                                 SendFunction aSend,
+                                 const GossipSettings& aSettings)
   : state(aState)
   , membership(aMembership)
   , now(std::move(aNow))
   , random(std::move(aRandom))
   , send(std::move(aSend))
+  , settings(aSettings)
   , byteTokens(kRecordBytesBurst)
 {
   assert(this->now);
@@ -76,7 +73,8 @@
   if (current < this->nextExchange) {
     return;
   }
-  const auto interval = ExchangeInterval(this->state.Origins().size());
+  const auto interval =
+    this->settings.IntervalFor(this->state.Origins().size());
   // Jitter of a tenth keeps hosts that started together from staying in step.
   const auto jitter = interval / 10;
   this->nextExchange =
@@ -167,9 +165,9 @@
   const core::TimePoint current = this->now();
   const std::chrono::duration<double> passed = current - this->tokensUpdated;
   this->tokensUpdated = current;
-  this->byteTokens =
-    std::min(kRecordBytesBurst,
-             this->byteTokens + passed.count() * kRecordBytesPerSecond);
+  this->byteTokens = std::min(
+    kRecordBytesBurst,
+    this->byteTokens + passed.count() * this->settings.recordBytesPerSecond);
   return static_cast<std::size_t>(
     std::clamp(this->byteTokens, 0.0, kRecordBytesPerExchange));
 }
@@ -336,14 +334,15 @@
 std::chrono::milliseconds
 GossipExchanger::PacedInterval() const
 {
+  const std::size_t hostCount = this->membership.PlausibleHostCount();
   std::size_t size = 0;
   for (const auto& [key, record] : this->paced) {
     size += GossipState::EncodedSize(Record{ key, record.value, 0, false });
   }
-  const double total = static_cast<double>(size * this->state.Origins().size());
-  return std::max(std::chrono::milliseconds(1000),
+  const double total = static_cast<double>(size * hostCount);
+  return std::max(kMinPacedInterval,
                   std::chrono::milliseconds(static_cast<std::int64_t>(
-                    1000 * total / kPacedBytesPerSecond)));
+                    1000 * total / this->settings.PacedRateFor(hostCount))));
 }
 
 void
@@ -352,13 +351,31 @@
   auto position = this->paced.find(aKey);
   if (position == this->paced.end()) {
     position = this->paced.emplace(std::string(aKey), Paced{}).first;
-    position->second.nextWrite = this->now();
+    position->second.value = aValue;
+    // All hosts tend to make their first record at the same time. Written at
+    // once, 100 records of 2 KB took 200 s to spread.
+    const auto spread = this->PacedInterval() - kMinPacedInterval;
+    position->second.nextWrite =
+      this->now() +
+      std::chrono::milliseconds(this->random() %
+                                static_cast<std::uint64_t>(spread.count() + 1));
   }
   position->second.value = aValue;
   position->second.isPending = true;
   this->WriteDuePaced();
 }
 
+void
+GossipExchanger::WithdrawPaced(std::string_view aKey)
+{
+  const auto position = this->paced.find(aKey);
+  if (position == this->paced.end()) {
+    return;
+  }
+  this->paced.erase(position);
+  this->state.RemoveRecord(aKey);
+}
+
 void
 GossipExchanger::WriteDuePaced()
 {
@@ -366,7 +383,12 @@
   for (auto& [key, record] : this->paced) {
     if (record.isPending && current >= record.nextWrite) {
       record.isPending = false;
-      record.nextWrite = current + this->PacedInterval();
+      // Jitter keeps the hosts' writes from coming in waves.
+      const auto interval = this->PacedInterval();
+      record.nextWrite =
+        current + interval * 3 / 4 +
+        std::chrono::milliseconds(
+          this->random() % static_cast<std::uint64_t>(interval.count() / 2));
       this->state.SetRecord(key, record.value);
     }
   }
--- a/modules/gossip/GossipExchanger.h
+++ b/modules/gossip/GossipExchanger.h
@@ -4,6 +4,7 @@
 #include "gossip/Delta.h"
 #include "gossip/Digest.h"
 #include "gossip/GossipMessage.h"
+#include "gossip/GossipSettings.h"
 
 #include <chrono>
 #include <cstddef>
@@ -40,7 +41,8 @@
                   Membership& aMembership,
                   core::NowFunction aNow,
                   core::RandomFunction aRandom,
-                  SendFunction aSend);
+                  SendFunction aSend,
+                  const GossipSettings& aSettings = {});
 
   /**
    * Does what is due. Call every `kTickInterval`. Not thread-safe, like every
@@ -57,6 +59,9 @@
    */
   void PublishPaced(std::string_view aKey, std::string_view aValue);
 
+  /** Removes a paced record; the others are then written more often. */
+  void WithdrawPaced(std::string_view aKey);
+
   /** Returns the time between two writes of the present paced records. */
   std::chrono::milliseconds PacedInterval() const;
 
@@ -125,6 +130,7 @@
   core::NowFunction now;
   core::RandomFunction random;
   SendFunction send;
+  GossipSettings settings;
   core::TimePoint started;
   core::TimePoint lastTick;
   core::TimePoint nextExchange;
--- a/modules/gossip/GossipNode.cpp
+++ b/modules/gossip/GossipNode.cpp
@@ -21,27 +21,31 @@
 
 GossipNode::GossipNode(const core::DaemonId& aSelf,
                        std::string_view aAddress,
-                       GossipHooks aHooks)
+                       GossipHooks aHooks,
+                       const GossipSettings& aSettings)
   : hooks(std::move(aHooks))
   , state(aSelf, MillisecondsOf(this->hooks.wallNow()), this->hooks.now)
-  , membership(this->state, this->hooks.now)
+  , membership(this->state, this->hooks.now, aSettings)
   , exchanger(this->state,
               this->membership,
               this->hooks.now,
               this->hooks.random,
-              this->hooks.send)
-  , desired(this->state,
-            this->exchanger,
-            this->membership,
-            this->hooks.now,
-            this->hooks.wallNow,
-            this->hooks.random,
-            this->hooks.send,
-            [this](std::uint64_t aVersion, const std::string& aDocument) {
-              if (this->hooks.desiredAccepted) {
-                this->hooks.desiredAccepted(aVersion, aDocument);
-              }
-            })
+              this->hooks.send,
+              aSettings)
+  , desired(
+      this->state,
+      this->exchanger,
+      this->membership,
+      this->hooks.now,
+      this->hooks.wallNow,
+      this->hooks.random,
+      this->hooks.send,
+      [this](std::uint64_t aVersion, const std::string& aDocument) {
+        if (this->hooks.desiredAccepted) {
+          this->hooks.desiredAccepted(aVersion, aDocument);
+        }
+      },
+      aSettings)
 {
   this->state.SetRecord(Membership::kAddressKey, aAddress);
   this->state.OnRecordChanged(
--- a/modules/gossip/GossipNode.h
+++ b/modules/gossip/GossipNode.h
@@ -5,6 +5,7 @@
 #include "gossip/DesiredStateSpread.h"
 #include "gossip/GossipExchanger.h"
 #include "gossip/GossipMessage.h"
+#include "gossip/GossipSettings.h"
 #include "gossip/GossipState.h"
 #include "gossip/Membership.h"
 
@@ -33,7 +34,8 @@
   /** `aAddress` is the address that peers reach this daemon by. */
   GossipNode(const core::DaemonId& aSelf,
              std::string_view aAddress,
-             GossipHooks aHooks);
+             GossipHooks aHooks,
+             const GossipSettings& aSettings = {});
 
   GossipNode(const GossipNode&) = delete;
   GossipNode& operator=(const GossipNode&) = delete;
--- a/modules/gossip/GossipState.cpp
+++ b/modules/gossip/GossipState.cpp
@@ -23,10 +23,11 @@
 // origin. 100 hosts a day are restarted or replaced, so few are kept.
 constexpr auto kTombstoneLifetime = 24h;
 
-// FlatBuffers overhead of a record and of an origin, measured by the wire
-// module's tests.
-constexpr std::size_t kRecordOverhead = 36;
-constexpr std::size_t kOriginOverhead = 60;
+// Bounds of the number of origins that one reply asks for. During a backlog of
+// large records a long list costs more bytes than the records that the peer
+// may send: 400 B/s at 100 hosts with a fixed limit of 32.
+constexpr std::size_t kMinWanted = 4;
+constexpr std::size_t kMaxWanted = 64;
 
 std::vector<const Record*>
 RecordsAbove(const Origin& aOrigin, std::uint32_t aVersion)
@@ -46,12 +47,15 @@
 }
 
 OriginDelta
-HeaderOf(const Origin& aOrigin)
+HeaderOf(const Origin& aOrigin, bool aIsKnown)
 {
   OriginDelta delta;
-  delta.id = aOrigin.id;
-  delta.incarnation = aOrigin.incarnation;
+  delta.id.start = aOrigin.id.start;
   delta.heartbeat = aOrigin.heartbeat;
+  if (!aIsKnown) {
+    delta.id.name = aOrigin.id.name;
+    delta.incarnation = aOrigin.incarnation;
+  }
   return delta;
 }
 
@@ -62,6 +66,7 @@
                          core::NowFunction aNow)
   : self(std::move(aSelf))
   , now(std::move(aNow))
+  , wantedLimit(kMaxWanted)
 {
   assert(this->now);
   assert(!this->self.name.empty());
@@ -220,6 +225,18 @@
     }
   }
   this->unresolvedCount = unresolved;
+  if (reply.wanted.size() > this->wantedLimit) {
+    // A different part each time, starting at the turn of AppendRecords.
+    std::rotate(reply.wanted.begin(),
+                reply.wanted.begin() +
+                  static_cast<std::ptrdiff_t>(this->turn % reply.wanted.size()),
+                reply.wanted.end());
+    reply.wanted.resize(this->wantedLimit);
+  }
+  // Halved until a peer answers, see `Apply`.
+  if (!reply.wanted.empty()) {
+    this->wantedLimit = std::max(kMinWanted, this->wantedLimit / 2);
+  }
   std::vector<DigestEntry> behind;
   for (const auto& [name, origin] : this->origins) {
     const auto position = theirs.find(origin.id.start);
@@ -263,7 +280,7 @@
     if (used > aByteLimit) {
       return;
     }
-    OriginDelta delta = HeaderOf(*origin);
+    OriginDelta delta = HeaderOf(*origin, known.heartbeat != 0);
     delta.from = known.version;
     delta.upTo = origin->version;
     for (const Record* record : RecordsAbove(*origin, known.version)) {
@@ -277,7 +294,10 @@
       }
       delta.records.push_back(*record);
     }
-    aDelta.origins.push_back(std::move(delta));
+    if (!delta.records.empty() || delta.upTo > delta.from ||
+        known.heartbeat == 0) {
+      aDelta.origins.push_back(std::move(delta));
+    }
   }
 }
 
@@ -291,7 +311,7 @@
   const Record& record = position->second;
   Delta push;
   push.kind = DeltaKind::Push;
-  OriginDelta delta = HeaderOf(*origin);
+  OriginDelta delta = HeaderOf(*origin, false);
   delta.upTo = record.version;
   delta.from = record.version;
   // The receiver's version may advance only if this daemon knows that no
@@ -331,7 +351,8 @@
 GossipState::Accept(const OriginDelta& aDelta)
 {
   if (aDelta.id.name.empty()) {
-    return nullptr;
+    Origin* known = this->FindByStart(aDelta.id.start);
+    return known == nullptr || known->id == this->self ? nullptr : known;
   }
   if (aDelta.id.name == this->self.name) {
     this->MeetOwnName(aDelta);
@@ -385,6 +406,11 @@
       this->Advance(*origin, entry.heartbeat);
     }
   }
+  if (aDelta.kind == DeltaKind::Final) {
+    this->wantedLimit = std::min(
+      kMaxWanted,
+      std::max(this->wantedLimit, 2 * aDelta.origins.size() + kMinWanted));
+  }
   std::vector<std::pair<std::string, std::string>> changed;
   std::vector<std::pair<core::DaemonId, Record>> reports;
   for (const OriginDelta& delta : aDelta.origins) {
--- a/modules/gossip/GossipState.h
+++ b/modules/gossip/GossipState.h
@@ -52,6 +52,9 @@
 
   static constexpr std::size_t kMaxRecordsPerOrigin = 64;
   static constexpr std::size_t kMaxOrigins = 1024;
+  /** FlatBuffers overhead; a test of the wire module checks the figures. */
+  static constexpr std::size_t kRecordOverhead = 36;
+  static constexpr std::size_t kOriginOverhead = 60;
   static constexpr std::size_t kMaxValueSize = std::size_t{ 64 } * 1024;
 
   /**
@@ -165,6 +168,8 @@
   std::size_t unresolvedCount = 0;
   /** Start of the round robin over origins when the byte limit is hit. */
   std::size_t turn = 0;
+  /** Number of origins that the next reply may ask for. */
+  std::size_t wantedLimit;
   std::map<std::string, Origin, std::less<>> origins;
   std::unordered_map<std::uint64_t, std::string> nameByStart;
   std::map<std::string, Tombstone, std::less<>> tombstones;
--- a/modules/gossip/Membership.cpp
+++ b/modules/gossip/Membership.cpp
@@ -1,7 +1,6 @@
 #include "gossip/Membership.h"
 
 #include "gossip/GossipState.h"
-#include "gossip/GossipTiming.h"
 
 #include <algorithm>
 #include <cassert>
@@ -24,9 +23,12 @@
 
 } // namespace
 
-Membership::Membership(GossipState& aState, core::NowFunction aNow)
+Membership::Membership(GossipState& aState,
+                       core::NowFunction aNow,
+                       const GossipSettings& aSettings)
   : state(aState)
   , now(std::move(aNow))
+  , settings(aSettings)
 {
   assert(this->now);
   this->resumed = this->now();
@@ -79,7 +81,8 @@
   if (aOrigin.id == this->state.Self()) {
     return whenHeard;
   }
-  const auto interval = ExchangeInterval(this->state.Origins().size());
+  const auto interval =
+    this->settings.IntervalFor(this->state.Origins().size());
   const auto age = this->AgeOf(aOrigin);
   if (age > kDeadAfter * interval) {
     return MemberState::Dead;
--- a/modules/gossip/Membership.h
+++ b/modules/gossip/Membership.h
@@ -2,6 +2,7 @@
 
 #include "core/Hooks.h"
 #include "gossip/GossipMessage.h"
+#include "gossip/GossipSettings.h"
 #include "gossip/ListedHost.h"
 #include "gossip/MemberState.h"
 
@@ -38,7 +39,9 @@
   static constexpr std::string_view kLeavingKey = "leaving";
 
   /** `aState` must outlive the membership. */
-  Membership(GossipState& aState, core::NowFunction aNow);
+  Membership(GossipState& aState,
+             core::NowFunction aNow,
+             const GossipSettings& aSettings = {});
 
   /** Takes the newest host list. Not thread-safe, like every method. */
   void SetHostList(std::vector<ListedHost> aHosts);
@@ -79,6 +82,7 @@
 
   GossipState& state;
   core::NowFunction now;
+  GossipSettings settings;
   core::TimePoint resumed;
   std::vector<ListedHost> hosts;
 };
--- /dev/null
+++ b/modules/gossip/MembershipTest.cpp
@@ -0,0 +1,137 @@
+#include "gossip/Membership.h"
+
+#include "gossip/GossipState.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace fireflytrail;
+using namespace fireflytrail::gossip;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Fixture
+{
+  Fixture()
+    : now([this] { return this->current; })
+    , state({ "a", 1 }, 100, this->now)
+    , membership(this->state, this->now)
+  {
+  }
+
+  /** Brings the heartbeat and records of another daemon. */
+  void Hear(const GossipState& aOther)
+  {
+    GossipState copy = aOther;
+    this->state.Apply(copy.AnswerDigest(this->state.MakeDigest(1), 1'000'000));
+  }
+
+  MemberState StateOf(std::string_view aName) const
+  {
+    return this->membership.StateOf(aName).value();
+  }
+
+  core::TimePoint current{ 1h };
+  core::NowFunction now;
+  GossipState state;
+  Membership membership;
+};
+
+} // namespace
+
+// Guards against a silent host that stays alive, and against one that is
+// declared dead without a time in suspicion.
+BOOST_AUTO_TEST_CASE(SilentHostIsSuspectThenDead)
+{
+  Fixture fixture;
+  GossipState other({ "b", 2 }, 100, fixture.now);
+  fixture.Hear(other);
+  BOOST_TEST((fixture.StateOf("b") == MemberState::Alive));
+  fixture.current += 10s;
+  BOOST_TEST((fixture.StateOf("b") == MemberState::Suspect));
+  fixture.current += 20s;
+  BOOST_TEST((fixture.StateOf("b") == MemberState::Dead));
+  other.Beat();
+  fixture.Hear(other);
+  BOOST_TEST((fixture.StateOf("b") == MemberState::Alive));
+}
+
+// Guards against the lagging list deciding over a heartbeat.
+BOOST_AUTO_TEST_CASE(ListNeverMakesALiveHostDead)
+{
+  Fixture fixture;
+  const GossipState other({ "b", 2 }, 100, fixture.now);
+  fixture.Hear(other);
+  fixture.membership.SetHostList({ { "c", "10.0.0.3:7000", false } });
+  BOOST_TEST((fixture.StateOf("b") == MemberState::Alive));
+  BOOST_TEST((fixture.StateOf("c") == MemberState::Suspect));
+  BOOST_TEST(!fixture.membership.StateOf("d").has_value());
+  BOOST_TEST(fixture.membership.PlausibleHostCount() == 3U);
+}
+
+// Guards against budgets divided by too few hosts while a host is silent and
+// not listed, and against one that counts for good.
+BOOST_AUTO_TEST_CASE(SilentUnlistedHostCountsForTenMinutes)
+{
+  Fixture fixture;
+  const GossipState other({ "b", 2 }, 100, fixture.now);
+  fixture.Hear(other);
+  fixture.current += 9min;
+  fixture.membership.RemoveDead();
+  BOOST_TEST(fixture.membership.PlausibleHostCount() == 2U);
+  fixture.current += 2min;
+  fixture.membership.RemoveDead();
+  BOOST_TEST(fixture.membership.PlausibleHostCount() == 1U);
+}
+
+// Guards against a planned stop that costs budget for ten minutes.
+BOOST_AUTO_TEST_CASE(HostThatAnnouncedItsStopIsForgottenWhenSilent)
+{
+  Fixture fixture;
+  GossipState other({ "b", 2 }, 100, fixture.now);
+  other.SetRecord(Membership::kLeavingKey, "1");
+  fixture.Hear(other);
+  BOOST_TEST((fixture.StateOf("b") == MemberState::Leaving));
+  BOOST_TEST(fixture.membership.PlausibleHostCount() == 2U);
+  fixture.current += 30s;
+  fixture.membership.RemoveDead();
+  BOOST_TEST(fixture.membership.PlausibleHostCount() == 1U);
+}
+
+// Guards against a daemon that starts with a share as if it were alone: the
+// origins of the first digest count before their records arrive.
+BOOST_AUTO_TEST_CASE(UnresolvedOriginsCount)
+{
+  Fixture fixture;
+  Digest digest;
+  for (std::uint64_t start = 10; start < 20; ++start) {
+    digest.entries.push_back({ start, 1, 1 });
+  }
+  fixture.state.AnswerDigest(digest, 0);
+  BOOST_TEST(fixture.membership.PlausibleHostCount() == 11U);
+}
+
+// Guards against all others being declared dead after an own pause.
+BOOST_AUTO_TEST_CASE(OwnPauseDoesNotAgeOthers)
+{
+  Fixture fixture;
+  const GossipState other({ "b", 2 }, 100, fixture.now);
+  fixture.Hear(other);
+  fixture.current += 60s;
+  fixture.membership.NotePause();
+  BOOST_TEST((fixture.StateOf("b") == MemberState::Alive));
+  fixture.current += 10s;
+  BOOST_TEST((fixture.StateOf("b") == MemberState::Suspect));
+}
+
+// Guards against messages to an address that the daemon no longer has.
+BOOST_AUTO_TEST_CASE(OwnAddressRecordOverridesTheList)
+{
+  Fixture fixture;
+  GossipState other({ "b", 2 }, 100, fixture.now);
+  other.SetRecord(Membership::kAddressKey, "10.0.0.9:7000");
+  fixture.membership.SetHostList({ { "b", "10.0.0.2:7000", false } });
+  BOOST_TEST(fixture.membership.PeerOf("b")->address == "10.0.0.2:7000");
+  fixture.Hear(other);
+  BOOST_TEST(fixture.membership.PeerOf("b")->address == "10.0.0.9:7000");
+}
--- a/modules/gossip/VirtualNetwork.h
+++ b/modules/gossip/VirtualNetwork.h
@@ -76,7 +76,8 @@
     host.node =
       std::make_unique<GossipNode>(core::DaemonId{ host.name, this->random() },
                                    "10.0.0." + std::to_string(aIndex) + ":7000",
-                                   std::move(hooks));
+                                   std::move(hooks),
+                                   this->settings);
     host.isUp = true;
     host.pausedUntil = this->current;
     const unsigned generation = ++host.generation;
@@ -130,6 +131,8 @@
 
   GossipNode& Node(std::size_t aIndex) { return *this->hosts[aIndex].node; }
 
+  /** Settings of the processes that are started from now on. */
+  GossipSettings settings;
   /** Probability that a message is lost. */
   double loss = 0;
   /** Tells whether messages between two hosts are dropped. */
--- a/modules/wire/FrameCodecTest.cpp
+++ b/modules/wire/FrameCodecTest.cpp
@@ -1,5 +1,6 @@
 #include "wire/FrameCodec.h"
 
+#include "gossip/GossipState.h"
 #include "wire/MessageConversion.h"
 #include "wire/messages_generated.h"
 
@@ -39,7 +40,13 @@
     gossip::Digest{ 3, { { 1, 2, 3 }, { 4, 5, 6 } } },
     delta,
     gossip::DesiredRequest{ 1, 2, 3, true },
-    gossip::DesiredResponse{ 1, 9, std::string("a\0b", 3), "entry-02" },
+    gossip::DesiredResponse{ 1,
+                             9,
+                             std::string("a\0b", 3),
+                             8,
+                             { { "new", 10, 20 }, { "", 0, 5 } },
+                             77,
+                             "entry-02" },
     ForwardCall{ 5,
                  "ticket",
                  "till-sales",
@@ -187,3 +194,32 @@
   digest.entries.resize(100, { 0x1234567890abcdef, 1000, 100 });
   BOOST_TEST(FrameCodec::Encode(digest)->size() <= 1600U + 80U);
 }
+
+// Guards against byte limits that count too little: the estimates of the
+// gossip module must cover the encoded size.
+BOOST_AUTO_TEST_CASE(SizeEstimatesCoverTheEncoding)
+{
+  const auto sizeOf = [](std::size_t aOrigins, std::size_t aRecords) {
+    gossip::Delta delta;
+    for (std::size_t origin = 0; origin < aOrigins; ++origin) {
+      gossip::OriginDelta part;
+      part.id = { "entry-01", 99 + origin };
+      part.incarnation = 1'700'000'000'000;
+      part.heartbeat = 5;
+      part.from = 1;
+      part.upTo = 9;
+      for (std::size_t record = 0; record < aRecords; ++record) {
+        part.records.push_back(
+          { "key-" + std::to_string(record), "0123456789ab", 7, false });
+      }
+      delta.origins.push_back(part);
+    }
+    return FrameCodec::Encode(delta)->size();
+  };
+  const std::size_t perOrigin = (sizeOf(11, 0) - sizeOf(1, 0)) / 10;
+  const std::size_t perRecord = (sizeOf(1, 11) - sizeOf(1, 1)) / 10;
+  const gossip::Record record{ "key-0", "0123456789ab", 7, false };
+  BOOST_TEST(perOrigin <= gossip::GossipState::kOriginOverhead + 8U);
+  BOOST_TEST(perRecord <= gossip::GossipState::EncodedSize(record));
+  BOOST_TEST_MESSAGE("origin " << perOrigin << ", record " << perRecord);
+}
--- a/modules/wire/MessageConversion.cpp
+++ b/modules/wire/MessageConversion.cpp
@@ -110,12 +110,13 @@
     records.push_back(
       fbs::CreateRecord(aBuilder, key, value, record.version, record.removed));
   }
-  const auto id = WriteId(aBuilder, aOrigin.id);
+  const auto name = WriteOptional(aBuilder, aOrigin.id.name);
   const auto written = records.empty()
                          ? Offset<flatbuffers::Vector<Offset<fbs::Record>>>()
                          : aBuilder.CreateVector(records);
   return fbs::CreateOriginDelta(aBuilder,
-                                id,
+                                aOrigin.id.start,
+                                name,
                                 aOrigin.incarnation,
                                 aOrigin.heartbeat,
                                 aOrigin.from,
@@ -175,12 +176,26 @@
 Write(FlatBufferBuilder& aBuilder, const gossip::DesiredResponse& aResponse)
 {
   const auto document = WriteBytes(aBuilder, aResponse.document);
+  std::vector<Offset<fbs::PatchPart>> parts;
+  parts.reserve(aResponse.patch.size());
+  for (const gossip::PatchPart& part : aResponse.patch) {
+    const auto literal = WriteBytes(aBuilder, part.literal);
+    parts.push_back(
+      fbs::CreatePatchPart(aBuilder, literal, part.offset, part.length));
+  }
+  const auto patch = parts.empty()
+                       ? Offset<flatbuffers::Vector<Offset<fbs::PatchPart>>>()
+                       : aBuilder.CreateVector(parts);
   const auto askInstead = WriteOptional(aBuilder, aResponse.askInstead);
-  return {
-    fbs::Message::DesiredResponse,
-    fbs::CreateDesiredResponse(
-      aBuilder, aResponse.requestId, aResponse.version, document, askInstead)
-  };
+  return { fbs::Message::DesiredResponse,
+           fbs::CreateDesiredResponse(aBuilder,
+                                      aResponse.requestId,
+                                      aResponse.version,
+                                      document,
+                                      aResponse.patchBase,
+                                      patch,
+                                      aResponse.documentHash,
+                                      askInstead) };
 }
 
 Written<fbs::ForwardCall>
@@ -247,6 +262,18 @@
   return { aId->name()->str(), aId->start() };
 }
 
+/**
+ * Whether the elements of a vector are aligned. The verifier of FlatBuffers
+ * 2.0.8 checks only the vector's length field.
+ */
+template<typename T>
+bool
+IsAligned(const flatbuffers::Vector<T>* aVector, std::size_t aAlignment)
+{
+  return aVector == nullptr ||
+         reinterpret_cast<std::uintptr_t>(aVector->Data()) % aAlignment == 0;
+}
+
 std::vector<gossip::DigestEntry>
 EntriesOf(const flatbuffers::Vector<const fbs::DigestEntry*>* aEntries)
 {
@@ -279,7 +306,7 @@
 OriginOf(const fbs::OriginDelta& aOrigin)
 {
   gossip::OriginDelta origin;
-  origin.id = IdOf(aOrigin.id());
+  origin.id = { TextOf(aOrigin.name()), aOrigin.start() };
   origin.incarnation = aOrigin.incarnation();
   origin.heartbeat = aOrigin.heartbeat();
   origin.from = aOrigin.from();
@@ -307,6 +334,9 @@
 FrameError
 Read(const fbs::GossipDigest& aDigest, WireMessage& aMessage)
 {
+  if (!IsAligned(aDigest.entries(), alignof(fbs::DigestEntry))) {
+    return FrameError::Corrupt;
+  }
   aMessage = gossip::Digest{ aDigest.exchange(), EntriesOf(aDigest.entries()) };
   return FrameError::None;
 }
@@ -318,6 +348,8 @@
   const auto* beats = aDelta.heartbeats();
   const std::size_t count = starts == nullptr ? 0 : starts->size();
   if (aDelta.kind() > fbs::DeltaKind::MAX ||
+      !IsAligned(starts, alignof(std::uint64_t)) ||
+      !IsAligned(aDelta.wanted(), alignof(fbs::DigestEntry)) ||
       count != (beats == nullptr ? 0 : beats->size())) {
     return FrameError::Corrupt;
   }
@@ -354,10 +386,21 @@
 FrameError
 Read(const fbs::DesiredResponse& aResponse, WireMessage& aMessage)
 {
-  aMessage = gossip::DesiredResponse{ aResponse.request_id(),
-                                      aResponse.version(),
-                                      BytesOf(aResponse.document()),
-                                      TextOf(aResponse.ask_instead()) };
+  gossip::DesiredResponse response;
+  response.requestId = aResponse.request_id();
+  response.version = aResponse.version();
+  response.document = BytesOf(aResponse.document());
+  response.patchBase = aResponse.patch_base();
+  if (aResponse.patch() != nullptr) {
+    response.patch.reserve(aResponse.patch()->size());
+    for (const fbs::PatchPart* part : *aResponse.patch()) {
+      response.patch.push_back(
+        { BytesOf(part->literal()), part->offset(), part->length() });
+    }
+  }
+  response.documentHash = aResponse.document_hash();
+  response.askInstead = TextOf(aResponse.ask_instead());
+  aMessage = std::move(response);
   return FrameError::None;
 }
 
--- a/modules/wire/messages_generated.h
+++ b/modules/wire/messages_generated.h
@@ -41,6 +41,9 @@
 struct DesiredRequest;
 struct DesiredRequestBuilder;
 
+struct PatchPart;
+struct PatchPartBuilder;
+
 struct DesiredResponse;
 struct DesiredResponseBuilder;
 
@@ -516,15 +519,19 @@
   typedef OriginDeltaBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_ID = 4,
-    VT_INCARNATION = 6,
-    VT_HEARTBEAT = 8,
-    VT_FROM = 10,
-    VT_UP_TO = 12,
-    VT_RECORDS = 14
+    VT_START = 4,
+    VT_NAME = 6,
+    VT_INCARNATION = 8,
+    VT_HEARTBEAT = 10,
+    VT_FROM = 12,
+    VT_UP_TO = 14,
+    VT_RECORDS = 16
   };
-  const fireflytrail::wire::fbs::DaemonId *id() const {
-    return GetPointer<const fireflytrail::wire::fbs::DaemonId *>(VT_ID);
+  uint64_t start() const {
+    return GetField<uint64_t>(VT_START, 0);
+  }
+  const flatbuffers::String *name() const {
+    return GetPointer<const flatbuffers::String *>(VT_NAME);
   }
   uint64_t incarnation() const {
     return GetField<uint64_t>(VT_INCARNATION, 0);
@@ -543,8 +550,9 @@
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffsetRequired(verifier, VT_ID) &&
-           verifier.VerifyTable(id()) &&
+           VerifyField<uint64_t>(verifier, VT_START, 8) &&
+           VerifyOffset(verifier, VT_NAME) &&
+           verifier.VerifyString(name()) &&
            VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
            VerifyField<uint32_t>(verifier, VT_HEARTBEAT, 4) &&
            VerifyField<uint32_t>(verifier, VT_FROM, 4) &&
@@ -560,8 +568,11 @@
   typedef OriginDelta Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_id(flatbuffers::Offset<fireflytrail::wire::fbs::DaemonId> id) {
-    fbb_.AddOffset(OriginDelta::VT_ID, id);
+  void add_start(uint64_t start) {
+    fbb_.AddElement<uint64_t>(OriginDelta::VT_START, start, 0);
+  }
+  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
+    fbb_.AddOffset(OriginDelta::VT_NAME, name);
   }
   void add_incarnation(uint64_t incarnation) {
     fbb_.AddElement<uint64_t>(OriginDelta::VT_INCARNATION, incarnation, 0);
@@ -585,14 +596,14 @@
   flatbuffers::Offset<OriginDelta> Finish() {
     const auto end = fbb_.EndTable(start_);
     auto o = flatbuffers::Offset<OriginDelta>(end);
-    fbb_.Required(o, OriginDelta::VT_ID);
     return o;
   }
 };
 
 inline flatbuffers::Offset<OriginDelta> CreateOriginDelta(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<fireflytrail::wire::fbs::DaemonId> id = 0,
+    uint64_t start = 0,
+    flatbuffers::Offset<flatbuffers::String> name = 0,
     uint64_t incarnation = 0,
     uint32_t heartbeat = 0,
     uint32_t from = 0,
@@ -600,11 +611,12 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fireflytrail::wire::fbs::Record>>> records = 0) {
   OriginDeltaBuilder builder_(_fbb);
   builder_.add_incarnation(incarnation);
+  builder_.add_start(start);
   builder_.add_records(records);
   builder_.add_up_to(up_to);
   builder_.add_from(from);
   builder_.add_heartbeat(heartbeat);
-  builder_.add_id(id);
+  builder_.add_name(name);
   return builder_.Finish();
 }
 
@@ -615,16 +627,19 @@
 
 inline flatbuffers::Offset<OriginDelta> CreateOriginDeltaDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<fireflytrail::wire::fbs::DaemonId> id = 0,
+    uint64_t start = 0,
+    const char *name = nullptr,
     uint64_t incarnation = 0,
     uint32_t heartbeat = 0,
     uint32_t from = 0,
     uint32_t up_to = 0,
     const std::vector<flatbuffers::Offset<fireflytrail::wire::fbs::Record>> *records = nullptr) {
+  auto name__ = name ? _fbb.CreateString(name) : 0;
   auto records__ = records ? _fbb.CreateVector<flatbuffers::Offset<fireflytrail::wire::fbs::Record>>(*records) : 0;
   return fireflytrail::wire::fbs::CreateOriginDelta(
       _fbb,
-      id,
+      start,
+      name__,
       incarnation,
       heartbeat,
       from,
@@ -845,6 +860,87 @@
   static auto constexpr Create = CreateDesiredRequest;
 };
 
+struct PatchPart FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef PatchPartBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LITERAL = 4,
+    VT_OFFSET = 6,
+    VT_LENGTH = 8
+  };
+  const flatbuffers::Vector<uint8_t> *literal() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_LITERAL);
+  }
+  uint32_t offset() const {
+    return GetField<uint32_t>(VT_OFFSET, 0);
+  }
+  uint32_t length() const {
+    return GetField<uint32_t>(VT_LENGTH, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_LITERAL) &&
+           verifier.VerifyVector(literal()) &&
+           VerifyField<uint32_t>(verifier, VT_OFFSET, 4) &&
+           VerifyField<uint32_t>(verifier, VT_LENGTH, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct PatchPartBuilder {
+  typedef PatchPart Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_literal(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> literal) {
+    fbb_.AddOffset(PatchPart::VT_LITERAL, literal);
+  }
+  void add_offset(uint32_t offset) {
+    fbb_.AddElement<uint32_t>(PatchPart::VT_OFFSET, offset, 0);
+  }
+  void add_length(uint32_t length) {
+    fbb_.AddElement<uint32_t>(PatchPart::VT_LENGTH, length, 0);
+  }
+  explicit PatchPartBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<PatchPart> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<PatchPart>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<PatchPart> CreatePatchPart(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> literal = 0,
+    uint32_t offset = 0,
+    uint32_t length = 0) {
+  PatchPartBuilder builder_(_fbb);
+  builder_.add_length(length);
+  builder_.add_offset(offset);
+  builder_.add_literal(literal);
+  return builder_.Finish();
+}
+
+struct PatchPart::Traits {
+  using type = PatchPart;
+  static auto constexpr Create = CreatePatchPart;
+};
+
+inline flatbuffers::Offset<PatchPart> CreatePatchPartDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<uint8_t> *literal = nullptr,
+    uint32_t offset = 0,
+    uint32_t length = 0) {
+  auto literal__ = literal ? _fbb.CreateVector<uint8_t>(*literal) : 0;
+  return fireflytrail::wire::fbs::CreatePatchPart(
+      _fbb,
+      literal__,
+      offset,
+      length);
+}
+
 struct DesiredResponse FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef DesiredResponseBuilder Builder;
   struct Traits;
@@ -852,7 +948,10 @@
     VT_REQUEST_ID = 4,
     VT_VERSION = 6,
     VT_DOCUMENT = 8,
-    VT_ASK_INSTEAD = 10
+    VT_PATCH_BASE = 10,
+    VT_PATCH = 12,
+    VT_DOCUMENT_HASH = 14,
+    VT_ASK_INSTEAD = 16
   };
   uint64_t request_id() const {
     return GetField<uint64_t>(VT_REQUEST_ID, 0);
@@ -863,6 +962,15 @@
   const flatbuffers::Vector<uint8_t> *document() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_DOCUMENT);
   }
+  uint64_t patch_base() const {
+    return GetField<uint64_t>(VT_PATCH_BASE, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<fireflytrail::wire::fbs::PatchPart>> *patch() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<fireflytrail::wire::fbs::PatchPart>> *>(VT_PATCH);
+  }
+  uint64_t document_hash() const {
+    return GetField<uint64_t>(VT_DOCUMENT_HASH, 0);
+  }
   const flatbuffers::String *ask_instead() const {
     return GetPointer<const flatbuffers::String *>(VT_ASK_INSTEAD);
   }
@@ -872,6 +980,11 @@
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            VerifyOffset(verifier, VT_DOCUMENT) &&
            verifier.VerifyVector(document()) &&
+           VerifyField<uint64_t>(verifier, VT_PATCH_BASE, 8) &&
+           VerifyOffset(verifier, VT_PATCH) &&
+           verifier.VerifyVector(patch()) &&
+           verifier.VerifyVectorOfTables(patch()) &&
+           VerifyField<uint64_t>(verifier, VT_DOCUMENT_HASH, 8) &&
            VerifyOffset(verifier, VT_ASK_INSTEAD) &&
            verifier.VerifyString(ask_instead()) &&
            verifier.EndTable();
@@ -891,6 +1004,15 @@
   void add_document(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> document) {
     fbb_.AddOffset(DesiredResponse::VT_DOCUMENT, document);
   }
+  void add_patch_base(uint64_t patch_base) {
+    fbb_.AddElement<uint64_t>(DesiredResponse::VT_PATCH_BASE, patch_base, 0);
+  }
+  void add_patch(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fireflytrail::wire::fbs::PatchPart>>> patch) {
+    fbb_.AddOffset(DesiredResponse::VT_PATCH, patch);
+  }
+  void add_document_hash(uint64_t document_hash) {
+    fbb_.AddElement<uint64_t>(DesiredResponse::VT_DOCUMENT_HASH, document_hash, 0);
+  }
   void add_ask_instead(flatbuffers::Offset<flatbuffers::String> ask_instead) {
     fbb_.AddOffset(DesiredResponse::VT_ASK_INSTEAD, ask_instead);
   }
@@ -910,11 +1032,17 @@
     uint64_t request_id = 0,
     uint64_t version = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> document = 0,
+    uint64_t patch_base = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fireflytrail::wire::fbs::PatchPart>>> patch = 0,
+    uint64_t document_hash = 0,
     flatbuffers::Offset<flatbuffers::String> ask_instead = 0) {
   DesiredResponseBuilder builder_(_fbb);
+  builder_.add_document_hash(document_hash);
+  builder_.add_patch_base(patch_base);
   builder_.add_version(version);
   builder_.add_request_id(request_id);
   builder_.add_ask_instead(ask_instead);
+  builder_.add_patch(patch);
   builder_.add_document(document);
   return builder_.Finish();
 }
@@ -929,14 +1057,21 @@
     uint64_t request_id = 0,
     uint64_t version = 0,
     const std::vector<uint8_t> *document = nullptr,
+    uint64_t patch_base = 0,
+    const std::vector<flatbuffers::Offset<fireflytrail::wire::fbs::PatchPart>> *patch = nullptr,
+    uint64_t document_hash = 0,
     const char *ask_instead = nullptr) {
   auto document__ = document ? _fbb.CreateVector<uint8_t>(*document) : 0;
+  auto patch__ = patch ? _fbb.CreateVector<flatbuffers::Offset<fireflytrail::wire::fbs::PatchPart>>(*patch) : 0;
   auto ask_instead__ = ask_instead ? _fbb.CreateString(ask_instead) : 0;
   return fireflytrail::wire::fbs::CreateDesiredResponse(
       _fbb,
       request_id,
       version,
       document__,
+      patch_base,
+      patch__,
+      document_hash,
       ask_instead__);
 }
 
