--- a/modules/routing/AdmissionControl.cpp
+++ b/modules/routing/AdmissionControl.cpp
@@ -8,7 +8,7 @@
 namespace {
 
 /** Reported calls in flight per slot from which the fleet counts as busy. */
-constexpr double kBusyUtilization = 0.95;
+constexpr double kBusyUtilization = 1.3;
 
 std::size_t
 ServersTakingCalls(const ServiceRoute& aService)
--- a/modules/routing/ServerSelector.cpp
+++ b/modules/routing/ServerSelector.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <cassert>
 #include <cmath>
+#include <limits>
 #include <string>
 #include <utility>
 
@@ -21,17 +22,27 @@
 constexpr std::chrono::nanoseconds kReportLifetime =
   std::chrono::milliseconds(100);
 
+/** Servers that are compared before a slot of another host is used: enough to
+ * see all servers of the services of today, few enough for 470 servers. */
+constexpr std::size_t kMaximumCompared = 24;
+
+/** Stands in for the typical service time until one is known. */
+constexpr std::chrono::milliseconds kUnknownServiceTime{ 10 };
+
 double
 UnitOf(const core::RandomFunction& aRandom)
 {
   return static_cast<double>(aRandom() >> 11U) * 0x1.0p-53;
 }
 
-/** Returns the index of the usable server with the lowest score; random among
- * equals, so that daemons with equal views do not all select the same one. */
+/** Returns the index of the usable server with the lowest score among the first
+ * `aCompared` usable ones from a random position; the first one among equals,
+ * so that daemons with equal views do not all select the same one. */
 template<typename Score>
 std::optional<std::size_t>
-LowestScore(const Context& aContext, Score aScore)
+LowestScore(const Context& aContext,
+            Score aScore,
+            std::size_t aCompared = std::numeric_limits<std::size_t>::max())
 {
   std::optional<std::size_t> best;
   double bestScore = 0;
@@ -47,6 +58,9 @@
       best = index;
       bestScore = score;
     }
+    if (--aCompared == 0) {
+      break;
+    }
   }
   return best;
 }
@@ -86,23 +100,62 @@
   return secondCost < firstCost ? second : first;
 }
 
-/** Returns the home server with a free home slot that answered last: its slot
- * became free last, so that others have had the least time to take it. */
+/** Returns 1 for an event that has just happened, 1/2 at an age and so on. */
+double
+Recency(const Context& aContext,
+        std::optional<core::TimePoint> aEvent,
+        std::chrono::duration<double> aHalfAge)
+{
+  if (!aEvent) {
+    return 0;
+  }
+  const std::chrono::duration<double> age = aContext.now - *aEvent;
+  return aHalfAge / (aHalfAge + age);
+}
+
+/** Estimates how unlikely it is that a server has a free slot, from this
+ * daemon's own calls only. Load reports are not used: with an age of 50 to
+ * 500 ms they sent all daemons to the same servers, and were worse than no
+ * report at every load (see docs/routing.md). */
+double
+OccupancyCost(const Context& aContext, const ServerLoad& aServer)
+{
+  std::chrono::duration<double> typical =
+    aContext.service.load->TypicalServiceTime();
+  if (typical.count() <= 0) {
+    typical = kUnknownServiceTime;
+  }
+  // A refusal tells that the queue was full; it takes some service times until
+  // slots are free again. An answer tells that a slot became free just now.
+  constexpr double kRefusalWeight = 2;
+  constexpr double kRefusalTimes = 6;
+  constexpr double kAnswerWeight = 0.5;
+  constexpr double kAnswerTimes = 4;
+  return aServer.InFlight() +
+         aServer.OldestInFlight(aContext.now) / (2 * typical) +
+         kRefusalWeight *
+           Recency(aContext, aServer.RefusedAt(), typical * kRefusalTimes) -
+         kAnswerWeight *
+           Recency(aContext, aServer.AnsweredAt(), typical * kAnswerTimes);
+}
+
+/** Returns the home server with a free home slot that is most likely free of
+ * other hosts' calls too. */
 std::optional<std::size_t>
 FreeHome(const Context& aContext)
 {
   std::optional<std::size_t> best;
-  std::optional<core::TimePoint> bestAnswer;
+  double bestCost = 0;
   for (const std::uint32_t index : aContext.version.homeServers) {
     const ServerRoute& server = aContext.version.servers[index];
     if (server.load->InFlight() >= server.homeSlots ||
         !aContext.Usable(index)) {
       continue;
     }
-    const auto answer = server.load->AnsweredAt();
-    if (!best || answer > bestAnswer) {
+    const double cost = OccupancyCost(aContext, *server.load);
+    if (!best || cost < bestCost) {
       best = index;
-      bestAnswer = answer;
+      bestCost = cost;
     }
   }
   return best;
@@ -114,7 +167,10 @@
   if (const auto home = FreeHome(aContext)) {
     return home;
   }
-  return TwoChoices(aContext);
+  return LowestScore(
+    aContext,
+    [&](const ServerLoad& aServer) { return OccupancyCost(aContext, aServer); },
+    kMaximumCompared);
 }
 
 std::optional<std::size_t>
@@ -159,8 +215,8 @@
 };
 
 constexpr std::array kPolicies{
-  NamedPolicy{ "two_choices", TwoChoices },
   NamedPolicy{ "home_slots", HomeSlots },
+  NamedPolicy{ "two_choices", TwoChoices },
   NamedPolicy{ "random", Random },
   NamedPolicy{ "round_robin", RoundRobin },
   NamedPolicy{ "least_in_flight", LeastInFlight },
--- a/modules/routing/ServerSelector.h
+++ b/modules/routing/ServerSelector.h
@@ -21,7 +21,7 @@
 {
 public:
   /** Name of the policy that daemons use. */
-  static constexpr std::string_view kDefaultPolicy = "two_choices";
+  static constexpr std::string_view kDefaultPolicy = "home_slots";
 
   /** What a policy may use for one decision. */
   struct Context
