Test the stand-ins

Tests of the daemon rely on what the stand-ins refuse, run and record, so each behaviour that a test may switch on is checked over HTTP.

--- a/standins/StoreAgainstPlatformTest.cpp
+++ b/standins/StoreAgainstPlatformTest.cpp
@@ -152,4 +152,31 @@
   BOOST_TEST(result.detail == "connect: Connection refused");
 }
 
+// Guards against a platform stand-in without limits, against which no client
+// would ever notice that it calls too often.
+BOOST_AUTO_TEST_CASE(CallsOverTheRateLimitAreRefused)
+{
+  this->Control(R"({"write_limit":0})");
+  BlockingStore store(this->Endpoint(), QuickSettings());
+  const StoreResult result = store.Write("desired", "{}", 0);
+  BOOST_TEST((result.status == StoreStatus::Unavailable));
+  BOOST_TEST(result.detail == "store answered 429");
+}
+
+// Guards against a lagging list that takes the place of a newer one.
+BOOST_AUTO_TEST_CASE(LaggingHostListIsStale)
+{
+  this->Control(R"({"add_hosts":[{"id":"s1","kind":"server","service":"a",
+    "version":"1","address":"127.0.0.1:1","domain":"d","region":"r"}]})");
+  BlockingStore store(this->Endpoint(), QuickSettings());
+  const HostsResult current = store.Hosts();
+  BOOST_TEST(current.list.version == 2U);
+  this->Control(R"({"leaving_hosts":["s1"],"list_lag_ms":3600000})");
+  BOOST_TEST((store.Hosts().status == StoreStatus::Stale));
+  this->Control(R"({"list_lag_ms":0})");
+  const HostsResult later = store.Hosts();
+  BOOST_TEST(later.list.version == 3U);
+  BOOST_TEST((later.list.hosts.at(0).state == HostState::Leaving));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
