Divide cold servers between the hosts that have calls for the service

Cause: with a concurrency of 1 only the first host in the rendezvous order may send to a cold server. Hosts now announce the services that they are idle for and are left out of the division.

--- a/bench/SimulatedFleet.h
+++ b/bench/SimulatedFleet.h
@@ -204,7 +204,7 @@
         this->builder.AddServer(identity);
       }
       this->table = this->builder.Build();
-      this->monitor->SetHosts(aFleet.names);
+      this->monitor->SetHosts("till-sales", aFleet.names);
       if (aFleet.settings.health) {
         this->monitor->SetServers(this->builder, *this->table);
       }
--- a/modules/daemon/Controller.cpp
+++ b/modules/daemon/Controller.cpp
@@ -143,6 +143,9 @@
 void
 Controller::Run()
 {
+  // Replaces what an earlier process of this name announced.
+  this->node->Exchanger().PublishUrgent(GossipRecords::kIdleKey,
+                                        GossipRecords::FormatIdle({}));
   this->feed->Start();
   this->StartTimers();
   for (const auto& thread : this->threads) {
@@ -249,6 +252,13 @@
     [this](const routing::HealthObservation& aObservation) {
       this->records->Publish(aObservation);
     });
+  this->activity = std::make_unique<routing::ServiceActivity>(
+    this->self.name,
+    std::chrono::steady_clock::now,
+    [this](const std::vector<std::string>& aIdle) {
+      this->node->Exchanger().PublishUrgent(GossipRecords::kIdleKey,
+                                            GossipRecords::FormatIdle(aIdle));
+    });
   this->feed = std::make_unique<StoreFeed>(
     this->context,
     SocketEndpoint(this->settings.store),
@@ -292,7 +302,7 @@
 Controller::StartTimers()
 {
   this->Repeat(this->healthTimer, routing::ServerHealth::kTickInterval, [this] {
-    this->health->Tick();
+    this->OnHealthTick();
   });
   this->Repeat(this->gossipTimer,
                gossip::GossipExchanger::kTickInterval,
@@ -380,6 +390,10 @@
        GossipRecords::ParseHealth(aRecord.key, aRecord.value)) {
     this->health->PeerObserved(aOrigin.name, observation);
   }
+  if (aRecord.key == GossipRecords::kIdleKey) {
+    this->activity->SetIdle(aOrigin.name,
+                            GossipRecords::ParseIdle(aRecord.value));
+  }
   for (const auto& entry :
        GossipRecords::ParseCrashes(aRecord.key, aRecord.value)) {
     this->guard.Merge(entry);
@@ -420,6 +434,18 @@
     });
 }
 
+void
+Controller::OnHealthTick()
+{
+  for (const routing::ServiceRoute& service : this->table->Services()) {
+    this->activity->SetDemand(service.name, service.load->Demand());
+    this->health->SetHosts(
+      service.name,
+      this->activity->ActiveHosts(service.name, this->entryHosts));
+  }
+  this->health->Tick();
+}
+
 void
 Controller::OnGossipTick()
 {
@@ -460,7 +486,6 @@
         [this](const std::string& aDomain) {
           return this->desired.IsDomainOut(aDomain) ? 0.0 : 1.0;
         } });
-  this->health->SetHosts(this->entryHosts);
   this->health->SetServers(this->tableMaker.Builder(), *this->table);
   this->Publish();
 }
--- a/modules/daemon/Controller.h
+++ b/modules/daemon/Controller.h
@@ -18,6 +18,7 @@
 #include "gateway/PeerHub.h"
 #include "gossip/GossipNode.h"
 #include "routing/HealthMonitor.h"
+#include "routing/ServiceActivity.h"
 #include "statechart/Machine.h"
 #include "store/HostList.h"
 
@@ -79,6 +80,7 @@
   void OnRecord(const core::DaemonId& aOrigin, const gossip::Record& aRecord);
   void OnForwardedCall(wire::ForwardCall aCall,
                        gateway::PeerHubHooks::ReplyFunction aReply);
+  void OnHealthTick();
   void OnGossipTick();
   void OnSecond();
 
@@ -116,6 +118,7 @@
   std::unique_ptr<gossip::GossipNode> node;
   std::unique_ptr<GossipRecords> records;
   std::unique_ptr<routing::HealthMonitor> health;
+  std::unique_ptr<routing::ServiceActivity> activity;
   std::unique_ptr<StoreFeed> feed;
   std::unique_ptr<OperatorEndpoint> endpoint;
   TableMaker tableMaker;
--- a/modules/daemon/GossipRecords.cpp
+++ b/modules/daemon/GossipRecords.cpp
@@ -142,4 +142,32 @@
   return entries;
 }
 
+std::string
+GossipRecords::FormatIdle(const std::vector<std::string>& aServices)
+{
+  json::array names;
+  for (const std::string& service : aServices) {
+    names.emplace_back(service);
+  }
+  return json::serialize(names);
+}
+
+std::vector<std::string>
+GossipRecords::ParseIdle(std::string_view aValue)
+{
+  std::vector<std::string> services;
+  boost::system::error_code error;
+  const json::value root = json::parse(aValue, error);
+  const json::array* names = error ? nullptr : root.if_array();
+  if (names == nullptr) {
+    return services;
+  }
+  for (const json::value& name : *names) {
+    if (name.is_string()) {
+      services.emplace_back(name.get_string());
+    }
+  }
+  return services;
+}
+
 } // namespace fireflytrail::daemon
--- a/modules/daemon/GossipRecords.h
+++ b/modules/daemon/GossipRecords.h
@@ -35,6 +35,9 @@
   static constexpr std::chrono::seconds kRepeatTime{ 5 };
   static constexpr std::size_t kMaxCrashEntries = 64;
 
+  /** Key of the record with the services that a daemon is idle for. */
+  static constexpr std::string_view kIdleKey = "idle";
+
   GossipRecords(core::NowFunction aNow, PublishFunction aPublish);
 
   void Publish(const routing::HealthObservation& aObservation);
@@ -49,6 +52,12 @@
   static std::vector<calls::CrashEntry> ParseCrashes(std::string_view aKey,
                                                      std::string_view aValue);
 
+  /** Returns the value of the record under `kIdleKey`. */
+  static std::string FormatIdle(const std::vector<std::string>& aServices);
+
+  /** Returns the services in such a value; none if it is malformed. */
+  static std::vector<std::string> ParseIdle(std::string_view aValue);
+
 private:
   struct TimedObservation
   {
--- a/modules/daemon/TrafficThread.cpp
+++ b/modules/daemon/TrafficThread.cpp
@@ -281,6 +281,7 @@
     this->Refuse(ErrorKind::UnknownCall, aCall, aOnAnswer);
     return nullptr;
   }
+  service->load->CountDemand();
   const ErrorKind admitted =
     this->state->admission.Admit(*service, route->priority);
   if (admitted != ErrorKind::None) {
--- a/modules/gateway/CallerListener.cpp
+++ b/modules/gateway/CallerListener.cpp
@@ -37,6 +37,9 @@
   if (!error) {
     this->acceptor.listen(tcp::acceptor::max_listen_connections, error);
   }
+  if (!error) {
+    this->localEndpoint = this->acceptor.local_endpoint(error);
+  }
   if (!error) {
     this->Accept();
   }
@@ -46,7 +49,7 @@
 tcp::endpoint
 CallerListener::LocalEndpoint() const
 {
-  return this->acceptor.local_endpoint();
+  return this->localEndpoint;
 }
 
 void
--- a/modules/gateway/CallerListener.h
+++ b/modules/gateway/CallerListener.h
@@ -27,7 +27,8 @@
   boost::system::error_code Open(
     const boost::asio::ip::tcp::endpoint& aEndpoint);
 
-  /** Returns the bound endpoint; `Open` must have succeeded. */
+  /** Returns the bound endpoint, also after `Close`; `Open` must have
+   * succeeded. */
   boost::asio::ip::tcp::endpoint LocalEndpoint() const;
 
   /** Stops accepting. Call on the context's thread. */
@@ -39,6 +40,7 @@
   boost::asio::io_context& context;
   boost::asio::ip::tcp::acceptor acceptor;
   AcceptFunction onAccept;
+  boost::asio::ip::tcp::endpoint localEndpoint;
 };
 
 } // namespace fireflytrail::gateway
--- a/modules/routing/HealthMonitor.cpp
+++ b/modules/routing/HealthMonitor.cpp
@@ -50,7 +50,7 @@
     Entry entry{ load,
                  std::make_unique<ServerHealth>(
                    load, this->self, this->now, this->publish) };
-    entry.health->SetHosts(this->hosts);
+    entry.health->SetHosts(this->hosts[load->Identity().service]);
     kept.emplace(id, std::move(entry));
   }
   this->entries = std::move(kept);
@@ -67,11 +67,18 @@
 }
 
 void
-HealthMonitor::SetHosts(const std::vector<std::string>& aHosts)
+HealthMonitor::SetHosts(const std::string& aService,
+                        const std::vector<std::string>& aHosts)
 {
-  this->hosts = aHosts;
+  std::vector<std::string>& known = this->hosts[aService];
+  if (known == aHosts) {
+    return;
+  }
+  known = aHosts;
   for (auto& [id, entry] : this->entries) {
-    entry.health->SetHosts(aHosts);
+    if (entry.load->Identity().service == aService) {
+      entry.health->SetHosts(aHosts);
+    }
   }
 }
 
--- a/modules/routing/HealthMonitor.h
+++ b/modules/routing/HealthMonitor.h
@@ -30,8 +30,10 @@
   void SetServers(const RoutingTableBuilder& aBuilder,
                   const RoutingTable& aTable);
 
-  /** Sets the entry hosts: the larger plausible list. */
-  void SetHosts(const std::vector<std::string>& aHosts);
+  /** Sets the entry hosts that share the servers of a service: the larger
+   * plausible list without those that have no calls for it. */
+  void SetHosts(const std::string& aService,
+                const std::vector<std::string>& aHosts);
 
   /** Another daemon has published an observation. One of a server that is not
    * known here is ignored. */
@@ -61,7 +63,8 @@
   std::string self;
   core::NowFunction now;
   ServerHealth::PublishFunction publish;
-  std::vector<std::string> hosts;
+  /** Entry hosts by service. */
+  std::map<std::string, std::vector<std::string>> hosts;
   std::map<std::string, Entry, std::less<>> entries;
   std::vector<Service> services;
 };
--- /dev/null
+++ b/modules/routing/ServiceActivity.cpp
@@ -0,0 +1,92 @@
+#include "routing/ServiceActivity.h"
+
+#include <cassert>
+#include <utility>
+
+namespace fireflytrail::routing {
+
+ServiceActivity::ServiceActivity(std::string aSelf,
+                                 core::NowFunction aNow,
+                                 PublishFunction aPublish)
+  : self(std::move(aSelf))
+  , now(std::move(aNow))
+  , publish(std::move(aPublish))
+{
+  assert(this->now && this->publish);
+}
+
+void
+ServiceActivity::SetDemand(const std::string& aService, std::uint64_t aCalls)
+{
+  const core::TimePoint time = this->now();
+  const auto [found, isNew] = this->own.try_emplace(aService);
+  Own& entry = found->second;
+  if (isNew) {
+    entry.lastCall = time;
+    entry.activeFrom = time;
+    entry.calls = aCalls;
+    return;
+  }
+  if (aCalls != entry.calls) {
+    entry.calls = aCalls;
+    entry.lastCall = time;
+    if (entry.isIdle) {
+      entry.isIdle = false;
+      entry.activeFrom = time + kAnnounceTime;
+      this->Announce();
+    }
+    return;
+  }
+  if (!entry.isIdle && time - entry.lastCall >= kIdleTime) {
+    entry.isIdle = true;
+    this->Announce();
+  }
+}
+
+void
+ServiceActivity::SetIdle(const std::string& aHost,
+                         std::vector<std::string> aServices)
+{
+  this->others[aHost] = { std::make_move_iterator(aServices.begin()),
+                          std::make_move_iterator(aServices.end()) };
+}
+
+std::vector<std::string>
+ServiceActivity::ActiveHosts(const std::string& aService,
+                             const std::vector<std::string>& aHosts) const
+{
+  std::vector<std::string> active;
+  for (const std::string& host : aHosts) {
+    if (!this->IsIdle(host, aService)) {
+      active.push_back(host);
+    }
+  }
+  return active.empty() ? aHosts : active;
+}
+
+bool
+ServiceActivity::IsIdle(const std::string& aHost,
+                        const std::string& aService) const
+{
+  if (aHost == this->self) {
+    const auto found = this->own.find(aService);
+    return found != this->own.end() &&
+           (found->second.isIdle || this->now() < found->second.activeFrom);
+  }
+  const auto found = this->others.find(aHost);
+  return found != this->others.end() && found->second.contains(aService);
+}
+
+void
+ServiceActivity::Announce()
+{
+  std::vector<std::string> idle;
+  for (const auto& [service, entry] : this->own) {
+    if (entry.isIdle) {
+      idle.push_back(service);
+    }
+  }
+  this->publish(idle);
+}
+
+} // namespace fireflytrail::routing
--- a/modules/routing/ServiceLoad.h
+++ b/modules/routing/ServiceLoad.h
@@ -26,6 +26,15 @@
     return this->inFlight.load(std::memory_order_relaxed);
   }
 
+  /** Counts a call that a caller wants of the service, admitted or not. */
+  void CountDemand() { this->demand.fetch_add(1, std::memory_order_relaxed); }
+
+  /** Returns the calls that callers wanted since the start. */
+  std::uint64_t Demand() const
+  {
+    return this->demand.load(std::memory_order_relaxed);
+  }
+
   /** Sets the median of the servers' smoothed service times. */
   void SetTypicalServiceTime(std::chrono::nanoseconds aTime)
   {
@@ -65,6 +74,7 @@
 
 private:
   std::atomic<std::int32_t> inFlight{ 0 };
+  std::atomic<std::uint64_t> demand{ 0 };
   std::atomic<bool> canServe{ true };
   std::atomic<std::int64_t> typicalServiceTime{ 0 };
   std::atomic<double> utilization{ 0 };
--- a/modules/routing/routing.h
+++ b/modules/routing/routing.h
@@ -27,6 +27,7 @@
 #include "routing/ServerRoute.h"
 #include "routing/ServerSelector.h"
 #include "routing/ServerState.h"
+#include "routing/ServiceActivity.h"
 #include "routing/ServiceLoad.h"
 #include "routing/ServiceRoute.h"
 #include "routing/SharedLimit.h"
--- a/tests/DaemonFleet.h
+++ b/tests/DaemonFleet.h
@@ -64,6 +64,14 @@
                     const std::map<std::string, std::string>& aHeaders = {},
                     const std::string& aBody = {}) const;
 
+  /** Sends a call and closes the connection after the time. */
+  void CallAndLeave(std::size_t aDaemon,
+                    std::string_view aMethod,
+                    std::string_view aTarget,
+                    const std::map<std::string, std::string>& aHeaders,
+                    const std::string& aBody,
+                    std::chrono::milliseconds aTime) const;
+
   /** Takes one ticket from a daemon. */
   std::string TakeTicket(std::size_t aDaemon) const;
 
