--- a/scenario/SimulatedSession.cpp
+++ b/scenario/SimulatedSession.cpp
@@ -228,7 +228,11 @@
   };
   this->world.clock.After(latency, [=, this, &aServer] {
     if (!aServer.isAlive || aServer.start != start) {
-      // The kept connection led to a process that has ended.
+
+      // The kept connection led to a process that ended while the request was
+      // on the wire.
+      ++this->world.record.besideDeaths;
+
       this->process->connections.erase(aServer.key);
       back({ ServerReply::Kind::Reset,
              0,
