--- a/modules/moves/VersionJudge.cpp
+++ b/modules/moves/VersionJudge.cpp
@@ -41,8 +41,10 @@
 constexpr int kMinFailureGroups = 4;
 constexpr double kFailuresPerGroup = 2;
 
-/** Dispersion assumed while the groups hold too little to estimate it. */
-constexpr double kUnknownDispersion = 2;
+/** Dispersion assumed before the groups tell, with the weight of one window, so
+ * that the estimate does not jump while the first windows fill. */
+constexpr double kAssumedDispersion = 2;
+constexpr double kAssumedFreedom = RouteEvidence::kGroups - 1;
 constexpr double kMinEventsForDispersion = 8;
 
 /** One kind of event that is tested. */
@@ -90,8 +92,8 @@
     // rare to estimate their dispersion.
     return 1;
   }
-  double statistic = 0;
-  double freedom = 0;
+  double statistic = kAssumedDispersion * kAssumedFreedom;
+  double freedom = kAssumedFreedom;
   for (const RouteEvidence* route : aWindows) {
     double calls = 0;
     double events = 0;
@@ -111,9 +113,6 @@
     }
     freedom += RouteEvidence::kGroups - 1;
   }
-  if (freedom <= 0) {
-    return kUnknownDispersion;
-  }
   return std::max(1.0, statistic / freedom * (1 + 2 * std::sqrt(2 / freedom)));
 }
 
--- a/modules/moves/VersionMove.cpp
+++ b/modules/moves/VersionMove.cpp
@@ -135,6 +135,12 @@
   return this->schedule.WindowAt(this->hooks.now());
 }
 
+bool
+VersionMove::IsSuspicious() const
+{
+  return this->judgement.isSuspicious;
+}
+
 const std::string&
 VersionMove::State() const
 {
--- a/modules/moves/VersionMove.h
+++ b/modules/moves/VersionMove.h
@@ -71,6 +71,13 @@
    * thread-safe. */
   std::optional<std::size_t> Window() const;
 
+  /**
+   * Returns whether a route looked bad at the last evaluation. The daemon then
+   * pushes its evidence like an urgent record, so that no verdict waits for the
+   * regular exchanges. Not thread-safe.
+   */
+  bool IsSuspicious() const;
+
   /** Returns the name of the chart's state. Not thread-safe. */
   const std::string& State() const;
 
