Bound the cost of urgent records

Each urgent record was pushed in three rounds by every daemon, and a record that changed several times a second was pushed at once for each change.

Copies received from others now end the rounds, and a record that was pushed less than 250 ms ago waits for the next round with its newest value.

--- a/modules/gossip/GossipExchanger.cpp
+++ b/modules/gossip/GossipExchanger.cpp
@@ -210,6 +210,9 @@
   const auto changed = this->state.Apply(aDelta);
   switch (aDelta.kind) {
     case DeltaKind::Push:
+      if (changed.empty()) {
+        this->NoteDuplicatePush(aDelta);
+      }
       for (const auto& [name, key] : changed) {
         this->StartPush(name, key);
       }
@@ -260,22 +263,44 @@
 void
 GossipExchanger::StartPush(const std::string& aName, const std::string& aKey)
 {
-  std::erase_if(this->pushes, [&](const Push& aPush) {
-    return aPush.name == aName && aPush.key == aKey;
-  });
   const Origin* origin = this->state.FindOrigin(aName);
   if (origin == nullptr) {
     return;
   }
+  const std::uint32_t version = origin->records.find(aKey)->second.version;
+  for (Push& push : this->pushes) {
+    if (push.name == aName && push.key == aKey) {
+      // The record was pushed a moment ago: the new value waits for the next
+      // round, which bounds the cost of a record that changes all the time.
+      push.version = version;
+      push.roundsLeft = kPushRounds;
+      return;
+    }
+  }
   Push push;
   push.name = aName;
   push.key = aKey;
-  push.version = origin->records.find(aKey)->second.version;
+  push.version = version;
   push.roundsLeft = kPushRounds;
   this->SendPushRound(push);
   this->pushes.push_back(std::move(push));
 }
 
+void
+GossipExchanger::NoteDuplicatePush(const Delta& aDelta)
+{
+  // Each copy that others send makes further rounds less useful.
+  for (Push& push : this->pushes) {
+    for (const OriginDelta& delta : aDelta.origins) {
+      if (delta.id.name == push.name && push.roundsLeft > 0 &&
+          !delta.records.empty() && delta.records.front().key == push.key &&
+          delta.records.front().version == push.version) {
+        --push.roundsLeft;
+      }
+    }
+  }
+}
+
 void
 GossipExchanger::SendPushRound(Push& aPush)
 {
@@ -318,16 +343,21 @@
     if (origin == nullptr) {
       return true;
     }
-    // A newer value of the record is pushed by its own entry.
+    // A value that replaced the urgent one is left to exchanges.
     const auto record = origin->records.find(aPush.key);
     if (record == origin->records.end() ||
         record->second.version != aPush.version) {
       return true;
     }
-    if (current >= aPush.due) {
-      this->SendPushRound(aPush);
+    if (current < aPush.due) {
+      return false;
     }
-    return aPush.roundsLeft == 0;
+    // The entry stays for one interval after the last round, see StartPush.
+    if (aPush.roundsLeft == 0) {
+      return true;
+    }
+    this->SendPushRound(aPush);
+    return false;
   });
 }
 
--- a/modules/gossip/GossipExchanger.h
+++ b/modules/gossip/GossipExchanger.h
@@ -118,6 +118,7 @@
   void StartExchange();
   std::optional<Peer> NextPeer();
   void StartPush(const std::string& aName, const std::string& aKey);
+  void NoteDuplicatePush(const Delta& aDelta);
   void SendPushRound(Push& aPush);
   void SendDuePushes();
   void WriteDuePaced();
--- a/modules/gossip/GossipExchangerTest.cpp
+++ b/modules/gossip/GossipExchangerTest.cpp
@@ -156,3 +156,49 @@
   fixture.exchanger.Receive("peer-4", push);
   BOOST_TEST(fixture.sent.size() == 3U);
 }
+
+// Guards against a record that changes all the time and takes the whole byte
+// budget with its pushes.
+BOOST_AUTO_TEST_CASE(FrequentUrgentRecordIsPushedOncePerRound)
+{
+  Fixture fixture(10);
+  for (int change = 0; change < 100; ++change) {
+    fixture.exchanger.PublishUrgent("health", std::to_string(change));
+    fixture.Run(100ms);
+  }
+  std::size_t pushes = 0;
+  std::string last;
+  for (const auto& [name, message] : fixture.sent) {
+    if (const auto* delta = std::get_if<Delta>(&message)) {
+      ++pushes;
+      last = delta->origins[0].records[0].value;
+    }
+  }
+  // One round of three pushes in 300 ms, the next tick after 250 ms.
+  BOOST_TEST(pushes <= 3U * 35U);
+  fixture.sent.clear();
+  fixture.Run(1s);
+  for (const auto& [name, message] : fixture.sent) {
+    if (const auto* delta = std::get_if<Delta>(&message)) {
+      last = delta->origins[0].records[0].value;
+    }
+  }
+  BOOST_TEST(last == "99");
+}
+
+// Guards against rounds that repeat what all peers already have.
+BOOST_AUTO_TEST_CASE(CopiesFromOthersEndThePushRounds)
+{
+  Fixture fixture(10);
+  GossipState other({ "peer-3", 3 }, 100, fixture.now);
+  other.SetRecord("verdict", "taken back");
+  const Delta push = other.MakePush("peer-3", "verdict");
+  for (const char* sender : { "peer-3", "peer-4", "peer-5" }) {
+    fixture.exchanger.Receive(sender, push);
+  }
+  fixture.sent.clear();
+  fixture.Run(2s);
+  for (const auto& [name, message] : fixture.sent) {
+    BOOST_TEST(std::holds_alternative<Digest>(message));
+  }
+}
