Pass the host list on between daemons

Cause: a daemon that started during a store outage got the configuration from a peer but not the host list, so it had no servers. Host lists now spread like the desired state, as patches.

--- a/modules/daemon/Controller.cpp
+++ b/modules/daemon/Controller.cpp
@@ -240,6 +240,10 @@
       .desiredAccepted =
         [this](std::uint64_t aVersion, const std::string& aDocument) {
           this->OnDesired(aVersion, aDocument);
+        },
+      .hostsAccepted =
+        [this](std::uint64_t, const std::string& aText) {
+          this->OnHosts(aText);
         } });
   this->records = std::make_unique<GossipRecords>(
     std::chrono::steady_clock::now,
@@ -273,7 +277,11 @@
         [this](std::uint64_t aVersion, std::string aDocument) {
           this->node->Desired().OfferFromStore(aVersion, std::move(aDocument));
         },
-      .onHosts = [this](const store::HostList& aList) { this->OnHosts(aList); },
+      .onHosts =
+        [this](std::uint64_t aVersion, std::string aText) {
+          this->node->Hosts().OfferFromStore(aVersion, std::move(aText));
+        },
+      .hostsVersion = [this] { return this->node->Hosts().HeldVersion(); },
       .onContact = [this] { this->node->Exchanger().NoteStoreRead(); } });
   this->endpoint = std::make_unique<OperatorEndpoint>(
     this->context,
@@ -365,14 +373,18 @@
 }
 
 void
-Controller::OnHosts(const store::HostList& aList)
+Controller::OnHosts(const std::string& aText)
 {
-  if (aList.version <= this->hosts.version) {
+  auto list = store::HostList::Parse(aText);
+  if (!list) {
+    this->log.Write(LogLevel::Error,
+                    "host_list_invalid",
+                    { { "error", list.error().detail } });
     return;
   }
-  this->hosts = aList;
+  this->hosts = std::move(list).value();
   std::vector<gossip::ListedHost> listed;
-  for (const store::HostEntry& host : aList.hosts) {
+  for (const store::HostEntry& host : this->hosts.hosts) {
     if (host.kind == store::HostKind::Entry) {
       listed.push_back(
         { host.id, host.peerAddress, host.state == store::HostState::Leaving });
--- a/modules/daemon/Controller.h
+++ b/modules/daemon/Controller.h
@@ -76,7 +76,7 @@
               std::function<void()> aFunction);
 
   void OnDesired(std::uint64_t aVersion, const std::string& aDocument);
-  void OnHosts(const store::HostList& aList);
+  void OnHosts(const std::string& aText);
   void OnRecord(const core::DaemonId& aOrigin, const gossip::Record& aRecord);
   void OnForwardedCall(wire::ForwardCall aCall,
                        gateway::PeerHubHooks::ReplyFunction aReply);
--- a/modules/daemon/StoreFeed.cpp
+++ b/modules/daemon/StoreFeed.cpp
@@ -32,7 +32,8 @@
   , hostsTimer(aContext)
 {
   assert(this->hooks.isWatcher && this->hooks.onDesired);
-  assert(this->hooks.onHosts && this->hooks.onContact);
+  assert(this->hooks.onHosts && this->hooks.hostsVersion);
+  assert(this->hooks.onContact);
 }
 
 void
@@ -130,9 +131,13 @@
 void
 StoreFeed::ReadHosts()
 {
-  this->Client().Hosts([this](const store::HostsResult& aResult) {
+  const std::uint64_t known = this->hooks.hostsVersion();
+  this->Client().Hosts(known, [this](const store::HostsResult& aResult) {
     if (aResult.status == StoreStatus::Ok) {
-      this->hooks.onHosts(aResult.list);
+      this->hooks.onHosts(aResult.list.version, aResult.text);
+    }
+    if (aResult.status == StoreStatus::Ok ||
+        aResult.status == StoreStatus::NotModified) {
       this->hooks.onContact();
     }
     this->ScheduleHosts();
@@ -142,10 +147,12 @@
 void
 StoreFeed::ScheduleHosts()
 {
+  const milliseconds interval =
+    this->hooks.hostsVersion() == 0 || this->hooks.isWatcher() ? kHostsInterval
+                                                               : kHostsFallback;
   // Jitter spreads the reads of daemons that started together.
-  const milliseconds jitter(this->hooks.random() %
-                            (kHostsInterval.count() / 2));
-  this->hostsTimer.expires_after(kHostsInterval * 3 / 4 + jitter);
+  const milliseconds jitter(this->hooks.random() % (interval.count() / 2));
+  this->hostsTimer.expires_after(interval * 3 / 4 + jitter);
   this->hostsTimer.async_wait([this](boost::system::error_code aError) {
     if (!aError) {
       this->ReadHosts();
--- a/modules/daemon/StoreFeed.h
+++ b/modules/daemon/StoreFeed.h
@@ -23,7 +23,10 @@
   std::function<bool()> isWatcher;
   /** Receives a desired state document and its version. */
   std::function<void(std::uint64_t, std::string)> onDesired;
-  std::function<void(const store::HostList&)> onHosts;
+  /** Receives a host list's version and text. */
+  std::function<void(std::uint64_t, std::string)> onHosts;
+  /** Version of the host list that the daemon holds; 0 for none. */
+  std::function<std::uint64_t()> hostsVersion;
   /** Told after each successful read. */
   std::function<void()> onContact;
 };
@@ -37,8 +40,10 @@
 class StoreFeed
 {
 public:
-  /** Time between two reads of the host list. */
+  /** Time between two reads of the host list by a daemon that watches. The
+   * others get it from their peers and read as a fallback. */
   static constexpr std::chrono::milliseconds kHostsInterval{ 2000 };
+  static constexpr std::chrono::milliseconds kHostsFallback{ 60'000 };
 
   StoreFeed(boost::asio::io_context& aContext,
             const boost::asio::ip::tcp::endpoint& aStore,
--- a/modules/gossip/DesiredRequest.h
+++ b/modules/gossip/DesiredRequest.h
@@ -1,10 +1,12 @@
 #pragma once
 
+#include "gossip/DocumentKind.h"
+
 #include <cstdint>
 
 namespace fireflytrail::gossip {
 
-/** Asks one peer for the desired state document. */
+/** Asks one peer for a document. */
 struct DesiredRequest
 {
   std::uint64_t requestId = 0;
@@ -14,6 +16,8 @@
   std::uint64_t haveVersion = 0;
   /** Asks for the document even if the peer has served it often lately. */
   bool insist = false;
+  /** Which document. */
+  DocumentKind kind = DocumentKind::DesiredState;
 
   bool operator==(const DesiredRequest&) const = default;
 };
--- a/modules/gossip/DesiredResponse.h
+++ b/modules/gossip/DesiredResponse.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gossip/DocumentKind.h"
 #include "gossip/DocumentPatch.h"
 
 #include <cstdint>
@@ -22,6 +23,8 @@
   std::uint64_t documentHash = 0;
   /** Without a document: the name of a peer to ask instead, or empty. */
   std::string askInstead;
+  /** Which document. */
+  DocumentKind kind = DocumentKind::DesiredState;
 
   bool operator==(const DesiredResponse&) const = default;
 };
--- a/modules/gossip/DesiredStateSpread.cpp
+++ b/modules/gossip/DesiredStateSpread.cpp
@@ -55,7 +55,8 @@
 
 } // namespace
 
-DesiredStateSpread::DesiredStateSpread(GossipState& aState,
+DesiredStateSpread::DesiredStateSpread(DocumentKind aKind,
+                                       GossipState& aState,
                                        GossipExchanger& aExchanger,
                                        Membership& aMembership,
                                        core::NowFunction aNow,
@@ -64,7 +65,8 @@
                                        SendFunction aSend,
                                        AcceptedFunction aAccepted,
                                        const GossipSettings& aSettings)
-  : state(aState)
+  : kind(aKind)
+  , state(aState)
   , exchanger(aExchanger)
   , membership(aMembership)
   , now(std::move(aNow))
@@ -112,14 +114,14 @@
 std::optional<DesiredStatus>
 DesiredStateSpread::StatusOf(std::string_view aName) const
 {
-  const Record* record = this->state.FindRecord(aName, kDesiredKey);
+  const Record* record = this->state.FindRecord(aName, RecordKeyOf(this->kind));
   return record == nullptr ? std::nullopt : DecodeStatus(record->value);
 }
 
 void
 DesiredStateSpread::NoteRecord(const Record& aRecord)
 {
-  if (aRecord.key != kDesiredKey) {
+  if (aRecord.key != RecordKeyOf(this->kind)) {
     return;
   }
   if (const auto noted = DecodeStatus(aRecord.value)) {
@@ -166,9 +168,9 @@
   this->isAccepting = false;
   const std::string value = EncodeStatus(this->status);
   if (aIsUrgent) {
-    this->exchanger.PublishUrgent(kDesiredKey, value);
+    this->exchanger.PublishUrgent(RecordKeyOf(this->kind), value);
   } else {
-    this->state.SetRecord(kDesiredKey, value);
+    this->state.SetRecord(RecordKeyOf(this->kind), value);
   }
   for (const Waiting& entry : std::exchange(this->waiting, {})) {
     if (!this->RespondWithPatch(entry.name, entry.request)) {
@@ -187,7 +189,7 @@
   this->status.since = this->wallNow();
   // While a document is being accepted, its record is written only once.
   if (!this->isAccepting) {
-    this->state.SetRecord(kDesiredKey, EncodeStatus(this->status));
+    this->state.SetRecord(RecordKeyOf(this->kind), EncodeStatus(this->status));
   }
 }
 
@@ -229,6 +231,7 @@
 {
   ++this->attempts;
   DesiredRequest request;
+  request.kind = this->kind;
   request.requestId = ++this->requestId;
   request.version =
     this->status.held == 0 ? this->newestSeen : this->status.held + 1;
@@ -264,6 +267,7 @@
                           std::string aInstead)
 {
   DesiredResponse response;
+  response.kind = this->kind;
   response.requestId = aRequest.requestId;
   if (aInstead != aTo) {
     response.askInstead = std::move(aInstead);
@@ -276,6 +280,7 @@
                             const DesiredRequest& aRequest)
 {
   DesiredResponse response;
+  response.kind = this->kind;
   response.requestId = aRequest.requestId;
   response.version = this->status.held;
   response.document = this->document;
@@ -299,6 +304,7 @@
     return false;
   }
   DesiredResponse response;
+  response.kind = this->kind;
   response.requestId = aRequest.requestId;
   response.version = this->status.held;
   response.patchBase = this->previousVersion;
--- a/modules/gossip/DesiredStateSpread.h
+++ b/modules/gossip/DesiredStateSpread.h
@@ -4,6 +4,7 @@
 #include "core/Hooks.h"
 #include "gossip/DesiredRequest.h"
 #include "gossip/DesiredResponse.h"
+#include "gossip/DocumentKind.h"
 #include "gossip/GossipMessage.h"
 #include "gossip/GossipSettings.h"
 
@@ -35,26 +36,24 @@
 };
 
 /**
- * Distributes the desired state document. Records carry only versions; the
- * document is requested from one peer that holds it, which sends the
- * difference if the requester has the version before. A daemon that has sent
- * the whole document to a few peers refers further ones to these, so that no
- * daemon sends it to the whole fleet. No version is accepted below the newest
- * one ever seen, and none from a peer until enough peers were heard after the
- * start.
+ * Distributes one document, the desired state or the host list. Records carry
+ * only versions; the document is requested from one peer that holds it, which
+ * sends the difference if the requester has the version before. A daemon that
+ * has sent the whole document to a few peers refers further ones to these, so
+ * that no daemon sends it to the whole fleet. No version is accepted below the
+ * newest one ever seen, and none from a peer until enough peers were heard
+ * after the start.
  */
 class DesiredStateSpread
 {
 public:
-  /** Key of the record that holds a `DesiredStatus`. */
-  static constexpr std::string_view kDesiredKey = "desired";
-
   /** Receives each accepted document; may call `ConfirmInForce`. */
   using AcceptedFunction =
     std::function<void(std::uint64_t, const std::string&)>;
 
   /** The references must outlive the spread. */
-  DesiredStateSpread(GossipState& aState,
+  DesiredStateSpread(DocumentKind aKind,
+                     GossipState& aState,
                      GossipExchanger& aExchanger,
                      Membership& aMembership,
                      core::NowFunction aNow,
@@ -135,6 +134,7 @@
              std::string aInstead);
   Peer PeerFor(const std::string& aName) const;
 
+  DocumentKind kind;
   GossipState& state;
   GossipExchanger& exchanger;
   Membership& membership;
--- a/modules/gossip/DesiredStateSpreadTest.cpp
+++ b/modules/gossip/DesiredStateSpreadTest.cpp
@@ -65,7 +65,7 @@
   network.Run(5s);
   // Only the record of version 2 spreads; its document cannot be fetched.
   network.Node(0).Exchanger().PublishUrgent(
-    DesiredStateSpread::kDesiredKey,
+    RecordKeyOf(DocumentKind::DesiredState),
     DesiredStateSpread::EncodeStatus({ 2, 2, {} }));
   network.Run(1s);
   network.Stop(0);
--- a/modules/gossip/GossipNode.cpp
+++ b/modules/gossip/GossipNode.cpp
@@ -33,6 +33,7 @@
               this->hooks.send,
               aSettings)
   , desired(
+      DocumentKind::DesiredState,
       this->state,
       this->exchanger,
       this->membership,
@@ -46,11 +47,27 @@
         }
       },
       aSettings)
+  , hosts(
+      DocumentKind::HostList,
+      this->state,
+      this->exchanger,
+      this->membership,
+      this->hooks.now,
+      this->hooks.wallNow,
+      this->hooks.random,
+      this->hooks.send,
+      [this](std::uint64_t aVersion, const std::string& aDocument) {
+        if (this->hooks.hostsAccepted) {
+          this->hooks.hostsAccepted(aVersion, aDocument);
+        }
+      },
+      aSettings)
 {
   this->state.SetRecord(Membership::kAddressKey, aAddress);
   this->state.OnRecordChanged(
     [this](const core::DaemonId& aOrigin, const Record& aRecord) {
       this->desired.NoteRecord(aRecord);
+      this->hosts.NoteRecord(aRecord);
       if (this->hooks.recordChanged) {
         this->hooks.recordChanged(aOrigin, aRecord);
       }
@@ -62,6 +79,7 @@
 {
   this->exchanger.Tick();
   this->desired.Tick();
+  this->hosts.Tick();
 }
 
 void
@@ -75,12 +93,18 @@
   } else if (const auto* delta = std::get_if<Delta>(&aMessage)) {
     this->exchanger.Receive(aFrom, *delta);
   } else if (const auto* request = std::get_if<DesiredRequest>(&aMessage)) {
-    this->desired.Receive(aFrom, *request);
+    this->SpreadOf(request->kind).Receive(aFrom, *request);
   } else if (const auto* response = std::get_if<DesiredResponse>(&aMessage)) {
-    this->desired.Receive(aFrom, *response);
+    this->SpreadOf(response->kind).Receive(aFrom, *response);
   }
 }
 
+DesiredStateSpread&
+GossipNode::SpreadOf(DocumentKind aKind)
+{
+  return aKind == DocumentKind::DesiredState ? this->desired : this->hosts;
+}
+
 void
 GossipNode::AnnounceLeaving()
 {
--- a/modules/gossip/GossipNode.h
+++ b/modules/gossip/GossipNode.h
@@ -25,6 +25,8 @@
   GossipState::RecordChangedFunction recordChanged;
   /** Optional: receives each accepted desired state document. */
   DesiredStateSpread::AcceptedFunction desiredAccepted;
+  /** Optional: receives each accepted host list. */
+  DesiredStateSpread::AcceptedFunction hostsAccepted;
 };
 
 /** The gossip part of one daemon: assembles and connects the classes. */
@@ -61,15 +63,19 @@
   const Membership& Members() const { return this->membership; }
   GossipExchanger& Exchanger() { return this->exchanger; }
   const GossipExchanger& Exchanger() const { return this->exchanger; }
+  DesiredStateSpread& Hosts() { return this->hosts; }
   DesiredStateSpread& Desired() { return this->desired; }
   const DesiredStateSpread& Desired() const { return this->desired; }
 
 private:
+  DesiredStateSpread& SpreadOf(DocumentKind aKind);
+
   GossipHooks hooks;
   GossipState state;
   Membership membership;
   GossipExchanger exchanger;
   DesiredStateSpread desired;
+  DesiredStateSpread hosts;
 };
 
 } // namespace fireflytrail::gossip
--- a/modules/store/BlockingStore.cpp
+++ b/modules/store/BlockingStore.cpp
@@ -69,7 +69,7 @@
 BlockingStore::Hosts()
 {
   return Await<HostsResult>(this->context, [&](auto aDone) {
-    this->store.Client().Hosts(std::move(aDone));
+    this->store.Client().Hosts(0, std::move(aDone));
   });
 }
 
--- a/modules/store/HostsResult.h
+++ b/modules/store/HostsResult.h
@@ -7,11 +7,14 @@
 
 namespace fireflytrail::store {
 
-/** Result of reading the host list. The list is set with `Ok` only. */
+/** Result of reading the host list. The list and its text are set with `Ok`
+ * only. */
 struct HostsResult
 {
   StoreStatus status = StoreStatus::Unavailable;
   HostList list;
+  /** The list as the platform sent it. */
+  std::string text;
   std::string detail;
 };
 
--- a/modules/store/StoreClient.cpp
+++ b/modules/store/StoreClient.cpp
@@ -131,11 +131,12 @@
 }
 
 void
-StoreClient::Hosts(HostsFunction aDone)
+StoreClient::Hosts(std::uint64_t aKnown, HostsFunction aDone)
 {
   assert(aDone);
   auto operation = std::make_shared<Operation>();
   operation->kind = StoreRequestKind::Hosts;
+  operation->request.version = aKnown;
   operation->hostsDone = std::move(aDone);
   this->Begin(std::move(operation));
 }
@@ -459,7 +460,9 @@
                           const StoreResponse& aResponse)
 {
   HostsResult result;
-  if (aResponse.status != kOk) {
+  if (aResponse.status == kNotModified) {
+    result.status = StoreStatus::NotModified;
+  } else if (aResponse.status != kOk) {
     result.status = StoreStatus::Refused;
     result.detail = DescriptionOf(aResponse);
   } else if (auto list = HostList::Parse(aResponse.body); !list) {
@@ -474,6 +477,7 @@
     this->newestHosts = list.value().version;
     result.status = StoreStatus::Ok;
     result.list = std::move(list).value();
+    result.text = aResponse.body;
   }
   std::exchange(aOperation->hostsDone, nullptr)(std::move(result));
 }
--- a/modules/store/StoreClient.h
+++ b/modules/store/StoreClient.h
@@ -59,8 +59,11 @@
    */
   void Watch(std::string aKey, std::uint64_t aVersion, ResultFunction aDone);
 
-  /** Reads the host list: `Ok`, `Stale` or `Unavailable`. */
-  void Hosts(HostsFunction aDone);
+  /**
+   * Reads the host list: `Ok`, `NotModified` if it is still at `aKnown` (0 for
+   * none), `Stale` or `Unavailable`.
+   */
+  void Hosts(std::uint64_t aKnown, HostsFunction aDone);
 
   /**
    * Tells the client of a version learned elsewhere, for example from another
--- a/modules/store/StoreClientTest.cpp
+++ b/modules/store/StoreClientTest.cpp
@@ -469,11 +469,11 @@
   const auto done = [&](const HostsResult& aResult) {
     statuses.push_back(aResult.status);
   };
-  client.Hosts(done);
+  client.Hosts(0, done);
   listVersion = 4;
-  client.Hosts(done);
+  client.Hosts(0, done);
   listVersion = 6;
-  client.Hosts(done);
+  client.Hosts(0, done);
   BOOST_TEST((statuses == std::vector<StoreStatus>{ StoreStatus::Ok,
                                                     StoreStatus::Stale,
                                                     StoreStatus::Ok }));
--- a/modules/store/StoreConnection.cpp
+++ b/modules/store/StoreConnection.cpp
@@ -23,7 +23,9 @@
 TargetOf(const StoreRequest& aRequest)
 {
   if (aRequest.kind == StoreRequestKind::Hosts) {
-    return "/hosts";
+    return aRequest.version == 0
+             ? "/hosts"
+             : fmt::format("/hosts?known={}", aRequest.version);
   }
   if (aRequest.kind == StoreRequestKind::Watch) {
     return fmt::format("/objects/{}?watch={}&timeout_ms={}",
--- a/modules/wire/MessageConversion.cpp
+++ b/modules/wire/MessageConversion.cpp
@@ -165,11 +165,13 @@
 Write(FlatBufferBuilder& aBuilder, const gossip::DesiredRequest& aRequest)
 {
   return { fbs::Message::DesiredRequest,
-           fbs::CreateDesiredRequest(aBuilder,
-                                     aRequest.requestId,
-                                     aRequest.version,
-                                     aRequest.haveVersion,
-                                     aRequest.insist) };
+           fbs::CreateDesiredRequest(
+             aBuilder,
+             aRequest.requestId,
+             aRequest.version,
+             aRequest.haveVersion,
+             aRequest.insist,
+             static_cast<std::uint8_t>(aRequest.kind)) };
 }
 
 Written<fbs::DesiredResponse>
@@ -188,14 +190,16 @@
                        : aBuilder.CreateVector(parts);
   const auto askInstead = WriteOptional(aBuilder, aResponse.askInstead);
   return { fbs::Message::DesiredResponse,
-           fbs::CreateDesiredResponse(aBuilder,
-                                      aResponse.requestId,
-                                      aResponse.version,
-                                      document,
-                                      aResponse.patchBase,
-                                      patch,
-                                      aResponse.documentHash,
-                                      askInstead) };
+           fbs::CreateDesiredResponse(
+             aBuilder,
+             aResponse.requestId,
+             aResponse.version,
+             document,
+             aResponse.patchBase,
+             patch,
+             aResponse.documentHash,
+             askInstead,
+             static_cast<std::uint8_t>(aResponse.kind)) };
 }
 
 Written<fbs::ForwardCall>
@@ -373,20 +377,39 @@
   return FrameError::None;
 }
 
+std::optional<gossip::DocumentKind>
+KindOf(std::uint8_t aKind)
+{
+  if (aKind > static_cast<std::uint8_t>(gossip::DocumentKind::HostList)) {
+    return std::nullopt;
+  }
+  return static_cast<gossip::DocumentKind>(aKind);
+}
+
 FrameError
 Read(const fbs::DesiredRequest& aRequest, WireMessage& aMessage)
 {
+  const auto kind = KindOf(aRequest.kind());
+  if (!kind) {
+    return FrameError::Corrupt;
+  }
   aMessage = gossip::DesiredRequest{ aRequest.request_id(),
                                      aRequest.version(),
                                      aRequest.have_version(),
-                                     aRequest.insist() };
+                                     aRequest.insist(),
+                                     *kind };
   return FrameError::None;
 }
 
 FrameError
 Read(const fbs::DesiredResponse& aResponse, WireMessage& aMessage)
 {
+  const auto kind = KindOf(aResponse.kind());
+  if (!kind) {
+    return FrameError::Corrupt;
+  }
   gossip::DesiredResponse response;
+  response.kind = *kind;
   response.requestId = aResponse.request_id();
   response.version = aResponse.version();
   response.document = BytesOf(aResponse.document());
--- a/modules/wire/messages_generated.h
+++ b/modules/wire/messages_generated.h
@@ -790,7 +790,8 @@
     VT_REQUEST_ID = 4,
     VT_VERSION = 6,
     VT_HAVE_VERSION = 8,
-    VT_INSIST = 10
+    VT_INSIST = 10,
+    VT_KIND = 12
   };
   uint64_t request_id() const {
     return GetField<uint64_t>(VT_REQUEST_ID, 0);
@@ -804,12 +805,16 @@
   bool insist() const {
     return GetField<uint8_t>(VT_INSIST, 0) != 0;
   }
+  uint8_t kind() const {
+    return GetField<uint8_t>(VT_KIND, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST_ID, 8) &&
            VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
            VerifyField<uint64_t>(verifier, VT_HAVE_VERSION, 8) &&
            VerifyField<uint8_t>(verifier, VT_INSIST, 1) &&
+           VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
            verifier.EndTable();
   }
 };
@@ -830,6 +835,9 @@
   void add_insist(bool insist) {
     fbb_.AddElement<uint8_t>(DesiredRequest::VT_INSIST, static_cast<uint8_t>(insist), 0);
   }
+  void add_kind(uint8_t kind) {
+    fbb_.AddElement<uint8_t>(DesiredRequest::VT_KIND, kind, 0);
+  }
   explicit DesiredRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -846,11 +854,13 @@
     uint64_t request_id = 0,
     uint64_t version = 0,
     uint64_t have_version = 0,
-    bool insist = false) {
+    bool insist = false,
+    uint8_t kind = 0) {
   DesiredRequestBuilder builder_(_fbb);
   builder_.add_have_version(have_version);
   builder_.add_version(version);
   builder_.add_request_id(request_id);
+  builder_.add_kind(kind);
   builder_.add_insist(insist);
   return builder_.Finish();
 }
@@ -951,7 +961,8 @@
     VT_PATCH_BASE = 10,
     VT_PATCH = 12,
     VT_DOCUMENT_HASH = 14,
-    VT_ASK_INSTEAD = 16
+    VT_ASK_INSTEAD = 16,
+    VT_KIND = 18
   };
   uint64_t request_id() const {
     return GetField<uint64_t>(VT_REQUEST_ID, 0);
@@ -974,6 +985,9 @@
   const flatbuffers::String *ask_instead() const {
     return GetPointer<const flatbuffers::String *>(VT_ASK_INSTEAD);
   }
+  uint8_t kind() const {
+    return GetField<uint8_t>(VT_KIND, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_REQUEST_ID, 8) &&
@@ -987,6 +1001,7 @@
            VerifyField<uint64_t>(verifier, VT_DOCUMENT_HASH, 8) &&
            VerifyOffset(verifier, VT_ASK_INSTEAD) &&
            verifier.VerifyString(ask_instead()) &&
+           VerifyField<uint8_t>(verifier, VT_KIND, 1) &&
            verifier.EndTable();
   }
 };
@@ -1016,6 +1031,9 @@
   void add_ask_instead(flatbuffers::Offset<flatbuffers::String> ask_instead) {
     fbb_.AddOffset(DesiredResponse::VT_ASK_INSTEAD, ask_instead);
   }
+  void add_kind(uint8_t kind) {
+    fbb_.AddElement<uint8_t>(DesiredResponse::VT_KIND, kind, 0);
+  }
   explicit DesiredResponseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1035,7 +1053,8 @@
     uint64_t patch_base = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fireflytrail::wire::fbs::PatchPart>>> patch = 0,
     uint64_t document_hash = 0,
-    flatbuffers::Offset<flatbuffers::String> ask_instead = 0) {
+    flatbuffers::Offset<flatbuffers::String> ask_instead = 0,
+    uint8_t kind = 0) {
   DesiredResponseBuilder builder_(_fbb);
   builder_.add_document_hash(document_hash);
   builder_.add_patch_base(patch_base);
@@ -1044,6 +1063,7 @@
   builder_.add_ask_instead(ask_instead);
   builder_.add_patch(patch);
   builder_.add_document(document);
+  builder_.add_kind(kind);
   return builder_.Finish();
 }
 
@@ -1060,7 +1080,8 @@
     uint64_t patch_base = 0,
     const std::vector<flatbuffers::Offset<fireflytrail::wire::fbs::PatchPart>> *patch = nullptr,
     uint64_t document_hash = 0,
-    const char *ask_instead = nullptr) {
+    const char *ask_instead = nullptr,
+    uint8_t kind = 0) {
   auto document__ = document ? _fbb.CreateVector<uint8_t>(*document) : 0;
   auto patch__ = patch ? _fbb.CreateVector<flatbuffers::Offset<fireflytrail::wire::fbs::PatchPart>>(*patch) : 0;
   auto ask_instead__ = ask_instead ? _fbb.CreateString(ask_instead) : 0;
@@ -1072,7 +1093,8 @@
       patch_base,
       patch__,
       document_hash,
-      ask_instead__);
+      ask_instead__,
+      kind);
 }
 
 struct Header FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
--- a/standins/PlatformStandin.cpp
+++ b/standins/PlatformStandin.cpp
@@ -239,9 +239,9 @@
   }
   if (target.starts_with("/objects/")) {
     this->HandleObject(aExchange);
-  } else if (target == "/hosts") {
+  } else if (target == "/hosts" || target.starts_with("/hosts?")) {
     ++this->readCount;
-    this->Answer(aExchange, this->HostsAnswer(), this->ReadDelay());
+    this->Answer(aExchange, this->HostsAnswer(target), this->ReadDelay());
   } else {
     aExchange->Respond(ErrorResponse(404, "no such resource"));
   }
@@ -414,7 +414,7 @@
 }
 
 HttpResponse
-PlatformStandin::HostsAnswer() const
+PlatformStandin::HostsAnswer(std::string_view aTarget) const
 {
   const auto served = Clock::now() - this->listLag;
   const HostList* list = &this->hostLists.front();
@@ -423,6 +423,13 @@
       list = &candidate;
     }
   }
+  const std::size_t mark = aTarget.find('?');
+  if (mark != std::string_view::npos) {
+    const auto known = QueryValue(aTarget.substr(mark + 1), "known");
+    if (known && NumberOf(*known) == list->version) {
+      return JsonResponse(304, "");
+    }
+  }
   json::array hosts;
   for (const auto& [id, entry] : list->hosts) {
     hosts.push_back(entry);
--- a/standins/PlatformStandin.h
+++ b/standins/PlatformStandin.h
@@ -99,7 +99,7 @@
                   std::chrono::milliseconds aTimeout);
   void AnswerWatches(const std::string& aKey);
   HttpResponse ObjectAnswer(const std::string& aKey) const;
-  HttpResponse HostsAnswer() const;
+  HttpResponse HostsAnswer(std::string_view aTarget) const;
   void Answer(const std::shared_ptr<HttpExchange>& aExchange,
               HttpResponse aResponse,
               std::chrono::milliseconds aDelay);
