--- a/modules/calls/CallFlowTest.cpp
+++ b/modules/calls/CallFlowTest.cpp
@@ -236,7 +236,7 @@
   BOOST_TEST(!std::get<AnswerStep>(step).deliver);
   BOOST_TEST(flow.HasEnded());
   CallFlow resent = fixture.Flow(request);
-  BOOST_TEST((AnswerKind(resent.Begin()) == ErrorKind::DeadlineAfterSend));
+  BOOST_TEST((AnswerKind(resent.Begin()) == ErrorKind::TicketAnswerDropped));
 }
 
 // Guards against work that is cancelled because the caller of a ticket lost its
@@ -400,5 +400,5 @@
     flow.Begin();
   }
   CallFlow resent = fixture.Flow(request);
-  BOOST_TEST((AnswerKind(resent.Begin()) == ErrorKind::Internal));
+  BOOST_TEST((AnswerKind(resent.Begin()) == ErrorKind::TicketAnswerDropped));
 }
--- a/modules/calls/TicketLedger.cpp
+++ b/modules/calls/TicketLedger.cpp
@@ -200,9 +200,16 @@
 TicketOutcome
 TicketLedger::OutcomeOf(const Entry& aEntry) const
 {
-  if (aEntry.kind != core::ErrorKind::None) {
+
+  const core::ErrorRow& row = core::ErrorTable::RowOf(aEntry.kind);
+  if (row.outcome == core::CallOutcome::NotRun ||
+      (row.outcome == core::CallOutcome::Unknown &&
+       row.callerMayResend == core::ResendRule::Never)) {
     return { aEntry.kind, nullptr };
   }
+  // A final outcome that is unknown, such as "connection lost", lets its caller
+  // send again. Further resends must be told to stop, since nothing more will
+  // become known.
   if (!aEntry.answer) {
     return { core::ErrorKind::TicketAnswerDropped, nullptr };
   }
--- a/modules/calls/TicketLedger.h
+++ b/modules/calls/TicketLedger.h
@@ -19,7 +19,8 @@
 /** How the work of a ticket ended. */
 struct TicketOutcome
 {
-  /** `None` with an answer, or the error kind that every resend gets. */
+
+  /** `None` with an answer, or an error kind. */
   core::ErrorKind kind = core::ErrorKind::Internal;
   /** Set if and only if the kind is `None`. */
   std::shared_ptr<const Answer> answer;
--- a/modules/calls/TicketLedgerTest.cpp
+++ b/modules/calls/TicketLedgerTest.cpp
@@ -1,4 +1,5 @@
 #include "calls/TicketLedger.h"
+#include "core/ErrorTable.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -73,6 +74,25 @@
   BOOST_TEST((use.outcome.kind == core::ErrorKind::ConnectFailed));
 }
 
+// Guards against a caller that sends again for ever, because each resend gets
+// the same unknown outcome that allows one more.
+BOOST_AUTO_TEST_CASE(UnknownOutcomeAllowsNoEndlessResends)
+{
+  for (const core::ErrorRow& row : core::ErrorTable::Rows()) {
+    if (row.outcome != core::CallOutcome::Unknown) {
+      continue;
+    }
+    Fixture fixture;
+    const Ticket ticket = fixture.ledger.Issue().value();
+    fixture.Begin(ticket);
+    fixture.ledger.Finish(ticket, { row.kind, nullptr });
+    const auto kind = fixture.Begin(ticket).outcome.kind;
+    const core::ErrorRow& resent = core::ErrorTable::RowOf(kind);
+    BOOST_TEST((resent.outcome == core::CallOutcome::Unknown), row.name);
+    BOOST_TEST((resent.callerMayResend == core::ResendRule::Never), row.name);
+  }
+}
+
 // Guards against a ticket that answers for another request.
 BOOST_AUTO_TEST_CASE(BindsToTheFirstRequest)
 {
