--- a/bench/VersionsBench.cpp
+++ b/bench/VersionsBench.cpp
@@ -239,7 +239,6 @@
   struct Record
   {
     std::uint64_t version = 0;
-    std::size_t window = 0;
     moves::EvidenceWindow state;
   };
 
@@ -396,11 +395,11 @@
   void Publish(std::size_t aIndex, std::size_t aWindow)
   {
     Daemon& daemon = *this->daemons[aIndex];
-    const moves::EvidenceWindow& own = daemon.recorder.Window(aWindow);
+    const moves::EvidenceWindow own = daemon.recorder.Window(aWindow);
     if (own.sequence > daemon.records[aIndex].state.sequence ||
-        aWindow > daemon.records[aIndex].window) {
-      daemon.records[aIndex] = { ++daemon.version, aWindow, own };
-      daemon.evidence.Merge(daemon.id, aWindow, own);
+        aWindow > daemon.records[aIndex].state.window) {
+      daemon.records[aIndex] = { ++daemon.version, own };
+      daemon.evidence.Merge(daemon.id, own);
     }
   }
 
@@ -416,8 +415,7 @@
   {
     if (aRecord.version > aDaemon.records[aOrigin].version) {
       aDaemon.records[aOrigin] = aRecord;
-      aDaemon.evidence.Merge(
-        this->daemons[aOrigin]->id, aRecord.window, aRecord.state);
+      aDaemon.evidence.Merge(this->daemons[aOrigin]->id, aRecord.state);
     }
   }
 
@@ -436,7 +434,7 @@
         for (std::size_t index = *window > 0 ? *window - 1 : 0;
              index <= *window;
              ++index) {
-          this->pooled.Merge(daemon->id, index, daemon->recorder.Window(index));
+          this->pooled.Merge(daemon->id, daemon->recorder.Window(index));
         }
       }
     }
--- a/modules/moves/Evidence.cpp
+++ b/modules/moves/Evidence.cpp
@@ -5,17 +5,17 @@
 namespace fireflytrail::moves {
 
 bool
-Evidence::Merge(const core::DaemonId& aOrigin,
-                std::size_t aWindow,
-                const EvidenceWindow& aState)
+Evidence::Merge(const core::DaemonId& aOrigin, const EvidenceWindow& aState)
 {
-  assert(aWindow < kWindows);
-  EvidenceWindow& known = this->origins[aOrigin][aWindow];
+  const std::size_t window = aState.window;
+  assert(window < kWindows);
+  EvidenceWindow& known =
+    this->origins.try_emplace(aOrigin, EmptyTotals()).first->second[window];
   if (aState.sequence <= known.sequence) {
     return false;
   }
-  this->sums[aWindow] -= known;
-  this->sums[aWindow] += aState;
+  this->sums[window] -= known;
+  this->sums[window] += aState;
   known = aState;
   for (const auto& [name, route] : aState.routes) {
     std::uint64_t& calls = this->newCallsOfOrigins[aOrigin][name];
@@ -45,4 +45,14 @@
   return this->origins.size();
 }
 
+Evidence::Totals
+Evidence::EmptyTotals()
+{
+  Totals totals;
+  for (std::size_t window = 0; window < totals.size(); ++window) {
+    totals[window].window = window;
+  }
+  return totals;
+}
+
 } // namespace fireflytrail::moves
--- a/modules/moves/Evidence.h
+++ b/modules/moves/Evidence.h
@@ -18,21 +18,16 @@
 class Evidence
 {
 public:
-  /** Most time windows of a move and of the watch after it; see
-   * `MoveSchedule`. */
-  static constexpr std::size_t kWindows = 48;
+  static constexpr std::size_t kWindows = EvidenceWindow::kWindows;
 
   /** Sums over all daemons by window. */
   using Totals = std::array<EvidenceWindow, kWindows>;
 
   /**
    * Takes over a daemon's state of one window unless a newer one is known.
-   * Returns whether anything changed. `aWindow` must be below `kWindows`. Not
-   * thread-safe.
+   * Returns whether anything changed. Not thread-safe.
    */
-  bool Merge(const core::DaemonId& aOrigin,
-             std::size_t aWindow,
-             const EvidenceWindow& aState);
+  bool Merge(const core::DaemonId& aOrigin, const EvidenceWindow& aState);
 
   /** Returns the sums. The reference holds until `Merge`. Not thread-safe. */
   const Totals& Sums() const;
@@ -47,8 +42,10 @@
   std::size_t OriginCount() const;
 
 private:
+  static Totals EmptyTotals();
+
   std::map<core::DaemonId, Totals> origins;
-  Totals sums;
+  Totals sums = EmptyTotals();
   std::map<core::DaemonId, std::map<std::string, std::uint64_t>>
     newCallsOfOrigins;
   std::map<std::string, std::uint64_t> newCalls;
--- a/modules/moves/EvidenceRecorder.cpp
+++ b/modules/moves/EvidenceRecorder.cpp
@@ -91,11 +91,13 @@
   ++window.sequence;
 }
 
-const EvidenceWindow&
+EvidenceWindow
 EvidenceRecorder::Window(std::size_t aWindow) const
 {
   assert(aWindow < Evidence::kWindows);
-  return this->windows[aWindow];
+  EvidenceWindow state = this->windows[aWindow];
+  state.window = aWindow;
+  return state;
 }
 
 void
--- a/modules/moves/EvidenceRecorder.h
+++ b/modules/moves/EvidenceRecorder.h
@@ -47,7 +47,7 @@
 
   /** Returns the counters of a window; its sequence counts calls. Not
    * thread-safe. */
-  const EvidenceWindow& Window(std::size_t aWindow) const;
+  EvidenceWindow Window(std::size_t aWindow) const;
 
 private:
   /** Old version's durations of one call and the bounds in use. */
--- a/modules/moves/EvidenceTest.cpp
+++ b/modules/moves/EvidenceTest.cpp
@@ -13,9 +13,10 @@
 namespace {
 
 EvidenceWindow
-StateOf(std::uint64_t aCalls)
+StateOf(std::uint64_t aCalls, std::size_t aWindow = 0)
 {
   EvidenceWindow window;
+  window.window = aWindow;
   window.sequence = aCalls;
   auto& route = window.routes["sell"];
   route.domains["a"].fresh.calls = aCalls;
@@ -39,7 +40,7 @@
   }
   Evidence inOrder;
   for (const auto& [origin, window, calls] : messages) {
-    inOrder.Merge(origin, window, StateOf(calls));
+    inOrder.Merge(origin, StateOf(calls, window));
   }
   std::mt19937_64 engine(3);
   for (int round = 0; round < 20; ++round) {
@@ -48,7 +49,7 @@
     std::ranges::shuffle(shuffled, engine);
     Evidence evidence;
     for (const auto& [origin, window, calls] : shuffled) {
-      evidence.Merge(origin, window, StateOf(calls));
+      evidence.Merge(origin, StateOf(calls, window));
     }
     BOOST_TEST((evidence.Sums() == inOrder.Sums()));
   }
@@ -59,14 +60,15 @@
 BOOST_AUTO_TEST_CASE(CountsCallsOfWindowsItNeverGot)
 {
   Evidence evidence;
-  EvidenceWindow state = StateOf(5);
+  EvidenceWindow state = StateOf(5, 7);
   state.routes["sell"].newCallsSoFar = 60;
-  evidence.Merge({ "entry", 1 }, 7, state);
-  evidence.Merge({ "entry", 2 }, 7, state);
+  evidence.Merge({ "entry", 1 }, state);
+  evidence.Merge({ "entry", 2 }, state);
   BOOST_TEST(evidence.NewCalls().at("sell") == 120U);
   // An earlier window that arrives late adds nothing.
   state.routes["sell"].newCallsSoFar = 55;
-  evidence.Merge({ "entry", 1 }, 6, state);
+  state.window = 6;
+  evidence.Merge({ "entry", 1 }, state);
   BOOST_TEST(evidence.NewCalls().at("sell") == 120U);
 }
 
@@ -75,8 +77,8 @@
 BOOST_AUTO_TEST_CASE(RestartedDaemonIsAnotherOrigin)
 {
   Evidence evidence;
-  evidence.Merge({ "entry", 1 }, 0, StateOf(50));
-  evidence.Merge({ "entry", 2 }, 0, StateOf(7));
+  evidence.Merge({ "entry", 1 }, StateOf(50));
+  evidence.Merge({ "entry", 2 }, StateOf(7));
   BOOST_TEST(evidence.OriginCount() == 2U);
   BOOST_TEST(evidence.Sums()[0].routes.at("sell").domains.at("a").fresh.calls ==
              57U);
--- a/modules/moves/EvidenceWindow.cpp
+++ b/modules/moves/EvidenceWindow.cpp
@@ -2,6 +2,7 @@
 
 #include <flatbuffers/flexbuffers.h>
 
+#include <cassert>
 #include <set>
 #include <vector>
 
@@ -14,6 +15,8 @@
 constexpr std::size_t kCountersPerGroup = 3;
 /** Name, calls so far and counters. */
 constexpr std::size_t kItemsPerRoute = 3;
+/** Window, sequence and the names of the failure domains. */
+constexpr std::size_t kHeadItems = 3;
 /** The groups' counters and the set of groups with failures. */
 constexpr std::size_t kFixedCounters =
   RouteEvidence::kGroups * kCountersPerGroup + 1;
@@ -50,6 +53,7 @@
 EvidenceWindow&
 EvidenceWindow::operator+=(const EvidenceWindow& aOther)
 {
+  assert(this->window == aOther.window);
   this->sequence += aOther.sequence;
   for (const auto& [name, route] : aOther.routes) {
     this->routes[name] += route;
@@ -60,6 +64,7 @@
 EvidenceWindow&
 EvidenceWindow::operator-=(const EvidenceWindow& aOther)
 {
+  assert(this->window == aOther.window);
   this->sequence -= aOther.sequence;
   for (const auto& [name, route] : aOther.routes) {
     this->routes[name] -= route;
@@ -78,6 +83,7 @@
   }
   flexbuffers::Builder builder;
   builder.Vector([&] {
+    builder.UInt(this->window);
     builder.UInt(this->sequence);
     builder.Vector([&] {
       for (const std::string& domain : domains) {
@@ -128,18 +134,22 @@
     return Invalid("not a list");
   }
   const auto list = root.AsVector();
-  if (list.size() < 2 || (list.size() - 2) % kItemsPerRoute != 0 ||
-      list.size() > 2 + kItemsPerRoute * kMaxRoutes || !list[0].IsUInt() ||
-      !list[1].IsUntypedVector()) {
+  if (list.size() < kHeadItems ||
+      (list.size() - kHeadItems) % kItemsPerRoute != 0 ||
+      list.size() > kHeadItems + kItemsPerRoute * kMaxRoutes ||
+      !list[0].IsUInt() || list[0].AsUInt64() >= kWindows ||
+      !list[1].IsUInt() || !list[2].IsUntypedVector()) {
     return Invalid("wrong head");
   }
   EvidenceWindow window;
-  window.sequence = list[0].AsUInt64();
-  const auto names = list[1].AsVector();
+  window.window = list[0].AsUInt64();
+  window.sequence = list[1].AsUInt64();
+  const auto names = list[2].AsVector();
   if (names.size() > kMaxDomains) {
     return Invalid("too many failure domains");
   }
-  for (std::size_t index = 2; index < list.size(); index += kItemsPerRoute) {
+  for (std::size_t index = kHeadItems; index < list.size();
+       index += kItemsPerRoute) {
     if (!list[index].IsString() || !list[index + 1].IsUInt() ||
         !list[index + 2].IsTypedVector()) {
       return Invalid("wrong route");
--- a/modules/moves/EvidenceWindow.h
+++ b/modules/moves/EvidenceWindow.h
@@ -17,6 +17,11 @@
   static constexpr std::size_t kMaxRoutes = 64;
   static constexpr std::size_t kMaxDomains = 64;
 
+  /** Most windows of a move and of the watch after it; see `MoveSchedule`. */
+  static constexpr std::size_t kWindows = 48;
+
+  /** Index of the window, below `kWindows`. */
+  std::size_t window = 0;
   /** Grows with every change; of two states the higher one is newer. */
   std::uint64_t sequence = 0;
   /** By the name of the call. */
@@ -24,7 +29,7 @@
 
   /**
    * Adds the counts of other calls and their sequence, which sums the recorders
-   * of one daemon's threads. Not thread-safe.
+   * of one daemon's threads. The windows must be the same. Not thread-safe.
    */
   EvidenceWindow& operator+=(const EvidenceWindow& aOther);
 
--- a/modules/moves/EvidenceWindowTest.cpp
+++ b/modules/moves/EvidenceWindowTest.cpp
@@ -11,6 +11,7 @@
 WindowWith(std::size_t aRoutes, std::size_t aDomains, std::uint64_t aCount)
 {
   EvidenceWindow window;
+  window.window = 40;
   window.sequence = aCount;
   for (std::size_t index = 0; index < aRoutes; ++index) {
     RouteEvidence& route = window.routes[fmt::format("route{}", index)];
@@ -70,5 +71,8 @@
     }
   }
   BOOST_TEST(!EvidenceWindow::Parse("").has_value());
+  EvidenceWindow outside = WindowWith(1, 1, 1);
+  outside.window = EvidenceWindow::kWindows;
+  BOOST_TEST(!EvidenceWindow::Parse(outside.Serialize()).has_value());
   BOOST_TEST(!EvidenceWindow::Parse("abcdef").has_value());
 }
--- a/modules/moves/VersionJudgeTest.cpp
+++ b/modules/moves/VersionJudgeTest.cpp
@@ -29,7 +29,8 @@
       route.newCallsSoFar = newCalls[name];
     }
     state.sequence = 1;
-    evidence.Merge({ "entry-1", 1 }, window, state);
+    state.window = window;
+    evidence.Merge({ "entry-1", 1 }, state);
   }
   return JudgeFor().Judge(evidence);
 }
--- a/modules/moves/VersionMoveTest.cpp
+++ b/modules/moves/VersionMoveTest.cpp
@@ -64,6 +64,7 @@
   {
     const std::size_t window = this->move->Window().value();
     EvidenceWindow& state = this->windows[window];
+    state.window = window;
     state.sequence += 1;
     RouteEvidence& route = state.routes["sell"];
     const auto oldCalls = static_cast<std::uint64_t>(
@@ -73,7 +74,7 @@
     route.newFailureGroups = aNewFailures > 0 ? 0xff : 0;
     this->newCalls += aNewCalls;
     route.newCallsSoFar = this->newCalls;
-    this->evidence.Merge({ "entry-2", 1 }, window, state);
+    this->evidence.Merge({ "entry-2", 1 }, state);
   }
 
   /** Goes on in steps of half a second with good calls. */
--- a/modules/moves/moves.h
+++ b/modules/moves/moves.h
@@ -10,6 +10,7 @@
 #include "moves/DomainCapacity.h"
 #include "moves/DomainMove.h"
 #include "moves/Evidence.h"
+#include "moves/EvidencePublisher.h"
 #include "moves/EvidenceRecorder.h"
 #include "moves/MoveConfirmation.h"
 #include "moves/ShareSampler.h"
