Skip empty strata in the judge

Strata without events contribute nothing, and whether a window belongs to the watch is found once for all tests of a route.

moves_test: 44 cases pass.

--- a/modules/moves/RateComparison.cpp
+++ b/modules/moves/RateComparison.cpp
@@ -30,12 +30,12 @@
 {
   LogRatios sums{};
   for (const Stratum& stratum : aStrata) {
-    if (stratum.oldCalls <= 0 || stratum.newCalls <= 0) {
+    const double events = stratum.newEvents + stratum.oldEvents;
+    if (stratum.oldCalls <= 0 || stratum.newCalls <= 0 || events <= 0) {
       continue;
     }
     const double newPart =
       stratum.newCalls / (stratum.newCalls + stratum.oldCalls);
-    const double events = stratum.newEvents + stratum.oldEvents;
     const double tolerated = 1 - newPart + newPart * this->toleratedRatio;
     for (std::size_t index = 0; index < kAlternatives.size(); ++index) {
       const double ratio = this->toleratedRatio * kAlternatives[index];
--- a/modules/moves/VersionJudge.cpp
+++ b/modules/moves/VersionJudge.cpp
@@ -148,14 +148,19 @@
 
 /** Returns the test's value for one route over all windows. */
 double
-ValueOf(const Windows& aWindows, const Test& aTest, double aToleratedRatio)
+ValueOf(const Windows& aWindows,
+        const std::vector<bool>& aWatchWindows,
+        const Test& aTest,
+        double aToleratedRatio)
 {
   const double dispersion = DispersionOf(aWindows, aTest);
   RateComparison matched(aToleratedRatio, dispersion);
   RateComparison::Stratum baseline;
-  for (const RouteEvidence* route : aWindows) {
-    std::vector<RateComparison::Stratum> strata;
-    const bool isWatch = IsWatchWindow(*route);
+  std::vector<RateComparison::Stratum> strata;
+  for (std::size_t window = 0; window < aWindows.size(); ++window) {
+    const RouteEvidence* route = aWindows[window];
+    const bool isWatch = aWatchWindows[window];
+    strata.clear();
     const double scale = EventScale(*route, aTest);
     for (const auto& [name, domain] : route->domains) {
       if (isWatch) {
@@ -171,8 +176,9 @@
     matched.AddWindow(strata);
   }
   double watched = 0;
-  for (const RouteEvidence* route : aWindows) {
-    if (!IsWatchWindow(*route)) {
+  for (std::size_t window = 0; window < aWindows.size(); ++window) {
+    const RouteEvidence* route = aWindows[window];
+    if (!aWatchWindows[window]) {
       continue;
     }
     RateComparison::Stratum stratum = baseline;
@@ -247,8 +253,14 @@
   double worst = 0;
   std::uint64_t allCalls = 0;
   for (const auto& [name, windows] : routes) {
+    std::vector<bool> watchWindows;
+    watchWindows.reserve(windows.size());
+    for (const RouteEvidence* route : windows) {
+      watchWindows.push_back(IsWatchWindow(*route));
+    }
     for (const Test& test : kTests) {
-      const double value = ValueOf(windows, test, this->policy.toleratedRatio);
+      const double value =
+        ValueOf(windows, watchWindows, test, this->policy.toleratedRatio);
       if (value > worst) {
         worst = value;
         judgement.reason = Figures(name, windows, test, value);
