--- a/modules/moves/Evidence.cpp
+++ b/modules/moves/Evidence.cpp
@@ -5,18 +5,25 @@
 namespace fireflytrail::moves {
 
 bool
-Evidence::Merge(const core::DaemonId& aOrigin,
-                std::size_t aWindow,
-                const EvidenceWindow& aState)
+Evidence::Merge(const core::DaemonId& aOrigin, const EvidenceWindow& aState)
 {
-  assert(aWindow < kWindows);
-  EvidenceWindow& known = this->origins[aOrigin][aWindow];
+  const std::size_t window = aState.window;
+  assert(window < kWindows);
+  EvidenceWindow& known =
+    this->origins.try_emplace(aOrigin, EmptyTotals()).first->second[window];
   if (aState.sequence <= known.sequence) {
     return false;
   }
-  this->sums[aWindow] -= known;
-  this->sums[aWindow] += aState;
+  this->sums[window] -= known;
+  this->sums[window] += aState;
   known = aState;
+  for (const auto& [name, route] : aState.routes) {
+    std::uint64_t& calls = this->newCallsOfOrigins[aOrigin][name];
+    if (route.newCallsSoFar > calls) {
+      this->newCalls[name] += route.newCallsSoFar - calls;
+      calls = route.newCallsSoFar;
+    }
+  }
   return true;
 }
 
@@ -26,10 +33,26 @@
   return this->sums;
 }
 
+const std::map<std::string, std::uint64_t>&
+Evidence::NewCalls() const
+{
+  return this->newCalls;
+}
+
 std::size_t
 Evidence::OriginCount() const
 {
   return this->origins.size();
 }
 
+Evidence::Totals
+Evidence::EmptyTotals()
+{
+  Totals totals;
+  for (std::size_t window = 0; window < totals.size(); ++window) {
+    totals[window].window = window;
+  }
+  return totals;
+}
+
 } // namespace fireflytrail::moves
--- a/modules/moves/EvidenceRecorder.h
+++ b/modules/moves/EvidenceRecorder.h
@@ -47,13 +47,15 @@
 
   /** Returns the counters of a window; its sequence counts calls. Not
    * thread-safe. */
-  const EvidenceWindow& Window(std::size_t aWindow) const;
+  EvidenceWindow Window(std::size_t aWindow) const;
 
 private:
   /** Old version's durations of one call and the bounds in use. */
   struct Reference
   {
     LatencyHistogram durations;
+    /** Calls of the new version in all windows. */
+    std::uint64_t newCalls = 0;
     std::size_t window = 0;
     std::optional<std::chrono::microseconds> slow;
     std::optional<std::chrono::microseconds> verySlow;
--- a/modules/moves/EvidenceWindow.cpp
+++ b/modules/moves/EvidenceWindow.cpp
@@ -2,6 +2,7 @@
 
 #include <flatbuffers/flexbuffers.h>
 
+#include <cassert>
 #include <set>
 #include <vector>
 
@@ -11,7 +12,11 @@
 
 constexpr std::size_t kCountersPerVersion = 5;
 constexpr std::size_t kCountersPerDomain = 2 * kCountersPerVersion;
-constexpr std::size_t kCountersPerGroup = 4;
+constexpr std::size_t kCountersPerGroup = 3;
+/** Name, calls so far and counters. */
+constexpr std::size_t kItemsPerRoute = 3;
+/** Window, sequence and the names of the failure domains. */
+constexpr std::size_t kHeadItems = 3;
 /** The groups' counters and the set of groups with failures. */
 constexpr std::size_t kFixedCounters =
   RouteEvidence::kGroups * kCountersPerGroup + 1;
@@ -48,6 +53,7 @@
 EvidenceWindow&
 EvidenceWindow::operator+=(const EvidenceWindow& aOther)
 {
+  assert(this->window == aOther.window);
   this->sequence += aOther.sequence;
   for (const auto& [name, route] : aOther.routes) {
     this->routes[name] += route;
@@ -58,6 +64,7 @@
 EvidenceWindow&
 EvidenceWindow::operator-=(const EvidenceWindow& aOther)
 {
+  assert(this->window == aOther.window);
   this->sequence -= aOther.sequence;
   for (const auto& [name, route] : aOther.routes) {
     this->routes[name] -= route;
@@ -76,6 +83,7 @@
   }
   flexbuffers::Builder builder;
   builder.Vector([&] {
+    builder.UInt(this->window);
     builder.UInt(this->sequence);
     builder.Vector([&] {
       for (const std::string& domain : domains) {
@@ -84,6 +92,7 @@
     });
     for (const auto& [name, route] : this->routes) {
       builder.String(name);
+      builder.UInt(route.newCallsSoFar);
       std::vector<std::uint64_t> numbers;
       for (const std::string& domain : domains) {
         const auto found = route.domains.find(domain);
@@ -94,9 +103,8 @@
         Append(numbers, counters.fresh);
       }
       for (const CallCounters& group : route.oldGroups) {
-        numbers.insert(
-          numbers.end(),
-          { group.failures, group.timed, group.slow, group.verySlow });
+        numbers.insert(numbers.end(),
+                       { group.timed, group.slow, group.verySlow });
       }
       numbers.push_back(route.newFailureGroups);
       // One vector for each call: FlexBuffers picks the smallest width that
@@ -126,26 +134,32 @@
     return Invalid("not a list");
   }
   const auto list = root.AsVector();
-  if (list.size() < 2 || list.size() % 2 != 0 ||
-      list.size() > 2 + 2 * kMaxRoutes || !list[0].IsUInt() ||
-      !list[1].IsUntypedVector()) {
+  if (list.size() < kHeadItems ||
+      (list.size() - kHeadItems) % kItemsPerRoute != 0 ||
+      list.size() > kHeadItems + kItemsPerRoute * kMaxRoutes ||
+      !list[0].IsUInt() || list[0].AsUInt64() >= kWindows ||
+      !list[1].IsUInt() || !list[2].IsUntypedVector()) {
     return Invalid("wrong head");
   }
   EvidenceWindow window;
-  window.sequence = list[0].AsUInt64();
-  const auto names = list[1].AsVector();
+  window.window = list[0].AsUInt64();
+  window.sequence = list[1].AsUInt64();
+  const auto names = list[2].AsVector();
   if (names.size() > kMaxDomains) {
     return Invalid("too many failure domains");
   }
-  for (std::size_t index = 2; index < list.size(); index += 2) {
-    if (!list[index].IsString() || !list[index + 1].IsTypedVector()) {
+  for (std::size_t index = kHeadItems; index < list.size();
+       index += kItemsPerRoute) {
+    if (!list[index].IsString() || !list[index + 1].IsUInt() ||
+        !list[index + 2].IsTypedVector()) {
       return Invalid("wrong route");
     }
-    const auto numbers = list[index + 1].AsTypedVector();
+    const auto numbers = list[index + 2].AsTypedVector();
     if (numbers.size() != names.size() * kCountersPerDomain + kFixedCounters) {
       return Invalid("wrong number of counters");
     }
     RouteEvidence& route = window.routes[list[index].AsString().str()];
+    route.newCallsSoFar = list[index + 1].AsUInt64();
     std::size_t position = 0;
     for (std::size_t name = 0; name < names.size(); ++name) {
       if (!names[name].IsString()) {
@@ -158,10 +172,9 @@
       position += kCountersPerDomain;
     }
     for (CallCounters& group : route.oldGroups) {
-      group.failures = numbers[position].AsUInt64();
-      group.timed = numbers[position + 1].AsUInt64();
-      group.slow = numbers[position + 2].AsUInt64();
-      group.verySlow = numbers[position + 3].AsUInt64();
+      group.timed = numbers[position].AsUInt64();
+      group.slow = numbers[position + 1].AsUInt64();
+      group.verySlow = numbers[position + 2].AsUInt64();
       position += kCountersPerGroup;
     }
     route.newFailureGroups = numbers[position].AsUInt64();
--- a/modules/moves/VersionMoveTest.cpp
+++ b/modules/moves/VersionMoveTest.cpp
@@ -64,6 +64,7 @@
   {
     const std::size_t window = this->move->Window().value();
     EvidenceWindow& state = this->windows[window];
+    state.window = window;
     state.sequence += 1;
     RouteEvidence& route = state.routes["sell"];
     const auto oldCalls = static_cast<std::uint64_t>(
@@ -71,7 +72,9 @@
     route.domains["a"].old += { oldCalls, oldCalls / 1000, 0, 0, 0 };
     route.domains["a"].fresh += { aNewCalls, aNewFailures, 0, 0, 0 };
     route.newFailureGroups = aNewFailures > 0 ? 0xff : 0;
-    this->evidence.Merge({ "entry-2", 1 }, window, state);
+    this->newCalls += aNewCalls;
+    route.newCallsSoFar = this->newCalls;
+    this->evidence.Merge({ "entry-2", 1 }, state);
   }
 
   /** Goes on in steps of half a second with good calls. */
@@ -94,6 +97,7 @@
   std::optional<VersionMove> move;
   Evidence evidence;
   Evidence::Totals windows;
+  std::uint64_t newCalls = 0;
   std::vector<Verdict> verdicts;
   int doneReports = 0;
 };
