Test that a start waits for several peers and refuses older versions

A trial with the two guards removed passed all tests: no test let a restarted daemon reach only a lagging peer, and the one with an older response was rejected for its missing hash instead of its version.

gossip_test: 54 cases pass.

--- a/modules/gossip/DesiredStateSpreadTest.cpp
+++ b/modules/gossip/DesiredStateSpreadTest.cpp
@@ -1,3 +1,4 @@
+#include "core/Hash.h"
 #include "gossip/VirtualNetwork.h"
 
 #include <boost/test/unit_test.hpp>
@@ -49,6 +50,7 @@
   DesiredResponse response;
   response.version = 4;
   response.document = "four";
+  response.documentHash = core::HashOf(response.document);
   desired.Receive("entry-01", response);
   BOOST_TEST(desired.HeldVersion() == 5U);
   BOOST_TEST(desired.Document() == "five");
@@ -76,6 +78,12 @@
   BOOST_TEST(restarted.NewestSeen() == 2U);
   BOOST_TEST(restarted.HeldVersion() == 0U);
   BOOST_TEST(!restarted.OfferFromStore(1, "one"));
+  DesiredResponse older;
+  older.version = 1;
+  older.document = "one";
+  older.documentHash = core::HashOf(older.document);
+  restarted.Receive(network.hosts[1].name, older);
+  BOOST_TEST(restarted.HeldVersion() == 0U);
   BOOST_TEST(restarted.OfferFromStore(2, "two"));
 }
 
--- a/modules/gossip/GossipNodeTest.cpp
+++ b/modules/gossip/GossipNodeTest.cpp
@@ -200,6 +200,36 @@
   }
 }
 
+// Guards against a restarted daemon that at first reaches only a peer with an
+// old version and applies that one.
+BOOST_AUTO_TEST_CASE(RestartWaitsForSeveralPeersBeforeItsFirstVersion)
+{
+  for (const std::uint64_t seed : { 1, 2, 3, 4, 5 }) {
+    Fleet fleet(seed);
+    auto& network = fleet.network;
+    network.Node(0).Desired().OfferFromStore(1, "one");
+    network.Run(5s);
+    network.isCut = [](std::size_t aFrom, std::size_t aTo) {
+      return (aFrom == 18) != (aTo == 18);
+    };
+    network.Node(0).Desired().OfferFromStore(2, "two");
+    network.Run(5s);
+    BOOST_TEST(fleet.Held(4) == 2U);
+    // Daemons 4 and 18 reach only each other for 1.5 s after the restart.
+    network.isCut = [](std::size_t aFrom, std::size_t aTo) {
+      return (aFrom == 18 || aFrom == 4) != (aTo == 18 || aTo == 4);
+    };
+    network.Start(4);
+    network.SetList(4, { 4, 18 });
+    network.Run(1500ms);
+    BOOST_TEST(network.Node(4).Desired().NewestSeen() == 1U);
+    network.isCut = nullptr;
+    network.SetList(4, AllHosts());
+    network.Run(10s);
+    BOOST_TEST(fleet.CountHolding(2) == kHostCount);
+  }
+}
+
 // Guards against paused daemons that take themselves for healthy, or that
 // declare all others dead on waking.
 BOOST_AUTO_TEST_CASE(PausedDaemonsWakeStaleAndRecover)
@@ -279,6 +309,7 @@
     fleet.RunChecked(240s, kHostCount);
     BOOST_TEST(fleet.CountHolding(2) == 13U);
     BOOST_TEST((fleet.StateAt(10, 0) == MemberState::Dead));
+    BOOST_REQUIRE(network.Node(10).State().FindOrigin("entry-00") != nullptr);
     const auto startBefore =
       network.Node(10).State().FindOrigin("entry-00")->id.start;
     network.isCut = nullptr;
