Drive the scenarios through the real gossip module

Crash entries, the desired state and the knowledge of issuers now spread by GossipNode and GossipRecords over the simulated network instead of direct delivery; daemons run 10 s before a scenario starts, and refuse calls after a start or a pause until they have heard of others. World::attemptEnded passes each attempt with the server's report on, for the routing module.

--- a/scenario/DaemonProcess.h
+++ b/scenario/DaemonProcess.h
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "calls/calls.h"
+#include "daemon/GossipRecords.h"
+#include "gossip/GossipNode.h"
 #include "scenario/Models.h"
 
 #include <map>
@@ -29,6 +31,8 @@
   bool isAlive = true;
   calls::TicketLedger ledger;
   calls::CrashGuard guard;
+  std::unique_ptr<gossip::GossipNode> gossip;
+  std::unique_ptr<daemon::GossipRecords> records;
   std::map<std::string, std::unique_ptr<calls::RetryBudget>> budgets;
   /** Own calls in flight, by server. */
   std::map<std::uint64_t, unsigned> inFlight;
--- a/scenario/Models.h
+++ b/scenario/Models.h
@@ -73,7 +73,7 @@
 /** What operators have asked for; stands in for the desired state document. */
 struct SimulatedDesire
 {
-  std::uint64_t version = 0;
+  std::uint64_t version = 1;
   std::set<std::string> domainsOut;
   /** Share of traffic for servers of the new version, for each service. */
   std::map<std::string, double> newVersionShare;
--- a/scenario/ServerChoice.cpp
+++ b/scenario/ServerChoice.cpp
@@ -10,6 +10,8 @@
 
 /** Servers that refuse connections are left out for this time. */
 constexpr std::chrono::milliseconds kAvoidAfterFailure{ 500 };
+/** A retry must not be the probe of a server that failed lately. */
+constexpr std::chrono::milliseconds kAvoidInRetry{ 10'000 };
 
 std::vector<SimulatedServer*>
 Candidates(World& aWorld,
@@ -20,10 +22,11 @@
   std::vector<SimulatedServer*> all;
   std::vector<SimulatedServer*> ofVersion;
 
+  const auto avoidFor = aAvoid.empty() ? kAvoidAfterFailure : kAvoidInRetry;
   const auto hasFailed = [&](const SimulatedServer& aServer) {
     const auto failed = aProcess.connectFailed.find(aServer.key);
     return failed != aProcess.connectFailed.end() &&
-           aWorld.clock.Now() - failed->second < kAvoidAfterFailure;
+           aWorld.clock.Now() - failed->second < avoidFor;
   };
   const auto share = aProcess.desire.newVersionShare.find(aService);
   const bool wantsNew = share != aProcess.desire.newVersionShare.end() &&
--- a/scenario/SimulatedDaemon.cpp
+++ b/scenario/SimulatedDaemon.cpp
@@ -116,13 +116,6 @@
   }
 }
 
-void
-SimulatedDaemon::MergeCrash(const calls::CrashEntry& aEntry)
-{
-  this->Post(microseconds(0),
-             [this, aEntry] { this->process->guard.Merge(aEntry); });
-}
-
 void
 SimulatedDaemon::ConnectionClosed(std::uint64_t aServer,
                                   std::uint64_t aServerStart)
@@ -131,9 +124,22 @@
   const auto found = connections.find(aServer);
   if (found != connections.end() && found->second == aServerStart) {
     connections.erase(found);
+    this->process->connectFailed[aServer] = this->world.clock.Now();
   }
 }
 
+calls::IssuerState
+SimulatedDaemon::IssuerStateOf(const core::DaemonId& aIssuer)
+{
+  const gossip::Origin* origin =
+    this->process->gossip->State().FindOrigin(aIssuer.name);
+  if (origin == nullptr) {
+    return calls::IssuerState::Unreachable;
+  }
+  return origin->id.start == aIssuer.start ? calls::IssuerState::Reachable
+                                           : calls::IssuerState::Gone;
+}
+
 void
 SimulatedDaemon::StartProcess()
 {
@@ -141,79 +147,89 @@
     core::DaemonId{ this->name, this->world.random.Next() | 1 },
     this->world.random.Next(),
     this->world.clock.NowHook(),
-    [this](const calls::CrashEntry& aEntry) { this->SpreadCrash(aEntry); },
+    [this](const calls::CrashEntry& aEntry) {
+      this->Post(microseconds(0),
+                 [this, aEntry] { this->process->records->Publish(aEntry); });
+    },
     this->world.ticketLimits);
   for (const auto& [service, model] : this->world.services) {
     this->process->budgets[service] =
       std::make_unique<calls::RetryBudget>(this->world.clock.NowHook());
   }
-
-  this->Post(this->world.random.Time(std::chrono::seconds(1)),
-             [this] { this->Tick(); });
-  if (this->world.clock.Elapsed().count() > 0) {
-    this->LearnFromPeers();
-  }
-}
-
-void
-SimulatedDaemon::LearnFromPeers()
-{
+  this->StartGossip();
   // As the daemon does: no calls before one exchange with a peer, or until
   // the store has been read instead.
   this->isReady = false;
   this->Post(std::chrono::seconds(1), [this] { this->isReady = true; });
-  for (const auto& peer : this->world.daemons) {
-    if (peer.get() == this) {
-      continue;
-    }
-    this->world.SendMessage(*this, *peer, [this, &peer] {
-      peer->Post(microseconds(0), [this, &peer] {
-        this->world.SendMessage(
-          *peer, *this, [this, entries = peer->Process().guard.Entries()] {
-            for (const calls::CrashEntry& entry : entries) {
-              this->MergeCrash(entry);
-            }
-            this->Post(microseconds(0), [this] { this->isReady = true; });
-          });
+}
+
+void
+SimulatedDaemon::StartGossip()
+{
+  gossip::GossipHooks hooks;
+  hooks.now = this->world.clock.NowHook();
+  hooks.wallNow = [this] {
+    return core::WallTimePoint(
+      std::chrono::duration_cast<core::WallTimePoint::duration>(
+        this->world.clock.Now().time_since_epoch()));
+  };
+  hooks.random = [this] { return this->world.random.Next(); };
+  hooks.send = [this](const gossip::Peer& aTo,
+                      const gossip::GossipMessage& aMessage) {
+    SimulatedDaemon* peer = this->world.DaemonOf(aTo.name);
+    this->world.SendMessage(*this, *peer, [this, peer, aMessage] {
+      peer->Post(microseconds(0), [this, peer, aMessage] {
+        peer->process->gossip->Receive(this->name, aMessage);
+        peer->isReady = true;
       });
     });
+  };
+  hooks.recordChanged = [this](const core::DaemonId&,
+                               const gossip::Record& aRecord) {
+    for (const calls::CrashEntry& entry :
+         daemon::GossipRecords::ParseCrashes(aRecord.key, aRecord.value)) {
+      this->process->guard.Merge(entry);
+    }
+  };
+  hooks.desiredAccepted = [this](std::uint64_t aVersion, const std::string&) {
+    this->process->desire = this->world.desires.at(aVersion);
+    this->process->gossip->Desired().ConfirmInForce(aVersion);
+  };
+  this->process->gossip = std::make_unique<gossip::GossipNode>(
+    this->process->id, this->name, std::move(hooks));
+  this->process->records = std::make_unique<daemon::GossipRecords>(
+    this->world.clock.NowHook(),
+    [this](std::string_view aKey, std::string_view aValue) {
+      this->process->gossip->Exchanger().PublishUrgent(aKey, aValue);
+    });
+  std::vector<gossip::ListedHost> listed;
+  for (const std::string& host : this->world.daemonNames) {
+    listed.push_back({ host, host, false });
   }
+  this->process->gossip->Members().SetHostList(std::move(listed));
+  this->Post(this->world.random.Time(gossip::GossipExchanger::kTickInterval),
+             [this] { this->GossipTick(); });
+  this->Post(this->world.random.Time(std::chrono::seconds(1)),
+             [this] { this->ReadStore(); });
 }
 
 void
-SimulatedDaemon::SpreadCrash(const calls::CrashEntry& aEntry)
+SimulatedDaemon::GossipTick()
 {
-  for (const auto& peer : this->world.daemons) {
-    if (peer.get() != this) {
-      this->world.SendMessage(
-        *this, *peer, [&peer, aEntry] { peer->MergeCrash(aEntry); });
-    }
-  }
+  this->process->gossip->Tick();
+  this->Post(gossip::GossipExchanger::kTickInterval,
+             [this] { this->GossipTick(); });
 }
 
 void
-SimulatedDaemon::Tick()
+SimulatedDaemon::ReadStore()
 {
-  // Exchange with one peer, so that lost messages are made good.
-  const auto& peers = this->world.daemons;
-  SimulatedDaemon& peer = *peers[this->world.random.Below(peers.size())];
-  if (&peer != this) {
-    for (const calls::CrashEntry& entry : this->process->guard.Entries()) {
-      this->world.SendMessage(
-        *this, peer, [&peer, entry] { peer.MergeCrash(entry); });
-    }
-    this->world.SendMessage(
-      *this, peer, [&peer, desire = this->process->desire] {
-        if (peer.IsAlive() && desire.version > peer.Process().desire.version) {
-          peer.Process().desire = desire;
-        }
-      });
-  }
-  if (this->world.storeIsUp &&
-      this->world.desire.version > this->process->desire.version) {
-    this->process->desire = this->world.desire;
+  const std::uint64_t version = this->world.desire.version;
+  auto& desired = this->process->gossip->Desired();
+  if (this->world.storeIsUp && version > desired.HeldVersion()) {
+    desired.OfferFromStore(version, std::to_string(version));
   }
-  this->Post(std::chrono::seconds(1), [this] { this->Tick(); });
+  this->Post(std::chrono::seconds(1), [this] { this->ReadStore(); });
 }
 
 } // namespace fireflytrail::scenario
--- a/scenario/SimulatedDaemon.h
+++ b/scenario/SimulatedDaemon.h
@@ -44,12 +44,12 @@
   /** Ends the process; a new one starts after the time, if there is one. */
   void Die(std::optional<microseconds> aRestart);
 
-  /** Takes news that another daemon's guard has sent. */
-  void MergeCrash(const calls::CrashEntry& aEntry);
-
   /** A server has closed its kept connections. */
   void ConnectionClosed(std::uint64_t aServer, std::uint64_t aServerStart);
 
+  /** Returns what this daemon believes of the issuer of a ticket. */
+  calls::IssuerState IssuerStateOf(const core::DaemonId& aIssuer);
+
   bool IsAlive() const { return this->process && this->process->isAlive; }
   DaemonProcess& Process() { return *this->process; }
 
@@ -64,14 +64,15 @@
   friend class SimulatedSession;
 
   void StartProcess();
-  void LearnFromPeers();
+  void StartGossip();
+  void GossipTick();
   void Run(std::function<void()> aEvent);
-  void SpreadCrash(const calls::CrashEntry& aEntry);
-  void Tick();
+  void ReadStore();
 
   World& world;
   std::shared_ptr<DaemonProcess> process;
   bool isPaused = false;
+  /** Refuses calls until it has heard from a peer after its start. */
   bool isReady = true;
   std::vector<std::function<void()>> waiting;
 };
--- a/scenario/SimulatedServer.cpp
+++ b/scenario/SimulatedServer.cpp
@@ -35,11 +35,11 @@
     ++this->world.record.deadlineFaults;
   }
   if (this->isDraining) {
-    aReply({ ServerReply::Kind::Refused, 503, 0 });
+    aReply(this->WithReport({ ServerReply::Kind::Refused, 503, 0 }));
     return;
   }
   if (!this->failFast.empty()) {
-    aReply(FailureOf(this->failFast));
+    aReply(this->WithReport(FailureOf(this->failFast)));
     return;
   }
   this->works[aToken] = { aRequest, std::move(aReply), timeLeft };
@@ -166,11 +166,21 @@
   const auto work = this->works.extract(aToken);
   --this->busySlots;
   if (work.mapped().reply) {
-    work.mapped().reply(aReply);
+    work.mapped().reply(this->WithReport(aReply));
   }
   this->StartNext();
 }
 
+ServerReply
+SimulatedServer::WithReport(ServerReply aReply) const
+{
+  aReply.inFlight = static_cast<unsigned>(this->works.size());
+  aReply.start = this->start;
+  aReply.isCold = this->coldFactor > 1.0;
+  aReply.isDraining = this->isDraining;
+  return aReply;
+}
+
 ServerReply
 SimulatedServer::FailureOf(const std::string& aMode)
 {
--- a/scenario/SimulatedServer.h
+++ b/scenario/SimulatedServer.h
@@ -24,6 +24,11 @@
   unsigned status = 200;
   /** Identity of the server's death that reset the connection, or zero. */
   std::uint64_t death = 0;
+  /** The report that an answer or a refusal carries (`Server-Load`). */
+  unsigned inFlight = 0;
+  std::uint64_t start = 0;
+  bool isCold = false;
+  bool isDraining = false;
 };
 
 /** A backend server that keeps its own record of what it ran. */
@@ -78,6 +83,8 @@
   void Run(std::uint64_t aToken);
   void CallBelow(std::uint64_t aToken, std::size_t aIndex);
   void Finish(std::uint64_t aToken, ServerReply aReply);
+  /** Adds the report to a reply. */
+  ServerReply WithReport(ServerReply aReply) const;
   static ServerReply FailureOf(const std::string& aMode);
 
   World& world;
--- a/scenario/SimulatedSession.cpp
+++ b/scenario/SimulatedSession.cpp
@@ -29,9 +29,13 @@
 SimulatedSession::Begin()
 {
 
+  // After a pause, the daemon takes calls again once it has heard of others.
+  auto& exchanger = this->process->gossip->Exchanger();
+  exchanger.CheckPause();
   const std::optional<ErrorKind> refusal =
-    this->daemon.isReady ? this->daemon.refusal
-                         : std::optional(ErrorKind::NoConfiguration);
+    this->daemon.isReady && !exchanger.IsStale()
+      ? this->daemon.refusal
+      : std::optional(ErrorKind::NoConfiguration);
   if (refusal) {
     const ErrorKind kind = calls::CallFlow::RefusalKind(
       *refusal, this->request.ticket, this->process->ledger);
@@ -97,7 +101,7 @@
   };
   hooks.takeRetry = [this] { return this->TakeRetry(); };
   hooks.issuerState = [this](const core::DaemonId& aIssuer) {
-    return this->world.IssuerStateOf(aIssuer);
+    return this->daemon.IssuerStateOf(aIssuer);
   };
   hooks.joinedFinished = [this, weak = this->weak_from_this()](
                            const calls::TicketOutcome& aOutcome) {
@@ -150,6 +154,7 @@
   const std::uint64_t current = this->token = this->world.NextId();
   this->progress = AttemptProgress::NothingSent;
   this->server = this->world.ServerOf(aStep.server.server);
+  this->attemptBegin = this->world.clock.Now();
   this->lease = std::move(aStep.server.lease);
   SimulatedRequest sent = this->request;
   sent.attempt = aStep.attempt;
@@ -297,7 +302,16 @@
   if (aToken != this->token || !this->flow) {
     return;
   }
+
   this->token = 0;
+  if (this->server != nullptr && this->world.attemptEnded) {
+    this->world.attemptEnded(*this->process,
+                             this->server->key,
+                             aProgress,
+                             aReply,
+                             std::chrono::duration_cast<microseconds>(
+                               this->world.clock.Now() - this->attemptBegin));
+  }
   this->lease.reset();
   if (this->server != nullptr && aProgress == AttemptProgress::SentNoAnswer) {
     this->process->connections.erase(this->server->key);
--- a/scenario/SimulatedSession.h
+++ b/scenario/SimulatedSession.h
@@ -60,6 +60,7 @@
   /** Identity of the running attempt; zero if there is none. */
   std::uint64_t token = 0;
   SimulatedServer* server = nullptr;
+  core::TimePoint attemptBegin;
   std::shared_ptr<void> lease;
   std::function<void()> closeForward;
   std::uint64_t deadlineTimer = 0;
--- a/scenario/Steps.cpp
+++ b/scenario/Steps.cpp
@@ -129,6 +129,7 @@
     ++aWorld.record.writesAccepted;
     aWorld.desire = aDesire;
     aWorld.desire.version = aSeen + 1;
+    aWorld.desires[aSeen + 1] = aWorld.desire;
   });
 }
 
--- a/scenario/VirtualClock.cpp
+++ b/scenario/VirtualClock.cpp
@@ -16,7 +16,7 @@
 void
 VirtualClock::RunUntil(std::chrono::microseconds aElapsed)
 {
-  const core::TimePoint end = kStart + aElapsed;
+  const core::TimePoint end = this->start + aElapsed;
   while (!this->events.empty() && this->events.begin()->first.first <= end) {
     auto event = this->events.extract(this->events.begin());
     this->now = event.key().first;
--- a/scenario/VirtualClock.h
+++ b/scenario/VirtualClock.h
@@ -28,10 +28,14 @@
   /** Returns the time since the start of the scenario. */
   std::chrono::microseconds Elapsed() const
   {
+
     return std::chrono::duration_cast<std::chrono::microseconds>(this->now -
-                                                                 kStart);
+                                                                 this->start);
   }
 
+  /** Makes the present time the start of the scenario. */
+  void SetStart() { this->start = this->now; }
+
   /** Schedules an event. `aDelay` must not be negative. */
   void After(std::chrono::microseconds aDelay, std::function<void()> aEvent);
 
@@ -40,9 +44,8 @@
 
 private:
   // Decision code may look back from the start by minutes.
-  static constexpr core::TimePoint kStart{ std::chrono::hours(1) };
-
-  core::TimePoint now = kStart;
+  core::TimePoint start{ std::chrono::hours(1) };
+  core::TimePoint now = start;
   std::uint64_t nextSequence = 0;
   std::map<std::pair<core::TimePoint, std::uint64_t>, std::function<void()>>
     events;
--- a/scenario/World.cpp
+++ b/scenario/World.cpp
@@ -12,6 +12,8 @@
 
 namespace {
 
+constexpr std::chrono::seconds kWarmUp{ 10 };
+
 const boost::json::object&
 ObjectIn(Fields& aFields, const std::string& aKey)
 {
@@ -45,13 +47,20 @@
   this->ReadServices(ObjectIn(topology, "services"));
   this->ReadCalls(ObjectIn(script, "calls"));
   const auto daemonCount = static_cast<unsigned>(topology.Number("daemons"));
+
+  for (unsigned index = 0; index < daemonCount; ++index) {
+    this->daemonNames.push_back(fmt::format("entry-{}", index));
+  }
   for (unsigned index = 0; index < daemonCount; ++index) {
     this->daemons.push_back(std::make_unique<SimulatedDaemon>(
       *this,
-      fmt::format("entry-{}", index),
+      this->daemonNames[index],
       this->domains[index % this->domains.size()]));
   }
   topology.Finish();
+  // Daemons that run for a while know each other and the desired state.
+  this->clock.RunUntil(kWarmUp);
+  this->clock.SetStart();
 }
 
 SimulatedServer*
@@ -74,17 +83,6 @@
   return *this->daemons[this->random.Below(this->daemons.size())];
 }
 
-calls::IssuerState
-World::IssuerStateOf(const core::DaemonId& aIssuer)
-{
-  SimulatedDaemon* daemon = this->DaemonOf(aIssuer.name);
-  if (daemon == nullptr || daemon->Process().id.start != aIssuer.start) {
-    return calls::IssuerState::Gone;
-  }
-  return daemon->IsAlive() ? calls::IssuerState::Reachable
-                           : calls::IssuerState::Unreachable;
-}
-
 microseconds
 World::Latency(const std::string& aFrom, const std::string& aTo) const
 {
--- a/scenario/World.h
+++ b/scenario/World.h
@@ -27,6 +27,17 @@
   const std::string&,
   std::span<const std::uint64_t>)>;
 
+/**
+ * Receives the end of each attempt at a server: the daemon process, the
+ * server's key, how far it got, the server's reply with its report, and the
+ * time that it took.
+ */
+using AttemptEndedFunction = std::function<void(DaemonProcess&,
+                                                std::uint64_t,
+                                                calls::AttemptProgress,
+                                                const ServerReply&,
+                                                microseconds)>;
+
 /** The simulated fleet: clock, network, store, daemons, servers, callers. */
 class World
 {
@@ -40,7 +51,6 @@
   /** Returns null if there is no such daemon. */
   SimulatedDaemon* DaemonOf(const std::string& aName);
   SimulatedDaemon& AnyDaemon();
-  calls::IssuerState IssuerStateOf(const core::DaemonId& aIssuer);
 
   /** Returns the one-way latency between two failure domains. */
   microseconds Latency(const std::string& aFrom, const std::string& aTo) const;
@@ -69,7 +79,10 @@
   std::vector<std::string> domains;
   calls::TicketLimits ticketLimits;
   ChooseServerFunction chooseServer;
+  /** Called before the lease of the server is released. */
+  AttemptEndedFunction attemptEnded;
   std::vector<std::unique_ptr<SimulatedServer>> servers;
+  std::vector<std::string> daemonNames;
   std::vector<std::unique_ptr<SimulatedDaemon>> daemons;
   std::vector<std::unique_ptr<SimulatedCaller>> callers;
 
@@ -93,6 +106,8 @@
   /** Share of the store's answers that are lost after it has acted. */
   double storeAnswerLoss = 0.0;
   SimulatedDesire desire;
+  /** All versions that the store has held. */
+  std::map<std::uint64_t, SimulatedDesire> desires{ { 1, desire } };
 
 private:
   void ReadServices(const boost::json::object& aServices);
