Leave time before the set time for the latest ramp

With thin_evidence finish no good version was done by the set time: the ramp of 0.1 T started at 0.9 T at the earliest, and each daemon evaluates up to a second later. It now starts at 0.85 T.

--- a/modules/moves/MoveSchedule.cpp
+++ b/modules/moves/MoveSchedule.cpp
@@ -58,7 +58,9 @@
 core::WallTimePoint
 MoveSchedule::LatestRampStart() const
 {
-  return this->askedAt + this->time * 9 / 10;
+  // Daemons evaluate at different moments: a ramp that ends exactly at the set
+  // time ends late on some of them.
+  return this->askedAt + this->time * 85 / 100;
 }
 
 core::WallTimePoint
--- a/modules/moves/MoveScheduleTest.cpp
+++ b/modules/moves/MoveScheduleTest.cpp
@@ -28,7 +28,7 @@
   BOOST_TEST((schedule.RampStart() == kStart + seconds(450)));
   BOOST_TEST((schedule.RampEnd(schedule.RampStart()) == kStart + seconds(900)));
   BOOST_TEST(
-    (schedule.RampEnd(schedule.LatestRampStart()) == kStart + seconds(1000)));
+    (schedule.RampEnd(schedule.LatestRampStart()) == kStart + seconds(950)));
   double before = 0.05;
   for (int second = 450; second <= 1000; ++second) {
     const double share =
--- a/modules/moves/VersionMoveTest.cpp
+++ b/modules/moves/VersionMoveTest.cpp
@@ -150,9 +150,10 @@
              std::string::npos);
 
   Fixture finish("finish");
-  finish.RunUntil(seconds(890), 0);
+  finish.RunUntil(seconds(840), 0);
   BOOST_TEST(finish.move->Share() == 0.05);
-  finish.RunUntil(seconds(1000), 0);
+  // Some time is left for daemons that evaluate late.
+  finish.RunUntil(seconds(960), 0);
   BOOST_TEST(finish.move->State() == "watched");
   BOOST_TEST(finish.verdicts.empty());
 }
