Check capacity before taking a failure domain out

move domain out asked a function that always agreed. The figures are printed.

scripts/demo.sh fails since home_slots became the default policy: a failure domain that is back gets no work within 10 s at 150 calls a second. OccupancyCost prefers servers that have answered over those that never have, so that idle servers stay unused, and cold, until the others are busy. The check in the demo is left as it is.

--- a/app/main.cpp
+++ b/app/main.cpp
@@ -20,6 +20,7 @@
 #include <random>
 #include <string>
 #include <string_view>
+#include <thread>
 #include <vector>
 
 DEFINE_string(store, "", "store's address, IP:PORT");
@@ -218,6 +219,13 @@
   return user == nullptr || *user == '\0' ? "unknown" : user;
 }
 
+void
+PauseBetweenSamples()
+{
+  constexpr std::chrono::milliseconds kPause{ 200 };
+  std::this_thread::sleep_for(kPause);
+}
+
 ExitCode
 RunMove(const std::vector<std::string>& aArguments)
 {
@@ -254,9 +262,13 @@
   MoveCommand::Hooks hooks;
   hooks.now = std::chrono::system_clock::now;
   hooks.random = std::mt19937_64(std::random_device{}());
-  hooks.capacity = [](const configuration::DesiredState&, const std::string&) {
-    return MoveCommand::Capacity{ true, "capacity is not checked yet" };
-  };
+  hooks.capacity =
+    [check = CapacityCheck(
+       *access, OpenDaemons(), FLAGS_daemon, PauseBetweenSamples)](
+      const configuration::DesiredState& aState,
+      const std::string& aFailureDomain) {
+      return check.Run(aState, aFailureDomain);
+    };
   const MoveCommand command(
     *access, std::move(hooks), StandardOutput(), OperatorName());
   std::optional<std::chrono::seconds> wait;
--- /dev/null
+++ b/modules/operator_client/CapacityCheckTest.cpp
@@ -0,0 +1,133 @@
+#include "operator_client/CapacityCheck.h"
+
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+
+#include <string>
+#include <vector>
+
+using namespace fireflytrail;
+using namespace fireflytrail::operator_client;
+
+namespace {
+
+const std::string kText = R"({
+  "name": "shop", "weighs_most": "latency",
+  "regions": { "north": ["a", "b", "c"] },
+  "services": { "till": { "depends_on": [], "slots": 4, "version": "1",
+    "calls": { "list": { "method": "GET", "path": "/list",
+                         "deadline_ms": 1000 } } } } })";
+
+struct Fixture
+{
+  Fixture()
+  {
+    this->state.textVersion = 1;
+    this->state.text = kText;
+    for (const std::string domain : { "a", "b", "c" }) {
+      store::HostEntry server;
+      server.id = "s-" + domain;
+      server.service = "till";
+      server.version = "1";
+      server.domain = domain;
+      this->hosts.hosts.push_back(server);
+      store::HostEntry entry;
+      entry.id = "e-" + domain;
+      entry.kind = store::HostKind::Entry;
+      entry.operatorAddress = "at-" + domain;
+      entry.domain = domain;
+      this->hosts.hosts.push_back(entry);
+    }
+  }
+
+  MoveCommand::Capacity Run(const std::string& aDaemon = {})
+  {
+    StoreAccess access;
+    access.hosts = [this]() {
+      return store::HostsResult{ store::StoreStatus::Ok, this->hosts, "" };
+    };
+    const auto daemon =
+      [this](const std::string& aAddress,
+             const std::string&) -> core::Result<std::string> {
+      this->asked.push_back(aAddress);
+      if (aAddress == this->deadDaemon) {
+        return core::Error{ core::ErrorKind::ConnectFailed, "refused" };
+      }
+      std::string servers;
+      for (const std::string domain : { "a", "b", "c" }) {
+        servers += fmt::format(
+          R"({}{{"id":"s-{}","reported_in_flight":{}}})",
+          servers.empty() ? "" : ",",
+          domain,
+          this->inFlight.empty()
+            ? 0
+            : this->inFlight[this->asked.size() % this->inFlight.size()]);
+      }
+      return R"({"servers":[)" + servers + "]}";
+    };
+    return CapacityCheck(access, daemon, aDaemon, []() {})
+      .Run(this->state, "a");
+  }
+
+  configuration::DesiredState state;
+  store::HostList hosts;
+  std::vector<std::string> asked;
+  std::string deadDaemon;
+  std::vector<int> inFlight;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(CapacityCheckTest, Fixture)
+
+// Guards against refusing a domain that the others can replace, and against
+// figures of one moment.
+BOOST_AUTO_TEST_CASE(AveragesTheReportedLoad)
+{
+  // Each server reports 4, 4, 0, 4 and 0 calls: 2.4 on average.
+  this->inFlight = { 0, 4, 4, 0, 4 };
+  const auto capacity = this->Run();
+  BOOST_TEST(!capacity.isEnough);
+  BOOST_TEST(capacity.figures ==
+             "till: 7.2 slots in use, 8 stay, of which 6.4 may be in use: not "
+             "enough");
+  this->asked.clear();
+  this->inFlight = { 1 };
+  BOOST_TEST(this->Run().isEnough);
+}
+
+// Guards against counting servers that cannot take over: leaving ones, ones of
+// another version, ones in domains that are out already.
+BOOST_AUTO_TEST_CASE(CountsOnlyServersThatCanTakeOver)
+{
+  BOOST_TEST(this->Run().isEnough);
+  this->hosts.hosts[2].state = store::HostState::Leaving;
+  BOOST_TEST(this->Run().isEnough);
+  this->hosts.hosts[4].version = "2";
+  BOOST_TEST(!this->Run().isEnough);
+  this->hosts.hosts[4].version = "1";
+  configuration::Move move;
+  move.id = "m1";
+  move.failureDomain = "c";
+  this->state.moves.push_back(move);
+  BOOST_TEST(!this->Run().isEnough);
+}
+
+// Guards against a check that passes because nobody reports any load.
+BOOST_AUTO_TEST_CASE(UnknownLoadIsNotEnough)
+{
+  this->deadDaemon = "at-x";
+  const auto capacity = this->Run("at-x");
+  BOOST_TEST(!capacity.isEnough);
+  BOOST_TEST(capacity.figures ==
+             "capacity unknown: no entry daemon reports the load");
+  this->deadDaemon = "at-a";
+  this->asked.clear();
+  BOOST_TEST(this->Run().isEnough);
+  BOOST_TEST(this->asked.front() == "at-a");
+  BOOST_TEST(this->asked.back() == "at-b");
+  this->hosts.hosts.clear();
+  BOOST_TEST(!this->Run("at-b").isEnough);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/modules/operator_client/operator_client.h
+++ b/modules/operator_client/operator_client.h
@@ -7,6 +7,7 @@
  * functions, so that tests run it without a network.
  */
 
+#include "operator_client/CapacityCheck.h"
 #include "operator_client/CheckCommand.h"
 #include "operator_client/CommandLine.h"
 #include "operator_client/CommandOutput.h"
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -58,8 +58,7 @@
 }
 # first_line NAME: the first line of output of a process, once it is there.
 first_line() {
-  local tries
-  for tries in $(seq 100); do
+  for _ in $(seq 100); do
     [ -s "$work/$1.out" ] && head -n 1 "$work/$1.out" && return
     sleep 0.05
   done
@@ -67,8 +66,7 @@
 }
 # started_field DAEMON FIELD: a field of the daemon's first log line.
 started_field() {
-  local tries
-  for tries in $(seq 100); do
+  for _ in $(seq 100); do
     if grep -q '"event":"daemon_started"' "$work/$1.err"; then
       grep '"event":"daemon_started"' "$work/$1.err" | head -n 1 | jq -r ".$2"
       return
@@ -94,8 +92,7 @@
 # resend ARGUMENT...: as call, again while the answer says that a caller may send
 # the call again because the daemon that issued the ticket is not known yet.
 resend() {
-  local tries
-  for tries in $(seq 10); do
+  for _ in $(seq 10); do
     call "$@"
     [ "$kind" = issuer_unreachable ] || return 0
     sleep 0.3
@@ -112,9 +109,9 @@
 }
 # in_force VERSION: waits until all daemons have confirmed a version.
 in_force() {
-  local tries daemon count from
+  local daemon count from
   from=$(now_ms)
-  for tries in $(seq 200); do
+  for _ in $(seq 200); do
     count=0
     for daemon in "${operators[@]}"; do
       count=$((count + $(curl -sS "http://$daemon/status" |
@@ -258,12 +255,12 @@
   all_complete "steady load"
   say "steady load: $(describe_load)"
 
-  local out=${domains[1]} before from after
+  local out=${domains[1]} before from after line
   load moves 12
   sleep 1
   $program move domain out "$out" --store "$platform" >"$work/move.out"
   from=$(now_ms)
-  say "$(tail -n 1 "$work/move.out")"
+  while read -r line; do say "$line"; done <"$work/move.out"
   while :; do
     before=$(domain_runs "$out")
     sleep 0.5
