--- a/modules/daemon/Controller.cpp
+++ b/modules/daemon/Controller.cpp
@@ -89,7 +89,7 @@
   , log(aLog)
   , random(RandomNumber)
   , self{ aSettings.name, RandomNumber() }
-  , signals(this->context, SIGTERM, SIGINT)
+  , signals(this->context)
   , healthTimer(this->context)
   , gossipTimer(this->context)
   , secondTimer(this->context)
@@ -151,11 +151,6 @@
   for (const auto& thread : this->threads) {
     thread->Start();
   }
-  this->signals.async_wait([this](boost::system::error_code aError, int) {
-    if (!aError) {
-      this->machine.Handle("stop_requested");
-    }
-  });
   this->log.Write(
     LogLevel::Info,
     "daemon_started",
@@ -170,6 +165,18 @@
     LogLevel::Info, "daemon_stopped", { { "name", this->self.name } });
 }
 
+void
+Controller::StopOnSignals()
+{
+  this->signals.add(SIGTERM);
+  this->signals.add(SIGINT);
+  this->signals.async_wait([this](boost::system::error_code aError, int) {
+    if (!aError) {
+      this->machine.Handle("stop_requested");
+    }
+  });
+}
+
 void
 Controller::RequestStop()
 {
--- a/modules/daemon/Controller.h
+++ b/modules/daemon/Controller.h
@@ -57,8 +57,10 @@
    * available. Call once. */
   bool Open();
 
-  /** Serves until `RequestStop` or SIGTERM or SIGINT and the end of all calls
-   * in progress. `Open` must have succeeded. Call once. */
+  /** Lets SIGTERM and SIGINT request a stop. Call before `Run`. */
+  void StopOnSignals();
+
+  /** Serves until a stop is requested and all calls in progress have ended. `Open` must have succeeded. Call once. */
   void Run();
 
   /** Starts a graceful stop. Callable from any thread. */
--- a/modules/daemon/Serve.cpp
+++ b/modules/daemon/Serve.cpp
@@ -11,6 +11,7 @@
   if (!controller.Open()) {
     return 1;
   }
+  controller.StopOnSignals();
   controller.Run();
   return 0;
 }
--- a/tests/FleetTest.cpp
+++ b/tests/FleetTest.cpp
@@ -74,6 +74,8 @@
   }
 
 private:
+  static constexpr std::size_t kServers = 8;
+
   /** Sends calls through each daemon; returns whether no server is limited. */
   bool IsWarm(std::size_t aDaemons)
   {
@@ -84,6 +86,7 @@
         this->Call(index, "GET", "/sales/list");
       }
       const json::object dump = this->Page(index, "/dump");
+      isWarm = isWarm && dump.at("servers").as_array().size() == kServers;
       for (const auto& server : dump.at("servers").as_array()) {
         isWarm = isWarm && server.at("reason").as_string() == "not limited";
       }
