Run domain and version moves in the daemon

Cause: the daemon took the version in force and the domain states straight from the desired state; version moves had no effect and no move was ever reported done. MoveController counts attempts, merges the evidence of all daemons, spreads verdicts by gossip and writes ends of moves to the store, staggered over the watching daemons.

--- a/modules/daemon/CallRecord.h
+++ b/modules/daemon/CallRecord.h
@@ -8,6 +8,7 @@
 /** One attempt at a server that ended with a whole answer or was lost. */
 struct CallRecord
 {
+  std::string serverId;
   std::string service;
   std::string call;
   std::string version;
--- a/modules/daemon/CallRunner.cpp
+++ b/modules/daemon/CallRunner.cpp
@@ -273,7 +273,8 @@
                           std::chrono::steady_clock::duration aDuration)
 {
   const routing::ServerIdentity& identity = this->server->Identity();
-  this->thread.Hooks().recordAttempt({ .service = this->call.service,
+  this->thread.Hooks().recordAttempt({ .serverId = identity.id,
+                                       .service = this->call.service,
                                        .call = this->callName,
                                        .version = identity.version,
                                        .failureDomain = identity.failureDomain,
--- a/modules/daemon/Controller.cpp
+++ b/modules/daemon/Controller.cpp
@@ -92,6 +92,7 @@
   , signals(this->context)
   , healthTimer(this->context)
   , gossipTimer(this->context)
+  , moveTimer(this->context)
   , secondTimer(this->context)
   , stopTimer(this->context)
   , ledger(this->self, RandomNumber(), std::chrono::steady_clock::now)
@@ -121,7 +122,10 @@
                                                              std::move(onEnd));
                                         });
                     },
-                  .recordAttempt = [](const CallRecord&) {} }
+                  .recordAttempt =
+                    [this](const CallRecord& aRecord) {
+                      this->RecordAttempt(aRecord);
+                    } }
   , tableMaker(aSettings.name)
   , machine(statechart::Chart::Embedded("daemon"),
             [this](std::string_view aAction) { this->RunAction(aAction); })
@@ -270,6 +274,23 @@
       this->node->Exchanger().PublishUrgent(GossipRecords::kIdleKey,
                                             GossipRecords::FormatIdle(aIdle));
     });
+  this->moves = std::make_unique<MoveController>(
+    *this->node,
+    MoveHooks{ .now = std::chrono::steady_clock::now,
+               .wallNow = std::chrono::system_clock::now,
+               .sharesChanged = [this] { this->isTableOutdated = true; },
+               .writeState =
+                 [this](const std::string& aId,
+                        configuration::MoveState aState,
+                        const std::string& aReason) {
+                   this->WriteMoveState(aId, aState, aReason);
+                 },
+               .report =
+                 [this](const std::string& aId, const std::string& aText) {
+                   this->log.Write(LogLevel::Info,
+                                   "move_ended",
+                                   { { "id", aId }, { "why", aText } });
+                 } });
   this->feed = std::make_unique<StoreFeed>(
     this->context,
     SocketEndpoint(this->settings.store),
@@ -322,6 +343,12 @@
   this->Repeat(this->gossipTimer,
                gossip::GossipExchanger::kTickInterval,
                [this] { this->OnGossipTick(); });
+  this->Repeat(this->moveTimer, MoveController::kTickInterval, [this] {
+    this->moves->Tick();
+    if (this->isTableOutdated) {
+      this->RebuildTable();
+    }
+  });
   this->Repeat(this->secondTimer, 1s, [this] { this->OnSecond(); });
 }
 
@@ -375,6 +402,7 @@
   this->log.Write(LogLevel::Info,
                   "desired_state_accepted",
                   { { "version", static_cast<std::int64_t>(aVersion) } });
+  this->moves->SetDesired(aVersion, this->desired, *this->text);
   this->machine.Handle("configured");
   this->RebuildTable();
 }
@@ -405,6 +433,7 @@
 Controller::OnRecord(const core::DaemonId& aOrigin,
                      const gossip::Record& aRecord)
 {
+  this->moves->NoteRecord(aOrigin, aRecord);
   for (const auto& observation :
        GossipRecords::ParseHealth(aRecord.key, aRecord.value)) {
     this->health->PeerObserved(aOrigin.name, observation);
@@ -482,12 +511,49 @@
   }
 }
 
+void
+Controller::RecordAttempt(const CallRecord& aRecord)
+{
+  // Called by traffic threads; costs nothing while no version moves.
+  if (!this->moves->WantsRecords()) {
+    return;
+  }
+  boost::asio::post(this->context, [this, aRecord] {
+    const routing::ServerHealth* server = this->health->Find(aRecord.serverId);
+    const bool isWarm =
+      server != nullptr && server->State() == routing::ServerState::Ready;
+    this->moves->Record(aRecord, isWarm);
+  });
+}
+
+void
+Controller::WriteMoveState(const std::string& aId,
+                           configuration::MoveState aState,
+                           const std::string& aReason)
+{
+  const std::string body =
+    this->desired.WithMoveState(aId, aState, aReason).Serialize();
+  this->feed->Client().Write(std::string(configuration::DesiredState::kKey),
+                             body,
+                             this->desiredVersion,
+                             [this, body](const store::StoreResult& aResult) {
+                               // After a conflict the newer state arrives by
+                               // the watch; the write is then repeated on top
+                               // of it.
+                               if (aResult.status == store::StoreStatus::Ok) {
+                                 this->node->Desired().OfferFromStore(
+                                   aResult.object.version, body);
+                               }
+                             });
+}
+
 void
 Controller::RebuildTable()
 {
   if (!this->text) {
     return;
   }
+  this->isTableOutdated = false;
   this->entryHosts = this->EntryHosts();
   this->table = this->tableMaker.Make(
     { .desiredVersion = this->desiredVersion,
@@ -496,14 +562,11 @@
       .entryHosts = this->entryHosts,
       .versionShares =
         [this](const configuration::ServiceSettings& aService) {
-          return std::map<std::string, double>{
-            { this->desired.VersionInForce(aService.name, aService.version),
-              1.0 }
-          };
+          return this->moves->SharesOf(aService);
         },
       .domainShare =
         [this](const std::string& aDomain) {
-          return this->desired.IsDomainOut(aDomain) ? 0.0 : 1.0;
+          return this->moves->ShareOf(aDomain);
         } });
   this->health->SetServers(this->tableMaker.Builder(), *this->table);
   this->Publish();
@@ -702,7 +765,8 @@
     { "kept_answer_bytes", this->ledger.KeptBytes() },
     { "crash_entries", this->guard.Entries().size() },
     { "hosts", StatusReport::Hosts(*this->node) },
-    { "moves", StatusReport::Moves(this->desired) },
+    { "moves",
+      StatusReport::Moves(this->desired, this->moves->Descriptions()) },
     { "servers",
       StatusReport::Servers(this->tableMaker.Builder(), *this->health) }
   };
@@ -712,13 +776,14 @@
 std::string
 Controller::StatusText() const
 {
-  const json::object status{ { "name", this->self.name },
-                             { "state", this->machine.State() },
-                             { "desired_version", this->desiredVersion },
-                             { "newest_version_seen",
-                               this->node->Desired().NewestSeen() },
-                             { "hosts", StatusReport::Hosts(*this->node) },
-                             { "moves", StatusReport::Moves(this->desired) } };
+  const json::object status{
+    { "name", this->self.name },
+    { "state", this->machine.State() },
+    { "desired_version", this->desiredVersion },
+    { "newest_version_seen", this->node->Desired().NewestSeen() },
+    { "hosts", StatusReport::Hosts(*this->node) },
+    { "moves", StatusReport::Moves(this->desired, this->moves->Descriptions()) }
+  };
   return json::serialize(status) + "\n";
 }
 
--- a/modules/daemon/Controller.h
+++ b/modules/daemon/Controller.h
@@ -10,6 +10,7 @@
 #include "core/Log.h"
 #include "daemon/GossipRecords.h"
 #include "daemon/Metrics.h"
+#include "daemon/MoveController.h"
 #include "daemon/OperatorEndpoint.h"
 #include "daemon/StoreFeed.h"
 #include "daemon/TableMaker.h"
@@ -60,7 +61,8 @@
   /** Lets SIGTERM and SIGINT request a stop. Call before `Run`. */
   void StopOnSignals();
 
-  /** Serves until a stop is requested and all calls in progress have ended. `Open` must have succeeded. Call once. */
+  /** Serves until a stop is requested and all calls in progress have ended.
+   * `Open` must have succeeded. Call once. */
   void Run();
 
   /** Starts a graceful stop. Callable from any thread. */
@@ -85,6 +87,10 @@
   void OnHealthTick();
   void OnGossipTick();
   void OnSecond();
+  void RecordAttempt(const CallRecord& aRecord);
+  void WriteMoveState(const std::string& aId,
+                      configuration::MoveState aState,
+                      const std::string& aReason);
 
   void RebuildTable();
   void Publish();
@@ -110,6 +116,7 @@
   boost::asio::signal_set signals;
   boost::asio::steady_timer healthTimer;
   boost::asio::steady_timer gossipTimer;
+  boost::asio::steady_timer moveTimer;
   boost::asio::steady_timer secondTimer;
   boost::asio::steady_timer stopTimer;
   Metrics metrics;
@@ -121,6 +128,7 @@
   std::unique_ptr<GossipRecords> records;
   std::unique_ptr<routing::HealthMonitor> health;
   std::unique_ptr<routing::ServiceActivity> activity;
+  std::unique_ptr<MoveController> moves;
   std::unique_ptr<StoreFeed> feed;
   std::unique_ptr<OperatorEndpoint> endpoint;
   TableMaker tableMaker;
@@ -134,6 +142,7 @@
   std::vector<std::string> entryHosts;
   std::vector<std::unique_ptr<TrafficThread>> threads;
   std::size_t nextForwardThread = 0;
+  bool isTableOutdated = false;
   std::uint64_t publication = 0;
   std::size_t appliedThreads = 0;
   core::TimePoint stopBegin;
--- /dev/null
+++ b/modules/daemon/MoveController.cpp
@@ -0,0 +1,401 @@
+#include "daemon/MoveController.h"
+
+#include "gossip/GossipNode.h"
+#include "gossip/WatcherElection.h"
+#include "moves/MoveConfirmation.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cassert>
+#include <set>
+#include <utility>
+
+namespace fireflytrail::daemon {
+
+using configuration::Move;
+using configuration::MoveKind;
+using configuration::MoveState;
+using moves::MoveConfirmation;
+using namespace std::chrono_literals;
+
+namespace {
+
+// One record of each kind for a service: only one version move of a service
+// runs at a time, and an origin has few record keys.
+constexpr std::string_view kEvidencePrefix = "evidence.";
+constexpr std::string_view kVerdictPrefix = "verdict.";
+
+// Evidence values start with the id of their move on a line of its own.
+constexpr char kIdEnd = '\n';
+
+// Daemons write an end of a move to the store one after the other, until one
+// has succeeded; the writes are conditional, so that repeating is harmless.
+constexpr auto kWriteStagger = 2s;
+constexpr auto kWriteAgain = 10s;
+
+moves::VersionSide
+SideOf(const Move& aMove, const std::string& aVersion)
+{
+  return aVersion == aMove.toVersion ? moves::VersionSide::New
+                                     : moves::VersionSide::Old;
+}
+
+} // namespace
+
+MoveController::MoveController(gossip::GossipNode& aNode, MoveHooks aHooks)
+  : node(aNode)
+  , hooks(std::move(aHooks))
+{
+  assert(this->hooks.now && this->hooks.wallNow && this->hooks.sharesChanged);
+  assert(this->hooks.writeState && this->hooks.report);
+}
+
+MoveController::~MoveController() = default;
+
+void
+MoveController::SetDesired(std::uint64_t aVersion,
+                           const configuration::DesiredState& aState,
+                           const configuration::OperatorText& aText)
+{
+  this->desired = aState;
+  for (const std::string& domain : aText.FailureDomains()) {
+    auto& move = this->domains[domain];
+    const bool isNew = !move;
+    if (isNew) {
+      move = std::make_unique<moves::DomainMove>(domain, this->hooks.now);
+    }
+    if (isNew && !this->hasStarted) {
+      move->Start(aState.IsDomainOut(domain));
+    } else {
+      move->Apply(aState.IsDomainOut(domain));
+    }
+  }
+  this->hasStarted = true;
+  std::set<std::string> current;
+  for (const Move& move : aState.moves) {
+    if (move.kind != MoveKind::Version) {
+      this->domainMoveVersions.try_emplace(move.id, aVersion);
+      continue;
+    }
+    const auto found = this->versions.find(move.id);
+    if (found == this->versions.end()) {
+      if (move.state != MoveState::Running && move.state != MoveState::Done) {
+        continue;
+      }
+      this->StartVersionMove(move, aText);
+    }
+    this->versions.at(move.id)->move->ApplyRecord(move.state);
+    current.insert(move.id);
+  }
+  std::erase_if(this->versions, [&](const auto& aItem) {
+    return !current.contains(aItem.first);
+  });
+  std::erase_if(this->pending, [&](const auto& aItem) {
+    const Move* move = aState.FindMove(aItem.first);
+    return move == nullptr || move->state == aItem.second.state ||
+           move->state == MoveState::TakenBack;
+  });
+}
+
+void
+MoveController::StartVersionMove(const Move& aMove,
+                                 const configuration::OperatorText& aText)
+{
+  auto running = std::make_unique<RunningVersion>();
+  running->record = aMove;
+  moves::VersionMove::Hooks moveHooks;
+  moveHooks.now = this->hooks.wallNow;
+  moveHooks.publishVerdict = [this](const moves::Verdict& aVerdict) {
+    this->OnVerdict(aVerdict, true);
+  };
+  moveHooks.reportDone = [this, id = aMove.id] {
+    this->AddPending(
+      id, MoveState::Done, this->versions.at(id)->move->Describe());
+  };
+  running->move = std::make_unique<moves::VersionMove>(
+    aMove, aText, this->node.State().Self().name, std::move(moveHooks));
+  const std::string key = fmt::format("{}{}", kEvidencePrefix, aMove.service);
+  const std::string head = aMove.id + kIdEnd;
+  running->publisher =
+    std::make_unique<moves::EvidencePublisher>(moves::EvidencePublisher::Hooks{
+      .now = this->hooks.now,
+      .publishPaced =
+        [this, key, head](std::string_view aValue) {
+          this->node.Exchanger().PublishPaced(key, head + std::string(aValue));
+        },
+      .publishUrgent =
+        [this, key, head](std::string_view aValue) {
+          this->node.Exchanger().PublishUrgent(key, head + std::string(aValue));
+        } });
+  const std::string id = aMove.id;
+  this->versions.emplace(id, std::move(running));
+  // Records of other daemons may have arrived before the desired state.
+  for (const auto& [name, origin] : this->node.State().Origins()) {
+    for (const auto& [recordKey, record] : origin.records) {
+      if (name != this->node.State().Self().name) {
+        this->NoteRecord(origin.id, record);
+      }
+    }
+  }
+  if (const auto known = this->verdicts.find(id);
+      known != this->verdicts.end()) {
+    this->versions.at(id)->move->ApplyVerdict(known->second);
+  }
+}
+
+void
+MoveController::Tick()
+{
+  bool wants = false;
+  for (const auto& [id, running] : this->versions) {
+    this->EvaluateVersion(*running);
+    wants = wants || running->move->Window().has_value();
+  }
+  this->wantsRecords = wants;
+  for (const auto& [name, domain] : this->domains) {
+    const bool wasReturning = domain->State() == "returning";
+    domain->Share();
+    if (wasReturning) {
+      this->hooks.sharesChanged();
+    }
+  }
+  this->CheckDomainMoves();
+  this->WritePending();
+}
+
+void
+MoveController::EvaluateVersion(RunningVersion& aRunning)
+{
+  const bool isAlone = this->node.Members().Members().size() <= 1;
+  if (isAlone || this->node.Exchanger().LastExchange()) {
+    aRunning.move->ConfirmContact();
+  }
+  const auto window = aRunning.move->Window();
+  if (window) {
+    const moves::EvidenceWindow current = aRunning.recorder.Window(*window);
+    const moves::EvidenceWindow previous =
+      aRunning.recorder.Window(*window > 0 ? *window - 1 : 0);
+    const core::DaemonId& self = this->node.State().Self();
+    aRunning.evidence.Merge(self, previous);
+    aRunning.evidence.Merge(self, current);
+    aRunning.publisher->Update(
+      previous, current, aRunning.move->IsSuspicious());
+  }
+  aRunning.move->Evaluate(aRunning.evidence);
+  const double share = aRunning.move->Share();
+  if (share != aRunning.lastShare) {
+    aRunning.lastShare = share;
+    this->hooks.sharesChanged();
+  }
+}
+
+void
+MoveController::CheckDomainMoves()
+{
+  for (const Move& move : this->desired.moves) {
+    const bool isRunningDomain =
+      move.kind != MoveKind::Version && move.state == MoveState::Running;
+    if (!isRunningDomain || this->pending.contains(move.id)) {
+      continue;
+    }
+    const auto domain = this->domains.find(move.failureDomain);
+    const std::string_view wanted =
+      move.kind == MoveKind::DomainOut ? "out" : "in";
+    if (domain == this->domains.end() || domain->second->State() != wanted) {
+      continue;
+    }
+    bool isDone = false;
+    std::string reason =
+      this->DomainConfirmation(this->domainMoveVersions.at(move.id), isDone);
+    if (isDone) {
+      this->AddPending(move.id, MoveState::Done, std::move(reason));
+    }
+  }
+}
+
+std::string
+MoveController::DomainConfirmation(std::uint64_t aVersion, bool& aIsDone) const
+{
+  std::vector<MoveConfirmation::Member> members;
+  std::set<core::DaemonId> confirmed;
+  for (const gossip::Member& member : this->node.Members().Members()) {
+    const gossip::Origin* origin =
+      this->node.State().FindOrigin(member.peer.name);
+    const core::DaemonId id =
+      origin != nullptr ? origin->id : core::DaemonId{ member.peer.name, 0 };
+    auto reachability = MoveConfirmation::Reachability::Alive;
+    if (member.state == gossip::MemberState::Suspect) {
+      reachability = MoveConfirmation::Reachability::Suspect;
+    } else if (member.state == gossip::MemberState::Dead) {
+      reachability = MoveConfirmation::Reachability::Dead;
+    }
+    members.push_back({ id, reachability });
+    const auto status = this->node.Desired().StatusOf(member.peer.name);
+    if (status && status->inForce >= aVersion) {
+      confirmed.insert(id);
+    }
+  }
+  const auto confirmation = MoveConfirmation::Of(members, confirmed);
+  aIsDone = confirmation.isDone;
+  return confirmation.ToString();
+}
+
+void
+MoveController::NoteRecord(const core::DaemonId& aOrigin,
+                           const gossip::Record& aRecord)
+{
+  if (aRecord.key.starts_with(kVerdictPrefix)) {
+    if (const auto verdict = moves::Verdict::Parse(aRecord.value)) {
+      this->OnVerdict(verdict.value(), false);
+    }
+    return;
+  }
+  if (!aRecord.key.starts_with(kEvidencePrefix)) {
+    return;
+  }
+  const std::string_view value = aRecord.value;
+  const std::size_t end = value.find(kIdEnd);
+  if (end == std::string_view::npos) {
+    return;
+  }
+  const auto found = this->versions.find(std::string(value.substr(0, end)));
+  const auto window = moves::EvidenceWindow::Parse(value.substr(end + 1));
+  if (found != this->versions.end() && window) {
+    found->second->evidence.Merge(aOrigin, window.value());
+  }
+}
+
+void
+MoveController::OnVerdict(const moves::Verdict& aVerdict, bool aIsOwn)
+{
+  if (!this->verdicts.try_emplace(aVerdict.moveId, aVerdict).second) {
+    return;
+  }
+  const auto found = this->versions.find(aVerdict.moveId);
+  if (found == this->versions.end()) {
+    return;
+  }
+  // Each daemon publishes what it knows, so that the verdict outlives the
+  // daemon that reached it.
+  this->node.Exchanger().PublishUrgent(
+    fmt::format("{}{}", kVerdictPrefix, found->second->record.service),
+    aVerdict.Serialize());
+  if (!aIsOwn) {
+    found->second->move->ApplyVerdict(aVerdict);
+  }
+  this->hooks.sharesChanged();
+  this->AddPending(aVerdict.moveId, MoveState::TakenBack, aVerdict.reason);
+}
+
+void
+MoveController::AddPending(const std::string& aId,
+                           MoveState aState,
+                           std::string aReason)
+{
+  const Move* move = this->desired.FindMove(aId);
+  if (move == nullptr || move->state == aState) {
+    return;
+  }
+  this->hooks.report(aId, aReason);
+  this->pending.insert_or_assign(
+    aId,
+    PendingState{
+      aState, std::move(aReason), this->hooks.now() + this->WriteDelay() });
+}
+
+void
+MoveController::WritePending()
+{
+  const core::TimePoint time = this->hooks.now();
+  for (auto& [id, state] : this->pending) {
+    if (time >= state.due) {
+      state.due = time + kWriteAgain;
+      this->hooks.writeState(id, state.state, state.reason);
+    }
+  }
+}
+
+core::TimePoint::duration
+MoveController::WriteDelay() const
+{
+  const auto writers =
+    gossip::WatcherElection::Watchers(this->node.Members().BelievedAlive());
+  const auto found =
+    std::find(writers.begin(), writers.end(), this->node.State().Self().name);
+  return kWriteStagger * (found - writers.begin());
+}
+
+void
+MoveController::Record(const CallRecord& aRecord, bool aIsWarm)
+{
+  for (const auto& [id, running] : this->versions) {
+    const Move& move = running->record;
+    const bool isOfMove =
+      move.service == aRecord.service && (aRecord.version == move.toVersion ||
+                                          aRecord.version == move.fromVersion);
+    const auto window = running->move->Window();
+    if (!isOfMove || !window) {
+      continue;
+    }
+    moves::EvidenceRecorder::Observation observation;
+    observation.call = aRecord.call;
+    observation.side = SideOf(move, aRecord.version);
+    observation.failureDomain = aRecord.failureDomain;
+    observation.isFailure = aRecord.isFailure;
+    if (!aRecord.isFailure && aIsWarm) {
+      observation.duration =
+        std::chrono::duration_cast<std::chrono::microseconds>(aRecord.duration);
+    }
+    running->recorder.Record(*window, this->hooks.wallNow(), observation);
+  }
+}
+
+std::map<std::string, double>
+MoveController::SharesOf(const configuration::ServiceSettings& aService) const
+{
+  for (const auto& [id, running] : this->versions) {
+    if (running->record.service == aService.name &&
+        running->move->Window().has_value()) {
+      const double share = running->move->Share();
+      return { { running->record.fromVersion, 1 - share },
+               { running->record.toVersion, share } };
+    }
+  }
+  // A verdict that is not in the store yet counts already.
+  for (const auto& [id, running] : this->versions) {
+    if (running->record.service == aService.name &&
+        running->move->TakenBackBy()) {
+      return { { running->record.fromVersion, 1.0 } };
+    }
+  }
+  return { { this->desired.VersionInForce(aService.name, aService.version),
+             1.0 } };
+}
+
+double
+MoveController::ShareOf(const std::string& aFailureDomain)
+{
+  const auto found = this->domains.find(aFailureDomain);
+  return found == this->domains.end() ? 1.0 : found->second->Share();
+}
+
+std::map<std::string, std::string>
+MoveController::Descriptions() const
+{
+  std::map<std::string, std::string> lines;
+  for (const auto& [id, running] : this->versions) {
+    lines.emplace(id, running->move->Describe());
+  }
+  for (const Move& move : this->desired.moves) {
+    const auto found = this->domainMoveVersions.find(move.id);
+    if (move.kind != MoveKind::Version && move.state == MoveState::Running &&
+        found != this->domainMoveVersions.end()) {
+      bool isDone = false;
+      lines.emplace(move.id, this->DomainConfirmation(found->second, isDone));
+    }
+  }
+  return lines;
+}
+
+} // namespace fireflytrail::daemon
--- a/modules/daemon/StatusReport.cpp
+++ b/modules/daemon/StatusReport.cpp
@@ -126,18 +126,22 @@
 }
 
 json::array
-StatusReport::Moves(const configuration::DesiredState& aState)
+StatusReport::Moves(const configuration::DesiredState& aState,
+                    const std::map<std::string, std::string>& aDescriptions)
 {
   json::array moves;
   for (const configuration::Move& move : aState.moves) {
-    moves.push_back(
-      json::object{ { "id", move.id },
-                    { "target",
-                      move.kind == configuration::MoveKind::Version
-                        ? fmt::format("{} {}", move.service, move.toVersion)
-                        : move.failureDomain },
-                    { "state", NameOf(move.state) },
-                    { "reason", move.reason } });
+    const auto described = aDescriptions.find(move.id);
+    const bool isDescribed =
+      move.reason.empty() && described != aDescriptions.end();
+    moves.push_back(json::object{
+      { "id", move.id },
+      { "target",
+        move.kind == configuration::MoveKind::Version
+          ? fmt::format("{} {}", move.service, move.toVersion)
+          : move.failureDomain },
+      { "state", NameOf(move.state) },
+      { "reason", isDescribed ? described->second : move.reason } });
   }
   return moves;
 }
--- a/modules/daemon/StatusReport.h
+++ b/modules/daemon/StatusReport.h
@@ -7,7 +7,8 @@
 
 #include <boost/json/array.hpp>
 
-#include <string_view>
+#include <map>
+#include <string>
 
 namespace fireflytrail::daemon {
 
@@ -24,7 +25,9 @@
     routing::HealthMonitor& aHealth);
 
   /** One entry a move. */
-  static boost::json::array Moves(const configuration::DesiredState& aState);
+  static boost::json::array Moves(
+    const configuration::DesiredState& aState,
+    const std::map<std::string, std::string>& aDescriptions);
 };
 
 } // namespace fireflytrail::daemon
