--- a/modules/configuration/DaemonSettings.cpp
+++ b/modules/configuration/DaemonSettings.cpp
@@ -43,6 +43,14 @@
   settings.listen = ReadEndpoint(reader, "listen");
   settings.peerListen = ReadEndpoint(reader, "peer_listen");
   settings.operatorListen = ReadEndpoint(reader, "operator_listen");
+  if (const auto* peers =
+        reader.Container("peers", LocatedValue::Kind::Object, false)) {
+    ObjectReader peerReader(*peers, "peers", errors);
+    for (const std::string& name : peers->names) {
+      settings.peers[name] = ReadEndpoint(peerReader, name);
+    }
+    peerReader.Finish();
+  }
   settings.trafficThreads = static_cast<unsigned>(
     reader.Integer("traffic_threads", 1, kMaxTrafficThreads, 1));
   settings.logLevel =
--- a/modules/configuration/DaemonSettings.h
+++ b/modules/configuration/DaemonSettings.h
@@ -6,6 +6,7 @@
 #include "core/Log.h"
 
 #include <chrono>
+#include <map>
 #include <string>
 #include <string_view>
 
@@ -22,6 +23,11 @@
   Endpoint listen;
   Endpoint peerListen;
   Endpoint operatorListen;
+  /**
+   * Peer addresses of some other daemons by name. A daemon that starts while
+   * the store is down has no host list and finds its first peers here.
+   */
+  std::map<std::string, Endpoint> peers;
   unsigned trafficThreads = 1;
   core::LogLevel logLevel = core::LogLevel::Info;
   /** Upper bound of a planned stop. */
--- a/modules/daemon/Controller.cpp
+++ b/modules/daemon/Controller.cpp
@@ -147,6 +147,11 @@
 void
 Controller::Run()
 {
+  std::vector<gossip::ListedHost> firstPeers;
+  for (const auto& [name, address] : this->settings.peers) {
+    firstPeers.push_back({ name, address.ToString(), false });
+  }
+  this->node->Members().SetHostList(std::move(firstPeers));
   // Replaces what an earlier process of this name announced.
   this->node->Exchanger().PublishUrgent(GossipRecords::kIdleKey,
                                         GossipRecords::FormatIdle({}));
--- a/modules/routing/ServerSelector.cpp
+++ b/modules/routing/ServerSelector.cpp
@@ -118,7 +118,11 @@
     return 0;
   }
   const std::chrono::duration<double> age = aContext.now - *aEvent;
-  return aHalfAge / (aHalfAge + age);
+  const double recency = aHalfAge / (aHalfAge + age);
+  // An old event must not decide between idle servers: at a low load the same
+  // ones were chosen for every call, and the others stayed cold.
+  constexpr double kForgotten = 0.1;
+  return recency < kForgotten ? 0 : recency;
 }
 
 /** Estimates how unlikely it is that a server has a free slot, from this
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -146,6 +146,16 @@
 describe_load() {
   jq -r '"\(.sent) calls, all answered completely; p50 \(.latency_ms.p50 * 100 | round / 100) ms, p99 \(.latency_ms.p99 * 100 | round / 100) ms"' <<<"$report"
 }
+# add_version SERVICE VERSION: starts two servers of a version in each domain.
+add_version() {
+  local domain
+  for domain in "${domains[@]}"; do
+    post "$servers" "$(jq -n --arg service "$1" --arg version "$2" --arg domain "$domain" --arg region "$region" \
+      '{action: "add", service: $service, version: $version, domain: $domain, region: $region, count: 2}')" |
+      jq '{add_hosts: .hosts}' >"$work/added.json"
+    post "$platform" "$(cat "$work/added.json")" >/dev/null
+  done
+}
 
 run_user() {
   local text=$1
@@ -285,6 +295,25 @@
   all_complete "load during the domain move"
   say "load during the domain move: $(describe_load)"
 
+  local good bad
+  good=$(jq -r '.services | keys[0]' "$work/text.json")
+  bad=$(jq -r '.services | keys[1]' "$work/text.json")
+  load versions 50
+  add_version "$good" 2
+  code=0
+  $program move version "$good" 2 --by +25s --store "$platform" --wait --wait-limit-s 40 >"$work/move.out" || code=$?
+  expect "good version of $good" "$code" 0
+  say "$(tail -n 1 "$work/move.out")"
+  add_version "$bad" 2
+  post "$servers" "$(jq -n --arg service "$bad" '{action: "faults", faults: [{service: $service, version: "2", fail_ratio: 0.5}]}')" >/dev/null
+  code=0
+  $program move version "$bad" 2 --by +60s --store "$platform" --wait --wait-limit-s 60 >"$work/move.out" || code=$?
+  expect "bad version of $bad" "$code" 6
+  say "$(tail -n 1 "$work/move.out")"
+  load_report versions
+  jq -e '.not_answered == 0 and .answers_of_other_requests == 0' <<<"$report" >/dev/null || fail "load during the version moves: $report"
+  say "load during the version moves: $(jq -r '"\(.sent) calls, statuses \(.statuses | tojson)"' <<<"$report")"
+
   $program status --store "$platform" >"$work/status.out"
   say "status says:"
   grep -E '^(store|move|host)' "$work/status.out" | sed 's/^/             /'
--- a/tests/DaemonFleet.cpp
+++ b/tests/DaemonFleet.cpp
@@ -170,6 +170,10 @@
   settings.peerListen = { "127.0.0.1", 0 };
   settings.operatorListen = { "127.0.0.1", 0 };
   settings.trafficThreads = 2;
+  if (!this->daemons.empty()) {
+    const auto peer = this->daemons[0].controller->PeerEndpoint();
+    settings.peers["entry-0"] = { "127.0.0.1", peer.port() };
+  }
   Running running;
   running.controller =
     std::make_unique<daemon::Controller>(settings, this->log);
