--- a/modules/daemon/Controller.cpp
+++ b/modules/daemon/Controller.cpp
@@ -1,6 +1,7 @@
 #include "daemon/Controller.h"
 
 #include "core/ErrorTable.h"
+#include "daemon/ProcessUsage.h"
 #include "daemon/StatusReport.h"
 #include "daemon/TrafficState.h"
 #include "daemon/TrafficThread.h"
@@ -14,14 +15,10 @@
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
 #include <fmt/format.h>
-#include <sys/resource.h>
-#include <unistd.h>
 
 #include <cassert>
 #include <csignal>
-#include <fstream>
 #include <random>
-#include <set>
 #include <utility>
 
 namespace fireflytrail::daemon {
@@ -35,14 +32,6 @@
 
 namespace {
 
-// Time between the failing balancer check and the end of accepting, so that
-// the balancer stops sending before connections would be refused.
-constexpr auto kAcceptGrace = 2s;
-// Idle connections stay open this much longer, since a caller may be sending
-// its next request on one while it is told to close it.
-constexpr auto kIdleGrace = 1s;
-constexpr auto kDrainCheck = 50ms;
-
 std::uint64_t
 RandomNumber()
 {
@@ -58,29 +47,6 @@
   return { boost::asio::ip::make_address(aEndpoint.address), aEndpoint.port };
 }
 
-double
-ControlSeconds()
-{
-  rusage usage{};
-  getrusage(RUSAGE_THREAD, &usage);
-  const auto seconds = [](const timeval& aTime) {
-    constexpr double kMicrosecondsPerSecond = 1e6;
-    return static_cast<double>(aTime.tv_sec) +
-           static_cast<double>(aTime.tv_usec) / kMicrosecondsPerSecond;
-  };
-  return seconds(usage.ru_utime) + seconds(usage.ru_stime);
-}
-
-double
-ResidentBytes()
-{
-  std::ifstream file("/proc/self/statm");
-  double total = 0;
-  double resident = 0;
-  file >> total >> resident;
-  return resident * static_cast<double>(sysconf(_SC_PAGESIZE));
-}
-
 } // namespace
 
 Controller::Controller(const configuration::DaemonSettings& aSettings,
@@ -94,7 +60,7 @@
   , gossipTimer(this->context)
   , moveTimer(this->context)
   , secondTimer(this->context)
-  , stopTimer(this->context)
+  , drain(this->context, aLog)
   , ledger(this->self, RandomNumber(), std::chrono::steady_clock::now)
   , guard(std::chrono::steady_clock::now,
           [this](const calls::CrashEntry& aEntry) {
@@ -439,6 +405,10 @@
                      const gossip::Record& aRecord)
 {
   this->moves->NoteRecord(aOrigin, aRecord);
+  // The first record of a daemon: calls can be forwarded to it from now on.
+  if (aRecord.key == gossip::Membership::kAddressKey) {
+    this->isTableOutdated = true;
+  }
   for (const auto& observation :
        GossipRecords::ParseHealth(aRecord.key, aRecord.value)) {
     this->health->PeerObserved(aOrigin.name, observation);
@@ -559,7 +529,7 @@
     return;
   }
   this->isTableOutdated = false;
-  this->entryHosts = this->EntryHosts();
+  this->entryHosts = TrafficStateMaker::EntryHosts(*this->node);
   this->table = this->tableMaker.Make(
     { .desiredVersion = this->desiredVersion,
       .text = *this->text,
@@ -580,11 +550,10 @@
 void
 Controller::Publish()
 {
-  auto state = std::make_shared<TrafficState>();
+  const auto state = std::make_shared<TrafficState>(
+    this->stateMaker.Make(*this->text, *this->node));
   state->refusal = this->Refusal();
   state->table = this->table;
-  state->budgets = this->Budgets();
-  state->daemons = this->KnownDaemons();
   ++this->publication;
   this->appliedThreads = 0;
   for (const auto& thread : this->threads) {
@@ -616,66 +585,6 @@
   }
 }
 
-std::vector<std::string>
-Controller::EntryHosts() const
-{
-  std::vector<std::string> names;
-  for (const gossip::Member& member : this->node->Members().Members()) {
-    if (member.listed || member.state != gossip::MemberState::Dead) {
-      names.push_back(member.peer.name);
-    }
-  }
-  return names;
-}
-
-std::map<std::string, KnownDaemon, std::less<>>
-Controller::KnownDaemons() const
-{
-  std::map<std::string, KnownDaemon, std::less<>> daemons;
-  for (const gossip::Member& member : this->node->Members().Members()) {
-    const gossip::Origin* origin =
-      this->node->State().FindOrigin(member.peer.name);
-    if (origin == nullptr || member.peer.name == this->self.name) {
-      continue;
-    }
-    daemons.emplace(member.peer.name,
-                    KnownDaemon{ origin->id.start,
-                                 member.peer.address,
-                                 member.state == gossip::MemberState::Alive });
-  }
-  return daemons;
-}
-
-std::map<std::string, ServiceBudgets, std::less<>>
-Controller::Budgets()
-{
-  for (const auto& [name, service] : this->text->services) {
-    auto& budget = this->retryBudgets[name];
-    if (!budget) {
-      budget =
-        std::make_shared<calls::RetryBudget>(std::chrono::steady_clock::now);
-    }
-  }
-  std::map<std::string, ServiceBudgets, std::less<>> budgets;
-  for (const auto& [name, service] : this->text->services) {
-    ServiceBudgets entry{ .own = this->retryBudgets[name], .below = {} };
-    std::set<std::string> seen{ name };
-    std::vector<std::string> open = service.dependsOn;
-    while (!open.empty()) {
-      const std::string below = std::move(open.back());
-      open.pop_back();
-      if (!seen.insert(below).second) {
-        continue;
-      }
-      entry.below.push_back(this->retryBudgets[below].get());
-      const auto& next = this->text->services.at(below).dependsOn;
-      open.insert(open.end(), next.begin(), next.end());
-    }
-    budgets.emplace(name, std::move(entry));
-  }
-  return budgets;
-}
-
 ErrorKind
 Controller::Refusal() const
 {
@@ -709,48 +618,11 @@
 void
 Controller::BeginStop()
 {
-  this->stopBegin = std::chrono::steady_clock::now();
   this->node->AnnounceLeaving();
-  for (const auto& thread : this->threads) {
-    thread->BeginStop();
-  }
-  this->CheckDrained();
-}
-
-void
-Controller::CheckDrained()
-{
-  const auto elapsed = std::chrono::steady_clock::now() - this->stopBegin;
-  std::size_t sessions = 0;
-  std::size_t calls = 0;
-  for (const auto& thread : this->threads) {
-    if (elapsed >= kAcceptGrace) {
-      thread->CloseListener();
-    }
-    if (elapsed >= kAcceptGrace + kIdleGrace) {
-      thread->CloseIdleSessions();
-    }
-    sessions += thread->SessionCount();
-    calls += thread->CallCount();
-  }
-  if (elapsed >= kAcceptGrace && sessions == 0 && calls == 0) {
-    this->machine.Handle("drained");
-    return;
-  }
-  if (elapsed >= this->settings.drainLimit) {
-    this->log.Write(LogLevel::Warning,
-                    "drain_limit_reached",
-                    { { "sessions", static_cast<std::int64_t>(sessions) },
-                      { "calls", static_cast<std::int64_t>(calls) } });
-    this->machine.Handle("drain_limit_reached");
-    return;
-  }
-  this->stopTimer.expires_after(kDrainCheck);
-  this->stopTimer.async_wait([this](boost::system::error_code aError) {
-    if (!aError) {
-      this->CheckDrained();
-    }
-  });
+  this->drain.Begin(
+    this->threads, this->settings.drainLimit, [this](bool aIsDrained) {
+      this->machine.Handle(aIsDrained ? "drained" : "drain_limit_reached");
+    });
 }
 
 std::string
@@ -795,8 +667,11 @@
 std::string
 Controller::MetricsText()
 {
-  this->metrics.Set("control_processor_seconds", ControlSeconds());
-  this->metrics.Set("resident_bytes", ResidentBytes());
+  this->metrics.Set(
+    "control_processor_seconds",
+    std::chrono::duration<double>(ProcessUsage::ThreadProcessorTime()).count());
+  this->metrics.Set("resident_bytes",
+                    static_cast<double>(ProcessUsage::ResidentBytes()));
   this->metrics.Set("peer_bytes",
                     static_cast<double>(this->hub->Counts().bytes));
   this->metrics.Set("peer_corrupt_frames",
--- a/modules/daemon/Controller.h
+++ b/modules/daemon/Controller.h
@@ -1,13 +1,13 @@
 #pragma once
 
 #include "calls/CrashGuard.h"
-#include "calls/RetryBudget.h"
 #include "calls/TicketLedger.h"
 #include "configuration/DaemonSettings.h"
 #include "configuration/DesiredState.h"
 #include "configuration/OperatorText.h"
 #include "core/DaemonId.h"
 #include "core/Log.h"
+#include "daemon/DrainSequence.h"
 #include "daemon/GossipRecords.h"
 #include "daemon/Metrics.h"
 #include "daemon/MoveController.h"
@@ -15,7 +15,7 @@
 #include "daemon/StoreFeed.h"
 #include "daemon/TableMaker.h"
 #include "daemon/TrafficHooks.h"
-#include "daemon/TrafficState.h"
+#include "daemon/TrafficStateMaker.h"
 #include "gateway/PeerHub.h"
 #include "gossip/GossipNode.h"
 #include "routing/HealthMonitor.h"
@@ -95,14 +95,10 @@
   void RebuildTable();
   void Publish();
   void OnApplied(std::uint64_t aVersion, std::uint64_t aPublication);
-  std::vector<std::string> EntryHosts() const;
-  std::map<std::string, KnownDaemon, std::less<>> KnownDaemons() const;
-  std::map<std::string, ServiceBudgets, std::less<>> Budgets();
   core::ErrorKind Refusal() const;
 
   void RunAction(std::string_view aAction);
   void BeginStop();
-  void CheckDrained();
 
   std::string DumpText() const;
   std::string StatusText() const;
@@ -118,7 +114,7 @@
   boost::asio::steady_timer gossipTimer;
   boost::asio::steady_timer moveTimer;
   boost::asio::steady_timer secondTimer;
-  boost::asio::steady_timer stopTimer;
+  DrainSequence drain;
   Metrics metrics;
   calls::TicketLedger ledger;
   calls::CrashGuard guard;
@@ -138,14 +134,13 @@
   std::optional<configuration::OperatorText> text;
   store::HostList hosts;
   std::shared_ptr<const routing::RoutingTable> table;
-  std::map<std::string, std::shared_ptr<calls::RetryBudget>> retryBudgets;
+  TrafficStateMaker stateMaker;
   std::vector<std::string> entryHosts;
   std::vector<std::unique_ptr<TrafficThread>> threads;
   std::size_t nextForwardThread = 0;
   bool isTableOutdated = false;
   std::uint64_t publication = 0;
   std::size_t appliedThreads = 0;
-  core::TimePoint stopBegin;
 };
 
 } // namespace fireflytrail::daemon
