Suspect no server for calls shorter than 30 ms

In fleet_test calls take 1 ms, so a pause of the scheduler of 6 ms turned a server cold and the hosts without a share answered 503 (StoreOutageChangesNothingForCallers).

--- a/modules/routing/ServerHealth.cpp
+++ b/modules/routing/ServerHealth.cpp
@@ -18,6 +18,10 @@
  * neighbours slow calls two- to threefold for up to 50 ms. */
 constexpr int kSuspectFactor = 5;
 
+/** Calls shorter than this are no sign of a fault: with calls of 1 ms a pause
+ * of the scheduler on a busy host is five times the usual. */
+constexpr milliseconds kSuspectFloor{ 30 };
+
 /** Time without a word of the leader after which it is asked. */
 constexpr milliseconds kQueryInterval{ 1000 };
 
@@ -252,7 +256,8 @@
   const bool lost = totals.lost > this->lastTotals.lost;
   bool slow = false;
   if (aPeers.serviceTime.count() > 0 && !restricted) {
-    const nanoseconds limit = aPeers.serviceTime * kSuspectFactor;
+    const nanoseconds limit =
+      std::max<nanoseconds>(aPeers.serviceTime * kSuspectFactor, kSuspectFloor);
     slow = this->load->OldestInFlight(time) > limit ||
            (totals.answered > this->lastTotals.answered &&
             (totals.answeredTime - this->lastTotals.answeredTime) >
