--- a/modules/daemon/CallRunner.cpp
+++ b/modules/daemon/CallRunner.cpp
@@ -129,11 +129,6 @@
                      std::move(hooks),
                      this->thread.Hooks().ledger,
                      this->thread.Hooks().guard);
-  const auto budgets = this->thread.State().budgets.find(this->call.service);
-  if (this->request.attempt == 0 &&
-      budgets != this->thread.State().budgets.end()) {
-    budgets->second.own->CountFirstAttempt();
-  }
   this->SetTimer(this->request.deadline - this->begin);
   this->Do(this->flow->Begin());
 }
@@ -216,6 +211,13 @@
     std::static_pointer_cast<routing::Selection>(aStep.server.lease);
   this->server = this->selection->Load();
   this->attemptBegin = this->thread.Hooks().now();
+  // Counted by the daemon that sends, not by one that forwards: otherwise a
+  // forwarded call would fund retries twice.
+  const auto& budgets = this->thread.State().budgets;
+  if (const auto budget = budgets.find(this->call.service);
+      aStep.attempt == 0 && budget != budgets.end()) {
+    budget->second.own->CountFirstAttempt();
+  }
   this->pool = this->thread.PoolOf(this->server);
   const unsigned number = ++this->attemptNumber;
   if (!this->pool) {
--- a/modules/daemon/Controller.cpp
+++ b/modules/daemon/Controller.cpp
@@ -32,6 +32,11 @@
 
 namespace {
 
+// A daemon that has just started does not know which requests crash servers and
+// which versions are taken back until it has heard a peer. It serves without
+// one after this time.
+constexpr auto kJoinLimit = 3s;
+
 std::uint64_t
 RandomNumber()
 {
@@ -121,6 +126,7 @@
   // Replaces what an earlier process of this name announced.
   this->node->Exchanger().PublishUrgent(GossipRecords::kIdleKey,
                                         GossipRecords::FormatIdle({}));
+  this->startedAt = std::chrono::steady_clock::now();
   this->feed->Start();
   this->StartTimers();
   for (const auto& thread : this->threads) {
@@ -473,6 +479,10 @@
 Controller::OnGossipTick()
 {
   this->node->Tick();
+  if (!this->hasJoined && this->HasHeardPeer()) {
+    this->hasJoined = true;
+    this->isTableOutdated = true;
+  }
   this->machine.Handle(this->node->Exchanger().IsStale() ? "pause_detected"
                                                          : "contact_confirmed");
 }
@@ -585,11 +595,22 @@
   }
 }
 
+bool
+Controller::HasHeardPeer() const
+{
+  const auto age = std::chrono::steady_clock::now() - this->startedAt;
+  if (age >= kJoinLimit || this->node->Exchanger().LastExchange()) {
+    return true;
+  }
+  // The host list tells whether there are peers at all.
+  return this->hosts.version > 0 && this->node->Members().Members().size() <= 1;
+}
+
 ErrorKind
 Controller::Refusal() const
 {
   if (this->machine.Is("serving")) {
-    return ErrorKind::None;
+    return this->hasJoined ? ErrorKind::None : ErrorKind::NoConfiguration;
   }
   // During a stop, callers that are still connected are served to the end.
   if (this->machine.Is("stopping") && this->text) {
--- a/modules/daemon/Controller.h
+++ b/modules/daemon/Controller.h
@@ -96,6 +96,7 @@
   void Publish();
   void OnApplied(std::uint64_t aVersion, std::uint64_t aPublication);
   core::ErrorKind Refusal() const;
+  bool HasHeardPeer() const;
 
   void RunAction(std::string_view aAction);
   void BeginStop();
@@ -139,6 +140,9 @@
   std::vector<std::unique_ptr<TrafficThread>> threads;
   std::size_t nextForwardThread = 0;
   bool isTableOutdated = false;
+  /** Whether the records of a peer were received since the start. */
+  bool hasJoined = false;
+  core::TimePoint startedAt;
   std::uint64_t publication = 0;
   std::size_t appliedThreads = 0;
 };
