--- /dev/null
+++ b/fuzz/OperatorTextFuzz.cpp
@@ -0,0 +1,19 @@
+#include "configuration/DaemonSettings.h"
+#include "configuration/DesiredState.h"
+#include "configuration/OperatorText.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <string_view>
+
+// Guards against crashes on texts, settings and desired states that a person,
+// a file or the store supplies.
+extern "C" int
+LLVMFuzzerTestOneInput(const std::uint8_t* aData, std::size_t aSize)
+{
+  const std::string_view text(reinterpret_cast<const char*>(aData), aSize);
+  (void)fireflytrail::configuration::OperatorText::Parse(text);
+  (void)fireflytrail::configuration::DaemonSettings::Parse(text);
+  (void)fireflytrail::configuration::DesiredState::Parse(text);
+  return 0;
+}
--- a/modules/routing/ServerHealthTest.cpp
+++ b/modules/routing/ServerHealthTest.cpp
@@ -232,3 +232,45 @@
   BOOST_TEST((health.State() == ServerState::Cold));
   BOOST_TEST(load.Limit() <= 1U);
 }
+
+// Guards against idle daemons asking the leader of a cold server again and
+// again, and against a constant rate of queries while callers wait.
+BOOST_AUTO_TEST_CASE(QueriesNeedCallsAndBackOff)
+{
+  core::TimePoint time{ 1h };
+  unsigned queries = 0;
+  const auto load =
+    std::make_shared<ServerLoad>(ServerIdentity{ .id = "s",
+                                                 .service = "a",
+                                                 .version = "1",
+                                                 .address = "127.0.0.1:1",
+                                                 .failureDomain = "d" },
+                                 4);
+  const std::vector<std::string> hosts{ "entry-0", "entry-1", "entry-2" };
+  std::unique_ptr<ServerHealth> health;
+  for (const std::string& self : hosts) {
+    health = std::make_unique<ServerHealth>(
+      load,
+      self,
+      [&] { return time; },
+      [&](const HealthObservation& aObservation) {
+        queries += aObservation.evidence == HealthEvidence::Query ? 1 : 0;
+      });
+    health->SetHosts(hosts);
+    if (!health->Leads()) {
+      break;
+    }
+  }
+  const auto run = [&](bool aHasDemand) {
+    for (const auto end = time + 60s; time < end; time += 10ms) {
+      health->Tick(
+        { .serviceTime = 10ms, .failureRatio = 0, .hasDemand = aHasDemand });
+    }
+  };
+  run(false);
+  BOOST_TEST(queries == 0U);
+  run(true);
+  // After 1, 2, 4, 8, 16 and 32 s.
+  BOOST_TEST(queries > 0U);
+  BOOST_TEST(queries <= 6U);
+}
