--- a/app/main.cpp
+++ b/app/main.cpp
@@ -3,6 +3,8 @@
 #include "core/Log.h"
 #include "daemon/Serve.h"
 #include "operator_client/operator_client.h"
+#include "platform/platform.h"
+#include "proxy/proxy.h"
 #include "store/BlockingStore.h"
 
 #include <fmt/format.h>
@@ -153,6 +155,44 @@
   return static_cast<ExitCode>(daemon::Serve(settings.value(), log));
 }
 
+/** Reads proxy settings from a file, with a line for each error. */
+std::optional<configuration::ProxySettings>
+ReadProxySettings(const std::string& aPath)
+{
+  const auto file = ReadTextFile(aPath);
+  if (!file) {
+    UsageError(file.error().detail);
+    return std::nullopt;
+  }
+  auto settings = configuration::ProxySettings::Parse(file.value().text);
+  if (!settings) {
+    for (const auto& error : settings.error()) {
+      UsageError(fmt::format("{}: {}", aPath, error.ToString()));
+    }
+    return std::nullopt;
+  }
+  return std::move(settings).value();
+}
+
+ExitCode
+RunProxy(const std::vector<std::string>& aArguments)
+{
+  const auto settings = ReadProxySettings(aArguments[0]);
+  if (!settings) {
+    return ExitCode::Refused;
+  }
+  const core::Log log(settings->logLevel);
+  proxy::ProxyDaemon daemon(
+    *settings, platform::MakeAdapter(), log, [path = aArguments[0]] {
+      return ReadProxySettings(path);
+    });
+  if (!daemon.Open()) {
+    return ExitCode::Refused;
+  }
+  daemon.Run();
+  return ExitCode::Ok;
+}
+
 ExitCode
 RunCheck(const std::vector<std::string>& aArguments)
 {
@@ -306,6 +346,16 @@
       1,
       1,
       RunServe },
+    { "proxy",
+      "proxy SETTINGS_FILE",
+      "Runs the entry daemon for HTTP routes.\n"
+      "It reads routes and instances from the platform's store and serves\n"
+      "until SIGTERM or SIGINT, then stops without cutting off any request.\n"
+      "SIGHUP and a change of the file reload the settings.",
+      {},
+      1,
+      1,
+      RunProxy },
     { "check",
       "check FILE [--settings SETTINGS_FILE]",
       "Checks the operators' text without a network.\n"
--- a/modules/calls/AttemptResult.h
+++ b/modules/calls/AttemptResult.h
@@ -31,6 +31,8 @@
   AttemptProgress progress = AttemptProgress::NothingSent;
   /** Set if and only if the progress is `Answered`. */
   std::shared_ptr<const Answer> answer;
+  /** The complete answer tells that the server failed to do the work. */
+  bool isFailure = false;
   /**
    * For an answer forwarded by the issuer of a ticket: the kind that the
    * issuer reports. `None` for an answer from a server.
--- a/modules/calls/CallFlow.cpp
+++ b/modules/calls/CallFlow.cpp
@@ -14,8 +14,6 @@
 using core::ErrorKind;
 using core::ErrorTable;
 
-/** Retries of one call; each must also be paid from the retry budget. */
-constexpr unsigned kMostRetries = 2;
 /** A request of unknown outcome is sent again at most once. */
 constexpr unsigned kMostRetriesAfterUnknown = 1;
 
@@ -32,7 +30,7 @@
   , guard(aGuard)
   , times(aTimes)
 {
-  assert(this->hooks.now && this->hooks.chooseServer && this->hooks.takeRetry);
+  assert(this->hooks.now && this->hooks.takeRetry);
   assert(this->hooks.issuerState && this->hooks.joinedFinished);
 }
 
@@ -115,15 +113,37 @@
   if (timeLeft.count() <= 0) {
     return this->End(ErrorKind::DeadlineBeforeSend);
   }
-  core::Result<ServerHandle> chosen = this->hooks.chooseServer(this->avoid);
-  if (!chosen) {
-    const ErrorKind kind = chosen.error().kind;
+  this->kindIfNone = aKindIfNone;
+  if (!this->hooks.chooseServer) {
+    this->state = State::Choosing;
+    return ChooseStep{ this->avoid, this->retries > 0 };
+  }
+  return this->SendTo(this->hooks.chooseServer(this->avoid));
+}
+
+CallStep
+CallFlow::ServerChosen(core::Result<ServerHandle> aChosen)
+{
+  assert(this->state == State::Choosing);
+  return this->SendTo(std::move(aChosen));
+}
+
+CallStep
+CallFlow::SendTo(core::Result<ServerHandle> aChosen)
+{
+  if (!aChosen) {
+    const ErrorKind kind = aChosen.error().kind;
     assert(ErrorTable::RowOf(kind).outcome == CallOutcome::NotRun);
-    return this->End(aKindIfNone != ErrorKind::None ? aKindIfNone : kind);
+    return this->End(
+      this->kindIfNone != ErrorKind::None ? this->kindIfNone : kind);
+  }
+  const auto timeLeft = this->TimeLeft() - this->times.answerMargin;
+  if (timeLeft.count() <= 0) {
+    return this->End(ErrorKind::DeadlineBeforeSend);
   }
   this->state = State::Sending;
-  this->avoid.push_back(chosen.value().server);
-  return SendStep{ std::move(chosen).value(),
+  this->avoid.push_back(aChosen.value().server);
+  return SendStep{ std::move(aChosen).value(),
                    timeLeft,
                    this->request.attempt + this->retries };
 }
@@ -141,6 +161,12 @@
   }
   if (aResult.progress == AttemptProgress::Answered) {
     this->guard.RecordCompletion(this->request.digest);
+    if (aResult.isFailure && this->MayRetryFailure() &&
+        this->hooks.takeRetry()) {
+      this->failedAnswer = aResult.answer;
+      ++this->retries;
+      return this->Send(ErrorKind::None);
+    }
     return this->End(ErrorKind::None, aResult.answer);
   }
   const ErrorKind kind = KindOf(aResult.progress);
@@ -167,8 +193,9 @@
 {
   switch (this->state) {
     case State::New:
+    case State::Choosing:
     case State::Sending:
-      if (!MayHaveRun(aProgress) || this->state == State::New) {
+      if (!MayHaveRun(aProgress) || this->state != State::Sending) {
         return this->End(ErrorKind::DeadlineBeforeSend);
       }
       if (this->running) {
@@ -252,6 +279,9 @@
 CallFlow::End(core::ErrorKind aKind, std::shared_ptr<const Answer> aAnswer)
 {
   assert(this->state != State::Ended);
+  if (aKind != ErrorKind::None && this->failedAnswer && this->hasCaller) {
+    return this->End(ErrorKind::None, std::exchange(this->failedAnswer, {}));
+  }
   ErrorKind kind = aKind;
   if (this->unknownKind != ErrorKind::None &&
       ErrorTable::RowOf(kind).outcome == CallOutcome::NotRun) {
@@ -295,7 +325,7 @@
 CallFlow::MayRetry(core::ErrorKind aKind) const
 {
   if (this->state == State::GoingOn || this->request.attempt > 0 ||
-      this->retries >= kMostRetries) {
+      this->retries >= this->request.mostRetries) {
     return false;
   }
   const bool hasTicket = !this->request.ticket.empty();
@@ -315,6 +345,14 @@
   return false;
 }
 
+bool
+CallFlow::MayRetryFailure() const
+{
+  return this->state == State::Sending && this->request.attempt == 0 &&
+         this->request.repeatable && this->request.ticket.empty() &&
+         this->retries < this->request.mostRetries;
+}
+
 std::chrono::milliseconds
 CallFlow::TimeLeft() const
 {
--- a/modules/calls/CallFlow.h
+++ b/modules/calls/CallFlow.h
@@ -32,7 +32,8 @@
   core::NowFunction now;
   /**
    * Chooses a server that is not in the list to avoid, or returns an error
-   * whose outcome is "not run".
+   * whose outcome is "not run". If it is not set, the flow asks with a
+   * `ChooseStep` instead, whose answer may take time.
    */
   std::function<core::Result<ServerHandle>(std::span<const std::uint64_t>)>
     chooseServer;
@@ -91,6 +92,12 @@
   /** Starts the call. Must be the first input. */
   CallStep Begin();
 
+  /**
+   * The answer to the last `ChooseStep`: a server, or an error whose outcome is
+   * "not run".
+   */
+  CallStep ServerChosen(core::Result<ServerHandle> aChosen);
+
   /** The attempt of the last `SendStep` or `ForwardStep` has ended. */
   CallStep AttemptEnded(const AttemptResult& aResult);
 
@@ -122,6 +129,7 @@
   enum class State : std::uint8_t
   {
     New,
+    Choosing,
     Sending,
     Forwarding,
     Joined,
@@ -136,7 +144,9 @@
   CallStep End(core::ErrorKind aKind,
                std::shared_ptr<const Answer> aAnswer = nullptr);
   CallStep GoOn(core::ErrorKind aKind, bool aDeliver);
+  CallStep SendTo(core::Result<ServerHandle> aChosen);
   bool MayRetry(core::ErrorKind aKind) const;
+  bool MayRetryFailure() const;
   std::chrono::milliseconds TimeLeft() const;
 
   CallRequest request;
@@ -151,6 +161,10 @@
   std::optional<Ticket> joined;
   std::uint64_t joinId = 0;
   std::vector<std::uint64_t> avoid;
+  /** Kind to answer with if no server is chosen; `None` for the choice's. */
+  core::ErrorKind kindIfNone = core::ErrorKind::None;
+  /** A server's own failure, passed on if the retry brings nothing better. */
+  std::shared_ptr<const Answer> failedAnswer;
   /** Kind of an attempt that may have run; `None` if there is none. */
   core::ErrorKind unknownKind = core::ErrorKind::None;
   std::chrono::milliseconds hold{ 0 };
--- a/modules/calls/CallRequest.h
+++ b/modules/calls/CallRequest.h
@@ -21,6 +21,8 @@
   std::string ticket;
   /** Value of the `Attempt` header. */
   unsigned attempt = 0;
+  /** Retries that the call may have besides its first attempt. */
+  unsigned mostRetries = 2;
   /** The call came from another daemon as `ForwardCall`. */
   bool forwarded = false;
 };
--- a/modules/calls/CallStep.h
+++ b/modules/calls/CallStep.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <memory>
 #include <variant>
+#include <vector>
 
 namespace fireflytrail::calls {
 
@@ -30,6 +31,14 @@
   unsigned attempt = 0;
 };
 
+/** Choose a server, then report `ServerChosen`. */
+struct ChooseStep
+{
+  /** Keys of the servers that were tried. */
+  std::vector<std::uint64_t> avoid;
+  bool isRetry = false;
+};
+
 /** Forward the whole call to a ticket's issuer, then report `AttemptEnded`. */
 struct ForwardStep
 {
@@ -67,6 +76,7 @@
 };
 
 /** What the owner of a `CallFlow` must do next. */
-using CallStep = std::variant<SendStep, ForwardStep, WaitStep, AnswerStep>;
+using CallStep =
+  std::variant<ChooseStep, SendStep, ForwardStep, WaitStep, AnswerStep>;
 
 } // namespace fireflytrail::calls
--- a/modules/calls/RetryBudget.cpp
+++ b/modules/calls/RetryBudget.cpp
@@ -10,10 +10,6 @@
 namespace {
 
 constexpr std::uint64_t kMilli = 1000;
-// Each daemon keeps its share in windows that end with its own last retry.
-// With exactly one tenth the fleet reached 10.25 % over a common window
-// (scenario retry-everything-fails-reset, seed 1).
-constexpr std::uint64_t kFirstsPerRetry = 11;
 
 // A word holds the low 32 bits of the span's number and a 32-bit count.
 constexpr unsigned kCountBits = 32;
@@ -74,7 +70,13 @@
 } // namespace
 
 RetryBudget::RetryBudget(core::NowFunction aNow)
+  : RetryBudget(std::move(aNow), Allowance{})
+{
+}
+
+RetryBudget::RetryBudget(core::NowFunction aNow, Allowance aAllowance)
   : now(std::move(aNow))
+  , allowance(aAllowance)
 {
   assert(this->now);
 }
@@ -155,8 +157,11 @@
 RetryBudget::Charge(std::uint64_t aMilli)
 {
   const FlagGuard guard(this->charging);
-  if ((this->ChargedMilli() + aMilli) * kFirstsPerRetry >
-      this->FirstAttempts() * kMilli) {
+  const std::uint64_t freeMilli = this->allowance.freeRetries * kMilli;
+  const std::uint64_t wanted = this->ChargedMilli() + aMilli;
+  if (wanted > freeMilli &&
+      (wanted - freeMilli) * this->allowance.firstsPerRetry >
+        this->FirstAttempts() * kMilli) {
     return false;
   }
   const std::int64_t span = this->CurrentSpan();
--- a/modules/calls/RetryBudget.h
+++ b/modules/calls/RetryBudget.h
@@ -11,8 +11,8 @@
 namespace fireflytrail::calls {
 
 /**
- * Limits the retries of one service to an eleventh of its first attempts in any
- * 10 s, so that the fleet stays within a tenth. A retry of a call also repeats
+ * Limits the retries of one service to a share of its first attempts in any
+ * 10 s: by default an eleventh, so that the fleet stays within a tenth. A retry of a call also repeats
  * the calls below it, so a retry is paid from the budgets of the service and of
  * every service below it: with separate payment, 18 levels of 10 % each would
  * add 180 % at the deepest level.
@@ -23,7 +23,22 @@
 class RetryBudget
 {
 public:
+  /** What a budget allows in any 10 s. */
+  struct Allowance
+  {
+    /**
+     * First attempts that pay for one retry. Each daemon keeps its share in
+     * windows that end with its own last retry. With exactly ten the fleet
+     * reached 10.25 % over a common window (scenario
+     * retry-everything-fails-reset, seed 1).
+     */
+    std::uint64_t firstsPerRetry = 11;
+    /** Retries that need no first attempts, for this daemon alone. */
+    std::uint64_t freeRetries = 0;
+  };
+
   explicit RetryBudget(core::NowFunction aNow);
+  RetryBudget(core::NowFunction aNow, Allowance aAllowance);
 
   /** Counts a call that is not below a retry. Thread-safe. */
   void CountFirstAttempt();
@@ -64,6 +79,7 @@
   void Refund(std::uint64_t aMilli, std::int64_t aSpan);
 
   core::NowFunction now;
+  Allowance allowance;
   std::array<Bucket, 128> buckets;
   /**
    * Guards charges: two threads must not both take the last token. Held for a
--- /dev/null
+++ b/modules/configuration/ProxySettings.cpp
@@ -0,0 +1,73 @@
+#include "configuration/ProxySettings.h"
+
+#include "configuration/ObjectReader.h"
+#include "configuration/TextChecks.h"
+
+#include <algorithm>
+
+namespace fireflytrail::configuration {
+
+namespace {
+
+constexpr std::int64_t kMaxStopMilliseconds = 600'000;
+constexpr std::int64_t kMaxLogBytes = 1 << 30;
+constexpr std::int64_t kMaxHosts = 100'000;
+constexpr double kMaxFreeRetries = 1e6;
+
+Endpoint
+ReadEndpoint(ObjectReader& aReader, std::string_view aName)
+{
+  return Endpoint::Parse(aReader.Text(aName, {}, CheckEndpoint))
+    .value_or(Endpoint{});
+}
+
+} // namespace
+
+Checked<ProxySettings>
+ProxySettings::Parse(std::string_view aText)
+{
+  auto root = LocatedValue::Parse(aText);
+  if (!root) {
+    return root.error();
+  }
+  std::vector<TextError> errors;
+  ObjectReader reader(root.value(), "", errors);
+  ProxySettings settings;
+  settings.name = reader.Text("name");
+  settings.failureDomain = reader.Text("failure_domain");
+  settings.store = ReadEndpoint(reader, "store");
+  settings.listen = ReadEndpoint(reader, "listen");
+  settings.readyListen = ReadEndpoint(reader, "ready_listen");
+  settings.operatorListen = ReadEndpoint(reader, "operator_listen");
+  settings.peerListen = ReadEndpoint(reader, "peer_listen");
+  for (const std::string& peer :
+       reader.TextList("first_peers", false, CheckEndpoint)) {
+    settings.firstPeers.push_back(
+      Endpoint::Parse(peer).value_or(Endpoint{}));
+  }
+  settings.logLevel =
+    reader.Choice<core::LogLevel>("log_level",
+                                  { { "debug", core::LogLevel::Debug },
+                                    { "info", core::LogLevel::Info },
+                                    { "warning", core::LogLevel::Warning },
+                                    { "error", core::LogLevel::Error } },
+                                  core::LogLevel::Info);
+  settings.logBytesPerSecond = static_cast<std::size_t>(
+    reader.Integer("log_bytes_per_second", 1024, kMaxLogBytes, 65'536));
+  settings.stopLimit = std::chrono::milliseconds(
+    reader.Integer("stop_limit_ms", 1, kMaxStopMilliseconds, 6000));
+  settings.retryRatio = reader.Number("retry_ratio", 0, 1, 0.2);
+  settings.freeRetries =
+    reader.Number("free_retries", 0, kMaxFreeRetries, 64);
+  settings.trialShare = reader.Number("trial_share", 0, 1, 0.1);
+  settings.expectedHosts = static_cast<unsigned>(
+    reader.Integer("expected_hosts", 1, kMaxHosts, 19));
+  reader.Finish();
+  if (!errors.empty()) {
+    std::ranges::stable_sort(errors, {}, &TextError::line);
+    return errors;
+  }
+  return settings;
+}
+
+} // namespace fireflytrail::configuration
--- /dev/null
+++ b/modules/configuration/RouteConfiguration.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include "configuration/BackendService.h"
+#include "configuration/CallerLimits.h"
+#include "configuration/HttpRoute.h"
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+namespace fireflytrail::configuration {
+
+/** One version of all routes, services and limits that are in force together.*/
+struct RouteConfiguration
+{
+  /** Grows with each version; 0 before the first. */
+  std::uint64_t version = 0;
+  std::vector<HttpRoute> routes;
+  std::map<std::string, BackendService, std::less<>> services;
+  CallerLimits limits;
+};
+
+} // namespace fireflytrail::configuration
--- a/modules/daemon/OperatorEndpoint.cpp
+++ b/modules/daemon/OperatorEndpoint.cpp
@@ -58,6 +58,11 @@
   if (!isRead) {
     return gateway::CallAnswer::OfText(405, "this port is read-only\n");
   }
+  if (aRequest.service == "ready" && this->pages.isReady) {
+    const bool isReady = this->pages.isReady();
+    return gateway::CallAnswer::OfText(isReady ? 200 : 503,
+                                       isReady ? "ready\n" : "not ready\n");
+  }
   if (aRequest.service == "metrics") {
     return gateway::CallAnswer::OfText(
       200, this->pages.metrics(), "text/plain; version=0.0.4");
--- a/modules/daemon/OperatorEndpoint.h
+++ b/modules/daemon/OperatorEndpoint.h
@@ -15,16 +15,19 @@
 
 namespace fireflytrail::daemon {
 
-/** The texts that the operators' port serves. All functions must be set. */
+/** The texts that the operators' port serves. All functions but `isReady` must
+ * be set. */
 struct OperatorPages
 {
   std::function<std::string()> metrics;
   std::function<std::string()> dump;
   std::function<std::string()> status;
+  /** Whether `/ready` answers 200 instead of 503; no such page if not set. */
+  std::function<bool()> isReady;
 };
 
 /**
- * The operators' read-only port: `/metrics`, `/dump` and `/status`. Changes go
+ * The operators' read-only port: `/metrics`, `/dump`, `/status` and, if it is set, `/ready`. Changes go
  * through the store only. Belongs to the control thread.
  */
 class OperatorEndpoint
--- a/modules/gateway/CallAnswer.h
+++ b/modules/gateway/CallAnswer.h
@@ -3,7 +3,9 @@
 #include "calls/Answer.h"
 #include "core/ErrorKind.h"
 
+#include <chrono>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace fireflytrail::gateway {
@@ -19,6 +21,8 @@
   std::shared_ptr<const calls::Answer> answer;
   /** True if the call is repeatable or carries a ticket. */
   bool isSafeToResend = false;
+  /** For a refusal: time after which the caller may return. */
+  std::optional<std::chrono::milliseconds> retryAfter;
 
   /** Makes the answer of an error kind with a one-line body. */
   static CallAnswer OfError(core::ErrorKind aKind, std::string aDetail = {});
--- a/modules/gateway/CallRequest.h
+++ b/modules/gateway/CallRequest.h
@@ -13,8 +13,13 @@
 struct CallRequest
 {
   boost::beast::http::verb method = boost::beast::http::verb::get;
+  /** First part of the path in the product's own dialect, else empty. */
   std::string service;
-  /** Path and query below the service, starting with a slash. */
+  /** Host that the caller named; empty in the product's own dialect. */
+  std::string host;
+  /** The caller's id of this attempt; empty in the product's own dialect. */
+  std::string id;
+  /** Path and query (below the service, if there is one), from a slash on. */
   std::string target;
   /** End-to-end header fields; hop-by-hop fields are removed. */
   boost::beast::http::fields fields;
--- a/modules/gateway/CallerSession.cpp
+++ b/modules/gateway/CallerSession.cpp
@@ -1,6 +1,5 @@
 #include "gateway/CallerSession.h"
 
-#include "core/ErrorTable.h"
 #include "gateway/HttpFields.h"
 
 #include <boost/beast/http/empty_body.hpp>
@@ -21,21 +20,11 @@
 
 namespace {
 
-constexpr auto kIdleTimeout = 75s;
-// A sender that needs longer than this for a whole request is cut off, so that
-// slow senders cannot hold connections for ever.
-constexpr auto kRequestTimeout = 15s;
 constexpr auto kWriteTimeout = 30s;
 constexpr auto kDrainTimeout = 2s;
-
-std::string_view
-MayResend(const core::ErrorRow& aRow, bool aIsSafe)
-{
-  const bool may =
-    aRow.callerMayResend == core::ResendRule::Always ||
-    (aRow.callerMayResend == core::ResendRule::IfSafe && aIsSafe);
-  return may ? "yes" : "no";
-}
+// Bytes that a refused sender may still send while its answer is on the way.
+constexpr std::size_t kMaxDrainedBytes = 1024 * 1024;
+constexpr std::size_t kReadChunkBytes = 16 * 1024;
 
 } // namespace
 
@@ -71,11 +60,12 @@
 CallerSession::ReadHeader()
 {
   this->parser.emplace();
-  this->parser->header_limit(kMaxHeaderBytes);
-  this->parser->body_limit(kMaxBodyBytes);
+  this->parser->header_limit(
+    static_cast<std::uint32_t>(this->hooks->limits.maxHeaderBytes));
+  this->parser->body_limit(this->hooks->limits.maxBodyBytes);
   this->isIdle = this->buffer.size() == 0;
   if (!this->isIdle) {
-    this->stream.expires_after(kRequestTimeout);
+    this->stream.expires_after(this->hooks->limits.requestTimeout);
     http::async_read_header(
       this->stream,
       this->buffer,
@@ -87,9 +77,9 @@
   }
   // Waits for the first byte with the idle timeout; the request timeout
   // starts with it.
-  this->stream.expires_after(kIdleTimeout);
+  this->stream.expires_after(this->hooks->limits.idleTimeout);
   this->stream.async_read_some(
-    this->buffer.prepare(kMaxHeaderBytes),
+    this->buffer.prepare(kReadChunkBytes),
     [self = this->shared_from_this()](beast::error_code aError,
                                       std::size_t aCount) {
       if (aError) {
@@ -98,7 +88,7 @@
       }
       self->buffer.commit(aCount);
       self->isIdle = false;
-      self->stream.expires_after(kRequestTimeout);
+      self->stream.expires_after(self->hooks->limits.requestTimeout);
       http::async_read_header(
         self->stream,
         self->buffer,
@@ -192,36 +182,14 @@
 {
   auto message = this->parser->release();
   this->isKeptAlive = message.keep_alive();
-  CallRequest call;
-  call.method = message.method();
-  const std::string_view target(message.target().data(),
-                                message.target().size());
-  if (call.method == http::verb::unknown || target.empty() ||
-      target.front() != '/') {
-    return std::nullopt;
-  }
-  const std::size_t end = target.find_first_of("/?", 1);
-  call.service =
-    target.substr(1, end == std::string_view::npos ? end : end - 1);
-  call.target = end == std::string_view::npos ? "/" : target.substr(end);
-  if (call.target.front() != '/') {
-    call.target.insert(0, 1, '/');
-  }
-  bool isValid = true;
-  if (const auto deadline = NumberField(message, kDeadlineField, isValid)) {
-    call.deadline = std::chrono::milliseconds(*deadline);
-  }
-  call.attempt = NumberField(message, kAttemptField, isValid).value_or(0);
-  call.depth = NumberField(message, kDepthField, isValid).value_or(0);
-  if (!isValid) {
+  std::optional<CallRequest> call =
+    this->hooks->dialect->readRequest(message.base());
+  if (!call) {
     return std::nullopt;
   }
-  if (const auto ticket = message.find(kTicketField); ticket != message.end()) {
-    call.ticket = std::string(ticket->value());
-  }
   RemoveHopByHopFields(message);
-  call.body = std::move(message.body());
-  call.fields = std::move(message.base());
+  call->body = std::move(message.body());
+  call->fields = std::move(message.base());
   return call;
 }
 
@@ -273,7 +241,6 @@
 void
 CallerSession::WriteAnswer(const CallAnswer& aAnswer, bool aKeepAlive)
 {
-  const core::ErrorRow& row = core::ErrorTable::RowOf(aAnswer.kind);
   const calls::Answer& answer = *aAnswer.answer;
   this->response = Response{};
   this->response.version(this->httpVersion);
@@ -281,11 +248,7 @@
   for (const auto& [name, value] : answer.headers) {
     this->response.insert(name, value);
   }
-  this->response.set(kOutcomeField, core::ErrorTable::NameOf(row.outcome));
-  if (aAnswer.kind != core::ErrorKind::None) {
-    this->response.set(kErrorKindField, row.name);
-    this->response.set(kMayResendField, MayResend(row, aAnswer.isSafeToResend));
-  }
+  this->hooks->dialect->writeAnswer(this->response.base(), aAnswer);
   this->response.body() = answer.body;
   this->isKeptAlive = aKeepAlive && !this->hooks->isStopping();
   this->response.keep_alive(this->isKeptAlive);
@@ -331,11 +294,11 @@
 void
 CallerSession::DrainSome(std::size_t aDrained)
 {
-  if (aDrained > kMaxBodyBytes) {
+  if (aDrained > kMaxDrainedBytes) {
     this->Close();
     return;
   }
-  this->stream.async_read_some(this->buffer.prepare(kMaxHeaderBytes),
+  this->stream.async_read_some(this->buffer.prepare(kReadChunkBytes),
                                [self = this->shared_from_this(), aDrained](
                                  beast::error_code aError, std::size_t aCount) {
                                  if (aError) {
--- a/modules/gateway/CallerSession.h
+++ b/modules/gateway/CallerSession.h
@@ -1,7 +1,9 @@
 #pragma once
 
+#include "configuration/CallerLimits.h"
 #include "gateway/CallAnswer.h"
 #include "gateway/CallRequest.h"
+#include "gateway/CallerDialect.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -35,6 +37,12 @@
 
   /** Told once when a session begins (+1) and once when it ends (-1). */
   std::function<void(int)> sessionCountChanged;
+
+  /** The header fields spoken with callers; never null. */
+  std::shared_ptr<const CallerDialect> dialect = CallerDialect::Own();
+
+  /** What callers may send and how long they may take or stay idle. */
+  configuration::CallerLimits limits;
 };
 
 /**
@@ -45,9 +53,6 @@
 class CallerSession : public std::enable_shared_from_this<CallerSession>
 {
 public:
-  static constexpr std::size_t kMaxHeaderBytes = 16 * 1024;
-  static constexpr std::size_t kMaxBodyBytes = 1024 * 1024;
-
   /**
    * Takes an accepted socket. All hooks must be set and must outlive the
    * session. Call on the socket's thread.
--- a/modules/gateway/ServerConnection.cpp
+++ b/modules/gateway/ServerConnection.cpp
@@ -6,6 +6,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <cassert>
 #include <string>
 #include <utility>
@@ -24,12 +25,18 @@
 // giving up leaves time to try another server.
 constexpr auto kConnectTimeout = 250ms;
 
+// Idle time after which a kept connection is not used again when the server
+// states none: usual servers keep connections at least five seconds.
+constexpr auto kDefaultIdleLimit = 4000ms;
+
+// Subtracted from the stated idle time, which has whole seconds, for the way
+// of the request.
+constexpr auto kIdleMargin = 1000ms;
+
 std::shared_ptr<const calls::Answer>
 AnswerOf(http::response<http::string_body>& aMessage)
 {
   RemoveHopByHopFields(aMessage);
-  aMessage.erase(kServerLoadField);
-  aMessage.erase(kOutcomeField);
   auto answer = std::make_shared<calls::Answer>();
   answer->status = aMessage.result_int();
   for (const auto& field : aMessage) {
@@ -41,9 +48,14 @@
 
 } // namespace
 
-ServerConnection::ServerConnection(boost::asio::io_context& aContext)
+ServerConnection::ServerConnection(
+  boost::asio::io_context& aContext,
+  std::shared_ptr<const ServerDialect> aDialect)
   : stream(aContext)
+  , dialect(std::move(aDialect))
+  , idleLimit(kDefaultIdleLimit)
 {
+  assert(this->dialect);
 }
 
 ServerConnection::~ServerConnection() = default;
@@ -51,12 +63,11 @@
 void
 ServerConnection::Send(const tcp::endpoint& aServer,
                        const CallRequest& aCall,
-                       std::chrono::milliseconds aTimeLeft,
-                       unsigned aAttempt,
+                       ServerRequestInfo aInfo,
                        ExchangeFunction aOnEnd)
 {
   assert(!this->onEnd && aOnEnd);
-  assert(aTimeLeft.count() > 0);
+  assert(aInfo.timeLeft.count() > 0);
   ++this->generation;
   this->onClosed = nullptr;
   this->onEnd = std::move(aOnEnd);
@@ -67,11 +78,10 @@
   this->request.version(11);
   this->request.method(aCall.method);
   this->request.target(aCall.target);
-  this->request.set(http::field::host, aServer.address().to_string());
-  this->request.set(kDeadlineField, std::to_string(aTimeLeft.count()));
-  this->request.set(kAttemptField, std::to_string(aAttempt));
-  this->request.set(kDepthField, std::to_string(aCall.depth + 1));
+  aInfo.address = aServer.address().to_string();
+  this->dialect->writeRequest(this->request.base(), aCall, aInfo);
   this->request.body() = aCall.body;
+  this->call.id = aCall.id;
   this->request.prepare_payload();
   this->isNewConnection = !this->isOpen;
   if (this->isOpen) {
@@ -85,6 +95,7 @@
         return;
       }
       if (aError) {
+        self->isConnectRefused = aError == boost::asio::error::connection_refused;
         self->FailOnError(aError);
         return;
       }
@@ -200,32 +211,57 @@
 {
   const bool hasKnownEnd = !this->parser->need_eof();
   auto message = this->parser->release();
-  // Without a length, a cut answer cannot be told from a whole one.
-  if (!hasKnownEnd || http::to_status_class(message.result()) ==
-                        http::status_class::informational) {
+  // Without a length, a cut answer cannot be told from a whole one unless the
+  // connection ended in order, which the read has checked.
+  const bool isFramed = hasKnownEnd || this->dialect->allowsUnframedAnswers;
+  if (!isFramed || http::to_status_class(message.result()) ==
+                     http::status_class::informational) {
     this->Fail(AttemptProgress::AnswerInvalid);
     return;
   }
-  ServerExchange exchange;
-  if (const auto load = message.find(kServerLoadField); load != message.end()) {
-    exchange.serverLoad = std::string(load->value());
+  const ServerReplyInfo info =
+    this->dialect->readAnswer(message.base(), this->call);
+  if (info.reply == ServerReply::ForeignAnswer && hasKnownEnd) {
+    // A late second answer to an earlier request; the own one follows it.
+    this->sawForeignAnswer = true;
+    this->Read();
+    return;
+  }
+  if (info.reply == ServerReply::Invalid ||
+      info.reply == ServerReply::ForeignAnswer) {
+    this->Fail(AttemptProgress::AnswerInvalid);
+    return;
   }
-  const bool isRefusal =
-    message.result() == http::status::service_unavailable &&
-    message[kOutcomeField] == "not-run";
-  exchange.progress =
-    isRefusal ? AttemptProgress::Refused : AttemptProgress::Answered;
+  ServerExchange exchange;
+  exchange.serverLoad = info.loadText;
+  exchange.loadSample = info.load;
+  exchange.isWrongServer = info.reply == ServerReply::WrongServer;
+  exchange.progress = info.reply == ServerReply::Answer
+                        ? AttemptProgress::Answered
+                        : AttemptProgress::Refused;
+  this->TakeIdleLimit(info);
   // Bytes after the answer belong to no request; such a connection cannot be
   // trusted with another one.
-  if (!message.keep_alive() || this->buffer.size() > 0) {
+  if (!message.keep_alive() || !hasKnownEnd || this->buffer.size() > 0 ||
+      this->sawForeignAnswer || exchange.isWrongServer) {
     this->CloseSocket();
   }
-  if (!isRefusal) {
+  if (exchange.progress == AttemptProgress::Answered) {
     exchange.answer = AnswerOf(message);
   }
   this->End(std::move(exchange));
 }
 
+void
+ServerConnection::TakeIdleLimit(const ServerReplyInfo& aInfo)
+{
+  if (aInfo.idleTimeout) {
+    this->idleLimit =
+      std::max(std::chrono::milliseconds(0),
+               std::chrono::milliseconds(*aInfo.idleTimeout) - kIdleMargin);
+  }
+}
+
 void
 ServerConnection::FailOnError(beast::error_code aError)
 {
@@ -243,6 +279,7 @@
   this->CloseSocket();
   ServerExchange exchange;
   exchange.progress = aProgress;
+  exchange.isConnectRefused = std::exchange(this->isConnectRefused, false);
   this->End(std::move(exchange));
 }
 
@@ -257,7 +294,8 @@
 void
 ServerConnection::End(ServerExchange aExchange)
 {
-  aExchange.duration = std::chrono::steady_clock::now() - this->sendStart;
+  this->idleSince = std::chrono::steady_clock::now();
+  aExchange.duration = this->idleSince - this->sendStart;
   aExchange.isNewConnection = this->isNewConnection;
   const auto ended = std::exchange(this->onEnd, nullptr);
   ended(std::move(aExchange));
--- a/modules/gateway/ServerConnection.h
+++ b/modules/gateway/ServerConnection.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/CallRequest.h"
+#include "gateway/ServerDialect.h"
 #include "gateway/ServerExchange.h"
 
 #include <boost/asio/io_context.hpp>
@@ -31,8 +32,10 @@
 
   static constexpr std::size_t kMaxAnswerBytes = 4 * 1024 * 1024;
 
-  /** Makes a connection that is not yet open. */
-  explicit ServerConnection(boost::asio::io_context& aContext);
+  /** Makes a connection that is not yet open. `aDialect` is not null. */
+  explicit ServerConnection(
+    boost::asio::io_context& aContext,
+    std::shared_ptr<const ServerDialect> aDialect = ServerDialect::Own());
   ~ServerConnection();
   ServerConnection(const ServerConnection&) = delete;
   ServerConnection& operator=(const ServerConnection&) = delete;
@@ -40,14 +43,13 @@
   /**
    * Opens the connection if needed, sends the request and reads the whole
    * answer. Calls `aOnEnd` once, unless `Cancel` is called first. No other
-   * request may be pending. `aTimeLeft` is positive and is passed on as the
+   * request may be pending. The time left is positive and is passed on as the
    * server's deadline; the owner ends the request with `Cancel` when its own
    * deadline has passed. Call on the context's thread.
    */
   void Send(const boost::asio::ip::tcp::endpoint& aServer,
             const CallRequest& aCall,
-            std::chrono::milliseconds aTimeLeft,
-            unsigned aAttempt,
+            ServerRequestInfo aInfo,
             ExchangeFunction aOnEnd);
 
   /**
@@ -66,6 +68,16 @@
   /** How far the pending request has got. Not thread-safe. */
   calls::AttemptProgress Progress() const { return this->progress; }
 
+  /** How long the connection may be idle before the server closes it, less a
+   * margin for the way. Not thread-safe. */
+  std::chrono::milliseconds IdleLimit() const { return this->idleLimit; }
+
+  /** When the last request ended. Not thread-safe. */
+  std::chrono::steady_clock::time_point IdleSince() const
+  {
+    return this->idleSince;
+  }
+
   /** Whether another request may use the connection. Not thread-safe. */
   bool IsReusable() const;
 
@@ -83,19 +95,27 @@
   void Write();
   void Read();
   void OnAnswer();
+  void TakeIdleLimit(const ServerReplyInfo& aInfo);
   void Fail(calls::AttemptProgress aProgress);
   void FailOnError(boost::beast::error_code aError);
   void CloseSocket();
   void End(ServerExchange aExchange);
 
   boost::beast::tcp_stream stream;
+  std::shared_ptr<const ServerDialect> dialect;
   boost::beast::flat_buffer buffer;
+  CallRequest call;
   Request request;
   std::optional<Parser> parser;
   ExchangeFunction onEnd;
   ClosedFunction onClosed;
   calls::AttemptProgress progress = calls::AttemptProgress::NothingSent;
   std::chrono::steady_clock::time_point sendStart;
+  std::chrono::steady_clock::time_point idleSince;
+  std::chrono::milliseconds idleLimit{ 0 };
+  /** An answer to another request arrived, so others may follow. */
+  bool sawForeignAnswer = false;
+  bool isConnectRefused = false;
   bool isOpen = false;
   bool isNewConnection = false;
   // Distinguishes the callbacks of one idle watch or request from those of
--- a/modules/gateway/ServerExchange.h
+++ b/modules/gateway/ServerExchange.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "calls/AttemptResult.h"
+#include "routing/LoadSample.h"
 
 #include <chrono>
 #include <memory>
@@ -17,6 +18,12 @@
   std::shared_ptr<const calls::Answer> answer;
   /** Value of the `Server-Load` field, if the answer has one. */
   std::optional<std::string> serverLoad;
+  /** The load that the answer states in figures, if it does. */
+  std::optional<routing::LoadSample> loadSample;
+  /** Whether another server answered at the address. */
+  bool isWrongServer = false;
+  /** Whether the address refused the connection. */
+  bool isConnectRefused = false;
   /** Time from the start of sending to the end. */
   std::chrono::steady_clock::duration duration{};
   /** Whether a new connection was opened for this attempt. */
--- a/modules/gateway/ServerPool.cpp
+++ b/modules/gateway/ServerPool.cpp
@@ -9,10 +9,14 @@
 
 ServerPool::ServerPool(boost::asio::io_context& aContext,
                        boost::asio::ip::tcp::endpoint aServer,
-                       std::size_t aMaxIdle)
+                       std::size_t aMaxIdle,
+                       std::string aServerId,
+                       std::shared_ptr<const ServerDialect> aDialect)
   : context(aContext)
   , server(std::move(aServer))
   , maxIdle(aMaxIdle)
+  , serverId(std::move(aServerId))
+  , dialect(std::move(aDialect))
 {
 }
 
@@ -24,18 +28,17 @@
                  unsigned aAttempt,
                  ExchangeFunction aOnEnd)
 {
-  std::shared_ptr<ServerConnection> connection;
-  if (this->idle.empty()) {
-    connection = std::make_shared<ServerConnection>(this->context);
-  } else {
-    connection = std::move(this->idle.back());
-    this->idle.pop_back();
+  std::shared_ptr<ServerConnection> connection = this->TakeIdle();
+  if (!connection) {
+    connection = std::make_shared<ServerConnection>(this->context, this->dialect);
   }
   ++this->inUse;
   connection->Send(this->server,
                    aCall,
-                   aTimeLeft,
-                   aAttempt,
+                   { .serverId = this->serverId,
+                     .address = {},
+                     .timeLeft = aTimeLeft,
+                     .attempt = aAttempt },
                    [self = this->shared_from_this(),
                     weak = std::weak_ptr(connection),
                     onEnd = std::move(aOnEnd)](ServerExchange aExchange) {
@@ -48,6 +51,24 @@
   return connection;
 }
 
+std::shared_ptr<ServerConnection>
+ServerPool::TakeIdle()
+{
+  // The most recently used one is last. If it has been idle for too long, so
+  // have the others.
+  const auto now = std::chrono::steady_clock::now();
+  if (!this->idle.empty() && now - this->idle.back()->IdleSince() >
+                               this->idle.back()->IdleLimit()) {
+    this->CloseIdle();
+  }
+  if (this->idle.empty()) {
+    return nullptr;
+  }
+  auto connection = std::move(this->idle.back());
+  this->idle.pop_back();
+  return connection;
+}
+
 void
 ServerPool::Cancel(ServerConnection& aConnection)
 {
@@ -59,7 +80,7 @@
 void
 ServerPool::CheckListening(std::function<void(bool)> aOnChecked)
 {
-  const auto connection = std::make_shared<ServerConnection>(this->context);
+  const auto connection = std::make_shared<ServerConnection>(this->context, this->dialect);
   ++this->inUse;
   connection->Open(
     this->server,
--- a/modules/gateway/ServerPool.h
+++ b/modules/gateway/ServerPool.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/CallRequest.h"
+#include "gateway/ServerDialect.h"
 #include "gateway/ServerExchange.h"
 
 #include <boost/asio/io_context.hpp>
@@ -9,6 +10,7 @@
 #include <chrono>
 #include <functional>
 #include <memory>
+#include <string>
 #include <vector>
 
 namespace fireflytrail::gateway {
@@ -24,10 +26,17 @@
 public:
   using ExchangeFunction = std::function<void(ServerExchange)>;
 
-  /** Makes an empty pool that keeps at most `aMaxIdle` idle connections. */
+  /**
+   * Makes an empty pool that keeps at most `aMaxIdle` idle connections.
+   * `aServerId` is the identity that the server must have, or empty if the
+   * dialect does not name it.
+   */
   ServerPool(boost::asio::io_context& aContext,
              boost::asio::ip::tcp::endpoint aServer,
-             std::size_t aMaxIdle);
+             std::size_t aMaxIdle,
+             std::string aServerId = {},
+             std::shared_ptr<const ServerDialect> aDialect =
+               ServerDialect::Own());
   ~ServerPool();
   ServerPool(const ServerPool&) = delete;
   ServerPool& operator=(const ServerPool&) = delete;
@@ -63,11 +72,14 @@
   std::size_t ConnectionCount() const;
 
 private:
+  std::shared_ptr<ServerConnection> TakeIdle();
   void Return(const std::shared_ptr<ServerConnection>& aConnection);
 
   boost::asio::io_context& context;
   boost::asio::ip::tcp::endpoint server;
   std::size_t maxIdle;
+  std::string serverId;
+  std::shared_ptr<const ServerDialect> dialect;
   std::size_t inUse = 0;
   std::vector<std::shared_ptr<ServerConnection>> idle;
 };
--- /dev/null
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -0,0 +1,721 @@
+#include "proxy/ProxyDaemon.h"
+
+#include "core/ErrorTable.h"
+#include "gateway/CallerListener.h"
+#include "gateway/ServerPool.h"
+#include "gateway/SocketAddress.h"
+#include "proxy/RequestRunner.h"
+
+#include <boost/json/array.hpp>
+#include <boost/json/object.hpp>
+#include <boost/json/serialize.hpp>
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <csignal>
+#include <random>
+#include <utility>
+
+namespace fireflytrail::proxy {
+
+namespace json = boost::json;
+using namespace std::chrono_literals;
+using boost::asio::ip::tcp;
+using core::ErrorKind;
+using core::LogLevel;
+using std::chrono::milliseconds;
+
+namespace {
+
+// An instance has 260 connections for all hosts together, 13 for each of 19;
+// one host seldom has more than four requests at one instance.
+constexpr std::size_t kMaxIdleConnections = 4;
+
+// Sessions are listed for the graceful stop; ended ones are removed when the
+// list has doubled since the last time.
+constexpr std::size_t kMinSessionsToSweep = 64;
+
+// The platform's balancer looks once a second and leaves a host out after two
+// misses, so new connections arrive for up to this long after a stop began.
+constexpr milliseconds kBalancerDelay = 2500ms;
+
+// Part of the stop limit that is kept back for the way of the last answers.
+constexpr milliseconds kStopMargin = 300ms;
+
+constexpr milliseconds kStopCheckInterval = 100ms;
+
+// The settings file may change without a signal; a read costs 0.1 ms.
+constexpr milliseconds kSettingsInterval = 5000ms;
+
+// Time to return for callers of a daemon that has no configuration yet.
+constexpr milliseconds kRetryWithoutConfiguration = 500ms;
+
+// Part of the fleet's retry budget that is given out: the hosts count in
+// windows of their own, whose ends differ.
+constexpr double kBudgetShare = 0.8;
+
+std::uint64_t
+RandomNumber()
+{
+  static std::mt19937_64 engine{
+    std::random_device{}() ^ (std::uint64_t{ std::random_device{}() } << 32U)
+  };
+  return engine();
+}
+
+tcp::endpoint
+SocketEndpoint(const configuration::Endpoint& aEndpoint)
+{
+  return { boost::asio::ip::make_address(aEndpoint.address), aEndpoint.port };
+}
+
+} // namespace
+
+ProxyDaemon::ProxyDaemon(const configuration::ProxySettings& aSettings,
+                         PlatformAdapter aPlatform,
+                         const core::Log& aLog,
+                         SettingsFunction aReadSettings)
+  : settings(aSettings)
+  , platform(std::move(aPlatform))
+  , log(aLog)
+  , readSettings(std::move(aReadSettings))
+  , signals(this->context)
+  , stopTimer(this->context)
+  , lapseTimer(this->context)
+  , settingsTimer(this->context)
+  , self{ aSettings.name, RandomNumber() }
+  , callMetrics(this->metrics)
+  , ledger(this->self, RandomNumber(), std::chrono::steady_clock::now)
+  , guard(std::chrono::steady_clock::now)
+  , broker(this->context, std::chrono::steady_clock::now, RandomNumber)
+  , shared{ .context = this->context,
+            .broker = this->broker,
+            .ledger = this->ledger,
+            .guard = this->guard,
+            .log = aLog,
+            .metrics = this->metrics,
+            .callMetrics = this->callMetrics,
+            .now = std::chrono::steady_clock::now,
+            .random = RandomNumber,
+            .failureDomain = aSettings.failureDomain,
+            .budgetOf =
+              [this](const std::string& aService) -> calls::RetryBudget& {
+              return this->BudgetOf(aService);
+            },
+            .poolOf =
+              [this](const routing::BackendInstance& aInstance) {
+                return this->PoolOf(aInstance);
+              } }
+  , transport(this->context, SocketEndpoint(aSettings.store))
+  , directory(std::chrono::steady_clock::now)
+  , sessionHooks(std::make_shared<gateway::CallerSessionHooks>())
+{
+  assert(this->readSettings);
+  this->sessionHooks->handleCall =
+    [this](gateway::CallRequest aCall,
+           gateway::CallerSessionHooks::AnswerFunction aOnAnswer) {
+      return this->Handle(std::move(aCall), std::move(aOnAnswer));
+    };
+  this->sessionHooks->isStopping = [this] { return this->isStopping; };
+  this->sessionHooks->sessionCountChanged = [this](int aChange) {
+    this->sessionCount += static_cast<std::size_t>(aChange);
+  };
+  this->sessionHooks->dialect = this->platform.callers;
+  const ObjectKinds& kinds = this->platform.kinds;
+  this->watcher = std::make_unique<store::ObjectWatcher>(
+    std::vector<std::string>{
+      kinds.configuration, kinds.instances, kinds.rollouts, kinds.domainsOut },
+    this->platform.objects,
+    store::WatcherHooks{
+      .now = std::chrono::steady_clock::now,
+      .random = RandomNumber,
+      .send =
+        [this](const store::StoreRequest& aRequest,
+               std::function<void(store::StoreResponse)> aDone) {
+          this->transport.Send(aRequest, std::move(aDone));
+        },
+      .after =
+        [this](milliseconds aTime, std::function<void()> aFunction) {
+          const auto timer =
+            std::make_shared<boost::asio::steady_timer>(this->context, aTime);
+          timer->async_wait([timer, function = std::move(aFunction)](
+                              boost::system::error_code aError) {
+            if (!aError) {
+              function();
+            }
+          });
+        },
+      .onList =
+        [this](const std::string& aKind,
+               std::vector<store::ObjectRecord> aObjects) {
+          this->OnObjects(aKind, std::move(aObjects), true);
+        },
+      .onChanges =
+        [this](const std::string& aKind,
+               std::vector<store::ObjectRecord> aObjects) {
+          this->OnObjects(aKind, std::move(aObjects), false);
+        },
+      .onContact =
+        [this](bool aIsLost, const std::string& aDetail) {
+          if (aIsLost) {
+            this->log.Write(
+              LogLevel::Warning, "store_lost", { { "why", aDetail } });
+            return;
+          }
+          this->directory.NoteStoreReturn();
+          this->log.Write(LogLevel::Info, "store_regained");
+        } });
+}
+
+ProxyDaemon::~ProxyDaemon() = default;
+
+bool
+ProxyDaemon::Open()
+{
+  const auto report = [this](std::string_view aPort,
+                             const boost::system::error_code& aError) {
+    this->log.Write(LogLevel::Error,
+                    "bind_failed",
+                    { { "port", aPort }, { "error", aError.message() } });
+    return false;
+  };
+  this->listener = std::make_shared<gateway::CallerListener>(
+    this->context, [this](tcp::socket aSocket) {
+      const auto session = std::make_shared<gateway::CallerSession>(
+        std::move(aSocket), this->sessionHooks);
+      if (this->sessions.size() >= kMinSessionsToSweep &&
+          this->sessions.size() >= 2 * this->sessionCount) {
+        std::erase_if(this->sessions,
+                      [](const auto& aWeak) { return aWeak.expired(); });
+      }
+      this->sessions.push_back(session);
+      session->Start();
+    });
+  if (const auto error =
+        this->listener->Open(SocketEndpoint(this->settings.listen))) {
+    return report("listen", error);
+  }
+  daemon::OperatorPages pages{
+    .metrics = [this] { return this->MetricsText(); },
+    .dump = [this] { return this->DumpText(); },
+    .status = [this] { return this->DumpText(); },
+    .isReady = [this] { return !this->isStopping && this->routes != nullptr; }
+  };
+  this->readyEndpoint =
+    std::make_unique<daemon::OperatorEndpoint>(this->context, pages);
+  this->operatorEndpoint =
+    std::make_unique<daemon::OperatorEndpoint>(this->context, pages);
+  if (const auto error = this->readyEndpoint->Open(
+        SocketEndpoint(this->settings.readyListen))) {
+    return report("ready_listen", error);
+  }
+  if (const auto error = this->operatorEndpoint->Open(
+        SocketEndpoint(this->settings.operatorListen))) {
+    return report("operator_listen", error);
+  }
+  return true;
+}
+
+void
+ProxyDaemon::Run()
+{
+  this->ListenForSignals();
+  this->watcher->Start();
+  this->WatchSettings();
+  this->log.Write(LogLevel::Info,
+                  "daemon_started",
+                  { { "name", this->self.name },
+                    { "failure_domain", this->settings.failureDomain },
+                    { "listen", this->settings.listen.ToString() },
+                    { "store", this->settings.store.ToString() } });
+  this->context.run();
+  this->log.Write(
+    LogLevel::Info, "daemon_stopped", { { "name", this->self.name } });
+}
+
+void
+ProxyDaemon::ListenForSignals()
+{
+  this->signals.add(SIGTERM);
+  this->signals.add(SIGINT);
+  this->signals.add(SIGHUP);
+  this->signals.async_wait(
+    [this](boost::system::error_code aError, int aSignal) {
+      if (aError) {
+        return;
+      }
+      if (aSignal == SIGHUP) {
+        this->ReloadSettings();
+      } else {
+        this->BeginStop();
+      }
+      this->ListenForSignals();
+    });
+}
+
+//==============================================================================
+void
+ProxyDaemon::OnObjects(const std::string& aKind,
+                       std::vector<store::ObjectRecord> aObjects,
+                       bool aIsList)
+{
+  const ObjectKinds& kinds = this->platform.kinds;
+  if (aKind == kinds.configuration) {
+    this->OnConfiguration(aObjects);
+  } else if (aKind == kinds.instances) {
+    this->OnInstances(aObjects, aIsList);
+  } else if (aKind == kinds.rollouts) {
+    this->OnRollouts(aObjects, aIsList);
+  } else if (aKind == kinds.domainsOut) {
+    this->OnDomainsOut(aObjects, aIsList);
+  }
+  this->UpdateBroker();
+}
+
+void
+ProxyDaemon::OnConfiguration(const std::vector<store::ObjectRecord>& aObjects)
+{
+  for (const store::ObjectRecord& object : aObjects) {
+    if (object.name != this->platform.kinds.configurationName ||
+        object.isDeleted) {
+      continue;
+    }
+    auto read = this->platform.readConfiguration(object);
+    if (!read) {
+      this->log.Write(LogLevel::Error,
+                      "configuration_unreadable",
+                      { { "why", read.error().detail } });
+      continue;
+    }
+    const std::uint64_t held =
+      this->routes ? this->routes->Configuration().version : 0;
+    if (read.value().version <= held) {
+      continue;
+    }
+    this->sessionHooks->limits = read.value().limits;
+    this->routes = std::make_shared<const routing::HttpRouteTable>(
+      std::make_shared<const configuration::RouteConfiguration>(
+        std::move(read).value()));
+    const auto& inForce = this->routes->Configuration();
+    this->log.Write(
+      LogLevel::Info,
+      "configuration_in_force",
+      { { "version", static_cast<std::int64_t>(inForce.version) },
+        { "before", static_cast<std::int64_t>(held) },
+        { "revision", static_cast<std::int64_t>(object.revision) },
+        { "routes", static_cast<std::int64_t>(inForce.routes.size()) } });
+  }
+}
+
+void
+ProxyDaemon::OnInstances(const std::vector<store::ObjectRecord>& aObjects,
+                         bool aIsList)
+{
+  std::vector<routing::BackendInstance> instances;
+  for (const store::ObjectRecord& object : aObjects) {
+    if (object.isDeleted) {
+      this->log.Write(
+        LogLevel::Info,
+        "instance_removed",
+        { { "instance", object.name },
+          { "revision", static_cast<std::int64_t>(object.revision) } });
+      this->directory.Remove(object.name);
+      continue;
+    }
+    auto read = this->platform.readInstance(object);
+    if (!read) {
+      // Another writer's entry names no instance to use.
+      this->log.Write(
+        LogLevel::Warning,
+        "instance_unreadable",
+        { { "instance", object.name }, { "why", read.error().detail } });
+      this->directory.Remove(object.name);
+      continue;
+    }
+    instances.push_back(std::move(read).value());
+    if (!aIsList) {
+      const routing::BackendInstance& instance = instances.back();
+      this->log.Write(
+        LogLevel::Info,
+        "instance_changed",
+        { { "instance", instance.id },
+          { "service", instance.service },
+          { "version", instance.version },
+          { "is_draining", instance.isDraining },
+          { "cold_ms", instance.coldFor.count() },
+          { "revision", static_cast<std::int64_t>(object.revision) } });
+    }
+  }
+  if (aIsList) {
+    this->log.Write(
+      LogLevel::Info,
+      "instances_listed",
+      { { "count", static_cast<std::int64_t>(instances.size()) } });
+    this->directory.ReplaceAll(std::move(instances));
+    return;
+  }
+  for (routing::BackendInstance& instance : instances) {
+    this->directory.Put(std::move(instance));
+  }
+}
+
+void
+ProxyDaemon::OnRollouts(const std::vector<store::ObjectRecord>& aObjects,
+                        bool aIsList)
+{
+  std::set<std::string> listed;
+  for (const store::ObjectRecord& object : aObjects) {
+    listed.insert(object.name);
+    if (object.isDeleted) {
+      this->directory.RemoveRollout(object.name);
+      continue;
+    }
+    const auto read = this->platform.readRollout(object);
+    if (!read) {
+      this->log.Write(
+        LogLevel::Error,
+        "rollout_unreadable",
+        { { "service", object.name }, { "why", read.error().detail } });
+      continue;
+    }
+    this->directory.PutRollout(read.value());
+    this->log.Write(
+      LogLevel::Info,
+      "rollout_seen",
+      { { "service", read.value().service },
+        { "version", read.value().targetVersion },
+        { "state", static_cast<std::int64_t>(read.value().state) },
+        { "revision", static_cast<std::int64_t>(object.revision) } });
+  }
+  if (aIsList) {
+    std::vector<std::string> gone;
+    for (const auto& [service, order] : this->directory.Rollouts()) {
+      if (!listed.contains(service)) {
+        gone.push_back(service);
+      }
+    }
+    for (const std::string& service : gone) {
+      this->directory.RemoveRollout(service);
+    }
+  }
+}
+
+void
+ProxyDaemon::OnDomainsOut(const std::vector<store::ObjectRecord>& aObjects,
+                          bool aIsList)
+{
+  if (aIsList) {
+    this->domainsOut.clear();
+  }
+  for (const store::ObjectRecord& object : aObjects) {
+    if (object.isDeleted) {
+      this->domainsOut.erase(object.name);
+    } else {
+      this->domainsOut.insert(object.name);
+    }
+    this->log.Write(
+      LogLevel::Info,
+      "failure_domain_changed",
+      { { "failure_domain", object.name },
+        { "is_out", !object.isDeleted },
+        { "revision", static_cast<std::int64_t>(object.revision) } });
+  }
+  this->directory.SetDomainsOut(this->domainsOut);
+}
+
+void
+ProxyDaemon::UpdateBroker()
+{
+  if (!this->routes) {
+    return;
+  }
+  routing::DispatcherSettings dispatcher;
+  dispatcher.coldShare = 1.0 / this->settings.expectedHosts;
+  dispatcher.trialShare = 0;
+  this->broker.Update(
+    this->routes->Configuration(), this->directory, dispatcher);
+  this->ScheduleLapse();
+}
+
+void
+ProxyDaemon::ScheduleLapse()
+{
+  const auto due = this->directory.NextDue();
+  if (!due) {
+    return;
+  }
+  this->lapseTimer.expires_at(*due);
+  this->lapseTimer.async_wait([this](boost::system::error_code aError) {
+    if (aError) {
+      return;
+    }
+    if (this->directory.RemoveLapsed()) {
+      this->log.Write(LogLevel::Info, "lapsed_instances_removed");
+    }
+    this->UpdateBroker();
+  });
+}
+
+//==============================================================================
+gateway::CallerSessionHooks::CancelFunction
+ProxyDaemon::Handle(gateway::CallRequest aCall,
+                    gateway::CallerSessionHooks::AnswerFunction aOnAnswer)
+{
+  const auto refuse = [&](ErrorKind aKind,
+                          std::optional<milliseconds> aRetryAfter) {
+    this->log.Write(
+      LogLevel::Info,
+      "request_refused",
+      { { "id", aCall.id },
+        { "host", aCall.host },
+        { "kind", core::ErrorTable::RowOf(aKind).name },
+        { "configuration",
+          static_cast<std::int64_t>(
+            this->routes ? this->routes->Configuration().version : 0) } });
+    this->metrics.Count("refused_total");
+    auto answer = gateway::CallAnswer::OfError(aKind);
+    answer.retryAfter = aRetryAfter;
+    aOnAnswer(std::move(answer));
+    return gateway::CallerSessionHooks::CancelFunction{};
+  };
+  if (!this->routes) {
+    return refuse(ErrorKind::NoConfiguration, kRetryWithoutConfiguration);
+  }
+  const configuration::HttpRoute* route =
+    this->routes->Match(aCall.host, aCall.target);
+  if (route == nullptr) {
+    return refuse(ErrorKind::UnknownCall, std::nullopt);
+  }
+  if (aCall.deadline && aCall.deadline->count() <= 0) {
+    return refuse(ErrorKind::DeadlineBeforeSend, std::nullopt);
+  }
+  ++this->requestCount;
+  std::shared_ptr<void> guard(nullptr,
+                              [this](void*) { --this->requestCount; });
+  const auto runner = std::make_shared<RequestRunner>(
+    this->shared,
+    std::move(aCall),
+    *route,
+    this->DrawService(*route),
+    this->routes->Configuration().version,
+    std::move(guard),
+    std::move(aOnAnswer));
+  runner->Begin();
+  return [weak = std::weak_ptr(runner)] {
+    if (const auto running = weak.lock()) {
+      running->CallerGone();
+    }
+  };
+}
+
+std::string
+ProxyDaemon::DrawService(const configuration::HttpRoute& aRoute)
+{
+  if (aRoute.services.size() == 1) {
+    return aRoute.services.front().service;
+  }
+  // The service that is owed most: shares hold over few requests too.
+  auto& credits = this->shareCredits[aRoute.name];
+  double sum = 0;
+  for (const auto& part : aRoute.services) {
+    sum += part.weight;
+  }
+  const configuration::WeightedService* most = nullptr;
+  for (const auto& part : aRoute.services) {
+    const auto [credit, isNew] = credits.try_emplace(part.service, 0);
+    if (isNew) {
+      // A random start keeps hosts from sending their first requests to the
+      // same service.
+      credit->second = static_cast<double>(RandomNumber() % 1000) / 1000;
+    }
+    credit->second += part.weight / sum;
+    if (most == nullptr || credit->second > credits.at(most->service)) {
+      most = &part;
+    }
+  }
+  credits.at(most->service) -= 1;
+  return most->service;
+}
+
+std::shared_ptr<gateway::ServerPool>
+ProxyDaemon::PoolOf(const routing::BackendInstance& aInstance)
+{
+  auto& [address, pool] = this->pools[aInstance.id];
+  if (pool && address == aInstance.address) {
+    return pool;
+  }
+  const auto endpoint = gateway::ParseSocketAddress(aInstance.address);
+  if (!endpoint) {
+    return nullptr;
+  }
+  address = aInstance.address;
+  pool = std::make_shared<gateway::ServerPool>(this->context,
+                                               *endpoint,
+                                               kMaxIdleConnections,
+                                               aInstance.id,
+                                               this->platform.servers);
+  return pool;
+}
+
+calls::RetryBudget&
+ProxyDaemon::BudgetOf(const std::string& aService)
+{
+  auto& budget = this->budgets[aService];
+  if (!budget) {
+    calls::RetryBudget::Allowance allowance;
+    allowance.firstsPerRetry = static_cast<std::uint64_t>(
+      std::ceil(1 / std::max(this->settings.retryRatio * kBudgetShare, 1e-3)));
+    allowance.freeRetries = static_cast<std::uint64_t>(
+      this->settings.freeRetries * kBudgetShare / this->settings.expectedHosts);
+    budget = std::make_unique<calls::RetryBudget>(
+      std::chrono::steady_clock::now, allowance);
+  }
+  return *budget;
+}
+
+//==============================================================================
+void
+ProxyDaemon::BeginStop()
+{
+  if (this->isStopping) {
+    return;
+  }
+  this->isStopping = true;
+  this->stopBegin = std::chrono::steady_clock::now();
+  this->log.Write(
+    LogLevel::Info,
+    "stop_requested",
+    { { "requests", static_cast<std::int64_t>(this->requestCount) },
+      { "sessions", static_cast<std::int64_t>(this->sessionCount) } });
+  this->CheckStop();
+}
+
+void
+ProxyDaemon::CheckStop()
+{
+  const auto elapsed = std::chrono::steady_clock::now() - this->stopBegin;
+  const bool isQuiet = elapsed >= kBalancerDelay;
+  if (isQuiet) {
+    this->listener->Close();
+    this->CloseIdleSessions();
+  }
+  const bool isDone = isQuiet && this->requestCount == 0 &&
+                      this->sessionCount == 0;
+  if (isDone || elapsed >= this->settings.stopLimit - kStopMargin) {
+    this->log.Write(
+      LogLevel::Info,
+      "stop_finished",
+      { { "is_complete", isDone },
+        { "requests", static_cast<std::int64_t>(this->requestCount) } });
+    this->watcher->Stop();
+    this->context.stop();
+    return;
+  }
+  this->stopTimer.expires_after(kStopCheckInterval);
+  this->stopTimer.async_wait([this](boost::system::error_code aError) {
+    if (!aError) {
+      this->CheckStop();
+    }
+  });
+}
+
+void
+ProxyDaemon::CloseIdleSessions()
+{
+  for (const auto& weak : this->sessions) {
+    if (const auto session = weak.lock()) {
+      session->CloseIfIdle();
+    }
+  }
+}
+
+void
+ProxyDaemon::ReloadSettings()
+{
+  const auto read = this->readSettings();
+  if (!read) {
+    return;
+  }
+  const bool isChanged = read->retryRatio != this->settings.retryRatio ||
+                         read->freeRetries != this->settings.freeRetries ||
+                         read->trialShare != this->settings.trialShare ||
+                         read->stopLimit != this->settings.stopLimit ||
+                         read->expectedHosts != this->settings.expectedHosts;
+  if (!isChanged) {
+    return;
+  }
+  this->settings.retryRatio = read->retryRatio;
+  this->settings.freeRetries = read->freeRetries;
+  this->settings.trialShare = read->trialShare;
+  this->settings.stopLimit = read->stopLimit;
+  this->settings.expectedHosts = read->expectedHosts;
+  this->budgets.clear();
+  this->UpdateBroker();
+  this->log.Write(LogLevel::Info, "settings_reloaded");
+}
+
+void
+ProxyDaemon::WatchSettings()
+{
+  this->settingsTimer.expires_after(kSettingsInterval);
+  this->settingsTimer.async_wait([this](boost::system::error_code aError) {
+    if (!aError) {
+      this->ReloadSettings();
+      this->WatchSettings();
+    }
+  });
+}
+
+//==============================================================================
+std::string
+ProxyDaemon::MetricsText()
+{
+  this->metrics.Set("store_requests",
+                    static_cast<double>(this->watcher->CallCount()));
+  this->metrics.Set("requests_in_progress",
+                    static_cast<double>(this->requestCount));
+  this->metrics.Set("requests_waiting",
+                    static_cast<double>(this->broker.WaitingCount()));
+  this->metrics.Set("sessions", static_cast<double>(this->sessionCount));
+  this->metrics.Set("instances",
+                    static_cast<double>(this->directory.InstanceCount()));
+  this->metrics.Set("store_is_lost", this->watcher->IsLost() ? 1 : 0);
+  this->metrics.Set(
+    "configuration_version",
+    static_cast<double>(
+      this->routes ? this->routes->Configuration().version : 0));
+  return this->metrics.Text();
+}
+
+std::string
+ProxyDaemon::DumpText() const
+{
+  json::array domains;
+  for (const std::string& domain : this->domainsOut) {
+    domains.emplace_back(domain);
+  }
+  json::array rollouts;
+  for (const auto& [service, order] : this->directory.Rollouts()) {
+    rollouts.push_back(
+      json::object{ { "service", service },
+                    { "version", order.targetVersion },
+                    { "state", static_cast<int>(order.state) } });
+  }
+  const json::object dump{
+    { "name", this->self.name },
+    { "is_stopping", this->isStopping },
+    { "configuration_version",
+      this->routes ? this->routes->Configuration().version : 0 },
+    { "store_is_lost", this->watcher->IsLost() },
+    { "instances", this->directory.InstanceCount() },
+    { "requests_in_progress", this->requestCount },
+    { "requests_waiting", this->broker.WaitingCount() },
+    { "sessions", this->sessionCount },
+    { "domains_out", domains },
+    { "rollouts", rollouts }
+  };
+  return json::serialize(dump) + "\n";
+}
+
+} // namespace fireflytrail::proxy
--- /dev/null
+++ b/modules/proxy/ProxyDaemon.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include "calls/CrashGuard.h"
+#include "calls/RetryBudget.h"
+#include "calls/TicketLedger.h"
+#include "configuration/ProxySettings.h"
+#include "configuration/RouteConfiguration.h"
+#include "core/DaemonId.h"
+#include "core/Log.h"
+#include "daemon/Metrics.h"
+#include "daemon/OperatorEndpoint.h"
+#include "gateway/CallerSession.h"
+#include "proxy/PlatformAdapter.h"
+#include "proxy/ProxyShared.h"
+#include "proxy/SlotBroker.h"
+#include "routing/HttpRouteTable.h"
+#include "routing/ServiceDirectory.h"
+#include "store/ObjectWatcher.h"
+#include "store/StoreTransport.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace fireflytrail::gateway {
+class CallerListener;
+class ServerPool;
+}
+
+namespace fireflytrail::proxy {
+
+/**
+ * The entry daemon for HTTP routes. The thread that calls `Run` does
+ * everything: hosts show one core, and a second thread would cost them memory
+ * and switches.
+ */
+class ProxyDaemon
+{
+public:
+  /** Reads the settings again; nothing if they cannot be read. */
+  using SettingsFunction =
+    std::function<std::optional<configuration::ProxySettings>()>;
+
+  /** `aSettings` must be checked. `aLog` must outlive the daemon. */
+  ProxyDaemon(const configuration::ProxySettings& aSettings,
+              PlatformAdapter aPlatform,
+              const core::Log& aLog,
+              SettingsFunction aReadSettings);
+  ~ProxyDaemon();
+  ProxyDaemon(const ProxyDaemon&) = delete;
+  ProxyDaemon& operator=(const ProxyDaemon&) = delete;
+
+  /** Binds the addresses. Returns false, after a log line, if one is not
+   * available. Call once. */
+  bool Open();
+
+  /** Serves until SIGTERM or SIGINT, and then until the requests in progress
+   * have ended. `Open` must have succeeded. Call once. */
+  void Run();
+
+private:
+  void ListenForSignals();
+  void OnObjects(const std::string& aKind,
+                 std::vector<store::ObjectRecord> aObjects,
+                 bool aIsList);
+  void OnInstances(const std::vector<store::ObjectRecord>& aObjects,
+                   bool aIsList);
+  void OnConfiguration(const std::vector<store::ObjectRecord>& aObjects);
+  void OnRollouts(const std::vector<store::ObjectRecord>& aObjects,
+                  bool aIsList);
+  void OnDomainsOut(const std::vector<store::ObjectRecord>& aObjects,
+                    bool aIsList);
+  void UpdateBroker();
+  void ScheduleLapse();
+
+  gateway::CallerSessionHooks::CancelFunction Handle(
+    gateway::CallRequest aCall,
+    gateway::CallerSessionHooks::AnswerFunction aOnAnswer);
+  std::string DrawService(const configuration::HttpRoute& aRoute);
+  std::shared_ptr<gateway::ServerPool> PoolOf(
+    const routing::BackendInstance& aInstance);
+  calls::RetryBudget& BudgetOf(const std::string& aService);
+
+  void BeginStop();
+  void CheckStop();
+  void CloseIdleSessions();
+  void ReloadSettings();
+  void WatchSettings();
+
+  std::string MetricsText();
+  std::string DumpText() const;
+
+  configuration::ProxySettings settings;
+  PlatformAdapter platform;
+  const core::Log& log;
+  SettingsFunction readSettings;
+  boost::asio::io_context context{ 1 };
+  boost::asio::signal_set signals;
+  boost::asio::steady_timer stopTimer;
+  boost::asio::steady_timer lapseTimer;
+  boost::asio::steady_timer settingsTimer;
+  core::DaemonId self;
+  daemon::Metrics metrics;
+  daemon::CallMetrics callMetrics;
+  calls::TicketLedger ledger;
+  calls::CrashGuard guard;
+  SlotBroker broker;
+  ProxyShared shared;
+  store::StoreTransport transport;
+  std::unique_ptr<store::ObjectWatcher> watcher;
+  routing::ServiceDirectory directory;
+  std::shared_ptr<const routing::HttpRouteTable> routes;
+  std::set<std::string, std::less<>> domainsOut;
+  std::shared_ptr<gateway::CallerSessionHooks> sessionHooks;
+  std::shared_ptr<gateway::CallerListener> listener;
+  std::vector<std::weak_ptr<gateway::CallerSession>> sessions;
+  std::unique_ptr<daemon::OperatorEndpoint> readyEndpoint;
+  std::unique_ptr<daemon::OperatorEndpoint> operatorEndpoint;
+  std::map<std::string, std::unique_ptr<calls::RetryBudget>, std::less<>>
+    budgets;
+  /** By instance id; the address tells a process from its successor. */
+  std::map<std::string,
+           std::pair<std::string, std::shared_ptr<gateway::ServerPool>>>
+    pools;
+  /** Per route, what each service is owed of the requests so far. */
+  std::map<std::string, std::map<std::string, double>> shareCredits;
+  std::size_t sessionCount = 0;
+  std::size_t requestCount = 0;
+  bool isStopping = false;
+  core::TimePoint stopBegin{};
+};
+
+} // namespace fireflytrail::proxy
--- /dev/null
+++ b/modules/proxy/RequestRunner.cpp
@@ -0,0 +1,387 @@
+#include "proxy/RequestRunner.h"
+
+#include "calls/RequestDigest.h"
+#include "core/ErrorTable.h"
+#include "gateway/ServerConnection.h"
+#include "gateway/ServerPool.h"
+#include "proxy/ProxyShared.h"
+
+#include <boost/beast/http/verb.hpp>
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+#include <variant>
+
+namespace fireflytrail::proxy {
+
+using namespace std::chrono_literals;
+using calls::AttemptProgress;
+using core::ErrorKind;
+using routing::UseOutcome;
+using std::chrono::milliseconds;
+
+namespace {
+
+// Time to return after a refusal for which no room was computed: most of these
+// come from one instance, and others have room.
+constexpr milliseconds kDefaultRetryAfter = 100ms;
+
+// First status by which a server tells a failure of its own.
+constexpr unsigned kFirstFailureStatus = 500;
+
+UseOutcome
+OutcomeOf(const gateway::ServerExchange& aExchange)
+{
+  switch (aExchange.progress) {
+    case AttemptProgress::Answered:
+      return aExchange.answer->status >= kFirstFailureStatus
+               ? UseOutcome::Failed
+               : UseOutcome::Answered;
+    case AttemptProgress::Refused:
+      return aExchange.isWrongServer ? UseOutcome::WrongServer
+                                     : UseOutcome::Refused;
+    case AttemptProgress::NothingSent:
+      return UseOutcome::ConnectFailed;
+    case AttemptProgress::SentNoAnswer:
+    case AttemptProgress::AnswerTruncated:
+    case AttemptProgress::AnswerInvalid:
+      break;
+  }
+  return UseOutcome::Lost;
+}
+
+std::int64_t
+MillisecondsOf(std::chrono::nanoseconds aTime)
+{
+  return std::chrono::duration_cast<milliseconds>(aTime).count();
+}
+
+} // namespace
+
+RequestRunner::RequestRunner(ProxyShared& aShared,
+                             gateway::CallRequest aCall,
+                             const configuration::HttpRoute& aRoute,
+                             std::string aService,
+                             std::uint64_t aConfigurationVersion,
+                             std::shared_ptr<void> aGuard,
+                             AnswerFunction aOnAnswer)
+  : shared(aShared)
+  , call(std::move(aCall))
+  , route(aRoute)
+  , service(std::move(aService))
+  , configurationVersion(aConfigurationVersion)
+  , guard(std::move(aGuard))
+  , onAnswer(std::move(aOnAnswer))
+  , timer(aShared.context)
+  , begin(aShared.now())
+{
+  assert(this->onAnswer);
+  const milliseconds limit =
+    std::min(this->call.deadline.value_or(this->route.timeout),
+             this->route.timeout);
+  this->deadline = this->begin + limit;
+}
+
+RequestRunner::~RequestRunner() = default;
+
+void
+RequestRunner::Begin()
+{
+  calls::CallRequest request;
+  request.digest =
+    calls::RequestDigest(boost::beast::http::to_string(this->call.method),
+                         this->call.host + this->call.target,
+                         this->call.body);
+  request.deadline = this->deadline;
+  request.repeatable = this->route.isIdempotent;
+  request.mostRetries = this->route.maxAttempts - 1;
+  calls::CallHooks hooks;
+  hooks.now = this->shared.now;
+  hooks.takeRetry = [this] {
+    const bool isTaken = this->shared.budgetOf(this->service).TryTake();
+    this->shared.metrics.Count(isTaken ? "retries_total"
+                                       : "retries_refused_total");
+    return isTaken;
+  };
+  hooks.issuerState = [](const core::DaemonId&) {
+    return calls::IssuerState::Gone;
+  };
+  hooks.joinedFinished = [](const calls::TicketOutcome&) {};
+  calls::CallTimes times;
+  // A request that was given up is answered at once.
+  times.holdFirst = 0ms;
+  times.holdLater = 0ms;
+  this->flow = std::make_unique<calls::CallFlow>(std::move(request),
+                                                 std::move(hooks),
+                                                 this->shared.ledger,
+                                                 this->shared.guard,
+                                                 times);
+  this->shared.budgetOf(this->service).CountFirstAttempt();
+  this->timer.expires_at(this->deadline);
+  this->timer.async_wait(
+    [self = this->shared_from_this()](boost::system::error_code aError) {
+      if (!aError && !self->flow->HasEnded()) {
+        self->Do(self->flow->DeadlineReached(self->Progress()));
+      }
+    });
+  this->Do(this->flow->Begin());
+}
+
+void
+RequestRunner::CallerGone()
+{
+  if (!this->flow || this->flow->HasEnded()) {
+    return;
+  }
+  this->isCallerGone = true;
+  if (this->slot && !this->route.isIdempotent) {
+    // Its end releases the slot; nothing else is sent after it.
+    return;
+  }
+  this->Do(this->flow->CallerGone(this->Progress()));
+}
+
+void
+RequestRunner::Do(calls::CallStep aStep)
+{
+  if (auto* choose = std::get_if<calls::ChooseStep>(&aStep)) {
+    this->DoChoose(std::move(*choose));
+  } else if (const auto* send = std::get_if<calls::SendStep>(&aStep)) {
+    this->DoSend(*send);
+  } else if (const auto* answer = std::get_if<calls::AnswerStep>(&aStep)) {
+    this->DoAnswer(*answer);
+  }
+}
+
+void
+RequestRunner::DoChoose(calls::ChooseStep aStep)
+{
+  routing::DispatchRequest request;
+  request.failureDomain = this->shared.failureDomain;
+  request.goal =
+    std::min(this->begin + this->route.latencyGoal, this->deadline);
+  request.deadline = this->deadline;
+  request.priority = this->route.priority;
+  request.avoid = std::move(aStep.avoid);
+  const core::TimePoint asked = this->shared.now();
+  // Decided at once in most cases; then there is nothing to withdraw.
+  bool isDecided = false;
+  const std::uint64_t number = this->shared.broker.Acquire(
+    this->service,
+    std::move(request),
+    [self = this->shared_from_this(), asked, &isDecided, isFirst = true](
+      const routing::DispatchResult& aResult,
+      std::optional<Slot> aSlot) mutable {
+      if (isFirst && self->slotRequest == 0) {
+        isDecided = true;
+      }
+      isFirst = false;
+      self->slotRequest = 0;
+      self->waited += self->shared.now() - asked;
+      self->OnDecided(aResult, std::move(aSlot));
+    });
+  if (!isDecided) {
+    this->slotRequest = number;
+  }
+}
+
+void
+RequestRunner::OnDecided(const routing::DispatchResult& aResult,
+                         std::optional<Slot> aSlot)
+{
+  if (!aSlot) {
+    this->retryAfter = aResult.retryAfter;
+    this->Do(this->flow->ServerChosen(core::Error{ aResult.kind, {} }));
+    return;
+  }
+  this->slot = std::move(aSlot);
+  calls::ServerHandle handle;
+  handle.server = routing::ServiceDispatcher::KeyOf(*this->slot->instance);
+  this->Do(this->flow->ServerChosen(std::move(handle)));
+}
+
+void
+RequestRunner::DoSend(const calls::SendStep& aStep)
+{
+  assert(this->slot);
+  this->attemptBegin = this->shared.now();
+  this->lastInstance = this->slot->instance->id;
+  this->pool = this->shared.poolOf(*this->slot->instance);
+  const unsigned number = ++this->attemptNumber;
+  ++this->attempts;
+  if (!this->pool) {
+    this->OnExchange({});
+    return;
+  }
+  this->connection =
+    this->pool->Send(this->call,
+                     aStep.timeLeft,
+                     aStep.attempt,
+                     [self = this->shared_from_this(),
+                      number](const gateway::ServerExchange& aExchange) {
+                       if (number == self->attemptNumber) {
+                         self->OnExchange(aExchange);
+                       }
+                     });
+}
+
+void
+RequestRunner::OnExchange(const gateway::ServerExchange& aExchange)
+{
+  this->connection = nullptr;
+  const UseOutcome outcome = OutcomeOf(aExchange);
+  const Slot used = *std::exchange(this->slot, std::nullopt);
+  this->shared.broker.Release(
+    used, outcome, aExchange.duration, aExchange.loadSample);
+  if (this->isCallerGone) {
+    this->Do(this->flow->CallerGone(AttemptProgress::SentNoAnswer));
+    return;
+  }
+  if (outcome == UseOutcome::Lost &&
+      aExchange.progress != AttemptProgress::AnswerInvalid) {
+    this->slot = used;
+    this->OnLost(aExchange);
+    return;
+  }
+  calls::AttemptResult result{ .progress = aExchange.progress,
+                               .answer = aExchange.answer };
+  result.isFailure = outcome == UseOutcome::Failed;
+  this->EndAttempt(result);
+}
+
+void
+RequestRunner::OnLost(const gateway::ServerExchange& aExchange)
+{
+  // A lost connection alone does not show that the server died: a network
+  // fault must not be held against the request. A refused connect shows that
+  // no process listens any more.
+  const Slot used = *std::exchange(this->slot, std::nullopt);
+  this->pool->CheckListening([self = this->shared_from_this(),
+                              used,
+                              number = this->attemptNumber,
+                              progress = aExchange.progress](bool aIsRefused) {
+    if (number != self->attemptNumber || self->flow->HasEnded()) {
+      return;
+    }
+    calls::AttemptResult result{ .progress = progress, .answer = nullptr };
+    if (aIsRefused) {
+      result.death = calls::CrashGuard::DeathOf(
+        used.instance->id, used.instance->startedAt, self->shared.random());
+    }
+    self->EndAttempt(result);
+  });
+}
+
+void
+RequestRunner::EndAttempt(const calls::AttemptResult& aResult)
+{
+  if (aResult.progress != AttemptProgress::Answered || aResult.isFailure) {
+    this->shared.log.Write(
+      core::LogLevel::Info,
+      "attempt_failed",
+      { { "id", this->call.id },
+        { "route", this->route.name },
+        { "service", this->service },
+        { "instance", this->lastInstance },
+        { "attempt", static_cast<std::int64_t>(this->attempts) },
+        { "kind",
+          core::ErrorTable::RowOf(calls::KindOf(aResult.progress)).name },
+        { "is_crash", aResult.death != 0 },
+        { "elapsed_ms",
+          MillisecondsOf(this->shared.now() - this->begin) } });
+  }
+  this->Do(this->flow->AttemptEnded(aResult));
+}
+
+void
+RequestRunner::DoAnswer(const calls::AnswerStep& aStep)
+{
+  this->timer.cancel();
+  if (this->slotRequest != 0) {
+    this->shared.broker.Withdraw(std::exchange(this->slotRequest, 0));
+  }
+  this->Abandon(aStep.kind == ErrorKind::DeadlineAfterSend
+                  ? UseOutcome::TimedOut
+                  : UseOutcome::Cancelled);
+  this->LogEnd(aStep);
+  this->shared.callMetrics.Record(this->service,
+                                  this->route.name,
+                                  {},
+                                  aStep.kind,
+                                  this->shared.now() - this->begin);
+  this->guard.reset();
+  const auto deliver = std::exchange(this->onAnswer, nullptr);
+  if (!aStep.deliver || this->isCallerGone || !deliver) {
+    return;
+  }
+  gateway::CallAnswer answer;
+  if (aStep.kind == ErrorKind::None) {
+    answer.answer = aStep.answer;
+  } else {
+    answer = gateway::CallAnswer::OfError(aStep.kind);
+    answer.retryAfter =
+      std::max(this->retryAfter, kDefaultRetryAfter);
+  }
+  answer.isSafeToResend = this->route.isIdempotent;
+  deliver(std::move(answer));
+}
+
+void
+RequestRunner::Abandon(UseOutcome aOutcome)
+{
+  ++this->attemptNumber;
+  if (const auto running = std::exchange(this->connection, nullptr)) {
+    this->pool->Cancel(*running);
+  }
+  if (const auto used = std::exchange(this->slot, std::nullopt)) {
+    this->shared.broker.Release(*used,
+                                aOutcome,
+                                this->shared.now() - this->attemptBegin,
+                                std::nullopt);
+  }
+}
+
+AttemptProgress
+RequestRunner::Progress() const
+{
+  if (this->connection) {
+    return this->connection->Progress();
+  }
+  // A check after a lost connection: the request has been sent.
+  return this->attempts > 0 ? AttemptProgress::SentNoAnswer
+                            : AttemptProgress::NothingSent;
+}
+
+void
+RequestRunner::LogEnd(const calls::AnswerStep& aStep) const
+{
+  const core::ErrorRow& row = core::ErrorTable::RowOf(aStep.kind);
+  const bool isFailure =
+    aStep.kind != ErrorKind::None ||
+    aStep.answer->status >= kFirstFailureStatus;
+  if (!isFailure && this->attempts <= 1) {
+    return;
+  }
+  this->shared.log.Write(
+    core::LogLevel::Info,
+    "request_ended",
+    { { "id", this->call.id },
+      { "route", this->route.name },
+      { "service", this->service },
+      { "kind", row.name },
+      { "outcome", core::ErrorTable::NameOf(row.outcome) },
+      { "status",
+        static_cast<std::int64_t>(aStep.answer ? aStep.answer->status
+                                               : row.status) },
+      { "instance", this->lastInstance },
+      { "attempts", static_cast<std::int64_t>(this->attempts) },
+      { "waited_ms", MillisecondsOf(this->waited) },
+      { "retry_after_ms", this->retryAfter.count() },
+      { "limit_ms", MillisecondsOf(this->deadline - this->begin) },
+      { "elapsed_ms", MillisecondsOf(this->shared.now() - this->begin) },
+      { "configuration",
+        static_cast<std::int64_t>(this->configurationVersion) } });
+}
+
+} // namespace fireflytrail::proxy
--- /dev/null
+++ b/modules/routing/DispatchRequest.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "core/ErrorKind.h"
+#include "core/Hooks.h"
+
+#include <chrono>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace fireflytrail::routing {
+
+struct BackendInstance;
+
+/** A request that needs an instance of a service. */
+struct DispatchRequest
+{
+  /** Unique among the requests of one dispatcher. */
+  std::uint64_t id = 0;
+  /** Failure domain of the host that sends the request. */
+  std::string failureDomain;
+  /** Until then an answer has its full value. */
+  core::TimePoint goal;
+  /** Until then the caller waits. */
+  core::TimePoint deadline;
+  /** 0 is the most important. */
+  unsigned priority = 0;
+  /** Keys of the instances that were tried; see `ServiceDispatcher::KeyOf`. */
+  std::vector<std::uint64_t> avoid;
+};
+
+/** What a dispatcher decided about a request. */
+struct DispatchResult
+{
+  /** `None` if an instance was granted; otherwise a kind whose outcome is "not
+   * run". */
+  core::ErrorKind kind = core::ErrorKind::None;
+  /** To be given back with `ServiceDispatcher::Release`. */
+  std::uint64_t grant = 0;
+  /** Set if and only if an instance was granted. */
+  std::shared_ptr<const BackendInstance> instance;
+  /** After a refusal: time until there is likely to be room. */
+  std::chrono::milliseconds retryAfter{ 0 };
+};
+
+} // namespace fireflytrail::routing
--- /dev/null
+++ b/modules/routing/ServiceDispatcher.cpp
@@ -0,0 +1,410 @@
+#include "routing/ServiceDispatcher.h"
+
+#include "core/Hash.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+namespace fireflytrail::routing {
+
+using namespace std::chrono_literals;
+using core::ErrorKind;
+using core::TimePoint;
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
+
+namespace {
+
+// Time after its request's deadline at which a grant counts as ended although
+// nobody has said so: its host has stopped.
+constexpr milliseconds kGrantGrace = 1000ms;
+
+// Shortest and longest time after which a refused caller is told to return.
+// Below the first it would find the same load, beyond the second most callers
+// have given up.
+constexpr milliseconds kLeastRetryAfter = 50ms;
+constexpr milliseconds kMostRetryAfter = 2000ms;
+
+// Time to return when no instance is usable: discovery reports new instances
+// about that often.
+constexpr milliseconds kRetryWithoutInstances = 500ms;
+
+// Weight of one duration in the usual duration of the service.
+constexpr double kTypicalWeight = 0.05;
+
+// While requests wait, room at instances is looked for this often: reports of
+// other callers' requests fade without an event.
+constexpr milliseconds kWaitingInterval = 10ms;
+
+// Spread of equal costs, so that idle instances are used evenly.
+constexpr double kCostJitterMs = 2;
+
+// Cost of each request that an instance has already, in parts of the usual
+// duration: work shares the processor below the usable slots only slightly.
+constexpr double kBusyCost = 0.05;
+
+double
+Milliseconds(nanoseconds aTime)
+{
+  return std::chrono::duration<double, std::milli>(aTime).count();
+}
+
+} // namespace
+
+ServiceDispatcher::ServiceDispatcher(DispatcherHooks aHooks,
+                                     DispatcherSettings aSettings)
+  : hooks(std::move(aHooks))
+  , settings(aSettings)
+  , typical(aSettings.firstTypical)
+{
+  assert(this->hooks.now && this->hooks.random && this->hooks.decided);
+}
+
+std::uint64_t
+ServiceDispatcher::KeyOf(const BackendInstance& aInstance)
+{
+  return core::HashOf(aInstance.id, aInstance.startedAt);
+}
+
+void
+ServiceDispatcher::SetInstances(const std::vector<DispatchTarget>& aTargets)
+{
+  const TimePoint now = this->hooks.now();
+  std::map<std::uint64_t, Target> next;
+  for (const DispatchTarget& source : aTargets) {
+    assert(source.instance);
+    const std::uint64_t key = KeyOf(*source.instance);
+    Target target;
+    if (const auto known = this->targets.find(key);
+        known != this->targets.end()) {
+      target = std::move(known->second);
+    }
+    const bool isChanged = !target.source.instance ||
+                           *target.source.instance != *source.instance;
+    if (isChanged && source.instance->coldFor.count() > 0) {
+      target.coldUntil = now + source.instance->coldFor;
+    }
+    target.source = source;
+    next.emplace(key, std::move(target));
+  }
+  this->targets = std::move(next);
+  this->ServeWaiting();
+}
+
+void
+ServiceDispatcher::SetService(const configuration::BackendService& aService)
+{
+  this->service = aService;
+}
+
+void
+ServiceDispatcher::Submit(DispatchRequest aRequest)
+{
+  const Choice choice =
+    this->waiting.empty() ? this->ChooseForShare(aRequest) : Choice{ nullptr, true };
+  if (choice.target != nullptr) {
+    this->Give(aRequest, *choice.target);
+    return;
+  }
+  if (!choice.hasTargets) {
+    this->Refuse(aRequest.id, ErrorKind::NoServer, kRetryWithoutInstances);
+    return;
+  }
+  const TimePoint now = this->hooks.now();
+  const nanoseconds wait = this->ExpectedWait(this->AheadOf(aRequest));
+  if (now + wait + this->typical > aRequest.deadline) {
+    this->Refuse(aRequest.id, ErrorKind::Overloaded, wait);
+    return;
+  }
+  this->waiting.push_back({ std::move(aRequest), now });
+  this->ServeWaiting();
+}
+
+void
+ServiceDispatcher::Withdraw(std::uint64_t aId)
+{
+  std::erase_if(this->waiting, [aId](const Waiting& aWaiting) {
+    return aWaiting.request.id == aId;
+  });
+}
+
+void
+ServiceDispatcher::Release(std::uint64_t aGrant,
+                           UseOutcome aOutcome,
+                           nanoseconds aDuration,
+                           const std::optional<LoadSample>& aSample)
+{
+  const auto grant = this->grants.find(aGrant);
+  if (grant == this->grants.end()) {
+    return;
+  }
+  const auto target = this->targets.find(grant->second.key);
+  this->grants.erase(grant);
+  if (target != this->targets.end()) {
+    const TimePoint now = this->hooks.now();
+    target->second.load.End(aOutcome, aDuration, this->typical, now);
+    if (aSample) {
+      target->second.load.Report(*aSample, now);
+    }
+  }
+  if (aOutcome == UseOutcome::Answered) {
+    this->TakeTypical(aDuration);
+  }
+  this->ServeWaiting();
+}
+
+void
+ServiceDispatcher::Tick()
+{
+  const TimePoint now = this->hooks.now();
+  for (auto grant = this->grants.begin(); grant != this->grants.end();) {
+    if (grant->second.expires > now) {
+      ++grant;
+      continue;
+    }
+    const auto target = this->targets.find(grant->second.key);
+    if (target != this->targets.end()) {
+      target->second.load.End(
+        UseOutcome::Cancelled, nanoseconds(0), this->typical, now);
+    }
+    grant = this->grants.erase(grant);
+  }
+  this->ServeWaiting();
+}
+
+std::optional<TimePoint>
+ServiceDispatcher::NextDue() const
+{
+  if (!this->waiting.empty()) {
+    return this->hooks.now() + kWaitingInterval;
+  }
+  std::optional<TimePoint> due;
+  for (const auto& [id, grant] : this->grants) {
+    due = due ? std::min(*due, grant.expires) : grant.expires;
+  }
+  return due;
+}
+
+ServiceDispatcher::Choice
+ServiceDispatcher::ChooseForShare(const DispatchRequest& aRequest)
+{
+  if (this->settings.trialShare > 0) {
+    const double credit = this->trialCredit + this->settings.trialShare;
+    if (credit >= 1) {
+      const Choice trial = this->Choose(aRequest, true);
+      if (trial.target != nullptr) {
+        return trial;
+      }
+    }
+  }
+  return this->Choose(aRequest, false);
+}
+
+ServiceDispatcher::Choice
+ServiceDispatcher::Choose(const DispatchRequest& aRequest, bool aOnTrial)
+{
+  const TimePoint now = this->hooks.now();
+  Choice choice;
+  double least = std::numeric_limits<double>::infinity();
+  for (auto& [key, target] : this->targets) {
+    if (!target.source.isUsable || target.source.isOnTrial != aOnTrial ||
+        std::ranges::find(aRequest.avoid, key) != aRequest.avoid.end()) {
+      continue;
+    }
+    choice.hasTargets = true;
+    if (!this->HasRoom(target, now)) {
+      continue;
+    }
+    const double cost = this->CostOf(target, aRequest, now);
+    if (cost < least) {
+      least = cost;
+      choice.target = &target;
+    }
+  }
+  return choice;
+}
+
+bool
+ServiceDispatcher::HasRoom(const Target& aTarget, TimePoint aNow) const
+{
+  if (aTarget.load.IsEjected(aNow)) {
+    return false;
+  }
+  if (aTarget.load.IsOnProbation()) {
+    return aTarget.load.InFlight() == 0;
+  }
+  if (aNow < aTarget.coldUntil && aNow < aTarget.nextColdSend) {
+    return false;
+  }
+  const double usable = std::max(
+    1.0, std::floor(this->settings.usableShare * aTarget.source.instance->slots));
+  return aTarget.load.Busy(aNow) + 0.5 < usable;
+}
+
+double
+ServiceDispatcher::CostOf(const Target& aTarget,
+                          const DispatchRequest& aRequest,
+                          TimePoint aNow) const
+{
+  const double typicalMs = Milliseconds(this->typical);
+  double cost = Milliseconds(aTarget.load.Delay(this->typical, aNow));
+  cost += kBusyCost * typicalMs * aTarget.load.Busy(aNow);
+  if (aTarget.source.instance->failureDomain != aRequest.failureDomain) {
+    cost += Milliseconds(this->settings.crossDomainCost);
+  }
+  if (aNow < aTarget.coldUntil) {
+    // A cold instance takes about twice as long.
+    cost += typicalMs;
+  }
+  constexpr double kRange =
+    static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+  return cost +
+         kCostJitterMs * static_cast<double>(this->hooks.random()) / kRange;
+}
+
+void
+ServiceDispatcher::Give(const DispatchRequest& aRequest, Target& aTarget)
+{
+  const TimePoint now = this->hooks.now();
+  this->trialCredit = std::min(
+    2.0, this->trialCredit + this->settings.trialShare -
+           (aTarget.source.isOnTrial ? 1 : 0));
+  if (now < aTarget.coldUntil && this->service.coldRequestsPerSecond > 0) {
+    const double rate =
+      this->service.coldRequestsPerSecond * this->settings.coldShare;
+    aTarget.nextColdSend =
+      now + std::chrono::duration_cast<nanoseconds>(
+              std::chrono::duration<double>(1 / std::max(rate, 0.01)));
+  }
+  aTarget.load.Begin();
+  const std::uint64_t id = ++this->lastGrant;
+  this->grants.emplace(
+    id,
+    Grant{ KeyOf(*aTarget.source.instance), aRequest.deadline + kGrantGrace });
+  this->hooks.decided(aRequest.id,
+                      { .kind = ErrorKind::None,
+                        .grant = id,
+                        .instance = aTarget.source.instance,
+                        .retryAfter = milliseconds(0) });
+}
+
+void
+ServiceDispatcher::Refuse(std::uint64_t aId,
+                          ErrorKind aKind,
+                          nanoseconds aRetryAfter)
+{
+  // A part is random, so that callers refused together do not return together.
+  const nanoseconds spread(
+    static_cast<nanoseconds::rep>(this->hooks.random() % 1000) *
+    std::max<nanoseconds>(aRetryAfter, kLeastRetryAfter).count() / 2000);
+  const auto time = std::chrono::ceil<milliseconds>(aRetryAfter + spread);
+  this->hooks.decided(
+    aId,
+    { .kind = aKind,
+      .grant = 0,
+      .instance = nullptr,
+      .retryAfter = std::clamp(time, kLeastRetryAfter, kMostRetryAfter) });
+}
+
+void
+ServiceDispatcher::ServeWaiting()
+{
+  this->RefuseHopeless();
+  while (!this->waiting.empty()) {
+    const auto next = this->NextWaiting();
+    const Choice choice = this->ChooseForShare(next->request);
+    if (choice.target == nullptr) {
+      if (choice.hasTargets) {
+        return;
+      }
+      const std::uint64_t id = next->request.id;
+      this->waiting.erase(next);
+      this->Refuse(id, ErrorKind::NoServer, kRetryWithoutInstances);
+      continue;
+    }
+    const DispatchRequest request = std::move(next->request);
+    this->waiting.erase(next);
+    this->Give(request, *choice.target);
+  }
+}
+
+std::list<ServiceDispatcher::Waiting>::iterator
+ServiceDispatcher::NextWaiting()
+{
+  const TimePoint now = this->hooks.now();
+  const auto isInTime = [&](const Waiting& aWaiting) {
+    return now + this->typical <= aWaiting.request.goal;
+  };
+  auto best = this->waiting.begin();
+  for (auto entry = this->waiting.begin(); entry != this->waiting.end();
+       ++entry) {
+    const bool bestInTime = isInTime(*best);
+    const bool entryInTime = isInTime(*entry);
+    if (entryInTime != bestInTime) {
+      best = entryInTime ? entry : best;
+    } else if (entry->request.priority < best->request.priority) {
+      best = entry;
+    }
+  }
+  return best;
+}
+
+void
+ServiceDispatcher::RefuseHopeless()
+{
+  const TimePoint now = this->hooks.now();
+  for (auto entry = this->waiting.begin(); entry != this->waiting.end();) {
+    // Half of the usual duration is what a quick run may take.
+    if (now + this->typical / 2 < entry->request.deadline) {
+      ++entry;
+      continue;
+    }
+    const std::uint64_t id = entry->request.id;
+    entry = this->waiting.erase(entry);
+    this->Refuse(
+      id, ErrorKind::Overloaded, this->ExpectedWait(this->waiting.size()));
+  }
+}
+
+nanoseconds
+ServiceDispatcher::ExpectedWait(std::size_t aAhead) const
+{
+  const TimePoint now = this->hooks.now();
+  double usable = 0;
+  for (const auto& [key, target] : this->targets) {
+    if (target.source.isUsable && !target.load.IsEjected(now)) {
+      usable += std::max(1.0,
+                         std::floor(this->settings.usableShare *
+                                    target.source.instance->slots));
+    }
+  }
+  if (usable == 0) {
+    return kRetryWithoutInstances;
+  }
+  return nanoseconds(static_cast<nanoseconds::rep>(
+    static_cast<double>(this->typical.count()) *
+    static_cast<double>(aAhead + 1) / usable));
+}
+
+std::size_t
+ServiceDispatcher::AheadOf(const DispatchRequest& aRequest) const
+{
+  return static_cast<std::size_t>(
+    std::ranges::count_if(this->waiting, [&](const Waiting& aWaiting) {
+      return aWaiting.request.priority <= aRequest.priority;
+    }));
+}
+
+void
+ServiceDispatcher::TakeTypical(nanoseconds aDuration)
+{
+  const double change =
+    kTypicalWeight * static_cast<double>((aDuration - this->typical).count());
+  this->typical = std::max<nanoseconds>(
+    this->typical + nanoseconds(static_cast<nanoseconds::rep>(change)), 1ms);
+}
+
+} // namespace fireflytrail::routing
--- /dev/null
+++ b/modules/routing/ServiceDispatcher.h
@@ -0,0 +1,189 @@
+#pragma once
+
+#include "configuration/BackendService.h"
+#include "core/Hooks.h"
+#include "routing/BackendInstance.h"
+#include "routing/DispatchRequest.h"
+#include "routing/InstanceLoad.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace fireflytrail::routing {
+
+/** The surroundings of a `ServiceDispatcher`. All functions must be set. */
+struct DispatcherHooks
+{
+  core::NowFunction now;
+  core::RandomFunction random;
+  /** Receives the decision about a request, once for each. May be called
+   * within `Submit`, `Release`, `SetInstances` and `Tick`. */
+  std::function<void(std::uint64_t, const DispatchResult&)> decided;
+};
+
+/** How a dispatcher weighs. */
+struct DispatcherSettings
+{
+  /**
+   * Part of an instance's slots that is used. Instances slow down when they
+   * are nearly full: at the last of four slots the work of all takes 1.7 times
+   * as long, so that less gets done than with three.
+   */
+  double usableShare = 0.8;
+  /** Time that a request may take longer to stay in its failure domain; bytes
+   * between failure domains are paid for. */
+  std::chrono::milliseconds crossDomainCost{ 60 };
+  /** Part of a cold instance's rate that this dispatcher may use. */
+  double coldShare = 1;
+  /** Part of the requests that go to instances on trial. */
+  double trialShare = 0;
+  /** Duration that is assumed before the first answer. */
+  std::chrono::milliseconds firstTypical{ 100 };
+};
+
+/** An instance as a target of requests. */
+struct DispatchTarget
+{
+  std::shared_ptr<const BackendInstance> instance;
+  /** Whether it may get requests now. */
+  bool isUsable = true;
+  /** Whether it runs a version on trial; see `trialShare`. */
+  bool isOnTrial = false;
+};
+
+/**
+ * Decides for one service which instance runs which request and when, which
+ * requests wait and which are refused. It answers these load patterns:
+ *
+ * - many hosts that know little of each other fill the same instance: the
+ *   requests of all hosts pass one dispatcher, which counts them;
+ * - instances whose neighbours slow them for a moment, or that slow down when
+ *   nearly full: the least delayed instance below its usable slots is taken;
+ * - a burst above capacity: requests wait here, where they can still go to any
+ *   instance; those that can meet their goal go first, by priority and age;
+ * - lasting overload: a request that would wait past its deadline is refused
+ *   at once with the time until there is likely to be room;
+ * - instances that fail fast and look idle: excluded after repeated failures;
+ * - cold instances: paced to the rate that they bear.
+ *
+ * Performs no I/O. Not thread-safe.
+ */
+class ServiceDispatcher
+{
+public:
+  ServiceDispatcher(DispatcherHooks aHooks, DispatcherSettings aSettings = {});
+  ServiceDispatcher(const ServiceDispatcher&) = delete;
+  ServiceDispatcher& operator=(const ServiceDispatcher&) = delete;
+
+  /** Returns the key of an instance in `DispatchRequest::avoid`. */
+  static std::uint64_t KeyOf(const BackendInstance& aInstance);
+
+  /** Replaces the instances; what is known of those that stay is kept. */
+  void SetInstances(const std::vector<DispatchTarget>& aTargets);
+
+  /** Sets what operators define about the service. */
+  void SetService(const configuration::BackendService& aService);
+
+  /** Replaces the settings; waiting requests are not decided anew. */
+  void SetSettings(const DispatcherSettings& aSettings)
+  {
+    this->settings = aSettings;
+  }
+
+  //============================================================================
+  /** Asks for an instance. The id must not be in use. */
+  void Submit(DispatchRequest aRequest);
+
+  /** Drops a request that was not decided yet; unknown ids are ignored. */
+  void Withdraw(std::uint64_t aId);
+
+  /**
+   * Ends a grant. Unknown grants are ignored, since a grant expires after the
+   * deadline of its request.
+   */
+  void Release(std::uint64_t aGrant,
+               UseOutcome aOutcome,
+               std::chrono::nanoseconds aDuration,
+               const std::optional<LoadSample>& aSample);
+
+  /** Decides what has become due. Call at `NextDue`. */
+  void Tick();
+
+  /** Returns when `Tick` has something to do, if ever. */
+  std::optional<core::TimePoint> NextDue() const;
+
+  //============================================================================
+  /** Returns the requests that wait. */
+  std::size_t WaitingCount() const { return this->waiting.size(); }
+
+  /** Returns the grants that have not ended. */
+  std::size_t GrantCount() const { return this->grants.size(); }
+
+  /** Returns the usual duration of a request. */
+  std::chrono::nanoseconds Typical() const { return this->typical; }
+
+private:
+  struct Target
+  {
+    DispatchTarget source;
+    InstanceLoad load;
+    core::TimePoint coldUntil{};
+    core::TimePoint nextColdSend{};
+  };
+  struct Grant
+  {
+    std::uint64_t key = 0;
+    core::TimePoint expires;
+  };
+  struct Waiting
+  {
+    DispatchRequest request;
+    core::TimePoint since;
+  };
+
+  /** The targets that may get a request now, and what bars the others. */
+  struct Choice
+  {
+    Target* target = nullptr;
+    /** Whether any target is usable at all. */
+    bool hasTargets = false;
+  };
+
+  Choice Choose(const DispatchRequest& aRequest, bool aOnTrial);
+  Choice ChooseForShare(const DispatchRequest& aRequest);
+  bool HasRoom(const Target& aTarget, core::TimePoint aNow) const;
+  double CostOf(const Target& aTarget,
+                const DispatchRequest& aRequest,
+                core::TimePoint aNow) const;
+  void Give(const DispatchRequest& aRequest, Target& aTarget);
+  void Refuse(std::uint64_t aId,
+              core::ErrorKind aKind,
+              std::chrono::nanoseconds aRetryAfter);
+  void ServeWaiting();
+  std::list<Waiting>::iterator NextWaiting();
+  void RefuseHopeless();
+  std::chrono::nanoseconds ExpectedWait(std::size_t aAhead) const;
+  std::size_t AheadOf(const DispatchRequest& aRequest) const;
+  void TakeTypical(std::chrono::nanoseconds aDuration);
+
+  DispatcherHooks hooks;
+  DispatcherSettings settings;
+  configuration::BackendService service;
+  std::map<std::uint64_t, Target> targets;
+  std::map<std::uint64_t, Grant> grants;
+  /** In order of arrival. */
+  std::list<Waiting> waiting;
+  std::uint64_t lastGrant = 0;
+  std::chrono::nanoseconds typical;
+  /** Grants owed to instances on trial. */
+  double trialCredit = 0;
+};
+
+} // namespace fireflytrail::routing
--- /dev/null
+++ b/modules/store/ObjectDialect.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include "core/Result.h"
+#include "store/ObjectRecord.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fireflytrail::store {
+
+/** Objects of one answer of the store. */
+struct ObjectPage
+{
+  std::vector<ObjectRecord> objects;
+  /** Whether a list goes on after the last object. */
+  bool hasMore = false;
+  /** Revision up to which the answer is complete. */
+  std::uint64_t revision = 0;
+};
+
+/**
+ * How calls for objects of a kind are written and read. All functions are set,
+ * belong to no thread and do no I/O.
+ */
+struct ObjectDialect
+{
+  /** Returns the target that lists a kind after a name; empty for the start. */
+  std::function<std::string(std::string_view aKind, std::string_view aAfter)>
+    listTarget;
+  /** Returns the target that waits for changes of a kind after a revision. */
+  std::function<std::string(std::string_view aKind,
+                            std::uint64_t aRevision,
+                            std::chrono::milliseconds aWait)>
+    watchTarget;
+  /** Returns the target that replaces the status of an object. */
+  std::function<std::string(std::string_view aKind, std::string_view aName)>
+    statusTarget;
+  /** Reads the answer to a list. */
+  std::function<core::Result<ObjectPage>(std::string_view aKind,
+                                         std::string_view aBody)>
+    readList;
+  /** Reads the answer to a watch. */
+  std::function<core::Result<ObjectPage>(std::string_view aKind,
+                                         std::string_view aBody)>
+    readChanges;
+};
+
+} // namespace fireflytrail::store
--- /dev/null
+++ b/modules/store/ObjectWatcher.cpp
@@ -0,0 +1,236 @@
+#include "store/ObjectWatcher.h"
+
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+namespace fireflytrail::store {
+
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+
+namespace {
+
+// The store answers in milliseconds, and in a quarter of a second when it is
+// slow; a call without an answer after this is lost.
+constexpr milliseconds kCallTimeout = 1500ms;
+
+// Longest wait that the platform allows for a watch. A waiting watch costs one
+// call, so long waits are cheapest.
+constexpr milliseconds kWatchWait = 30'000ms;
+
+// Time between the answer of a watch and the next one. Changes come in series;
+// this brings several in one call and is a tenth of the shortest bound, 2 s.
+constexpr milliseconds kCoalesceTime = 200ms;
+
+// Times between tests of a store that does not answer. The longest is half of
+// the shortest bound that starts when the store is back, 2 s.
+constexpr milliseconds kFirstRetry = 150ms;
+constexpr milliseconds kLongestRetry = 1000ms;
+
+constexpr unsigned kStatusOk = 200;
+constexpr unsigned kStatusGone = 410;
+
+} // namespace
+
+ObjectWatcher::ObjectWatcher(std::vector<std::string> aKinds,
+                             ObjectDialect aDialect,
+                             WatcherHooks aHooks)
+  : kinds(std::move(aKinds))
+  , dialect(std::move(aDialect))
+  , hooks(std::move(aHooks))
+{
+  assert(!this->kinds.empty());
+  assert(this->hooks.now && this->hooks.random && this->hooks.send);
+  assert(this->hooks.after && this->hooks.onList && this->hooks.onChanges);
+  assert(this->hooks.onContact);
+  for (const std::string& kind : this->kinds) {
+    this->progress[kind];
+  }
+}
+
+void
+ObjectWatcher::Start()
+{
+  for (const std::string& kind : this->kinds) {
+    this->Continue(kind);
+  }
+}
+
+void
+ObjectWatcher::Continue(const std::string& aKind)
+{
+  Progress& state = this->progress.at(aKind);
+  if (this->isStopped || state.isBusy) {
+    return;
+  }
+  if (this->isLost && this->isTesting) {
+    return;
+  }
+  this->isTesting = this->isLost;
+  if (state.revision == 0) {
+    this->List(aKind);
+  } else {
+    this->Watch(aKind);
+  }
+}
+
+void
+ObjectWatcher::List(const std::string& aKind)
+{
+  const Progress& state = this->progress.at(aKind);
+  this->Send(aKind,
+             this->dialect.listTarget(aKind, state.after),
+             kCallTimeout,
+             [this, aKind](const StoreResponse& aResponse) {
+               this->OnListed(aKind, aResponse);
+             });
+}
+
+void
+ObjectWatcher::Watch(const std::string& aKind)
+{
+  // A test must answer at once; a waiting watch would not tell whether the
+  // store is back.
+  const milliseconds wait = this->isLost ? milliseconds(0) : kWatchWait;
+  this->Send(
+    aKind,
+    this->dialect.watchTarget(aKind, this->progress.at(aKind).revision, wait),
+    wait + kCallTimeout,
+    [this, aKind](const StoreResponse& aResponse) {
+      this->OnChanged(aKind, aResponse);
+    });
+}
+
+void
+ObjectWatcher::Send(const std::string& aKind,
+                    std::string aTarget,
+                    milliseconds aTimeout,
+                    std::function<void(const StoreResponse&)> aOnAnswer)
+{
+  this->progress.at(aKind).isBusy = true;
+  ++this->callCount;
+  StoreRequest request;
+  request.kind = StoreRequestKind::RawRead;
+  request.target = std::move(aTarget);
+  request.timeout = aTimeout;
+  this->hooks.send(
+    request,
+    [this, aKind, onAnswer = std::move(aOnAnswer)](
+      const StoreResponse& aResponse) {
+      this->progress.at(aKind).isBusy = false;
+      if (aResponse.delivery != StoreDelivery::Answered) {
+        this->NoteFailure(aKind, aResponse.detail);
+        return;
+      }
+      if (aResponse.status != kStatusOk && aResponse.status != kStatusGone) {
+        this->NoteFailure(aKind, fmt::format("status {}", aResponse.status));
+        return;
+      }
+      onAnswer(aResponse);
+    });
+}
+
+void
+ObjectWatcher::OnListed(const std::string& aKind,
+                        const StoreResponse& aResponse)
+{
+  auto page = this->dialect.readList(aKind, aResponse.body);
+  if (!page) {
+    this->NoteFailure(aKind, page.error().detail);
+    return;
+  }
+  Progress& state = this->progress.at(aKind);
+  for (ObjectRecord& object : page.value().objects) {
+    state.after = object.name;
+    state.listed.push_back(std::move(object));
+  }
+  if (page.value().hasMore && !state.after.empty()) {
+    this->NoteContact();
+    this->Continue(aKind);
+    return;
+  }
+  state.after.clear();
+  state.revision = page.value().revision;
+  this->hooks.onList(aKind, std::exchange(state.listed, {}));
+  this->NoteContact();
+  this->Continue(aKind);
+}
+
+void
+ObjectWatcher::OnChanged(const std::string& aKind,
+                         const StoreResponse& aResponse)
+{
+  Progress& state = this->progress.at(aKind);
+  if (aResponse.status == kStatusGone) {
+    state.revision = 0;
+    state.after.clear();
+    state.listed.clear();
+    this->NoteContact();
+    this->Continue(aKind);
+    return;
+  }
+  auto page = this->dialect.readChanges(aKind, aResponse.body);
+  if (!page) {
+    this->NoteFailure(aKind, page.error().detail);
+    return;
+  }
+  state.revision = std::max(state.revision, page.value().revision);
+  const bool hasChanges = !page.value().objects.empty();
+  // Contact is told first: who receives the changes may want to know that the
+  // store was away.
+  this->NoteContact();
+  if (!hasChanges) {
+    this->Continue(aKind);
+    return;
+  }
+  this->hooks.onChanges(aKind, std::move(page.value().objects));
+  this->hooks.after(kCoalesceTime, [this, aKind] { this->Continue(aKind); });
+}
+
+void
+ObjectWatcher::NoteContact()
+{
+  this->lastContact = this->hooks.now();
+  this->failures = 0;
+  if (!this->isLost) {
+    return;
+  }
+  this->isLost = false;
+  this->isTesting = false;
+  this->hooks.onContact(false, "");
+  for (const std::string& kind : this->kinds) {
+    this->Continue(kind);
+  }
+}
+
+void
+ObjectWatcher::NoteFailure(const std::string& aKind, const std::string& aDetail)
+{
+  const bool wasTest = this->isLost && this->isTesting;
+  if (!this->isLost) {
+    this->isLost = true;
+    this->hooks.onContact(true, aDetail);
+  } else if (!wasTest) {
+    // Another kind tests already.
+    return;
+  }
+  this->isTesting = true;
+  const milliseconds longest =
+    std::min(kFirstRetry * (1U << std::min(this->failures, 8U)), kLongestRetry);
+  ++this->failures;
+  // Jitter spreads the calls of hosts that lost the store together.
+  const milliseconds delay =
+    longest / 2 +
+    milliseconds(static_cast<milliseconds::rep>(
+      this->hooks.random() %
+      static_cast<std::uint64_t>(longest.count() / 2 + 1)));
+  this->hooks.after(delay, [this, aKind] {
+    this->isTesting = false;
+    this->Continue(aKind);
+  });
+}
+
+} // namespace fireflytrail::store
--- /dev/null
+++ b/modules/store/ObjectWatcher.h
@@ -0,0 +1,110 @@
+#pragma once
+
+#include "core/Hooks.h"
+#include "store/ObjectDialect.h"
+#include "store/StoreRequest.h"
+#include "store/StoreResponse.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace fireflytrail::store {
+
+/** The surroundings of an `ObjectWatcher`. All functions must be set. */
+struct WatcherHooks
+{
+  core::NowFunction now;
+  core::RandomFunction random;
+  /** Sends a request; the function is called once with what came of it. */
+  std::function<void(const StoreRequest&, std::function<void(StoreResponse)>)>
+    send;
+  /** Calls the function after a time. */
+  std::function<void(std::chrono::milliseconds, std::function<void()>)> after;
+  /** Receives all objects of a kind that exist. */
+  std::function<void(const std::string& aKind, std::vector<ObjectRecord>)>
+    onList;
+  /** Receives the objects of a kind that have changed. */
+  std::function<void(const std::string& aKind, std::vector<ObjectRecord>)>
+    onChanges;
+  /** Told when the store stops answering and when it answers again. The text
+   * says what failed. */
+  std::function<void(bool aIsLost, const std::string& aDetail)> onContact;
+};
+
+/**
+ * Keeps the objects of some kinds up to date: lists each kind once and then
+ * waits for its changes. While the store does not answer, one call at a time
+ * tests it, since refused calls are paid for too; after that each kind goes on
+ * from the revision that it had. A history that is gone is listed anew.
+ *
+ * Performs no I/O. Not thread-safe.
+ */
+class ObjectWatcher
+{
+public:
+  /** `aKinds` is not empty; the first is used to test the store. */
+  ObjectWatcher(std::vector<std::string> aKinds,
+                ObjectDialect aDialect,
+                WatcherHooks aHooks);
+  ObjectWatcher(const ObjectWatcher&) = delete;
+  ObjectWatcher& operator=(const ObjectWatcher&) = delete;
+
+  /** Starts reading. Call once. */
+  void Start();
+
+  /** Starts no more requests. */
+  void Stop() { this->isStopped = true; }
+
+  /** Whether the last call failed. */
+  bool IsLost() const { return this->isLost; }
+
+  /** Returns when the store answered last, if it did. */
+  std::optional<core::TimePoint> LastContact() const
+  {
+    return this->lastContact;
+  }
+
+  /** Returns the calls sent since the start. */
+  std::uint64_t CallCount() const { return this->callCount; }
+
+private:
+  /** How far one kind has been read. */
+  struct Progress
+  {
+    std::vector<ObjectRecord> listed;
+    std::string after;
+    /** 0 until the kind has been listed. */
+    std::uint64_t revision = 0;
+    bool isBusy = false;
+  };
+
+  void Continue(const std::string& aKind);
+  void List(const std::string& aKind);
+  void Watch(const std::string& aKind);
+  void OnListed(const std::string& aKind, const StoreResponse& aResponse);
+  void OnChanged(const std::string& aKind, const StoreResponse& aResponse);
+  void Send(const std::string& aKind,
+            std::string aTarget,
+            std::chrono::milliseconds aTimeout,
+            std::function<void(const StoreResponse&)> aOnAnswer);
+  void NoteContact();
+  void NoteFailure(const std::string& aKind, const std::string& aDetail);
+
+  std::vector<std::string> kinds;
+  ObjectDialect dialect;
+  WatcherHooks hooks;
+  std::map<std::string, Progress, std::less<>> progress;
+  bool isLost = false;
+  bool isTesting = false;
+  bool isStopped = false;
+  unsigned failures = 0;
+  std::optional<core::TimePoint> lastContact;
+  std::uint64_t callCount = 0;
+};
+
+} // namespace fireflytrail::store
--- a/modules/store/StoreConnection.cpp
+++ b/modules/store/StoreConnection.cpp
@@ -1,5 +1,6 @@
 #include "store/StoreConnection.h"
 
+#include <boost/asio/detail/socket_option.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <fmt/format.h>
@@ -19,9 +20,20 @@
 // Values hold up to 1 MB; a host list of two years on stays far below.
 constexpr std::uint64_t kBodyLimit = 4U << 20U;
 
+// A silent connection is given up after three seconds: the platform's bounds
+// allow a host that long after a cut before it must act on news.
+constexpr int kKeepAliveIdleSeconds = 1;
+constexpr int kKeepAliveIntervalSeconds = 1;
+constexpr int kKeepAliveProbes = 2;
+constexpr int kUnackedMilliseconds = 3000;
+
 std::string
 TargetOf(const StoreRequest& aRequest)
 {
+  if (aRequest.kind == StoreRequestKind::RawRead ||
+      aRequest.kind == StoreRequestKind::RawWrite) {
+    return aRequest.target;
+  }
   if (aRequest.kind == StoreRequestKind::Hosts) {
     return aRequest.version == 0
              ? "/hosts"
@@ -36,6 +48,24 @@
   return "/objects/" + aRequest.key;
 }
 
+/** Lets the connection fail when the other side is silent, so that a waiting
+ * watch on a cut connection does not look like a quiet store. */
+void
+SetSilenceLimit(tcp::socket& aSocket)
+{
+  using boost::asio::detail::socket_option::integer;
+  boost::system::error_code ignored;
+  aSocket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
+  aSocket.set_option(
+    integer<IPPROTO_TCP, TCP_KEEPIDLE>(kKeepAliveIdleSeconds), ignored);
+  aSocket.set_option(
+    integer<IPPROTO_TCP, TCP_KEEPINTVL>(kKeepAliveIntervalSeconds), ignored);
+  aSocket.set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>(kKeepAliveProbes),
+                     ignored);
+  aSocket.set_option(
+    integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(kUnackedMilliseconds), ignored);
+}
+
 std::uint64_t
 VersionOf(std::string_view aText)
 {
@@ -61,7 +91,9 @@
   assert(!this->done && aDone);
   this->done = std::move(aDone);
   this->reached = StoreDelivery::NotSent;
-  const bool isWrite = aRequest.kind == StoreRequestKind::Write;
+  const bool isRawWrite = aRequest.kind == StoreRequestKind::RawWrite;
+  const bool isWrite =
+    isRawWrite || aRequest.kind == StoreRequestKind::Write;
   this->request = { isWrite ? http::verb::put : http::verb::get,
                     TargetOf(aRequest),
                     11 };
@@ -69,7 +101,10 @@
                     fmt::format("{}:{}",
                                 this->endpoint.address().to_string(),
                                 this->endpoint.port()));
-  if (isWrite) {
+  if (isRawWrite) {
+    this->request.set(http::field::content_type, "application/json");
+    this->request.body() = aRequest.body;
+  } else if (isWrite) {
     this->request.set("If-Version", std::to_string(aRequest.version));
     this->request.body() = aRequest.body;
   }
@@ -115,6 +150,7 @@
       }
       boost::system::error_code ignored;
       self->socket.set_option(tcp::no_delay(true), ignored);
+      SetSilenceLimit(self->socket);
       self->Write();
     });
 }
--- a/modules/store/StoreRequest.h
+++ b/modules/store/StoreRequest.h
@@ -13,6 +13,10 @@
   Write,
   Watch,
   Hosts,
+  /** A read of `target` as it is. */
+  RawRead,
+  /** A write of `body` to `target` as it is. */
+  RawWrite,
 };
 
 /** One request to the platform. */
@@ -23,6 +27,8 @@
   std::string key;
   /** Expected version of a write; version that a watch starts from. */
   std::uint64_t version = 0;
+  /** Path and query of a raw request. */
+  std::string target;
   /** Body of a write. */
   std::string body;
   /** How long the platform may hold a watch. */
--- a/modules/store/StoreTransport.cpp
+++ b/modules/store/StoreTransport.cpp
@@ -44,7 +44,8 @@
 {
   Run(this->pool,
       aRequest,
-      aRequest.kind != StoreRequestKind::Write,
+      aRequest.kind != StoreRequestKind::Write &&
+        aRequest.kind != StoreRequestKind::RawWrite,
       std::move(aDone));
 }
 
