--- a/modules/gateway/CallerSession.cpp
+++ b/modules/gateway/CallerSession.cpp
@@ -51,8 +51,10 @@
 void
 CallerSession::CloseIfIdle()
 {
+  // Only cancels the wait: a request that has been read meanwhile is served,
+  // and its answer closes the connection.
   if (this->isIdle) {
-    this->Close();
+    this->stream.cancel();
   }
 }
 
@@ -83,7 +85,7 @@
     [self = this->shared_from_this()](beast::error_code aError,
                                       std::size_t aCount) {
       if (aError) {
-        self->Close();
+        self->OnIdleWaitEnded();
         return;
       }
       self->buffer.commit(aCount);
@@ -99,6 +101,21 @@
     });
 }
 
+void
+CallerSession::OnIdleWaitEnded()
+{
+  beast::error_code error;
+  const bool hasRequest =
+    this->stream.socket().is_open() &&
+    this->stream.socket().available(error) > 0 && !error;
+  if (hasRequest) {
+    // It arrived just before the wait ended.
+    this->ReadHeader();
+    return;
+  }
+  this->Close();
+}
+
 void
 CallerSession::OnHeader(beast::error_code aError)
 {
--- a/modules/gateway/CallerSession.h
+++ b/modules/gateway/CallerSession.h
@@ -67,8 +67,9 @@
   void Start();
 
   /**
-   * Closes the connection if no request is being read or answered. Call on
-   * the socket's thread.
+   * Closes the connection if no request has arrived or is being answered. Call
+   * on the socket's thread, and only while the daemon is stopping: a request
+   * that crosses it is served.
    */
   void CloseIfIdle();
 
@@ -79,6 +80,7 @@
     boost::beast::http::response<boost::beast::http::string_body>;
 
   void ReadHeader();
+  void OnIdleWaitEnded();
   void OnHeader(boost::beast::error_code aError);
   void ReadBody();
   void OnRequest(boost::beast::error_code aError);
--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -156,6 +156,18 @@
                std::vector<store::ObjectRecord> aObjects) {
           this->OnObjects(aKind, std::move(aObjects), false);
         },
+      .onCall =
+        [this](const store::StoreRequest& aRequest,
+               const store::StoreResponse& aResponse) {
+          this->log.Write(
+            LogLevel::Debug,
+            "store_call",
+            { { "target", aRequest.target },
+              { "status", static_cast<std::int64_t>(aResponse.status) },
+              { "detail", aResponse.detail },
+              { "bytes",
+                static_cast<std::int64_t>(aResponse.body.size()) } });
+        },
       .onContact =
         [this](bool aIsLost, const std::string& aDetail) {
           if (aIsLost) {
--- a/modules/store/ObjectWatcher.cpp
+++ b/modules/store/ObjectWatcher.cpp
@@ -17,9 +17,13 @@
 // slow; a call without an answer after this is lost.
 constexpr milliseconds kCallTimeout = 1500ms;
 
-// Longest wait that the platform allows for a watch. A waiting watch costs one
-// call, so long waits are cheapest.
-constexpr milliseconds kWatchWait = 30'000ms;
+// A waiting watch can go silent without a reset, so its answer is awaited only
+// this long: news is then late by less than the shortest bound, 2 s.
+constexpr milliseconds kWatchWait = 1500ms;
+
+// Time beyond its wait that the answer to a watch may take: a slow store answers
+// in a quarter of a second.
+constexpr milliseconds kWatchSlack = 400ms;
 
 // Time between the answer of a watch and the next one. Changes come in series;
 // this brings several in one call and is a tenth of the shortest bound, 2 s.
@@ -45,7 +49,7 @@
   assert(!this->kinds.empty());
   assert(this->hooks.now && this->hooks.random && this->hooks.send);
   assert(this->hooks.after && this->hooks.onList && this->hooks.onChanges);
-  assert(this->hooks.onContact);
+  assert(this->hooks.onContact && this->hooks.onCall);
   for (const std::string& kind : this->kinds) {
     this->progress[kind];
   }
@@ -98,7 +102,7 @@
   this->Send(
     aKind,
     this->dialect.watchTarget(aKind, this->progress.at(aKind).revision, wait),
-    wait + kCallTimeout,
+    this->isLost ? kCallTimeout : wait + kWatchSlack,
     [this, aKind](const StoreResponse& aResponse) {
       this->OnChanged(aKind, aResponse);
     });
@@ -118,8 +122,9 @@
   request.timeout = aTimeout;
   this->hooks.send(
     request,
-    [this, aKind, onAnswer = std::move(aOnAnswer)](
+    [this, aKind, request, onAnswer = std::move(aOnAnswer)](
       const StoreResponse& aResponse) {
+      this->hooks.onCall(request, aResponse);
       this->progress.at(aKind).isBusy = false;
       if (aResponse.delivery != StoreDelivery::Answered) {
         this->NoteFailure(aKind, aResponse.detail);
--- a/modules/store/ObjectWatcher.h
+++ b/modules/store/ObjectWatcher.h
@@ -31,6 +31,8 @@
   /** Receives the objects of a kind that have changed. */
   std::function<void(const std::string& aKind, std::vector<ObjectRecord>)>
     onChanges;
+  /** Told the end of each call, for logs. */
+  std::function<void(const StoreRequest&, const StoreResponse&)> onCall;
   /** Told when the store stops answering and when it answers again. The text
    * says what failed. */
   std::function<void(bool aIsLost, const std::string& aDetail)> onContact;
