--- a/modules/gateway/PeerHub.cpp
+++ b/modules/gateway/PeerHub.cpp
@@ -49,6 +49,15 @@
 void
 PeerHub::SendGossip(const gossip::Peer& aPeer,
                     const gossip::GossipMessage& aMessage)
+{
+  this->Send(
+    aPeer,
+    std::visit([](const auto& aPart) { return wire::WireMessage(aPart); },
+               aMessage));
+}
+
+void
+PeerHub::Send(const gossip::Peer& aPeer, wire::WireMessage aMessage)
 {
   gossip::Peer peer = aPeer;
   if (const auto known = this->addresses.find(peer.name);
@@ -56,8 +65,7 @@
     peer.address = known->second;
   }
   if (const auto link = this->LinkTo(peer)) {
-    link->Send(std::visit(
-      [](const auto& aPart) { return wire::WireMessage(aPart); }, aMessage));
+    link->Send(std::move(aMessage));
   }
 }
 
@@ -146,6 +154,8 @@
           if constexpr (std::is_constructible_v<gossip::GossipMessage,
                                                 decltype(aPart)>) {
             hub->hooks.onGossip(sender, gossip::GossipMessage(aPart));
+          } else if (hub->hooks.onMessage) {
+            hub->hooks.onMessage(sender, wire::WireMessage(aPart));
           }
         },
         aMessage);
--- a/modules/gateway/PeerHub.h
+++ b/modules/gateway/PeerHub.h
@@ -6,6 +6,7 @@
 #include "wire/ForwardCall.h"
 #include "wire/FrameError.h"
 #include "wire/Hello.h"
+#include "wire/WireMessage.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -40,6 +41,8 @@
   /** Receives a gossip message and the name of its sender. */
   std::function<void(const std::string&, const gossip::GossipMessage&)>
     onGossip;
+  /** Optional: receives any other message and the name of its sender. */
+  std::function<void(const std::string&, const wire::WireMessage&)> onMessage;
   /** Receives a call to run; the reply function may be called on the hub's
    * thread only. */
   std::function<void(wire::ForwardCall, ReplyFunction)> onForwardCall;
@@ -82,6 +85,9 @@
   void SendGossip(const gossip::Peer& aPeer,
                   const gossip::GossipMessage& aMessage);
 
+  /** Sends any other message; it is dropped if there is no way to the peer. */
+  void Send(const gossip::Peer& aPeer, wire::WireMessage aMessage);
+
   /**
    * Forwards a call and calls `aOnEnd` once. The request identity is set
    * here.
--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -45,6 +45,11 @@
 
 constexpr milliseconds kStopCheckInterval = 100ms;
 
+// Longest waits of watches. News of kinds with bounds of 2 s may be late by the
+// first, news of kinds with bounds of 5 s by the second.
+constexpr milliseconds kUrgentWatchWait = 1500ms;
+constexpr milliseconds kWatchWait = 3000ms;
+
 // The settings file may change without a signal; a read costs 0.1 ms.
 constexpr milliseconds kSettingsInterval = 5000ms;
 
@@ -84,11 +89,16 @@
   , stopTimer(this->context)
   , lapseTimer(this->context)
   , settingsTimer(this->context)
-  , self{ aSettings.name, RandomNumber() }
+  , beatTimer(this->context)
+  , gossipTimer(this->context)
+  , self{ aSettings.peerListen.ToString(), RandomNumber() }
   , callMetrics(this->metrics)
   , ledger(this->self, RandomNumber(), std::chrono::steady_clock::now)
-  , guard(std::chrono::steady_clock::now)
-  , broker(this->context, std::chrono::steady_clock::now, RandomNumber)
+  , guard(std::chrono::steady_clock::now,
+          [this](const calls::CrashEntry& aEntry) {
+            this->records->Publish(aEntry);
+          })
+  , broker(this->context, this->self.name, this->MakeBrokerHooks())
   , shared{ .context = this->context,
             .broker = this->broker,
             .ledger = this->ledger,
@@ -123,65 +133,198 @@
   };
   this->sessionHooks->dialect = this->platform.callers;
   const ObjectKinds& kinds = this->platform.kinds;
-  this->watcher = std::make_unique<store::ObjectWatcher>(
+  this->relay = std::make_unique<StoreRelay>(
+    this->self.name,
     std::vector<std::string>{
       kinds.configuration, kinds.instances, kinds.rollouts, kinds.domainsOut },
+    this->MakeRelayHooks());
+  this->watcher = std::make_unique<store::ObjectWatcher>(
+    std::vector<store::WatchedKind>{
+      { kinds.configuration, kUrgentWatchWait },
+      { kinds.instances, kUrgentWatchWait },
+      { kinds.rollouts, kWatchWait },
+      { kinds.domainsOut, kWatchWait } },
     this->platform.objects,
-    store::WatcherHooks{
+    this->MakeWatcherHooks());
+}
+
+ProxyDaemon::~ProxyDaemon()
+{
+  if (this->hub) {
+    this->hub->Close();
+  }
+}
+
+store::WatcherHooks
+ProxyDaemon::MakeWatcherHooks()
+{
+  return {
+    .now = std::chrono::steady_clock::now,
+    .random = RandomNumber,
+    .send =
+      [this](const store::StoreRequest& aRequest,
+             std::function<void(store::StoreResponse)> aDone) {
+        this->transport.Send(aRequest, std::move(aDone));
+      },
+    .after =
+      [this](milliseconds aTime, std::function<void()> aFunction) {
+        const auto timer =
+          std::make_shared<boost::asio::steady_timer>(this->context, aTime);
+        timer->async_wait([timer, function = std::move(aFunction)](
+                            boost::system::error_code aError) {
+          if (!aError) {
+            function();
+          }
+        });
+      },
+    .onList =
+      [this](const std::string& aKind,
+             std::uint64_t aRevision,
+             std::vector<store::ObjectRecord> aObjects) {
+        this->relay->OnListed(aKind, aRevision, std::move(aObjects));
+      },
+    .onChanges =
+      [this](const std::string& aKind,
+             std::vector<store::ObjectRecord> aObjects) {
+        this->relay->OnWatched(aKind, std::move(aObjects));
+      },
+    .onCall =
+      [this](const store::StoreRequest& aRequest,
+             const store::StoreResponse& aResponse) {
+        this->log.Write(
+          LogLevel::Debug,
+          "store_call",
+          { { "target", aRequest.target },
+            { "status", static_cast<std::int64_t>(aResponse.status) },
+            { "detail", aResponse.detail },
+            { "bytes", static_cast<std::int64_t>(aResponse.body.size()) } });
+      },
+    .onContact =
+      [this](bool aIsLost, const std::string& aDetail) {
+        if (aIsLost) {
+          this->log.Write(
+            LogLevel::Warning, "store_lost", { { "why", aDetail } });
+          return;
+        }
+        this->directory.NoteStoreReturn();
+        this->log.Write(LogLevel::Info, "store_regained");
+      }
+  };
+}
+
+StoreRelayHooks
+ProxyDaemon::MakeRelayHooks()
+{
+  return {
+    .now = std::chrono::steady_clock::now,
+    .broadcast =
+      [this](const wire::StoreNews& aNews) {
+        for (const std::string& name : this->PeerNames()) {
+          this->SendTo(name, aNews);
+        }
+      },
+    .reply = [this](const std::string& aTo,
+                    const wire::StoreNews& aNews) { this->SendTo(aTo, aNews); },
+    .request =
+      [this](const std::string& aTo, const wire::StoreNewsRequest& aRequest) {
+        this->SendTo(aTo, aRequest);
+      },
+    .onObjects =
+      [this](const std::string& aKind,
+             const std::vector<store::ObjectRecord>& aObjects) {
+        this->OnObjects(aKind, aObjects);
+      },
+    .onRevision =
+      [this](const std::string& aKind, std::uint64_t aRevision) {
+        this->watcher->NoteRevision(aKind, aRevision);
+      },
+    .lastContact =
+      [this]() -> std::optional<core::TimePoint> {
+      return this->watcher->IsLost() ? std::nullopt
+                                     : this->watcher->LastContact();
+    }
+  };
+}
+
+SlotBrokerHooks
+ProxyDaemon::MakeBrokerHooks()
+{
+  return {
+    .now = std::chrono::steady_clock::now,
+    .random = RandomNumber,
+    .peers = [this] { return this->PeerNames(); },
+    .mayDispatch = [this] { return !this->isStopping; },
+    .send =
+      [this](const std::string& aTo, wire::WireMessage aMessage) {
+        this->SendTo(aTo, std::move(aMessage));
+      },
+    .isUsable =
+      [this](const routing::BackendInstance& aInstance) {
+        return this->directory.IsUsable(aInstance);
+      },
+    .peerChanged =
+      [this](const std::string& aName, bool aIsLost) {
+        this->log.Write(LogLevel::Info,
+                        aIsLost ? "dispatcher_lost" : "dispatcher_regained",
+                        { { "peer", aName } });
+      }
+  };
+}
+
+bool
+ProxyDaemon::OpenPeers()
+{
+  this->hub = std::make_shared<gateway::PeerHub>(
+    this->context,
+    this->self,
+    gateway::PeerHubHooks{
+      .onGossip =
+        [this](const std::string& aFrom, const gossip::GossipMessage& aPart) {
+          this->node->Receive(aFrom, aPart);
+        },
+      .onMessage =
+        [this](const std::string& aFrom, const wire::WireMessage& aPart) {
+          this->OnPeerMessage(aFrom, aPart);
+        },
+      .onForwardCall =
+        [](const wire::ForwardCall&,
+           const gateway::PeerHubHooks::ReplyFunction&) {
+          // Calls are not forwarded: requests carry no tickets here.
+        } });
+  this->node = std::make_unique<gossip::GossipNode>(
+    this->self,
+    this->self.name,
+    gossip::GossipHooks{
       .now = std::chrono::steady_clock::now,
+      .wallNow = std::chrono::system_clock::now,
       .random = RandomNumber,
       .send =
-        [this](const store::StoreRequest& aRequest,
-               std::function<void(store::StoreResponse)> aDone) {
-          this->transport.Send(aRequest, std::move(aDone));
-        },
-      .after =
-        [this](milliseconds aTime, std::function<void()> aFunction) {
-          const auto timer =
-            std::make_shared<boost::asio::steady_timer>(this->context, aTime);
-          timer->async_wait([timer, function = std::move(aFunction)](
-                              boost::system::error_code aError) {
-            if (!aError) {
-              function();
-            }
-          });
-        },
-      .onList =
-        [this](const std::string& aKind,
-               std::vector<store::ObjectRecord> aObjects) {
-          this->OnObjects(aKind, std::move(aObjects), true);
-        },
-      .onChanges =
-        [this](const std::string& aKind,
-               std::vector<store::ObjectRecord> aObjects) {
-          this->OnObjects(aKind, std::move(aObjects), false);
+        [this](const gossip::Peer& aPeer, const gossip::GossipMessage& aPart) {
+          this->hub->SendGossip(aPeer, aPart);
         },
-      .onCall =
-        [this](const store::StoreRequest& aRequest,
-               const store::StoreResponse& aResponse) {
-          this->log.Write(
-            LogLevel::Debug,
-            "store_call",
-            { { "target", aRequest.target },
-              { "status", static_cast<std::int64_t>(aResponse.status) },
-              { "detail", aResponse.detail },
-              { "bytes",
-                static_cast<std::int64_t>(aResponse.body.size()) } });
-        },
-      .onContact =
-        [this](bool aIsLost, const std::string& aDetail) {
-          if (aIsLost) {
-            this->log.Write(
-              LogLevel::Warning, "store_lost", { { "why", aDetail } });
-            return;
-          }
-          this->directory.NoteStoreReturn();
-          this->log.Write(LogLevel::Info, "store_regained");
-        } });
+      .recordChanged = [this](const core::DaemonId&,
+                              const gossip::Record& aRecord) {
+        this->OnRecord(aRecord);
+      },
+      .desiredAccepted = {},
+      .hostsAccepted = {} });
+  this->records = std::make_unique<daemon::GossipRecords>(
+    std::chrono::steady_clock::now,
+    [this](std::string_view aKey, std::string_view aValue) {
+      this->node->Exchanger().PublishUrgent(aKey, aValue);
+    });
+  std::vector<gossip::ListedHost> firstPeers;
+  for (const configuration::Endpoint& seed : this->settings.firstPeers) {
+    configuration::Endpoint peer = seed;
+    peer.port = this->settings.peerListen.port;
+    if (peer != this->settings.peerListen) {
+      firstPeers.push_back({ peer.ToString(), peer.ToString(), false });
+    }
+  }
+  this->node->Members().SetHostList(std::move(firstPeers));
+  return !this->hub->Open(SocketEndpoint(this->settings.peerListen));
 }
 
-ProxyDaemon::~ProxyDaemon() = default;
-
 bool
 ProxyDaemon::Open()
 {
@@ -192,6 +335,9 @@
                     { { "port", aPort }, { "error", aError.message() } });
     return false;
   };
+  if (!this->OpenPeers()) {
+    return report("peer_listen", boost::asio::error::address_in_use);
+  }
   this->listener = std::make_shared<gateway::CallerListener>(
     this->context, [this](tcp::socket aSocket) {
       const auto session = std::make_shared<gateway::CallerSession>(
@@ -235,15 +381,18 @@
   this->ListenForSignals();
   this->watcher->Start();
   this->WatchSettings();
+  this->OnBeat();
+  this->OnGossipTick();
   this->log.Write(LogLevel::Info,
                   "daemon_started",
-                  { { "name", this->self.name },
+                  { { "name", this->settings.name },
+                    { "peer", this->self.name },
                     { "failure_domain", this->settings.failureDomain },
                     { "listen", this->settings.listen.ToString() },
                     { "store", this->settings.store.ToString() } });
   this->context.run();
   this->log.Write(
-    LogLevel::Info, "daemon_stopped", { { "name", this->self.name } });
+    LogLevel::Info, "daemon_stopped", { { "name", this->settings.name } });
 }
 
 void
@@ -267,20 +416,95 @@
 }
 
 //==============================================================================
+void
+ProxyDaemon::OnBeat()
+{
+  this->watcher->SetActive(this->relay->ShouldWatch());
+  this->relay->Tick();
+  this->beatTimer.expires_after(StoreRelay::kBeatInterval);
+  this->beatTimer.async_wait([this](boost::system::error_code aError) {
+    if (!aError) {
+      this->OnBeat();
+    }
+  });
+}
+
+void
+ProxyDaemon::OnGossipTick()
+{
+  this->node->Tick();
+  this->gossipTimer.expires_after(gossip::GossipExchanger::kTickInterval);
+  this->gossipTimer.async_wait([this](boost::system::error_code aError) {
+    if (!aError) {
+      this->OnGossipTick();
+    }
+  });
+}
+
+void
+ProxyDaemon::OnPeerMessage(const std::string& aFrom,
+                           const wire::WireMessage& aPart)
+{
+  if (const auto* request = std::get_if<wire::SlotRequest>(&aPart)) {
+    this->broker.OnMessage(aFrom, *request);
+  } else if (const auto* decision = std::get_if<wire::SlotDecision>(&aPart)) {
+    this->broker.OnMessage(aFrom, *decision);
+  } else if (const auto* release = std::get_if<wire::SlotRelease>(&aPart)) {
+    this->broker.OnMessage(aFrom, *release);
+  } else if (const auto* news = std::get_if<wire::StoreNews>(&aPart)) {
+    const auto age = this->relay->Age();
+    if (!age || *age > StoreRelay::kContactLimit) {
+      this->directory.NoteStoreReturn();
+    }
+    this->relay->OnNews(aFrom, *news);
+  } else if (const auto* wanted =
+               std::get_if<wire::StoreNewsRequest>(&aPart)) {
+    this->relay->OnRequest(aFrom, *wanted);
+  }
+}
+
+void
+ProxyDaemon::OnRecord(const gossip::Record& aRecord)
+{
+  for (const calls::CrashEntry& entry :
+       daemon::GossipRecords::ParseCrashes(aRecord.key, aRecord.value)) {
+    this->guard.Merge(entry);
+  }
+}
+
+void
+ProxyDaemon::SendTo(const std::string& aName, wire::WireMessage aMessage)
+{
+  // A daemon's name is the address of its peer port.
+  this->hub->Send({ aName, aName }, std::move(aMessage));
+}
+
+std::vector<std::string>
+ProxyDaemon::PeerNames() const
+{
+  std::vector<std::string> names;
+  for (const gossip::Member& member : this->node->Members().Members()) {
+    if (member.state == gossip::MemberState::Alive &&
+        member.peer.name != this->self.name) {
+      names.push_back(member.peer.name);
+    }
+  }
+  return names;
+}
+
 void
 ProxyDaemon::OnObjects(const std::string& aKind,
-                       std::vector<store::ObjectRecord> aObjects,
-                       bool aIsList)
+                       const std::vector<store::ObjectRecord>& aObjects)
 {
   const ObjectKinds& kinds = this->platform.kinds;
   if (aKind == kinds.configuration) {
     this->OnConfiguration(aObjects);
   } else if (aKind == kinds.instances) {
-    this->OnInstances(aObjects, aIsList);
+    this->OnInstances(aObjects);
   } else if (aKind == kinds.rollouts) {
-    this->OnRollouts(aObjects, aIsList);
+    this->OnRollouts(aObjects);
   } else if (aKind == kinds.domainsOut) {
-    this->OnDomainsOut(aObjects, aIsList);
+    this->OnDomainsOut(aObjects);
   }
   this->UpdateBroker();
 }
@@ -321,10 +545,8 @@
 }
 
 void
-ProxyDaemon::OnInstances(const std::vector<store::ObjectRecord>& aObjects,
-                         bool aIsList)
+ProxyDaemon::OnInstances(const std::vector<store::ObjectRecord>& aObjects)
 {
-  std::vector<routing::BackendInstance> instances;
   for (const store::ObjectRecord& object : aObjects) {
     if (object.isDeleted) {
       this->log.Write(
@@ -345,40 +567,25 @@
       this->directory.Remove(object.name);
       continue;
     }
-    instances.push_back(std::move(read).value());
-    if (!aIsList) {
-      const routing::BackendInstance& instance = instances.back();
-      this->log.Write(
-        LogLevel::Info,
-        "instance_changed",
-        { { "instance", instance.id },
-          { "service", instance.service },
-          { "version", instance.version },
-          { "is_draining", instance.isDraining },
-          { "cold_ms", instance.coldFor.count() },
-          { "revision", static_cast<std::int64_t>(object.revision) } });
-    }
-  }
-  if (aIsList) {
+    const routing::BackendInstance& instance = read.value();
     this->log.Write(
       LogLevel::Info,
-      "instances_listed",
-      { { "count", static_cast<std::int64_t>(instances.size()) } });
-    this->directory.ReplaceAll(std::move(instances));
-    return;
-  }
-  for (routing::BackendInstance& instance : instances) {
-    this->directory.Put(std::move(instance));
+      "instance_changed",
+      { { "instance", instance.id },
+        { "service", instance.service },
+        { "version", instance.version },
+        { "failure_domain", instance.failureDomain },
+        { "is_draining", instance.isDraining },
+        { "cold_ms", instance.coldFor.count() },
+        { "revision", static_cast<std::int64_t>(object.revision) } });
+    this->directory.Put(std::move(read).value());
   }
 }
 
 void
-ProxyDaemon::OnRollouts(const std::vector<store::ObjectRecord>& aObjects,
-                        bool aIsList)
+ProxyDaemon::OnRollouts(const std::vector<store::ObjectRecord>& aObjects)
 {
-  std::set<std::string> listed;
   for (const store::ObjectRecord& object : aObjects) {
-    listed.insert(object.name);
     if (object.isDeleted) {
       this->directory.RemoveRollout(object.name);
       continue;
@@ -400,26 +607,11 @@
         { "state", static_cast<std::int64_t>(read.value().state) },
         { "revision", static_cast<std::int64_t>(object.revision) } });
   }
-  if (aIsList) {
-    std::vector<std::string> gone;
-    for (const auto& [service, order] : this->directory.Rollouts()) {
-      if (!listed.contains(service)) {
-        gone.push_back(service);
-      }
-    }
-    for (const std::string& service : gone) {
-      this->directory.RemoveRollout(service);
-    }
-  }
 }
 
 void
-ProxyDaemon::OnDomainsOut(const std::vector<store::ObjectRecord>& aObjects,
-                          bool aIsList)
+ProxyDaemon::OnDomainsOut(const std::vector<store::ObjectRecord>& aObjects)
 {
-  if (aIsList) {
-    this->domainsOut.clear();
-  }
   for (const store::ObjectRecord& object : aObjects) {
     if (object.isDeleted) {
       this->domainsOut.erase(object.name);
@@ -594,6 +786,7 @@
     return;
   }
   this->isStopping = true;
+  this->node->AnnounceLeaving();
   this->stopBegin = std::chrono::steady_clock::now();
   this->log.Write(
     LogLevel::Info,
@@ -715,7 +908,7 @@
                     { "state", static_cast<int>(order.state) } });
   }
   const json::object dump{
-    { "name", this->self.name },
+    { "name", this->settings.name },
     { "is_stopping", this->isStopping },
     { "configuration_version",
       this->routes ? this->routes->Configuration().version : 0 },
--- a/modules/proxy/ProxyDaemon.h
+++ b/modules/proxy/ProxyDaemon.h
@@ -9,10 +9,14 @@
 #include "core/Log.h"
 #include "daemon/Metrics.h"
 #include "daemon/OperatorEndpoint.h"
+#include "daemon/GossipRecords.h"
 #include "gateway/CallerSession.h"
+#include "gateway/PeerHub.h"
+#include "gossip/GossipNode.h"
 #include "proxy/PlatformAdapter.h"
 #include "proxy/ProxyShared.h"
 #include "proxy/SlotBroker.h"
+#include "proxy/StoreRelay.h"
 #include "routing/HttpRouteTable.h"
 #include "routing/ServiceDirectory.h"
 #include "store/ObjectWatcher.h"
@@ -71,15 +75,21 @@
 private:
   void ListenForSignals();
   void OnObjects(const std::string& aKind,
-                 std::vector<store::ObjectRecord> aObjects,
-                 bool aIsList);
-  void OnInstances(const std::vector<store::ObjectRecord>& aObjects,
-                   bool aIsList);
+                 const std::vector<store::ObjectRecord>& aObjects);
+  void OnInstances(const std::vector<store::ObjectRecord>& aObjects);
   void OnConfiguration(const std::vector<store::ObjectRecord>& aObjects);
-  void OnRollouts(const std::vector<store::ObjectRecord>& aObjects,
-                  bool aIsList);
-  void OnDomainsOut(const std::vector<store::ObjectRecord>& aObjects,
-                    bool aIsList);
+  void OnRollouts(const std::vector<store::ObjectRecord>& aObjects);
+  void OnDomainsOut(const std::vector<store::ObjectRecord>& aObjects);
+  void OnPeerMessage(const std::string& aFrom, const wire::WireMessage& aPart);
+  void OnRecord(const gossip::Record& aRecord);
+  void OnBeat();
+  void OnGossipTick();
+  void SendTo(const std::string& aName, wire::WireMessage aMessage);
+  std::vector<std::string> PeerNames() const;
+  store::WatcherHooks MakeWatcherHooks();
+  StoreRelayHooks MakeRelayHooks();
+  SlotBrokerHooks MakeBrokerHooks();
+  bool OpenPeers();
   void UpdateBroker();
   void ScheduleLapse();
 
@@ -109,6 +119,8 @@
   boost::asio::steady_timer stopTimer;
   boost::asio::steady_timer lapseTimer;
   boost::asio::steady_timer settingsTimer;
+  boost::asio::steady_timer beatTimer;
+  boost::asio::steady_timer gossipTimer;
   core::DaemonId self;
   daemon::Metrics metrics;
   daemon::CallMetrics callMetrics;
@@ -118,6 +130,10 @@
   ProxyShared shared;
   store::StoreTransport transport;
   std::unique_ptr<store::ObjectWatcher> watcher;
+  std::unique_ptr<StoreRelay> relay;
+  std::shared_ptr<gateway::PeerHub> hub;
+  std::unique_ptr<gossip::GossipNode> node;
+  std::unique_ptr<daemon::GossipRecords> records;
   routing::ServiceDirectory directory;
   std::shared_ptr<const routing::HttpRouteTable> routes;
   std::set<std::string, std::less<>> domainsOut;
--- a/modules/proxy/SlotBroker.cpp
+++ b/modules/proxy/SlotBroker.cpp
@@ -1,22 +1,49 @@
 #include "proxy/SlotBroker.h"
 
+#include "core/Hash.h"
+
 #include <algorithm>
 #include <cassert>
 #include <utility>
 
 namespace fireflytrail::proxy {
 
+using core::ErrorKind;
 using routing::DispatchResult;
 using routing::ServiceDispatcher;
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+using std::chrono::nanoseconds;
+
+namespace {
+
+// Time in which a daemon answers a request for a slot: the way takes 3 ms in a
+// region, and a host that has used up its processor share stands still for up
+// to a tenth of a second, which is not worth waiting for.
+constexpr milliseconds kDecisionTime = 25ms;
+
+// Time for which a request that waits at another daemon is left there without
+// a word. It then says again that the request still waits.
+constexpr milliseconds kWaitingTime = 400ms;
+
+// Misses in a row after which another daemon is asked, and for how long. One
+// miss happens to a busy host.
+constexpr unsigned kMissesToAvoid = 2;
+constexpr milliseconds kAvoidTime = 2000ms;
+
+} // namespace
 
 SlotBroker::SlotBroker(boost::asio::io_context& aContext,
-                       core::NowFunction aNow,
-                       core::RandomFunction aRandom)
-  : now(std::move(aNow))
-  , random(std::move(aRandom))
+                       std::string aSelf,
+                       SlotBrokerHooks aHooks)
+  : context(aContext)
+  , self(std::move(aSelf))
+  , hooks(std::move(aHooks))
   , timer(aContext)
 {
-  assert(this->now && this->random);
+  assert(this->hooks.now && this->hooks.random && this->hooks.peers);
+  assert(this->hooks.mayDispatch && this->hooks.send && this->hooks.isUsable);
+  assert(this->hooks.peerChanged);
 }
 
 void
@@ -38,6 +65,7 @@
     dispatcher->SetSettings(own);
     dispatcher->SetInstances(aDirectory.TargetsOf(name));
   }
+  this->ScheduleTick();
 }
 
 std::uint64_t
@@ -47,10 +75,17 @@
 {
   assert(aOnDecided);
   const std::uint64_t number = ++this->lastNumber;
-  this->pending.emplace(number, Pending{ aService, std::move(aOnDecided) });
   aRequest.id = number;
-  this->DispatcherOf(aService).Submit(std::move(aRequest));
-  this->ScheduleTick();
+  Pending& entry = this->pending[number];
+  entry.service = aService;
+  entry.request = std::move(aRequest);
+  entry.onDecided = std::move(aOnDecided);
+  entry.asked = this->DispatcherName(aService);
+  if (entry.asked.empty()) {
+    this->DecideHere(number);
+  } else {
+    this->Ask(number, entry);
+  }
   return number;
 }
 
@@ -61,21 +96,161 @@
   if (found == this->pending.end()) {
     return;
   }
-  this->DispatcherOf(found->second.service).Withdraw(aNumber);
+  const Pending entry = std::move(found->second);
   this->pending.erase(found);
+  if (entry.timer) {
+    entry.timer->cancel();
+  }
+  if (entry.asked.empty()) {
+    this->DispatcherOf(entry.service).Withdraw(aNumber);
+    return;
+  }
+  wire::SlotRelease release;
+  release.number = aNumber;
+  release.service = entry.service;
+  this->hooks.send(entry.asked, std::move(release));
 }
 
 void
 SlotBroker::Release(const Slot& aSlot,
                     routing::UseOutcome aOutcome,
-                    std::chrono::nanoseconds aDuration,
+                    nanoseconds aDuration,
                     const std::optional<routing::LoadSample>& aSample)
 {
-  this->DispatcherOf(aSlot.service)
-    .Release(aSlot.grant, aOutcome, aDuration, aSample);
+  ServiceDispatcher& dispatcher = this->DispatcherOf(aSlot.service);
+  if (aSlot.grantedBy.empty()) {
+    dispatcher.Release(aSlot.grant, aOutcome, aDuration, aSample);
+    this->ScheduleTick();
+    return;
+  }
+  // Known here too, for the time when this daemon has to decide alone.
+  dispatcher.Observe(*aSlot.instance, aOutcome, aDuration, aSample);
+  wire::SlotRelease release;
+  release.service = aSlot.service;
+  release.grant = aSlot.grant;
+  release.outcome = aOutcome;
+  release.duration =
+    std::chrono::duration_cast<std::chrono::microseconds>(aDuration);
+  release.load = aSample;
+  this->hooks.send(aSlot.grantedBy, std::move(release));
+}
+
+//==============================================================================
+void
+SlotBroker::OnMessage(const std::string& aFrom,
+                      const wire::SlotRequest& aRequest)
+{
+  const core::TimePoint now = this->hooks.now();
+  const std::uint64_t id = ++this->lastNumber;
+  this->remotes.emplace(id,
+                        Remote{ aFrom, aRequest.number, aRequest.service });
+  this->remoteNumbers[{ aFrom, aRequest.number }] = id;
+  routing::DispatchRequest request;
+  request.id = id;
+  request.failureDomain = aRequest.failureDomain;
+  request.goal = now + aRequest.goal;
+  request.deadline = now + aRequest.deadline;
+  request.priority = aRequest.priority;
+  request.avoid = aRequest.avoid;
+  this->DispatcherOf(aRequest.service).Submit(std::move(request));
+  if (this->remotes.contains(id)) {
+    // Tells that the request waits.
+    wire::SlotDecision waiting;
+    waiting.number = aRequest.number;
+    this->hooks.send(aFrom, std::move(waiting));
+  }
   this->ScheduleTick();
 }
 
+void
+SlotBroker::OnMessage(const std::string& aFrom,
+                      const wire::SlotDecision& aDecision)
+{
+  this->NoteAnswer(aFrom);
+  const auto found = this->pending.find(aDecision.number);
+  const bool isExpected =
+    found != this->pending.end() && found->second.asked == aFrom;
+  const bool isGranted =
+    aDecision.kind == ErrorKind::None && aDecision.grant != 0;
+  if (!isExpected) {
+    if (isGranted) {
+      // It came too late; the instance was not used.
+      wire::SlotRelease release;
+      release.service = aDecision.instance.service;
+      release.grant = aDecision.grant;
+      this->hooks.send(aFrom, std::move(release));
+    }
+    return;
+  }
+  if (aDecision.kind == ErrorKind::None && !isGranted) {
+    this->AwaitDecision(aDecision.number, kWaitingTime);
+    return;
+  }
+  DispatchResult result;
+  result.kind = aDecision.kind;
+  result.retryAfter = aDecision.retryAfter;
+  if (isGranted) {
+    routing::BackendInstance instance = aDecision.instance;
+    instance.service = found->second.service;
+    result.grant = aDecision.grant;
+    result.instance =
+      std::make_shared<const routing::BackendInstance>(std::move(instance));
+    if (!this->hooks.isUsable(*result.instance)) {
+      // This daemon knows more, for example that the instance is leaving.
+      wire::SlotRelease release;
+      release.service = found->second.service;
+      release.grant = aDecision.grant;
+      this->hooks.send(aFrom, std::move(release));
+      this->DecideHere(aDecision.number);
+      return;
+    }
+  }
+  this->Finish(aDecision.number, result, aFrom);
+}
+
+void
+SlotBroker::OnMessage(const std::string& aFrom,
+                      const wire::SlotRelease& aRelease)
+{
+  ServiceDispatcher& dispatcher = this->DispatcherOf(aRelease.service);
+  if (aRelease.grant != 0) {
+    dispatcher.Release(
+      aRelease.grant, aRelease.outcome, aRelease.duration, aRelease.load);
+    this->ScheduleTick();
+    return;
+  }
+  const auto found = this->remoteNumbers.find({ aFrom, aRelease.number });
+  if (found == this->remoteNumbers.end()) {
+    return;
+  }
+  const std::uint64_t id = found->second;
+  this->remoteNumbers.erase(found);
+  this->remotes.erase(id);
+  dispatcher.Withdraw(id);
+}
+
+//==============================================================================
+std::string
+SlotBroker::DispatcherName(std::string_view aService) const
+{
+  const core::TimePoint now = this->hooks.now();
+  const std::string key = "slots/" + std::string(aService);
+  const auto rankOf = [&key](const std::string& aName) {
+    return std::pair(core::RendezvousWeight(key, aName), aName);
+  };
+  std::string best = this->hooks.mayDispatch() ? this->self : std::string();
+  for (const std::string& name : this->hooks.peers()) {
+    const auto state = this->peerStates.find(name);
+    if (state != this->peerStates.end() && now < state->second.lostUntil) {
+      continue;
+    }
+    if (best.empty() || rankOf(name) > rankOf(best)) {
+      best = name;
+    }
+  }
+  return best == this->self ? std::string() : best;
+}
+
 std::size_t
 SlotBroker::WaitingCount() const
 {
@@ -93,8 +268,8 @@
   if (!dispatcher) {
     dispatcher = std::make_unique<ServiceDispatcher>(
       routing::DispatcherHooks{
-        .now = this->now,
-        .random = this->random,
+        .now = this->hooks.now,
+        .random = this->hooks.random,
         .decided =
           [this](std::uint64_t aNumber, const DispatchResult& aResult) {
             this->OnDecided(aNumber, aResult);
@@ -106,6 +281,111 @@
 
 void
 SlotBroker::OnDecided(std::uint64_t aNumber, const DispatchResult& aResult)
+{
+  const auto remote = this->remotes.find(aNumber);
+  if (remote == this->remotes.end()) {
+    this->Finish(aNumber, aResult, {});
+    return;
+  }
+  wire::SlotDecision decision;
+  decision.number = remote->second.number;
+  decision.kind = aResult.kind;
+  decision.grant = aResult.grant;
+  decision.retryAfter = aResult.retryAfter;
+  if (aResult.instance) {
+    decision.instance = *aResult.instance;
+  }
+  this->hooks.send(remote->second.from, std::move(decision));
+  this->remoteNumbers.erase({ remote->second.from, remote->second.number });
+  this->remotes.erase(remote);
+}
+
+void
+SlotBroker::DecideHere(std::uint64_t aNumber)
+{
+  Pending& entry = this->pending.at(aNumber);
+  entry.asked.clear();
+  if (entry.timer) {
+    entry.timer->cancel();
+  }
+  this->DispatcherOf(entry.service).Submit(entry.request);
+  this->ScheduleTick();
+}
+
+void
+SlotBroker::Ask(std::uint64_t aNumber, Pending& aPending)
+{
+  const core::TimePoint now = this->hooks.now();
+  const auto left = [now](core::TimePoint aTime) {
+    return std::max(std::chrono::floor<milliseconds>(aTime - now), 0ms);
+  };
+  wire::SlotRequest request;
+  request.number = aNumber;
+  request.service = aPending.service;
+  request.failureDomain = aPending.request.failureDomain;
+  request.goal = left(aPending.request.goal);
+  request.deadline = left(aPending.request.deadline);
+  request.priority = aPending.request.priority;
+  request.avoid = aPending.request.avoid;
+  this->hooks.send(aPending.asked, std::move(request));
+  this->AwaitDecision(aNumber, kDecisionTime);
+}
+
+void
+SlotBroker::AwaitDecision(std::uint64_t aNumber, milliseconds aTime)
+{
+  Pending& entry = this->pending.at(aNumber);
+  if (!entry.timer) {
+    entry.timer = std::make_shared<boost::asio::steady_timer>(this->context);
+  }
+  entry.timer->expires_after(aTime);
+  entry.timer->async_wait(
+    [this, aNumber](boost::system::error_code aError) {
+      const auto found = this->pending.find(aNumber);
+      if (aError || found == this->pending.end() ||
+          found->second.asked.empty()) {
+        return;
+      }
+      wire::SlotRelease withdrawal;
+      withdrawal.number = aNumber;
+      withdrawal.service = found->second.service;
+      this->hooks.send(found->second.asked, std::move(withdrawal));
+      this->NoteMiss(found->second.asked);
+      this->DecideHere(aNumber);
+    });
+}
+
+void
+SlotBroker::NoteMiss(const std::string& aName)
+{
+  PeerState& state = this->peerStates[aName];
+  if (++state.misses < kMissesToAvoid) {
+    return;
+  }
+  const core::TimePoint now = this->hooks.now();
+  if (now >= state.lostUntil) {
+    this->hooks.peerChanged(aName, true);
+  }
+  state.lostUntil = now + kAvoidTime;
+}
+
+void
+SlotBroker::NoteAnswer(const std::string& aName)
+{
+  const auto state = this->peerStates.find(aName);
+  if (state == this->peerStates.end()) {
+    return;
+  }
+  if (state->second.misses >= kMissesToAvoid) {
+    this->hooks.peerChanged(aName, false);
+  }
+  this->peerStates.erase(state);
+}
+
+void
+SlotBroker::Finish(std::uint64_t aNumber,
+                   const DispatchResult& aResult,
+                   const std::string& aGrantedBy)
 {
   const auto found = this->pending.find(aNumber);
   if (found == this->pending.end()) {
@@ -113,9 +393,14 @@
   }
   const Pending decided = std::move(found->second);
   this->pending.erase(found);
+  if (decided.timer) {
+    decided.timer->cancel();
+  }
   std::optional<Slot> slot;
   if (aResult.instance) {
-    slot = Slot{ decided.service, aResult.grant, aResult.instance };
+    slot = Slot{
+      decided.service, aResult.grant, aResult.instance, aGrantedBy
+    };
   }
   decided.onDecided(aResult, std::move(slot));
 }
--- a/modules/proxy/SlotBroker.h
+++ b/modules/proxy/SlotBroker.h
@@ -5,6 +5,10 @@
 #include "routing/DispatchRequest.h"
 #include "routing/ServiceDirectory.h"
 #include "routing/ServiceDispatcher.h"
+#include "wire/SlotDecision.h"
+#include "wire/SlotRelease.h"
+#include "wire/SlotRequest.h"
+#include "wire/WireMessage.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -17,6 +21,8 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
+#include <vector>
 
 namespace fireflytrail::proxy {
 
@@ -26,10 +32,37 @@
   std::string service;
   std::uint64_t grant = 0;
   std::shared_ptr<const routing::BackendInstance> instance;
+  /** Name of the daemon that granted it; empty for this one. */
+  std::string grantedBy;
+};
+
+/** The surroundings of a `SlotBroker`. All functions must be set. */
+struct SlotBrokerHooks
+{
+  core::NowFunction now;
+  core::RandomFunction random;
+  /** Returns the names of the daemons that may dispatch, without this one. */
+  std::function<std::vector<std::string>()> peers;
+  /** Whether this daemon may dispatch for others. */
+  std::function<bool()> mayDispatch;
+  /** Sends a message to a daemon by name; it may be lost. */
+  std::function<void(const std::string&, wire::WireMessage)> send;
+  /** Whether what is believed here lets an instance get requests. */
+  std::function<bool(const routing::BackendInstance&)> isUsable;
+  /** Told when a dispatching daemon stops answering or answers again. */
+  std::function<void(const std::string& aName, bool aIsLost)> peerChanged;
 };
 
 /**
  * Gives requests a slot at an instance of their service, or tells why not.
+ *
+ * With a hundred daemons and four slots an instance, a daemon's own counts say
+ * almost nothing about an instance. For each service, the first of the live
+ * daemons in an order by hash therefore dispatches the requests of all: they
+ * ask it with one short message and give the slot back with another. It keeps
+ * no state that must last. A daemon that gets no decision in time decides by
+ * its own knowledge, and asks the next daemon in the order for a while.
+ *
  * Belongs to the daemon's thread.
  */
 class SlotBroker
@@ -38,9 +71,10 @@
   using DecidedFunction =
     std::function<void(const routing::DispatchResult&, std::optional<Slot>)>;
 
+  /** `aSelf` is the name of this daemon. */
   SlotBroker(boost::asio::io_context& aContext,
-             core::NowFunction aNow,
-             core::RandomFunction aRandom);
+             std::string aSelf,
+             SlotBrokerHooks aHooks);
   SlotBroker(const SlotBroker&) = delete;
   SlotBroker& operator=(const SlotBroker&) = delete;
 
@@ -66,28 +100,75 @@
                std::chrono::nanoseconds aDuration,
                const std::optional<routing::LoadSample>& aSample);
 
-  /** Returns the requests that wait. */
+  //============================================================================
+  /** Takes a request of another daemon. */
+  void OnMessage(const std::string& aFrom, const wire::SlotRequest& aRequest);
+
+  /** Takes the decision about an own request. */
+  void OnMessage(const std::string& aFrom, const wire::SlotDecision& aDecision);
+
+  /** Takes a slot back from another daemon. */
+  void OnMessage(const std::string& aFrom, const wire::SlotRelease& aRelease);
+
+  //============================================================================
+  /** Returns the name of the daemon that dispatches a service; empty for this
+   * one. */
+  std::string DispatcherName(std::string_view aService) const;
+
+  /** Returns the requests that wait here. */
   std::size_t WaitingCount() const;
 
 private:
+  /** An own request without a decision. */
   struct Pending
   {
     std::string service;
+    routing::DispatchRequest request;
     DecidedFunction onDecided;
+    /** Daemon that was asked; empty if this one decides. */
+    std::string asked;
+    std::shared_ptr<boost::asio::steady_timer> timer;
+  };
+
+  /** A request of another daemon without a decision. */
+  struct Remote
+  {
+    std::string from;
+    std::uint64_t number = 0;
+    std::string service;
+  };
+
+  /** What is known of a daemon that was asked. */
+  struct PeerState
+  {
+    unsigned misses = 0;
+    core::TimePoint lostUntil{};
   };
 
   routing::ServiceDispatcher& DispatcherOf(const std::string& aService);
   void OnDecided(std::uint64_t aNumber, const routing::DispatchResult& aResult);
+  void DecideHere(std::uint64_t aNumber);
+  void Ask(std::uint64_t aNumber, Pending& aPending);
+  void AwaitDecision(std::uint64_t aNumber, std::chrono::milliseconds aTime);
+  void NoteMiss(const std::string& aName);
+  void NoteAnswer(const std::string& aName);
+  void Finish(std::uint64_t aNumber,
+              const routing::DispatchResult& aResult,
+              const std::string& aGrantedBy);
   void ScheduleTick();
 
-  core::NowFunction now;
-  core::RandomFunction random;
+  boost::asio::io_context& context;
+  std::string self;
+  SlotBrokerHooks hooks;
   boost::asio::steady_timer timer;
   std::optional<core::TimePoint> timerDue;
   routing::DispatcherSettings settings;
   std::map<std::string, std::unique_ptr<routing::ServiceDispatcher>, std::less<>>
     dispatchers;
   std::map<std::uint64_t, Pending> pending;
+  std::map<std::uint64_t, Remote> remotes;
+  std::map<std::pair<std::string, std::uint64_t>, std::uint64_t> remoteNumbers;
+  std::map<std::string, PeerState, std::less<>> peerStates;
   std::uint64_t lastNumber = 0;
 };
 
--- /dev/null
+++ b/modules/proxy/StoreRelay.h
@@ -0,0 +1,127 @@
+#pragma once
+
+#include "core/Hooks.h"
+#include "store/ObjectReplica.h"
+#include "wire/StoreNews.h"
+#include "wire/StoreNewsRequest.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fireflytrail::proxy {
+
+/** The surroundings of a `StoreRelay`. All functions must be set. */
+struct StoreRelayHooks
+{
+  core::NowFunction now;
+  /** Sends news to every known daemon. */
+  std::function<void(const wire::StoreNews&)> broadcast;
+  /** Sends news to one daemon. */
+  std::function<void(const std::string& aTo, const wire::StoreNews&)> reply;
+  /** Asks one daemon for whole kinds. */
+  std::function<void(const std::string& aTo, const wire::StoreNewsRequest&)>
+    request;
+  /** Receives the changed objects of a kind, deleted ones too. */
+  std::function<void(const std::string& aKind,
+                     const std::vector<store::ObjectRecord>&)>
+    onObjects;
+  /** Told that a kind is known up to a revision from another daemon. */
+  std::function<void(const std::string& aKind, std::uint64_t)> onRevision;
+  /** Returns when the store answered this daemon last, if it does. */
+  std::function<std::optional<core::TimePoint>()> lastContact;
+};
+
+/**
+ * Spreads what some daemons read from the store to all, since each call to the
+ * store is paid for and its rates do not grow with the fleet.
+ *
+ * A daemon watches the store unless it hears from `kWatcherCount` daemons that
+ * do and that come before it in an order by hash. Those send a beat every
+ * `kBeatInterval` while the store answers them, so that the next daemons take
+ * over when they stop, freeze or lose the store, without an election.
+ *
+ * Performs no I/O. Not thread-safe.
+ */
+class StoreRelay
+{
+public:
+  /** Daemons that watch: two may fail together without a gap. */
+  static constexpr std::size_t kWatcherCount = 3;
+
+  /** Time between two beats of a daemon that watches. */
+  static constexpr std::chrono::milliseconds kBeatInterval{ 400 };
+
+  /** A watching daemon that is silent for this long is not counted: two lost
+   * beats, and below the shortest bound of the platform, 2 s. */
+  static constexpr std::chrono::milliseconds kBeatLimit{ 1000 };
+
+  /** A store that has not answered for this long does not count as answering:
+   * the longest wait of a watch of the kinds with the shortest bounds. */
+  static constexpr std::chrono::milliseconds kContactLimit{ 2000 };
+
+  /** `aSelf` is the name of this daemon. */
+  StoreRelay(std::string aSelf,
+             std::vector<std::string> aKinds,
+             StoreRelayHooks aHooks);
+  StoreRelay(const StoreRelay&) = delete;
+  StoreRelay& operator=(const StoreRelay&) = delete;
+
+  /** Takes all objects of a kind that this daemon has listed. */
+  void OnListed(const std::string& aKind,
+                std::uint64_t aRevision,
+                std::vector<store::ObjectRecord> aObjects);
+
+  /** Takes changes that this daemon has watched. */
+  void OnWatched(const std::string& aKind,
+                 std::vector<store::ObjectRecord> aObjects);
+
+  /** Takes news of another daemon. */
+  void OnNews(const std::string& aFrom, const wire::StoreNews& aNews);
+
+  /** Answers a daemon that asks for whole kinds. */
+  void OnRequest(const std::string& aFrom,
+                 const wire::StoreNewsRequest& aRequest);
+
+  /** Sends a beat if this daemon watches. Call every `kBeatInterval`. */
+  void Tick();
+
+  /** Returns whether this daemon should watch the store. */
+  bool ShouldWatch() const;
+
+  /** Returns how long ago any daemon is known to have reached the store;
+   * nothing if none has. */
+  std::optional<std::chrono::nanoseconds> Age() const;
+
+private:
+  struct Watcher
+  {
+    core::TimePoint heardAt;
+  };
+
+  bool IsInContact() const;
+  wire::KindNews NewsOf(const std::string& aKind,
+                        std::uint64_t aBase,
+                        const std::vector<store::ObjectRecord>& aObjects) const;
+  void TakeKind(const std::string& aFrom,
+                const wire::KindNews& aNews,
+                std::vector<std::string>& aMissing);
+
+  std::string self;
+  std::vector<std::string> kinds;
+  StoreRelayHooks hooks;
+  store::ObjectReplica replica;
+  /** Kinds of which all objects are known. */
+  std::set<std::string, std::less<>> listed;
+  std::map<std::string, Watcher, std::less<>> watchers;
+  /** When whole kinds were asked for last. */
+  core::TimePoint requestedAt{};
+};
+
+} // namespace fireflytrail::proxy
--- a/modules/routing/LoadSample.h
+++ b/modules/routing/LoadSample.h
@@ -12,6 +12,8 @@
   std::uint32_t slots = 1;
   /** How long work takes at this moment, relative to usual. */
   double slowdown = 1;
+
+  bool operator==(const LoadSample&) const = default;
 };
 
 } // namespace fireflytrail::routing
--- a/modules/routing/ServiceDirectory.cpp
+++ b/modules/routing/ServiceDirectory.cpp
@@ -39,25 +39,6 @@
   }
 }
 
-void
-ServiceDirectory::ReplaceAll(std::vector<BackendInstance> aInstances)
-{
-  std::set<std::string> listed;
-  for (BackendInstance& instance : aInstances) {
-    listed.insert(instance.id);
-    this->Put(std::move(instance));
-  }
-  std::vector<std::string> missing;
-  for (const auto& [id, entry] : this->entries) {
-    if (!listed.contains(id)) {
-      missing.push_back(id);
-    }
-  }
-  for (const std::string& id : missing) {
-    this->Remove(id);
-  }
-}
-
 void
 ServiceDirectory::NoteStoreReturn()
 {
@@ -116,35 +97,50 @@
 std::vector<DispatchTarget>
 ServiceDirectory::TargetsOf(std::string_view aService) const
 {
-  const auto rollout = this->rollouts.find(aService);
   std::vector<DispatchTarget> targets;
   for (const auto& [id, entry] : this->entries) {
-    const BackendInstance& instance = *entry.instance;
-    if (instance.service != aService) {
-      continue;
-    }
-    DispatchTarget target{ entry.instance,
-                           !instance.isDraining &&
-                             !this->domainsOut.contains(instance.failureDomain),
-                           false };
-    if (rollout != this->rollouts.end()) {
-      const bool isNew =
-        instance.version == rollout->second.targetVersion;
-      switch (rollout->second.state) {
-        case RolloutState::Running:
-          target.isOnTrial = isNew;
-          break;
-        case RolloutState::Completed:
-          target.isUsable = target.isUsable && isNew;
-          break;
-        case RolloutState::RolledBack:
-          target.isUsable = target.isUsable && !isNew;
-          break;
-      }
+    if (entry.instance->service == aService) {
+      targets.push_back(this->TargetOf(entry.instance));
     }
-    targets.push_back(std::move(target));
   }
   return targets;
 }
 
+bool
+ServiceDirectory::IsUsable(const BackendInstance& aInstance) const
+{
+  const auto found = this->entries.find(aInstance.id);
+  return found != this->entries.end() &&
+         found->second.instance->address == aInstance.address &&
+         this->TargetOf(found->second.instance).isUsable;
+}
+
+DispatchTarget
+ServiceDirectory::TargetOf(
+  const std::shared_ptr<const BackendInstance>& aInstance) const
+{
+  DispatchTarget target{ aInstance,
+                         !aInstance->isDraining &&
+                           !this->domainsOut.contains(
+                             aInstance->failureDomain),
+                         false };
+  const auto rollout = this->rollouts.find(aInstance->service);
+  if (rollout == this->rollouts.end()) {
+    return target;
+  }
+  const bool isNew = aInstance->version == rollout->second.targetVersion;
+  switch (rollout->second.state) {
+    case RolloutState::Running:
+      target.isOnTrial = isNew;
+      break;
+    case RolloutState::Completed:
+      target.isUsable = target.isUsable && isNew;
+      break;
+    case RolloutState::RolledBack:
+      target.isUsable = target.isUsable && !isNew;
+      break;
+  }
+  return target;
+}
+
 } // namespace fireflytrail::routing
--- a/modules/routing/ServiceDirectory.h
+++ b/modules/routing/ServiceDirectory.h
@@ -41,9 +41,6 @@
   /** Removes an instance, or marks it as lapsed. Unknown ids are ignored. */
   void Remove(const std::string& aId);
 
-  /** Replaces all instances, as after a list. */
-  void ReplaceAll(std::vector<BackendInstance> aInstances);
-
   /** Notes that the store answers again. */
   void NoteStoreReturn();
 
@@ -74,6 +71,9 @@
   /** Returns the instances of a service and whether they may get requests. */
   std::vector<DispatchTarget> TargetsOf(std::string_view aService) const;
 
+  /** Whether an instance is known and may get requests, on trial or not. */
+  bool IsUsable(const BackendInstance& aInstance) const;
+
   /** Returns the number of instances. */
   std::size_t InstanceCount() const { return this->entries.size(); }
 
@@ -84,6 +84,9 @@
   }
 
 private:
+  DispatchTarget TargetOf(
+    const std::shared_ptr<const BackendInstance>& aInstance) const;
+
   struct Entry
   {
     std::shared_ptr<const BackendInstance> instance;
--- a/modules/routing/ServiceDispatcher.cpp
+++ b/modules/routing/ServiceDispatcher.cpp
@@ -156,6 +156,28 @@
   this->ServeWaiting();
 }
 
+void
+ServiceDispatcher::Observe(const BackendInstance& aInstance,
+                           UseOutcome aOutcome,
+                           nanoseconds aDuration,
+                           const std::optional<LoadSample>& aSample)
+{
+  const auto target = this->targets.find(KeyOf(aInstance));
+  if (target == this->targets.end()) {
+    return;
+  }
+  const TimePoint now = this->hooks.now();
+  InstanceLoad& load = target->second.load;
+  load.Begin();
+  load.End(aOutcome, aDuration, this->typical, now);
+  if (aSample) {
+    load.Report(*aSample, now);
+  }
+  if (aOutcome == UseOutcome::Answered) {
+    this->TakeTypical(aDuration);
+  }
+}
+
 void
 ServiceDispatcher::Tick()
 {
--- a/modules/routing/ServiceDispatcher.h
+++ b/modules/routing/ServiceDispatcher.h
@@ -113,6 +113,12 @@
                std::chrono::nanoseconds aDuration,
                const std::optional<LoadSample>& aSample);
 
+  /** Takes what became of a use of an instance that was not granted here. */
+  void Observe(const BackendInstance& aInstance,
+               UseOutcome aOutcome,
+               std::chrono::nanoseconds aDuration,
+               const std::optional<LoadSample>& aSample);
+
   /** Decides what has become due. Call at `NextDue`. */
   void Tick();
 
--- /dev/null
+++ b/modules/store/ObjectReplica.cpp
@@ -0,0 +1,117 @@
+#include "store/ObjectReplica.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace fireflytrail::store {
+
+std::vector<ObjectRecord>
+ObjectReplica::ReplaceAll(std::string_view aKind,
+                          std::uint64_t aRevision,
+                          std::vector<ObjectRecord> aObjects)
+{
+  Kind& kind = this->kinds[std::string(aKind)];
+  std::vector<ObjectRecord> changed;
+  std::set<std::string, std::less<>> listed;
+  for (ObjectRecord& object : aObjects) {
+    listed.insert(object.name);
+    if (Take(kind, object)) {
+      changed.push_back(std::move(object));
+    }
+  }
+  for (const auto& [name, known] : kind.objects) {
+    if (known.isDeleted || listed.contains(name) ||
+        known.revision > aRevision) {
+      continue;
+    }
+    ObjectRecord gone;
+    gone.kind = std::string(aKind);
+    gone.name = name;
+    gone.revision = aRevision;
+    gone.isDeleted = true;
+    changed.push_back(std::move(gone));
+  }
+  for (const ObjectRecord& object : changed) {
+    if (object.isDeleted) {
+      Take(kind, object);
+    }
+  }
+  kind.isListed = true;
+  for (const auto& [name, known] : kind.objects) {
+    kind.lastChange = std::max(kind.lastChange, known.revision);
+  }
+  return changed;
+}
+
+std::vector<ObjectRecord>
+ObjectReplica::Apply(std::string_view aKind,
+                     std::uint64_t aBase,
+                     std::vector<ObjectRecord> aObjects)
+{
+  Kind& kind = this->kinds[std::string(aKind)];
+  const bool isComplete = kind.isListed && aBase <= kind.lastChange;
+  std::vector<ObjectRecord> changed;
+  for (ObjectRecord& object : aObjects) {
+    if (isComplete) {
+      kind.lastChange = std::max(kind.lastChange, object.revision);
+    }
+    if (Take(kind, object)) {
+      changed.push_back(std::move(object));
+    }
+  }
+  return changed;
+}
+
+void
+ObjectReplica::NoteComplete(std::string_view aKind, std::uint64_t aRevision)
+{
+  Kind& kind = this->kinds[std::string(aKind)];
+  kind.isListed = true;
+  kind.lastChange = std::max(kind.lastChange, aRevision);
+}
+
+std::uint64_t
+ObjectReplica::LastChange(std::string_view aKind) const
+{
+  const auto found = this->kinds.find(aKind);
+  return found == this->kinds.end() ? 0 : found->second.lastChange;
+}
+
+std::vector<ObjectRecord>
+ObjectReplica::Objects(std::string_view aKind) const
+{
+  std::vector<ObjectRecord> objects;
+  const auto found = this->kinds.find(aKind);
+  if (found == this->kinds.end()) {
+    return objects;
+  }
+  for (const auto& [name, object] : found->second.objects) {
+    if (!object.isDeleted) {
+      objects.push_back(object);
+    }
+  }
+  return objects;
+}
+
+bool
+ObjectReplica::Take(Kind& aKind, const ObjectRecord& aObject)
+{
+  const auto [known, isNew] =
+    aKind.objects.try_emplace(aObject.name, aObject);
+  if (isNew) {
+    return true;
+  }
+  // A deletion carries the revision of the object's last change if the store
+  // states no other.
+  const bool isNewer =
+    aObject.revision > known->second.revision ||
+    (aObject.revision == known->second.revision && aObject.isDeleted &&
+     !known->second.isDeleted);
+  if (isNewer) {
+    known->second = aObject;
+  }
+  return isNewer;
+}
+
+} // namespace fireflytrail::store
--- a/modules/store/ObjectWatcher.cpp
+++ b/modules/store/ObjectWatcher.cpp
@@ -17,10 +17,6 @@
 // slow; a call without an answer after this is lost.
 constexpr milliseconds kCallTimeout = 1500ms;
 
-// A waiting watch can go silent without a reset, so its answer is awaited only
-// this long: news is then late by less than the shortest bound, 2 s.
-constexpr milliseconds kWatchWait = 1500ms;
-
 // Time beyond its wait that the answer to a watch may take: a slow store answers
 // in a quarter of a second.
 constexpr milliseconds kWatchSlack = 400ms;
@@ -39,7 +35,7 @@
 
 } // namespace
 
-ObjectWatcher::ObjectWatcher(std::vector<std::string> aKinds,
+ObjectWatcher::ObjectWatcher(std::vector<WatchedKind> aKinds,
                              ObjectDialect aDialect,
                              WatcherHooks aHooks)
   : kinds(std::move(aKinds))
@@ -50,24 +46,44 @@
   assert(this->hooks.now && this->hooks.random && this->hooks.send);
   assert(this->hooks.after && this->hooks.onList && this->hooks.onChanges);
   assert(this->hooks.onContact && this->hooks.onCall);
-  for (const std::string& kind : this->kinds) {
-    this->progress[kind];
+  for (const WatchedKind& kind : this->kinds) {
+    this->progress[kind.name].wait = kind.wait;
   }
 }
 
 void
 ObjectWatcher::Start()
 {
-  for (const std::string& kind : this->kinds) {
-    this->Continue(kind);
+  for (const WatchedKind& kind : this->kinds) {
+    this->Continue(kind.name);
+  }
+}
+
+void
+ObjectWatcher::SetActive(bool aIsActive)
+{
+  if (aIsActive == this->isActive) {
+    return;
+  }
+  this->isActive = aIsActive;
+  for (const WatchedKind& kind : this->kinds) {
+    this->Continue(kind.name);
   }
 }
 
+void
+ObjectWatcher::NoteRevision(const std::string& aKind, std::uint64_t aRevision)
+{
+  Progress& state = this->progress.at(aKind);
+  state.revision = std::max(state.revision, aRevision);
+}
+
 void
 ObjectWatcher::Continue(const std::string& aKind)
 {
   Progress& state = this->progress.at(aKind);
-  if (this->isStopped || state.isBusy) {
+  if (this->isStopped || state.isBusy ||
+      (!this->isActive && state.revision != 0)) {
     return;
   }
   if (this->isLost && this->isTesting) {
@@ -98,7 +114,7 @@
 {
   // A test must answer at once; a waiting watch would not tell whether the
   // store is back.
-  const milliseconds wait = this->isLost ? milliseconds(0) : kWatchWait;
+  const milliseconds wait = this->isLost ? milliseconds(0) : this->progress.at(aKind).wait;
   this->Send(
     aKind,
     this->dialect.watchTarget(aKind, this->progress.at(aKind).revision, wait),
@@ -159,7 +175,7 @@
   }
   state.after.clear();
   state.revision = page.value().revision;
-  this->hooks.onList(aKind, std::exchange(state.listed, {}));
+  this->hooks.onList(aKind, state.revision, std::exchange(state.listed, {}));
   this->NoteContact();
   this->Continue(aKind);
 }
@@ -187,11 +203,11 @@
   // Contact is told first: who receives the changes may want to know that the
   // store was away.
   this->NoteContact();
+  this->hooks.onChanges(aKind, std::move(page.value().objects));
   if (!hasChanges) {
     this->Continue(aKind);
     return;
   }
-  this->hooks.onChanges(aKind, std::move(page.value().objects));
   this->hooks.after(kCoalesceTime, [this, aKind] { this->Continue(aKind); });
 }
 
@@ -206,8 +222,8 @@
   this->isLost = false;
   this->isTesting = false;
   this->hooks.onContact(false, "");
-  for (const std::string& kind : this->kinds) {
-    this->Continue(kind);
+  for (const WatchedKind& kind : this->kinds) {
+    this->Continue(kind.name);
   }
 }
 
--- a/modules/store/ObjectWatcher.h
+++ b/modules/store/ObjectWatcher.h
@@ -15,6 +15,15 @@
 
 namespace fireflytrail::store {
 
+/** A kind of objects that is kept up to date. */
+struct WatchedKind
+{
+  std::string name;
+  /** Longest time that a watch waits. A waiting watch can go silent without a
+   * reset, so this is how late news of the kind may be. */
+  std::chrono::milliseconds wait{ 0 };
+};
+
 /** The surroundings of an `ObjectWatcher`. All functions must be set. */
 struct WatcherHooks
 {
@@ -25,10 +34,12 @@
     send;
   /** Calls the function after a time. */
   std::function<void(std::chrono::milliseconds, std::function<void()>)> after;
-  /** Receives all objects of a kind that exist. */
-  std::function<void(const std::string& aKind, std::vector<ObjectRecord>)>
+  /** Receives all objects of a kind as of a revision. */
+  std::function<
+    void(const std::string& aKind, std::uint64_t, std::vector<ObjectRecord>)>
     onList;
-  /** Receives the objects of a kind that have changed. */
+  /** Receives the objects of a kind that have changed; none if a watch ended
+   * without a change. */
   std::function<void(const std::string& aKind, std::vector<ObjectRecord>)>
     onChanges;
   /** Told the end of each call, for logs. */
@@ -50,7 +61,7 @@
 {
 public:
   /** `aKinds` is not empty; the first is used to test the store. */
-  ObjectWatcher(std::vector<std::string> aKinds,
+  ObjectWatcher(std::vector<WatchedKind> aKinds,
                 ObjectDialect aDialect,
                 WatcherHooks aHooks);
   ObjectWatcher(const ObjectWatcher&) = delete;
@@ -62,6 +73,15 @@
   /** Starts no more requests. */
   void Stop() { this->isStopped = true; }
 
+  /**
+   * Sets whether the kinds are watched. If not, each is still listed once. A
+   * watch that waits is not cut off.
+   */
+  void SetActive(bool aIsActive);
+
+  /** Notes that a kind is known up to a revision from elsewhere. */
+  void NoteRevision(const std::string& aKind, std::uint64_t aRevision);
+
   /** Whether the last call failed. */
   bool IsLost() const { return this->isLost; }
 
@@ -83,6 +103,7 @@
     /** 0 until the kind has been listed. */
     std::uint64_t revision = 0;
     bool isBusy = false;
+    std::chrono::milliseconds wait{ 0 };
   };
 
   void Continue(const std::string& aKind);
@@ -97,13 +118,14 @@
   void NoteContact();
   void NoteFailure(const std::string& aKind, const std::string& aDetail);
 
-  std::vector<std::string> kinds;
+  std::vector<WatchedKind> kinds;
   ObjectDialect dialect;
   WatcherHooks hooks;
   std::map<std::string, Progress, std::less<>> progress;
   bool isLost = false;
   bool isTesting = false;
   bool isStopped = false;
+  bool isActive = true;
   unsigned failures = 0;
   std::optional<core::TimePoint> lastContact;
   std::uint64_t callCount = 0;
--- /dev/null
+++ b/modules/wire/ConversionTools.h
@@ -0,0 +1,72 @@
+#pragma once
+
+#include "wire/messages_generated.h"
+
+#include <flatbuffers/flatbuffers.h>
+
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+/** Helpers of the conversions to and from FlatBuffers. All are thread-safe. */
+namespace fireflytrail::wire {
+
+using flatbuffers::FlatBufferBuilder;
+using flatbuffers::Offset;
+
+/** A message that was written, as a member of the envelope's union. */
+template<typename T>
+struct Written
+{
+  fbs::Message type;
+  Offset<T> offset;
+
+  Offset<void> Union() const { return this->offset.Union(); }
+};
+
+inline Offset<flatbuffers::Vector<std::uint8_t>>
+WriteBytes(FlatBufferBuilder& aBuilder, std::string_view aBytes)
+{
+  return aBytes.empty()
+           ? Offset<flatbuffers::Vector<std::uint8_t>>()
+           : aBuilder.CreateVector(
+               reinterpret_cast<const std::uint8_t*>(aBytes.data()),
+               aBytes.size());
+}
+
+inline Offset<flatbuffers::String>
+WriteOptional(FlatBufferBuilder& aBuilder, std::string_view aText)
+{
+  return aText.empty() ? Offset<flatbuffers::String>()
+                       : aBuilder.CreateString(aText);
+}
+
+inline std::string
+TextOf(const flatbuffers::String* aText)
+{
+  return aText == nullptr ? std::string() : aText->str();
+}
+
+inline std::string
+BytesOf(const flatbuffers::Vector<std::uint8_t>* aBytes)
+{
+  return aBytes == nullptr
+           ? std::string()
+           : std::string(reinterpret_cast<const char*>(aBytes->data()),
+                         aBytes->size());
+}
+
+/**
+ * Whether the elements of a vector are aligned. The verifier of FlatBuffers
+ * 2.0.8 checks only the vector's length field.
+ */
+template<typename T>
+bool
+IsAligned(const flatbuffers::Vector<T>* aVector, std::size_t aAlignment)
+{
+  return aVector == nullptr ||
+         reinterpret_cast<std::uintptr_t>(aVector->Data()) % aAlignment == 0;
+}
+
+} // namespace fireflytrail::wire
--- /dev/null
+++ b/modules/wire/EntryConversion.cpp
@@ -0,0 +1,224 @@
+#include "wire/EntryConversion.h"
+
+#include <algorithm>
+#include <cmath>
+#include <limits>
+#include <utility>
+
+namespace fireflytrail::wire {
+
+namespace {
+
+constexpr double kPercent = 100;
+
+std::uint32_t
+CountOf(std::int64_t aCount)
+{
+  return static_cast<std::uint32_t>(std::clamp<std::int64_t>(
+    aCount, 0, std::numeric_limits<std::uint32_t>::max()));
+}
+
+} // namespace
+
+Written<fbs::SlotRequest>
+Write(FlatBufferBuilder& aBuilder, const SlotRequest& aRequest)
+{
+  const auto service = aBuilder.CreateString(aRequest.service);
+  const auto domain = WriteOptional(aBuilder, aRequest.failureDomain);
+  const auto avoid = aRequest.avoid.empty()
+                       ? Offset<flatbuffers::Vector<std::uint64_t>>()
+                       : aBuilder.CreateVector(aRequest.avoid);
+  return { fbs::Message::SlotRequest,
+           fbs::CreateSlotRequest(aBuilder,
+                                  aRequest.number,
+                                  service,
+                                  domain,
+                                  CountOf(aRequest.goal.count()),
+                                  CountOf(aRequest.deadline.count()),
+                                  aRequest.priority,
+                                  avoid) };
+}
+
+Written<fbs::SlotDecision>
+Write(FlatBufferBuilder& aBuilder, const SlotDecision& aDecision)
+{
+  const auto& instance = aDecision.instance;
+  const auto id = WriteOptional(aBuilder, instance.id);
+  const auto address = WriteOptional(aBuilder, instance.address);
+  const auto domain = WriteOptional(aBuilder, instance.failureDomain);
+  const auto version = WriteOptional(aBuilder, instance.version);
+  return { fbs::Message::SlotDecision,
+           fbs::CreateSlotDecision(aBuilder,
+                                   aDecision.number,
+                                   static_cast<std::uint8_t>(aDecision.kind),
+                                   aDecision.grant,
+                                   id,
+                                   address,
+                                   domain,
+                                   version,
+                                   instance.slots,
+                                   instance.startedAt,
+                                   CountOf(aDecision.retryAfter.count())) };
+}
+
+Written<fbs::SlotRelease>
+Write(FlatBufferBuilder& aBuilder, const SlotRelease& aRelease)
+{
+  const auto service = aBuilder.CreateString(aRelease.service);
+  const routing::LoadSample load = aRelease.load.value_or(routing::LoadSample{});
+  return { fbs::Message::SlotRelease,
+           fbs::CreateSlotRelease(
+             aBuilder,
+             aRelease.number,
+             service,
+             aRelease.grant,
+             static_cast<std::uint8_t>(aRelease.outcome),
+             static_cast<std::uint64_t>(
+               std::max<std::int64_t>(aRelease.duration.count(), 0)),
+             aRelease.load.has_value(),
+             load.running,
+             load.waiting,
+             load.slots,
+             CountOf(std::llround(load.slowdown * kPercent))) };
+}
+
+Written<fbs::StoreNews>
+Write(FlatBufferBuilder& aBuilder, const StoreNews& aNews)
+{
+  std::vector<Offset<fbs::KindNews>> kinds;
+  kinds.reserve(aNews.kinds.size());
+  for (const KindNews& part : aNews.kinds) {
+    std::vector<Offset<fbs::NewsObject>> objects;
+    objects.reserve(part.objects.size());
+    for (const NewsObject& object : part.objects) {
+      const auto name = aBuilder.CreateString(object.name);
+      const auto content = WriteBytes(aBuilder, object.content);
+      objects.push_back(fbs::CreateNewsObject(
+        aBuilder, name, object.revision, object.isDeleted, content));
+    }
+    const auto kind = aBuilder.CreateString(part.kind);
+    const auto written =
+      objects.empty() ? Offset<flatbuffers::Vector<Offset<fbs::NewsObject>>>()
+                      : aBuilder.CreateVector(objects);
+    kinds.push_back(fbs::CreateKindNews(
+      aBuilder, kind, part.base, part.revision, part.isWhole, written));
+  }
+  const auto written = aBuilder.CreateVector(kinds);
+  return { fbs::Message::StoreNews, fbs::CreateStoreNews(aBuilder, written) };
+}
+
+Written<fbs::StoreNewsRequest>
+Write(FlatBufferBuilder& aBuilder, const StoreNewsRequest& aRequest)
+{
+  const auto kinds = aBuilder.CreateVectorOfStrings(aRequest.kinds);
+  return { fbs::Message::StoreNewsRequest,
+           fbs::CreateStoreNewsRequest(aBuilder, kinds) };
+}
+
+FrameError
+Read(const fbs::SlotRequest& aRequest, WireMessage& aMessage)
+{
+  if (!IsAligned(aRequest.avoid(), alignof(std::uint64_t))) {
+    return FrameError::Corrupt;
+  }
+  SlotRequest request;
+  request.number = aRequest.number();
+  request.service = aRequest.service()->str();
+  request.failureDomain = TextOf(aRequest.failure_domain());
+  request.goal = std::chrono::milliseconds(aRequest.goal_ms());
+  request.deadline = std::chrono::milliseconds(aRequest.deadline_ms());
+  request.priority = aRequest.priority();
+  if (aRequest.avoid() != nullptr) {
+    request.avoid.assign(aRequest.avoid()->begin(), aRequest.avoid()->end());
+  }
+  aMessage = std::move(request);
+  return FrameError::None;
+}
+
+FrameError
+Read(const fbs::SlotDecision& aDecision, WireMessage& aMessage)
+{
+  if (aDecision.error_kind() >
+      static_cast<std::uint8_t>(core::ErrorKind::Internal)) {
+    return FrameError::Corrupt;
+  }
+  SlotDecision decision;
+  decision.number = aDecision.number();
+  decision.kind = static_cast<core::ErrorKind>(aDecision.error_kind());
+  decision.grant = aDecision.grant();
+  decision.instance.id = TextOf(aDecision.instance());
+  decision.instance.address = TextOf(aDecision.address());
+  decision.instance.failureDomain = TextOf(aDecision.failure_domain());
+  decision.instance.version = TextOf(aDecision.version());
+  decision.instance.slots = aDecision.slots();
+  decision.instance.startedAt = aDecision.started_at();
+  decision.retryAfter = std::chrono::milliseconds(aDecision.retry_after_ms());
+  aMessage = std::move(decision);
+  return FrameError::None;
+}
+
+FrameError
+Read(const fbs::SlotRelease& aRelease, WireMessage& aMessage)
+{
+  if (aRelease.outcome() >
+      static_cast<std::uint8_t>(routing::UseOutcome::Cancelled)) {
+    return FrameError::Corrupt;
+  }
+  SlotRelease release;
+  release.number = aRelease.number();
+  release.service = aRelease.service()->str();
+  release.grant = aRelease.grant();
+  release.outcome = static_cast<routing::UseOutcome>(aRelease.outcome());
+  constexpr std::uint64_t kMostMicroseconds = std::uint64_t{ 1 } << 40U;
+  release.duration = std::chrono::microseconds(
+    std::min(aRelease.duration_us(), kMostMicroseconds));
+  if (aRelease.has_load()) {
+    release.load =
+      routing::LoadSample{ aRelease.running(),
+                           aRelease.waiting(),
+                           std::max(aRelease.slots(), 1U),
+                           aRelease.slowdown_percent() / kPercent };
+  }
+  aMessage = std::move(release);
+  return FrameError::None;
+}
+
+FrameError
+Read(const fbs::StoreNews& aNews, WireMessage& aMessage)
+{
+  StoreNews news;
+  if (aNews.kinds() != nullptr) {
+    for (const fbs::KindNews* part : *aNews.kinds()) {
+      KindNews read{
+        part->kind()->str(), part->base(), part->revision(), part->whole(), {}
+      };
+      if (part->objects() != nullptr) {
+        read.objects.reserve(part->objects()->size());
+        for (const fbs::NewsObject* object : *part->objects()) {
+          read.objects.push_back({ object->name()->str(),
+                                   object->revision(),
+                                   object->deleted(),
+                                   BytesOf(object->content()) });
+        }
+      }
+      news.kinds.push_back(std::move(read));
+    }
+  }
+  aMessage = std::move(news);
+  return FrameError::None;
+}
+
+FrameError
+Read(const fbs::StoreNewsRequest& aRequest, WireMessage& aMessage)
+{
+  StoreNewsRequest request;
+  if (aRequest.kinds() != nullptr) {
+    for (const flatbuffers::String* kind : *aRequest.kinds()) {
+      request.kinds.push_back(kind->str());
+    }
+  }
+  aMessage = std::move(request);
+  return FrameError::None;
+}
+
+} // namespace fireflytrail::wire
--- a/modules/wire/MessageConversion.cpp
+++ b/modules/wire/MessageConversion.cpp
@@ -1,5 +1,7 @@
 #include "wire/MessageConversion.h"
 
+#include "wire/ConversionTools.h"
+#include "wire/EntryConversion.h"
 #include "wire/messages_generated.h"
 
 #include <flatbuffers/flatbuffers.h>
@@ -13,40 +15,11 @@
 
 namespace {
 
-using flatbuffers::FlatBufferBuilder;
-using flatbuffers::Offset;
-
 // Tables of the schema nest at most 5 deep. Every field can be absent, so a
 // table takes at least 4 bytes and the frame limit bounds their number.
 constexpr flatbuffers::uoffset_t kMaxDepth = 8;
 constexpr flatbuffers::uoffset_t kMaxTables = 1'000'000;
 
-template<typename T>
-struct Written
-{
-  fbs::Message type;
-  Offset<T> offset;
-
-  Offset<void> Union() const { return this->offset.Union(); }
-};
-
-Offset<flatbuffers::Vector<std::uint8_t>>
-WriteBytes(FlatBufferBuilder& aBuilder, std::string_view aBytes)
-{
-  return aBytes.empty()
-           ? Offset<flatbuffers::Vector<std::uint8_t>>()
-           : aBuilder.CreateVector(
-               reinterpret_cast<const std::uint8_t*>(aBytes.data()),
-               aBytes.size());
-}
-
-Offset<flatbuffers::String>
-WriteOptional(FlatBufferBuilder& aBuilder, std::string_view aText)
-{
-  return aText.empty() ? Offset<flatbuffers::String>()
-                       : aBuilder.CreateString(aText);
-}
-
 Offset<fbs::DaemonId>
 WriteId(FlatBufferBuilder& aBuilder, const core::DaemonId& aId)
 {
@@ -245,39 +218,12 @@
              static_cast<std::uint8_t>(aAnswer.outcome)) };
 }
 
-std::string
-TextOf(const flatbuffers::String* aText)
-{
-  return aText == nullptr ? std::string() : aText->str();
-}
-
-std::string
-BytesOf(const flatbuffers::Vector<std::uint8_t>* aBytes)
-{
-  return aBytes == nullptr
-           ? std::string()
-           : std::string(reinterpret_cast<const char*>(aBytes->data()),
-                         aBytes->size());
-}
-
 core::DaemonId
 IdOf(const fbs::DaemonId* aId)
 {
   return { aId->name()->str(), aId->start() };
 }
 
-/**
- * Whether the elements of a vector are aligned. The verifier of FlatBuffers
- * 2.0.8 checks only the vector's length field.
- */
-template<typename T>
-bool
-IsAligned(const flatbuffers::Vector<T>* aVector, std::size_t aAlignment)
-{
-  return aVector == nullptr ||
-         reinterpret_cast<std::uintptr_t>(aVector->Data()) % aAlignment == 0;
-}
-
 std::vector<gossip::DigestEntry>
 EntriesOf(const flatbuffers::Vector<const fbs::DigestEntry*>* aEntries)
 {
@@ -516,6 +462,16 @@
       return Read(*envelope.message_as_ForwardCall(), aMessage);
     case fbs::Message::ForwardAnswer:
       return Read(*envelope.message_as_ForwardAnswer(), aMessage);
+    case fbs::Message::SlotRequest:
+      return Read(*envelope.message_as_SlotRequest(), aMessage);
+    case fbs::Message::SlotDecision:
+      return Read(*envelope.message_as_SlotDecision(), aMessage);
+    case fbs::Message::SlotRelease:
+      return Read(*envelope.message_as_SlotRelease(), aMessage);
+    case fbs::Message::StoreNews:
+      return Read(*envelope.message_as_StoreNews(), aMessage);
+    case fbs::Message::StoreNewsRequest:
+      return Read(*envelope.message_as_StoreNewsRequest(), aMessage);
     case fbs::Message::NONE:
       break;
   }
--- a/modules/wire/WireMessage.h
+++ b/modules/wire/WireMessage.h
@@ -7,6 +7,11 @@
 #include "wire/ForwardAnswer.h"
 #include "wire/ForwardCall.h"
 #include "wire/Hello.h"
+#include "wire/SlotDecision.h"
+#include "wire/SlotRelease.h"
+#include "wire/SlotRequest.h"
+#include "wire/StoreNews.h"
+#include "wire/StoreNewsRequest.h"
 
 #include <variant>
 
@@ -19,6 +24,11 @@
                                  gossip::DesiredRequest,
                                  gossip::DesiredResponse,
                                  ForwardCall,
-                                 ForwardAnswer>;
+                                 ForwardAnswer,
+                                 SlotRequest,
+                                 SlotDecision,
+                                 SlotRelease,
+                                 StoreNews,
+                                 StoreNewsRequest>;
 
 } // namespace fireflytrail::wire
--- a/modules/wire/messages_generated.h
+++ b/modules/wire/messages_generated.h
@@ -56,6 +56,27 @@
 struct ForwardAnswer;
 struct ForwardAnswerBuilder;
 
+struct SlotRequest;
+struct SlotRequestBuilder;
+
+struct SlotDecision;
+struct SlotDecisionBuilder;
+
+struct SlotRelease;
+struct SlotReleaseBuilder;
+
+struct NewsObject;
+struct NewsObjectBuilder;
+
+struct KindNews;
+struct KindNewsBuilder;
+
+struct StoreNews;
+struct StoreNewsBuilder;
+
+struct StoreNewsRequest;
+struct StoreNewsRequestBuilder;
+
 struct Envelope;
 struct EnvelopeBuilder;
 
@@ -101,11 +122,16 @@
   DesiredResponse = 5,
   ForwardCall = 6,
   ForwardAnswer = 7,
+  SlotRequest = 8,
+  SlotDecision = 9,
+  SlotRelease = 10,
+  StoreNews = 11,
+  StoreNewsRequest = 12,
   MIN = NONE,
-  MAX = ForwardAnswer
+  MAX = StoreNewsRequest
 };
 
-inline const Message (&EnumValuesMessage())[8] {
+inline const Message (&EnumValuesMessage())[13] {
   static const Message values[] = {
     Message::NONE,
     Message::Hello,
@@ -114,13 +140,18 @@
     Message::DesiredRequest,
     Message::DesiredResponse,
     Message::ForwardCall,
-    Message::ForwardAnswer
+    Message::ForwardAnswer,
+    Message::SlotRequest,
+    Message::SlotDecision,
+    Message::SlotRelease,
+    Message::StoreNews,
+    Message::StoreNewsRequest
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[9] = {
+  static const char * const names[14] = {
     "NONE",
     "Hello",
     "GossipDigest",
@@ -129,13 +160,18 @@
     "DesiredResponse",
     "ForwardCall",
     "ForwardAnswer",
+    "SlotRequest",
+    "SlotDecision",
+    "SlotRelease",
+    "StoreNews",
+    "StoreNewsRequest",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::ForwardAnswer)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::StoreNewsRequest)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -172,6 +208,26 @@
   static const Message enum_value = Message::ForwardAnswer;
 };
 
+template<> struct MessageTraits<fireflytrail::wire::fbs::SlotRequest> {
+  static const Message enum_value = Message::SlotRequest;
+};
+
+template<> struct MessageTraits<fireflytrail::wire::fbs::SlotDecision> {
+  static const Message enum_value = Message::SlotDecision;
+};
+
+template<> struct MessageTraits<fireflytrail::wire::fbs::SlotRelease> {
+  static const Message enum_value = Message::SlotRelease;
+};
+
+template<> struct MessageTraits<fireflytrail::wire::fbs::StoreNews> {
+  static const Message enum_value = Message::StoreNews;
+};
+
+template<> struct MessageTraits<fireflytrail::wire::fbs::StoreNewsRequest> {
+  static const Message enum_value = Message::StoreNewsRequest;
+};
+
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
 bool VerifyMessageVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Message> *types);
 
@@ -1469,6 +1525,798 @@
       outcome);
 }
 
+struct SlotRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SlotRequestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_SERVICE = 6,
+    VT_FAILURE_DOMAIN = 8,
+    VT_GOAL_MS = 10,
+    VT_DEADLINE_MS = 12,
+    VT_PRIORITY = 14,
+    VT_AVOID = 16
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  const flatbuffers::String *failure_domain() const {
+    return GetPointer<const flatbuffers::String *>(VT_FAILURE_DOMAIN);
+  }
+  uint32_t goal_ms() const {
+    return GetField<uint32_t>(VT_GOAL_MS, 0);
+  }
+  uint32_t deadline_ms() const {
+    return GetField<uint32_t>(VT_DEADLINE_MS, 0);
+  }
+  uint32_t priority() const {
+    return GetField<uint32_t>(VT_PRIORITY, 0);
+  }
+  const flatbuffers::Vector<uint64_t> *avoid() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_AVOID);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyOffsetRequired(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_FAILURE_DOMAIN) &&
+           verifier.VerifyString(failure_domain()) &&
+           VerifyField<uint32_t>(verifier, VT_GOAL_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_DEADLINE_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_PRIORITY, 4) &&
+           VerifyOffset(verifier, VT_AVOID) &&
+           verifier.VerifyVector(avoid()) &&
+           verifier.EndTable();
+  }
+};
+
+struct SlotRequestBuilder {
+  typedef SlotRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(SlotRequest::VT_NUMBER, number, 0);
+  }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(SlotRequest::VT_SERVICE, service);
+  }
+  void add_failure_domain(flatbuffers::Offset<flatbuffers::String> failure_domain) {
+    fbb_.AddOffset(SlotRequest::VT_FAILURE_DOMAIN, failure_domain);
+  }
+  void add_goal_ms(uint32_t goal_ms) {
+    fbb_.AddElement<uint32_t>(SlotRequest::VT_GOAL_MS, goal_ms, 0);
+  }
+  void add_deadline_ms(uint32_t deadline_ms) {
+    fbb_.AddElement<uint32_t>(SlotRequest::VT_DEADLINE_MS, deadline_ms, 0);
+  }
+  void add_priority(uint32_t priority) {
+    fbb_.AddElement<uint32_t>(SlotRequest::VT_PRIORITY, priority, 0);
+  }
+  void add_avoid(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> avoid) {
+    fbb_.AddOffset(SlotRequest::VT_AVOID, avoid);
+  }
+  explicit SlotRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<SlotRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<SlotRequest>(end);
+    fbb_.Required(o, SlotRequest::VT_SERVICE);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<SlotRequest> CreateSlotRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> failure_domain = 0,
+    uint32_t goal_ms = 0,
+    uint32_t deadline_ms = 0,
+    uint32_t priority = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> avoid = 0) {
+  SlotRequestBuilder builder_(_fbb);
+  builder_.add_number(number);
+  builder_.add_avoid(avoid);
+  builder_.add_priority(priority);
+  builder_.add_deadline_ms(deadline_ms);
+  builder_.add_goal_ms(goal_ms);
+  builder_.add_failure_domain(failure_domain);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+struct SlotRequest::Traits {
+  using type = SlotRequest;
+  static auto constexpr Create = CreateSlotRequest;
+};
+
+inline flatbuffers::Offset<SlotRequest> CreateSlotRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    const char *service = nullptr,
+    const char *failure_domain = nullptr,
+    uint32_t goal_ms = 0,
+    uint32_t deadline_ms = 0,
+    uint32_t priority = 0,
+    const std::vector<uint64_t> *avoid = nullptr) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto failure_domain__ = failure_domain ? _fbb.CreateString(failure_domain) : 0;
+  auto avoid__ = avoid ? _fbb.CreateVector<uint64_t>(*avoid) : 0;
+  return fireflytrail::wire::fbs::CreateSlotRequest(
+      _fbb,
+      number,
+      service__,
+      failure_domain__,
+      goal_ms,
+      deadline_ms,
+      priority,
+      avoid__);
+}
+
+struct SlotDecision FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SlotDecisionBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_ERROR_KIND = 6,
+    VT_GRANT = 8,
+    VT_INSTANCE = 10,
+    VT_ADDRESS = 12,
+    VT_FAILURE_DOMAIN = 14,
+    VT_VERSION = 16,
+    VT_SLOTS = 18,
+    VT_STARTED_AT = 20,
+    VT_RETRY_AFTER_MS = 22
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  uint8_t error_kind() const {
+    return GetField<uint8_t>(VT_ERROR_KIND, 0);
+  }
+  uint64_t grant() const {
+    return GetField<uint64_t>(VT_GRANT, 0);
+  }
+  const flatbuffers::String *instance() const {
+    return GetPointer<const flatbuffers::String *>(VT_INSTANCE);
+  }
+  const flatbuffers::String *address() const {
+    return GetPointer<const flatbuffers::String *>(VT_ADDRESS);
+  }
+  const flatbuffers::String *failure_domain() const {
+    return GetPointer<const flatbuffers::String *>(VT_FAILURE_DOMAIN);
+  }
+  const flatbuffers::String *version() const {
+    return GetPointer<const flatbuffers::String *>(VT_VERSION);
+  }
+  uint32_t slots() const {
+    return GetField<uint32_t>(VT_SLOTS, 0);
+  }
+  uint64_t started_at() const {
+    return GetField<uint64_t>(VT_STARTED_AT, 0);
+  }
+  uint32_t retry_after_ms() const {
+    return GetField<uint32_t>(VT_RETRY_AFTER_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyField<uint8_t>(verifier, VT_ERROR_KIND, 1) &&
+           VerifyField<uint64_t>(verifier, VT_GRANT, 8) &&
+           VerifyOffset(verifier, VT_INSTANCE) &&
+           verifier.VerifyString(instance()) &&
+           VerifyOffset(verifier, VT_ADDRESS) &&
+           verifier.VerifyString(address()) &&
+           VerifyOffset(verifier, VT_FAILURE_DOMAIN) &&
+           verifier.VerifyString(failure_domain()) &&
+           VerifyOffset(verifier, VT_VERSION) &&
+           verifier.VerifyString(version()) &&
+           VerifyField<uint32_t>(verifier, VT_SLOTS, 4) &&
+           VerifyField<uint64_t>(verifier, VT_STARTED_AT, 8) &&
+           VerifyField<uint32_t>(verifier, VT_RETRY_AFTER_MS, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct SlotDecisionBuilder {
+  typedef SlotDecision Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(SlotDecision::VT_NUMBER, number, 0);
+  }
+  void add_error_kind(uint8_t error_kind) {
+    fbb_.AddElement<uint8_t>(SlotDecision::VT_ERROR_KIND, error_kind, 0);
+  }
+  void add_grant(uint64_t grant) {
+    fbb_.AddElement<uint64_t>(SlotDecision::VT_GRANT, grant, 0);
+  }
+  void add_instance(flatbuffers::Offset<flatbuffers::String> instance) {
+    fbb_.AddOffset(SlotDecision::VT_INSTANCE, instance);
+  }
+  void add_address(flatbuffers::Offset<flatbuffers::String> address) {
+    fbb_.AddOffset(SlotDecision::VT_ADDRESS, address);
+  }
+  void add_failure_domain(flatbuffers::Offset<flatbuffers::String> failure_domain) {
+    fbb_.AddOffset(SlotDecision::VT_FAILURE_DOMAIN, failure_domain);
+  }
+  void add_version(flatbuffers::Offset<flatbuffers::String> version) {
+    fbb_.AddOffset(SlotDecision::VT_VERSION, version);
+  }
+  void add_slots(uint32_t slots) {
+    fbb_.AddElement<uint32_t>(SlotDecision::VT_SLOTS, slots, 0);
+  }
+  void add_started_at(uint64_t started_at) {
+    fbb_.AddElement<uint64_t>(SlotDecision::VT_STARTED_AT, started_at, 0);
+  }
+  void add_retry_after_ms(uint32_t retry_after_ms) {
+    fbb_.AddElement<uint32_t>(SlotDecision::VT_RETRY_AFTER_MS, retry_after_ms, 0);
+  }
+  explicit SlotDecisionBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<SlotDecision> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<SlotDecision>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<SlotDecision> CreateSlotDecision(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    uint8_t error_kind = 0,
+    uint64_t grant = 0,
+    flatbuffers::Offset<flatbuffers::String> instance = 0,
+    flatbuffers::Offset<flatbuffers::String> address = 0,
+    flatbuffers::Offset<flatbuffers::String> failure_domain = 0,
+    flatbuffers::Offset<flatbuffers::String> version = 0,
+    uint32_t slots = 0,
+    uint64_t started_at = 0,
+    uint32_t retry_after_ms = 0) {
+  SlotDecisionBuilder builder_(_fbb);
+  builder_.add_started_at(started_at);
+  builder_.add_grant(grant);
+  builder_.add_number(number);
+  builder_.add_retry_after_ms(retry_after_ms);
+  builder_.add_slots(slots);
+  builder_.add_version(version);
+  builder_.add_failure_domain(failure_domain);
+  builder_.add_address(address);
+  builder_.add_instance(instance);
+  builder_.add_error_kind(error_kind);
+  return builder_.Finish();
+}
+
+struct SlotDecision::Traits {
+  using type = SlotDecision;
+  static auto constexpr Create = CreateSlotDecision;
+};
+
+inline flatbuffers::Offset<SlotDecision> CreateSlotDecisionDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    uint8_t error_kind = 0,
+    uint64_t grant = 0,
+    const char *instance = nullptr,
+    const char *address = nullptr,
+    const char *failure_domain = nullptr,
+    const char *version = nullptr,
+    uint32_t slots = 0,
+    uint64_t started_at = 0,
+    uint32_t retry_after_ms = 0) {
+  auto instance__ = instance ? _fbb.CreateString(instance) : 0;
+  auto address__ = address ? _fbb.CreateString(address) : 0;
+  auto failure_domain__ = failure_domain ? _fbb.CreateString(failure_domain) : 0;
+  auto version__ = version ? _fbb.CreateString(version) : 0;
+  return fireflytrail::wire::fbs::CreateSlotDecision(
+      _fbb,
+      number,
+      error_kind,
+      grant,
+      instance__,
+      address__,
+      failure_domain__,
+      version__,
+      slots,
+      started_at,
+      retry_after_ms);
+}
+
+struct SlotRelease FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef SlotReleaseBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NUMBER = 4,
+    VT_SERVICE = 6,
+    VT_GRANT = 8,
+    VT_OUTCOME = 10,
+    VT_DURATION_US = 12,
+    VT_HAS_LOAD = 14,
+    VT_RUNNING = 16,
+    VT_WAITING = 18,
+    VT_SLOTS = 20,
+    VT_SLOWDOWN_PERCENT = 22
+  };
+  uint64_t number() const {
+    return GetField<uint64_t>(VT_NUMBER, 0);
+  }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  uint64_t grant() const {
+    return GetField<uint64_t>(VT_GRANT, 0);
+  }
+  uint8_t outcome() const {
+    return GetField<uint8_t>(VT_OUTCOME, 0);
+  }
+  uint64_t duration_us() const {
+    return GetField<uint64_t>(VT_DURATION_US, 0);
+  }
+  bool has_load() const {
+    return GetField<uint8_t>(VT_HAS_LOAD, 0) != 0;
+  }
+  uint32_t running() const {
+    return GetField<uint32_t>(VT_RUNNING, 0);
+  }
+  uint32_t waiting() const {
+    return GetField<uint32_t>(VT_WAITING, 0);
+  }
+  uint32_t slots() const {
+    return GetField<uint32_t>(VT_SLOTS, 0);
+  }
+  uint32_t slowdown_percent() const {
+    return GetField<uint32_t>(VT_SLOWDOWN_PERCENT, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
+           VerifyOffsetRequired(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyField<uint64_t>(verifier, VT_GRANT, 8) &&
+           VerifyField<uint8_t>(verifier, VT_OUTCOME, 1) &&
+           VerifyField<uint64_t>(verifier, VT_DURATION_US, 8) &&
+           VerifyField<uint8_t>(verifier, VT_HAS_LOAD, 1) &&
+           VerifyField<uint32_t>(verifier, VT_RUNNING, 4) &&
+           VerifyField<uint32_t>(verifier, VT_WAITING, 4) &&
+           VerifyField<uint32_t>(verifier, VT_SLOTS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_SLOWDOWN_PERCENT, 4) &&
+           verifier.EndTable();
+  }
+};
+
+struct SlotReleaseBuilder {
+  typedef SlotRelease Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_number(uint64_t number) {
+    fbb_.AddElement<uint64_t>(SlotRelease::VT_NUMBER, number, 0);
+  }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(SlotRelease::VT_SERVICE, service);
+  }
+  void add_grant(uint64_t grant) {
+    fbb_.AddElement<uint64_t>(SlotRelease::VT_GRANT, grant, 0);
+  }
+  void add_outcome(uint8_t outcome) {
+    fbb_.AddElement<uint8_t>(SlotRelease::VT_OUTCOME, outcome, 0);
+  }
+  void add_duration_us(uint64_t duration_us) {
+    fbb_.AddElement<uint64_t>(SlotRelease::VT_DURATION_US, duration_us, 0);
+  }
+  void add_has_load(bool has_load) {
+    fbb_.AddElement<uint8_t>(SlotRelease::VT_HAS_LOAD, static_cast<uint8_t>(has_load), 0);
+  }
+  void add_running(uint32_t running) {
+    fbb_.AddElement<uint32_t>(SlotRelease::VT_RUNNING, running, 0);
+  }
+  void add_waiting(uint32_t waiting) {
+    fbb_.AddElement<uint32_t>(SlotRelease::VT_WAITING, waiting, 0);
+  }
+  void add_slots(uint32_t slots) {
+    fbb_.AddElement<uint32_t>(SlotRelease::VT_SLOTS, slots, 0);
+  }
+  void add_slowdown_percent(uint32_t slowdown_percent) {
+    fbb_.AddElement<uint32_t>(SlotRelease::VT_SLOWDOWN_PERCENT, slowdown_percent, 0);
+  }
+  explicit SlotReleaseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<SlotRelease> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<SlotRelease>(end);
+    fbb_.Required(o, SlotRelease::VT_SERVICE);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<SlotRelease> CreateSlotRelease(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    uint64_t grant = 0,
+    uint8_t outcome = 0,
+    uint64_t duration_us = 0,
+    bool has_load = false,
+    uint32_t running = 0,
+    uint32_t waiting = 0,
+    uint32_t slots = 0,
+    uint32_t slowdown_percent = 0) {
+  SlotReleaseBuilder builder_(_fbb);
+  builder_.add_duration_us(duration_us);
+  builder_.add_grant(grant);
+  builder_.add_number(number);
+  builder_.add_slowdown_percent(slowdown_percent);
+  builder_.add_slots(slots);
+  builder_.add_waiting(waiting);
+  builder_.add_running(running);
+  builder_.add_service(service);
+  builder_.add_has_load(has_load);
+  builder_.add_outcome(outcome);
+  return builder_.Finish();
+}
+
+struct SlotRelease::Traits {
+  using type = SlotRelease;
+  static auto constexpr Create = CreateSlotRelease;
+};
+
+inline flatbuffers::Offset<SlotRelease> CreateSlotReleaseDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t number = 0,
+    const char *service = nullptr,
+    uint64_t grant = 0,
+    uint8_t outcome = 0,
+    uint64_t duration_us = 0,
+    bool has_load = false,
+    uint32_t running = 0,
+    uint32_t waiting = 0,
+    uint32_t slots = 0,
+    uint32_t slowdown_percent = 0) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  return fireflytrail::wire::fbs::CreateSlotRelease(
+      _fbb,
+      number,
+      service__,
+      grant,
+      outcome,
+      duration_us,
+      has_load,
+      running,
+      waiting,
+      slots,
+      slowdown_percent);
+}
+
+struct NewsObject FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef NewsObjectBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NAME = 4,
+    VT_REVISION = 6,
+    VT_DELETED = 8,
+    VT_CONTENT = 10
+  };
+  const flatbuffers::String *name() const {
+    return GetPointer<const flatbuffers::String *>(VT_NAME);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  bool deleted() const {
+    return GetField<uint8_t>(VT_DELETED, 0) != 0;
+  }
+  const flatbuffers::Vector<uint8_t> *content() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_CONTENT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_NAME) &&
+           verifier.VerifyString(name()) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_DELETED, 1) &&
+           VerifyOffset(verifier, VT_CONTENT) &&
+           verifier.VerifyVector(content()) &&
+           verifier.EndTable();
+  }
+};
+
+struct NewsObjectBuilder {
+  typedef NewsObject Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_name(flatbuffers::Offset<flatbuffers::String> name) {
+    fbb_.AddOffset(NewsObject::VT_NAME, name);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(NewsObject::VT_REVISION, revision, 0);
+  }
+  void add_deleted(bool deleted) {
+    fbb_.AddElement<uint8_t>(NewsObject::VT_DELETED, static_cast<uint8_t>(deleted), 0);
+  }
+  void add_content(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> content) {
+    fbb_.AddOffset(NewsObject::VT_CONTENT, content);
+  }
+  explicit NewsObjectBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<NewsObject> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<NewsObject>(end);
+    fbb_.Required(o, NewsObject::VT_NAME);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<NewsObject> CreateNewsObject(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> name = 0,
+    uint64_t revision = 0,
+    bool deleted = false,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> content = 0) {
+  NewsObjectBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_content(content);
+  builder_.add_name(name);
+  builder_.add_deleted(deleted);
+  return builder_.Finish();
+}
+
+struct NewsObject::Traits {
+  using type = NewsObject;
+  static auto constexpr Create = CreateNewsObject;
+};
+
+inline flatbuffers::Offset<NewsObject> CreateNewsObjectDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *name = nullptr,
+    uint64_t revision = 0,
+    bool deleted = false,
+    const std::vector<uint8_t> *content = nullptr) {
+  auto name__ = name ? _fbb.CreateString(name) : 0;
+  auto content__ = content ? _fbb.CreateVector<uint8_t>(*content) : 0;
+  return fireflytrail::wire::fbs::CreateNewsObject(
+      _fbb,
+      name__,
+      revision,
+      deleted,
+      content__);
+}
+
+struct KindNews FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef KindNewsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KIND = 4,
+    VT_BASE = 6,
+    VT_REVISION = 8,
+    VT_WHOLE = 10,
+    VT_OBJECTS = 12
+  };
+  const flatbuffers::String *kind() const {
+    return GetPointer<const flatbuffers::String *>(VT_KIND);
+  }
+  uint64_t base() const {
+    return GetField<uint64_t>(VT_BASE, 0);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  bool whole() const {
+    return GetField<uint8_t>(VT_WHOLE, 0) != 0;
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<fireflytrail::wire::fbs::NewsObject>> *objects() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<fireflytrail::wire::fbs::NewsObject>> *>(VT_OBJECTS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_KIND) &&
+           verifier.VerifyString(kind()) &&
+           VerifyField<uint64_t>(verifier, VT_BASE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint8_t>(verifier, VT_WHOLE, 1) &&
+           VerifyOffset(verifier, VT_OBJECTS) &&
+           verifier.VerifyVector(objects()) &&
+           verifier.VerifyVectorOfTables(objects()) &&
+           verifier.EndTable();
+  }
+};
+
+struct KindNewsBuilder {
+  typedef KindNews Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_kind(flatbuffers::Offset<flatbuffers::String> kind) {
+    fbb_.AddOffset(KindNews::VT_KIND, kind);
+  }
+  void add_base(uint64_t base) {
+    fbb_.AddElement<uint64_t>(KindNews::VT_BASE, base, 0);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(KindNews::VT_REVISION, revision, 0);
+  }
+  void add_whole(bool whole) {
+    fbb_.AddElement<uint8_t>(KindNews::VT_WHOLE, static_cast<uint8_t>(whole), 0);
+  }
+  void add_objects(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fireflytrail::wire::fbs::NewsObject>>> objects) {
+    fbb_.AddOffset(KindNews::VT_OBJECTS, objects);
+  }
+  explicit KindNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<KindNews> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<KindNews>(end);
+    fbb_.Required(o, KindNews::VT_KIND);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<KindNews> CreateKindNews(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> kind = 0,
+    uint64_t base = 0,
+    uint64_t revision = 0,
+    bool whole = false,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fireflytrail::wire::fbs::NewsObject>>> objects = 0) {
+  KindNewsBuilder builder_(_fbb);
+  builder_.add_revision(revision);
+  builder_.add_base(base);
+  builder_.add_objects(objects);
+  builder_.add_kind(kind);
+  builder_.add_whole(whole);
+  return builder_.Finish();
+}
+
+struct KindNews::Traits {
+  using type = KindNews;
+  static auto constexpr Create = CreateKindNews;
+};
+
+inline flatbuffers::Offset<KindNews> CreateKindNewsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *kind = nullptr,
+    uint64_t base = 0,
+    uint64_t revision = 0,
+    bool whole = false,
+    const std::vector<flatbuffers::Offset<fireflytrail::wire::fbs::NewsObject>> *objects = nullptr) {
+  auto kind__ = kind ? _fbb.CreateString(kind) : 0;
+  auto objects__ = objects ? _fbb.CreateVector<flatbuffers::Offset<fireflytrail::wire::fbs::NewsObject>>(*objects) : 0;
+  return fireflytrail::wire::fbs::CreateKindNews(
+      _fbb,
+      kind__,
+      base,
+      revision,
+      whole,
+      objects__);
+}
+
+struct StoreNews FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StoreNewsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KINDS = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<fireflytrail::wire::fbs::KindNews>> *kinds() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<fireflytrail::wire::fbs::KindNews>> *>(VT_KINDS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_KINDS) &&
+           verifier.VerifyVector(kinds()) &&
+           verifier.VerifyVectorOfTables(kinds()) &&
+           verifier.EndTable();
+  }
+};
+
+struct StoreNewsBuilder {
+  typedef StoreNews Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_kinds(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fireflytrail::wire::fbs::KindNews>>> kinds) {
+    fbb_.AddOffset(StoreNews::VT_KINDS, kinds);
+  }
+  explicit StoreNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StoreNews> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StoreNews>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StoreNews> CreateStoreNews(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fireflytrail::wire::fbs::KindNews>>> kinds = 0) {
+  StoreNewsBuilder builder_(_fbb);
+  builder_.add_kinds(kinds);
+  return builder_.Finish();
+}
+
+struct StoreNews::Traits {
+  using type = StoreNews;
+  static auto constexpr Create = CreateStoreNews;
+};
+
+inline flatbuffers::Offset<StoreNews> CreateStoreNewsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<fireflytrail::wire::fbs::KindNews>> *kinds = nullptr) {
+  auto kinds__ = kinds ? _fbb.CreateVector<flatbuffers::Offset<fireflytrail::wire::fbs::KindNews>>(*kinds) : 0;
+  return fireflytrail::wire::fbs::CreateStoreNews(
+      _fbb,
+      kinds__);
+}
+
+struct StoreNewsRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StoreNewsRequestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_KINDS = 4
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *kinds() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_KINDS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_KINDS) &&
+           verifier.VerifyVector(kinds()) &&
+           verifier.VerifyVectorOfStrings(kinds()) &&
+           verifier.EndTable();
+  }
+};
+
+struct StoreNewsRequestBuilder {
+  typedef StoreNewsRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_kinds(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> kinds) {
+    fbb_.AddOffset(StoreNewsRequest::VT_KINDS, kinds);
+  }
+  explicit StoreNewsRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StoreNewsRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StoreNewsRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StoreNewsRequest> CreateStoreNewsRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> kinds = 0) {
+  StoreNewsRequestBuilder builder_(_fbb);
+  builder_.add_kinds(kinds);
+  return builder_.Finish();
+}
+
+struct StoreNewsRequest::Traits {
+  using type = StoreNewsRequest;
+  static auto constexpr Create = CreateStoreNewsRequest;
+};
+
+inline flatbuffers::Offset<StoreNewsRequest> CreateStoreNewsRequestDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *kinds = nullptr) {
+  auto kinds__ = kinds ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*kinds) : 0;
+  return fireflytrail::wire::fbs::CreateStoreNewsRequest(
+      _fbb,
+      kinds__);
+}
+
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EnvelopeBuilder Builder;
   struct Traits;
@@ -1508,6 +2356,21 @@
   const fireflytrail::wire::fbs::ForwardAnswer *message_as_ForwardAnswer() const {
     return message_type() == fireflytrail::wire::fbs::Message::ForwardAnswer ? static_cast<const fireflytrail::wire::fbs::ForwardAnswer *>(message()) : nullptr;
   }
+  const fireflytrail::wire::fbs::SlotRequest *message_as_SlotRequest() const {
+    return message_type() == fireflytrail::wire::fbs::Message::SlotRequest ? static_cast<const fireflytrail::wire::fbs::SlotRequest *>(message()) : nullptr;
+  }
+  const fireflytrail::wire::fbs::SlotDecision *message_as_SlotDecision() const {
+    return message_type() == fireflytrail::wire::fbs::Message::SlotDecision ? static_cast<const fireflytrail::wire::fbs::SlotDecision *>(message()) : nullptr;
+  }
+  const fireflytrail::wire::fbs::SlotRelease *message_as_SlotRelease() const {
+    return message_type() == fireflytrail::wire::fbs::Message::SlotRelease ? static_cast<const fireflytrail::wire::fbs::SlotRelease *>(message()) : nullptr;
+  }
+  const fireflytrail::wire::fbs::StoreNews *message_as_StoreNews() const {
+    return message_type() == fireflytrail::wire::fbs::Message::StoreNews ? static_cast<const fireflytrail::wire::fbs::StoreNews *>(message()) : nullptr;
+  }
+  const fireflytrail::wire::fbs::StoreNewsRequest *message_as_StoreNewsRequest() const {
+    return message_type() == fireflytrail::wire::fbs::Message::StoreNewsRequest ? static_cast<const fireflytrail::wire::fbs::StoreNewsRequest *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_PROTOCOL, 4) &&
@@ -1546,6 +2409,26 @@
   return message_as_ForwardAnswer();
 }
 
+template<> inline const fireflytrail::wire::fbs::SlotRequest *Envelope::message_as<fireflytrail::wire::fbs::SlotRequest>() const {
+  return message_as_SlotRequest();
+}
+
+template<> inline const fireflytrail::wire::fbs::SlotDecision *Envelope::message_as<fireflytrail::wire::fbs::SlotDecision>() const {
+  return message_as_SlotDecision();
+}
+
+template<> inline const fireflytrail::wire::fbs::SlotRelease *Envelope::message_as<fireflytrail::wire::fbs::SlotRelease>() const {
+  return message_as_SlotRelease();
+}
+
+template<> inline const fireflytrail::wire::fbs::StoreNews *Envelope::message_as<fireflytrail::wire::fbs::StoreNews>() const {
+  return message_as_StoreNews();
+}
+
+template<> inline const fireflytrail::wire::fbs::StoreNewsRequest *Envelope::message_as<fireflytrail::wire::fbs::StoreNewsRequest>() const {
+  return message_as_StoreNewsRequest();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -1620,6 +2503,26 @@
       auto ptr = reinterpret_cast<const fireflytrail::wire::fbs::ForwardAnswer *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::SlotRequest: {
+      auto ptr = reinterpret_cast<const fireflytrail::wire::fbs::SlotRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::SlotDecision: {
+      auto ptr = reinterpret_cast<const fireflytrail::wire::fbs::SlotDecision *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::SlotRelease: {
+      auto ptr = reinterpret_cast<const fireflytrail::wire::fbs::SlotRelease *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::StoreNews: {
+      auto ptr = reinterpret_cast<const fireflytrail::wire::fbs::StoreNews *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::StoreNewsRequest: {
+      auto ptr = reinterpret_cast<const fireflytrail::wire::fbs::StoreNewsRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
