--- a/modules/calls/CallFlow.h
+++ b/modules/calls/CallFlow.h
@@ -93,8 +93,8 @@
   CallStep Begin();
 
   /**
-   * The answer to the last `ChooseStep`: a server, or an error whose outcome is
-   * "not run".
+   * The answer to the last `ChooseStep`: a server, `RequestCrashesServers`, or
+   * an error whose outcome is "not run".
    */
   CallStep ServerChosen(core::Result<ServerHandle> aChosen);
 
--- a/modules/gateway/PeerHub.cpp
+++ b/modules/gateway/PeerHub.cpp
@@ -65,6 +65,7 @@
     peer.address = known->second;
   }
   if (const auto link = this->LinkTo(peer)) {
+    ++this->counts.sent[aMessage.index()];
     link->Send(std::move(aMessage));
   }
 }
--- a/modules/gateway/PeerHub.h
+++ b/modules/gateway/PeerHub.h
@@ -11,6 +11,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -18,6 +19,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <variant>
 
 namespace fireflytrail::gateway {
 
@@ -29,6 +31,8 @@
 struct PeerCounts
 {
   std::uint64_t bytes = 0;
+  /** Messages sent, by their place in `wire::WireMessage`. */
+  std::array<std::uint64_t, std::variant_size_v<wire::WireMessage>> sent{};
   std::uint64_t corruptFrames = 0;
   std::uint64_t unknownVersions = 0;
 };
--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -45,6 +45,11 @@
 
 constexpr milliseconds kStopCheckInterval = 100ms;
 
+// Hosts that start together are up within 0.3 s. A record that is pushed then
+// makes each known to all within a second.
+constexpr milliseconds kAnnounceDelay = 400ms;
+constexpr std::string_view kStartKey = "started";
+
 // Longest waits of watches. News of kinds with bounds of 2 s may be late by the
 // first, news of kinds with bounds of 5 s by the second.
 constexpr milliseconds kUrgentWatchWait = 1500ms;
@@ -69,6 +74,15 @@
   return engine();
 }
 
+/** Returns the number of messages of a type that were sent. */
+template<typename Message>
+std::int64_t
+SentOf(const gateway::PeerCounts& aCounts)
+{
+  const std::size_t place = wire::WireMessage(Message{}).index();
+  return static_cast<std::int64_t>(aCounts.sent[place]);
+}
+
 tcp::endpoint
 SocketEndpoint(const configuration::Endpoint& aEndpoint)
 {
@@ -90,14 +104,12 @@
   , lapseTimer(this->context)
   , settingsTimer(this->context)
   , beatTimer(this->context)
+  , startTimer(this->context)
   , gossipTimer(this->context)
   , self{ aSettings.peerListen.ToString(), RandomNumber() }
   , callMetrics(this->metrics)
   , ledger(this->self, RandomNumber(), std::chrono::steady_clock::now)
-  , guard(std::chrono::steady_clock::now,
-          [this](const calls::CrashEntry& aEntry) {
-            this->records->Publish(aEntry);
-          })
+  , guard(std::chrono::steady_clock::now)
   , broker(this->context, this->self.name, this->MakeBrokerHooks())
   , shared{ .context = this->context,
             .broker = this->broker,
@@ -218,16 +230,14 @@
   return {
     .now = std::chrono::steady_clock::now,
     .broadcast =
-      [this](const wire::StoreNews& aNews) {
+      [this](const wire::WireMessage& aMessage) {
         for (const std::string& name : this->PeerNames()) {
-          this->SendTo(name, aNews);
+          this->SendTo(name, aMessage);
         }
       },
-    .reply = [this](const std::string& aTo,
-                    const wire::StoreNews& aNews) { this->SendTo(aTo, aNews); },
-    .request =
-      [this](const std::string& aTo, const wire::StoreNewsRequest& aRequest) {
-        this->SendTo(aTo, aRequest);
+    .send =
+      [this](const std::string& aTo, wire::WireMessage aMessage) {
+        this->SendTo(aTo, std::move(aMessage));
       },
     .onObjects =
       [this](const std::string& aKind,
@@ -262,6 +272,7 @@
       [this](const routing::BackendInstance& aInstance) {
         return this->directory.IsUsable(aInstance);
       },
+    .guard = this->guard,
     .peerChanged =
       [this](const std::string& aName, bool aIsLost) {
         this->log.Write(LogLevel::Info,
@@ -302,17 +313,9 @@
         [this](const gossip::Peer& aPeer, const gossip::GossipMessage& aPart) {
           this->hub->SendGossip(aPeer, aPart);
         },
-      .recordChanged = [this](const core::DaemonId&,
-                              const gossip::Record& aRecord) {
-        this->OnRecord(aRecord);
-      },
+      .recordChanged = {},
       .desiredAccepted = {},
       .hostsAccepted = {} });
-  this->records = std::make_unique<daemon::GossipRecords>(
-    std::chrono::steady_clock::now,
-    [this](std::string_view aKey, std::string_view aValue) {
-      this->node->Exchanger().PublishUrgent(aKey, aValue);
-    });
   std::vector<gossip::ListedHost> firstPeers;
   for (const configuration::Endpoint& seed : this->settings.firstPeers) {
     configuration::Endpoint peer = seed;
@@ -383,6 +386,7 @@
   this->WatchSettings();
   this->OnBeat();
   this->OnGossipTick();
+  this->AnnounceStart();
   this->log.Write(LogLevel::Info,
                   "daemon_started",
                   { { "name", this->settings.name },
@@ -429,6 +433,17 @@
   });
 }
 
+void
+ProxyDaemon::AnnounceStart()
+{
+  this->startTimer.expires_after(kAnnounceDelay);
+  this->startTimer.async_wait([this](boost::system::error_code aError) {
+    if (!aError) {
+      this->node->Exchanger().PublishUrgent(kStartKey, "1");
+    }
+  });
+}
+
 void
 ProxyDaemon::OnGossipTick()
 {
@@ -452,26 +467,19 @@
   } else if (const auto* release = std::get_if<wire::SlotRelease>(&aPart)) {
     this->broker.OnMessage(aFrom, *release);
   } else if (const auto* news = std::get_if<wire::StoreNews>(&aPart)) {
+    this->relay->OnNews(aFrom, *news);
+  } else if (const auto* beat = std::get_if<wire::StoreBeat>(&aPart)) {
     const auto age = this->relay->Age();
     if (!age || *age > StoreRelay::kContactLimit) {
       this->directory.NoteStoreReturn();
     }
-    this->relay->OnNews(aFrom, *news);
+    this->relay->OnBeat(aFrom, *beat);
   } else if (const auto* wanted =
                std::get_if<wire::StoreNewsRequest>(&aPart)) {
     this->relay->OnRequest(aFrom, *wanted);
   }
 }
 
-void
-ProxyDaemon::OnRecord(const gossip::Record& aRecord)
-{
-  for (const calls::CrashEntry& entry :
-       daemon::GossipRecords::ParseCrashes(aRecord.key, aRecord.value)) {
-    this->guard.Merge(entry);
-  }
-}
-
 void
 ProxyDaemon::SendTo(const std::string& aName, wire::WireMessage aMessage)
 {
@@ -860,12 +868,34 @@
   this->log.Write(LogLevel::Info, "settings_reloaded");
 }
 
+void
+ProxyDaemon::LogPeerTraffic() const
+{
+  const gateway::PeerCounts& counts = this->hub->Counts();
+  this->log.Write(
+    LogLevel::Info,
+    "peer_traffic",
+    { { "bytes", static_cast<std::int64_t>(counts.bytes) },
+      { "store_calls",
+        static_cast<std::int64_t>(this->watcher->CallCount()) },
+      { "is_watching", this->relay->ShouldWatch() },
+      { "gossip_digests", SentOf<gossip::Digest>(counts) },
+      { "gossip_deltas", SentOf<gossip::Delta>(counts) },
+      { "slot_requests", SentOf<wire::SlotRequest>(counts) },
+      { "slot_decisions", SentOf<wire::SlotDecision>(counts) },
+      { "slot_releases", SentOf<wire::SlotRelease>(counts) },
+      { "store_news", SentOf<wire::StoreNews>(counts) },
+      { "store_beats", SentOf<wire::StoreBeat>(counts) },
+      { "store_requests", SentOf<wire::StoreNewsRequest>(counts) } });
+}
+
 void
 ProxyDaemon::WatchSettings()
 {
   this->settingsTimer.expires_after(kSettingsInterval);
   this->settingsTimer.async_wait([this](boost::system::error_code aError) {
     if (!aError) {
+      this->LogPeerTraffic();
       this->ReloadSettings();
       this->WatchSettings();
     }
--- a/modules/proxy/ProxyDaemon.h
+++ b/modules/proxy/ProxyDaemon.h
@@ -9,7 +9,6 @@
 #include "core/Log.h"
 #include "daemon/Metrics.h"
 #include "daemon/OperatorEndpoint.h"
-#include "daemon/GossipRecords.h"
 #include "gateway/CallerSession.h"
 #include "gateway/PeerHub.h"
 #include "gossip/GossipNode.h"
@@ -81,8 +80,8 @@
   void OnRollouts(const std::vector<store::ObjectRecord>& aObjects);
   void OnDomainsOut(const std::vector<store::ObjectRecord>& aObjects);
   void OnPeerMessage(const std::string& aFrom, const wire::WireMessage& aPart);
-  void OnRecord(const gossip::Record& aRecord);
   void OnBeat();
+  void AnnounceStart();
   void OnGossipTick();
   void SendTo(const std::string& aName, wire::WireMessage aMessage);
   std::vector<std::string> PeerNames() const;
@@ -106,6 +105,7 @@
   void CloseIdleSessions();
   void ReloadSettings();
   void WatchSettings();
+  void LogPeerTraffic() const;
 
   std::string MetricsText();
   std::string DumpText() const;
@@ -120,6 +120,7 @@
   boost::asio::steady_timer lapseTimer;
   boost::asio::steady_timer settingsTimer;
   boost::asio::steady_timer beatTimer;
+  boost::asio::steady_timer startTimer;
   boost::asio::steady_timer gossipTimer;
   core::DaemonId self;
   daemon::Metrics metrics;
@@ -133,7 +134,6 @@
   std::unique_ptr<StoreRelay> relay;
   std::shared_ptr<gateway::PeerHub> hub;
   std::unique_ptr<gossip::GossipNode> node;
-  std::unique_ptr<daemon::GossipRecords> records;
   routing::ServiceDirectory directory;
   std::shared_ptr<const routing::HttpRouteTable> routes;
   std::set<std::string, std::less<>> domainsOut;
--- a/modules/proxy/RequestRunner.cpp
+++ b/modules/proxy/RequestRunner.cpp
@@ -89,10 +89,11 @@
 RequestRunner::Begin()
 {
   calls::CallRequest request;
-  request.digest =
+  this->digest =
     calls::RequestDigest(boost::beast::http::to_string(this->call.method),
                          this->call.host + this->call.target,
                          this->call.body);
+  request.digest = this->digest;
   request.deadline = this->deadline;
   request.repeatable = this->route.isIdempotent;
   request.mostRetries = this->route.maxAttempts - 1;
@@ -169,6 +170,7 @@
   bool isDecided = false;
   const std::uint64_t number = this->shared.broker.Acquire(
     this->service,
+    this->digest,
     std::move(request),
     [self = this->shared_from_this(), asked, &isDecided, isFirst = true](
       const routing::DispatchResult& aResult,
@@ -268,6 +270,7 @@
     if (aIsRefused) {
       result.death = calls::CrashGuard::DeathOf(
         used.instance->id, used.instance->startedAt, self->shared.random());
+      self->shared.broker.ReportDeath(used, result.death);
     }
     self->EndAttempt(result);
   });
--- a/modules/proxy/SlotBroker.cpp
+++ b/modules/proxy/SlotBroker.cpp
@@ -70,6 +70,7 @@
 
 std::uint64_t
 SlotBroker::Acquire(const std::string& aService,
+                    std::uint64_t aDigest,
                     routing::DispatchRequest aRequest,
                     DecidedFunction aOnDecided)
 {
@@ -78,6 +79,7 @@
   aRequest.id = number;
   Pending& entry = this->pending[number];
   entry.service = aService;
+  entry.digest = aDigest;
   entry.request = std::move(aRequest);
   entry.onDecided = std::move(aOnDecided);
   entry.asked = this->DispatcherName(aService);
@@ -132,14 +134,36 @@
   release.duration =
     std::chrono::duration_cast<std::chrono::microseconds>(aDuration);
   release.load = aSample;
+  release.digest = aSlot.digest;
   this->hooks.send(aSlot.grantedBy, std::move(release));
 }
 
+void
+SlotBroker::ReportDeath(const Slot& aSlot, std::uint64_t aDeath)
+{
+  if (aSlot.grantedBy.empty()) {
+    // The request's own flow has recorded it in the same guard.
+    return;
+  }
+  wire::SlotRelease report;
+  report.service = aSlot.service;
+  report.digest = aSlot.digest;
+  report.death = aDeath;
+  this->hooks.send(aSlot.grantedBy, std::move(report));
+}
+
 //==============================================================================
 void
 SlotBroker::OnMessage(const std::string& aFrom,
                       const wire::SlotRequest& aRequest)
 {
+  if (aRequest.digest != 0 && this->hooks.guard.IsBlocked(aRequest.digest)) {
+    wire::SlotDecision blocked;
+    blocked.number = aRequest.number;
+    blocked.kind = ErrorKind::RequestCrashesServers;
+    this->hooks.send(aFrom, std::move(blocked));
+    return;
+  }
   const core::TimePoint now = this->hooks.now();
   const std::uint64_t id = ++this->lastNumber;
   this->remotes.emplace(id,
@@ -212,8 +236,15 @@
 SlotBroker::OnMessage(const std::string& aFrom,
                       const wire::SlotRelease& aRelease)
 {
+  if (aRelease.death != 0) {
+    this->hooks.guard.RecordDeath(aRelease.digest, aRelease.death);
+    return;
+  }
   ServiceDispatcher& dispatcher = this->DispatcherOf(aRelease.service);
   if (aRelease.grant != 0) {
+    if (aRelease.outcome == routing::UseOutcome::Answered) {
+      this->hooks.guard.RecordCompletion(aRelease.digest);
+    }
     dispatcher.Release(
       aRelease.grant, aRelease.outcome, aRelease.duration, aRelease.load);
     this->ScheduleTick();
@@ -327,6 +358,7 @@
   request.deadline = left(aPending.request.deadline);
   request.priority = aPending.request.priority;
   request.avoid = aPending.request.avoid;
+  request.digest = aPending.digest;
   this->hooks.send(aPending.asked, std::move(request));
   this->AwaitDecision(aNumber, kDecisionTime);
 }
@@ -399,7 +431,11 @@
   std::optional<Slot> slot;
   if (aResult.instance) {
     slot = Slot{
-      decided.service, aResult.grant, aResult.instance, aGrantedBy
+      decided.service,
+      aResult.grant,
+      aResult.instance,
+      aGrantedBy,
+      decided.digest
     };
   }
   decided.onDecided(aResult, std::move(slot));
--- a/modules/proxy/SlotBroker.h
+++ b/modules/proxy/SlotBroker.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "calls/CrashGuard.h"
 #include "configuration/RouteConfiguration.h"
 #include "core/Hooks.h"
 #include "routing/DispatchRequest.h"
@@ -34,6 +35,8 @@
   std::shared_ptr<const routing::BackendInstance> instance;
   /** Name of the daemon that granted it; empty for this one. */
   std::string grantedBy;
+  /** Digest of the request; see `calls::RequestDigest`. */
+  std::uint64_t digest = 0;
 };
 
 /** The surroundings of a `SlotBroker`. All functions must be set. */
@@ -49,6 +52,8 @@
   std::function<void(const std::string&, wire::WireMessage)> send;
   /** Whether what is believed here lets an instance get requests. */
   std::function<bool(const routing::BackendInstance&)> isUsable;
+  /** Knows the requests that crash servers; outlives the broker. */
+  calls::CrashGuard& guard;
   /** Told when a dispatching daemon stops answering or answers again. */
   std::function<void(const std::string& aName, bool aIsLost)> peerChanged;
 };
@@ -88,6 +93,7 @@
    * perhaps before this returns. Returns a number for `Withdraw`.
    */
   std::uint64_t Acquire(const std::string& aService,
+                        std::uint64_t aDigest,
                         routing::DispatchRequest aRequest,
                         DecidedFunction aOnDecided);
 
@@ -100,6 +106,12 @@
                std::chrono::nanoseconds aDuration,
                const std::optional<routing::LoadSample>& aSample);
 
+  /**
+   * Tells the dispatching daemon that a server died while a request of that
+   * slot was running, so that it counts the deaths that all daemons see.
+   */
+  void ReportDeath(const Slot& aSlot, std::uint64_t aDeath);
+
   //============================================================================
   /** Takes a request of another daemon. */
   void OnMessage(const std::string& aFrom, const wire::SlotRequest& aRequest);
@@ -123,6 +135,7 @@
   struct Pending
   {
     std::string service;
+    std::uint64_t digest = 0;
     routing::DispatchRequest request;
     DecidedFunction onDecided;
     /** Daemon that was asked; empty if this one decides. */
--- a/modules/proxy/StoreRelay.h
+++ b/modules/proxy/StoreRelay.h
@@ -2,15 +2,16 @@
 
 #include "core/Hooks.h"
 #include "store/ObjectReplica.h"
+#include "wire/StoreBeat.h"
 #include "wire/StoreNews.h"
 #include "wire/StoreNewsRequest.h"
+#include "wire/WireMessage.h"
 
 #include <chrono>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <optional>
-#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -21,13 +22,10 @@
 struct StoreRelayHooks
 {
   core::NowFunction now;
-  /** Sends news to every known daemon. */
-  std::function<void(const wire::StoreNews&)> broadcast;
-  /** Sends news to one daemon. */
-  std::function<void(const std::string& aTo, const wire::StoreNews&)> reply;
-  /** Asks one daemon for whole kinds. */
-  std::function<void(const std::string& aTo, const wire::StoreNewsRequest&)>
-    request;
+  /** Sends news or a beat to every known daemon. */
+  std::function<void(const wire::WireMessage&)> broadcast;
+  /** Sends news or a request to one daemon. */
+  std::function<void(const std::string& aTo, wire::WireMessage)> send;
   /** Receives the changed objects of a kind, deleted ones too. */
   std::function<void(const std::string& aKind,
                      const std::vector<store::ObjectRecord>&)>
@@ -45,7 +43,9 @@
  * A daemon watches the store unless it hears from `kWatcherCount` daemons that
  * do and that come before it in an order by hash. Those send a beat every
  * `kBeatInterval` while the store answers them, so that the next daemons take
- * over when they stop, freeze or lose the store, without an election.
+ * over when they stop, freeze or lose the store, without an election. The first
+ * of them also pushes each change at once; a daemon that learns from a beat
+ * that it misses a change asks for it.
  *
  * Performs no I/O. Not thread-safe.
  */
@@ -66,7 +66,12 @@
    * the longest wait of a watch of the kinds with the shortest bounds. */
   static constexpr std::chrono::milliseconds kContactLimit{ 2000 };
 
-  /** `aSelf` is the name of this daemon. */
+  /** Time over which daemons that start together begin to watch, in the order by
+   * hash: the first are heard before the others begin. */
+  static constexpr std::chrono::milliseconds kStartSpread{ 1500 };
+
+  /** `aSelf` is the name of this daemon; `aKinds` are in the order that all
+   * daemons use. */
   StoreRelay(std::string aSelf,
              std::vector<std::string> aKinds,
              StoreRelayHooks aHooks);
@@ -85,7 +90,10 @@
   /** Takes news of another daemon. */
   void OnNews(const std::string& aFrom, const wire::StoreNews& aNews);
 
-  /** Answers a daemon that asks for whole kinds. */
+  /** Takes the beat of another daemon. */
+  void OnBeat(const std::string& aFrom, const wire::StoreBeat& aBeat);
+
+  /** Answers a daemon that misses changes. */
   void OnRequest(const std::string& aFrom,
                  const wire::StoreNewsRequest& aRequest);
 
@@ -100,28 +108,29 @@
   std::optional<std::chrono::nanoseconds> Age() const;
 
 private:
-  struct Watcher
-  {
-    core::TimePoint heardAt;
-  };
-
+  std::size_t WatchersBefore() const;
   bool IsInContact() const;
+  bool IsKnownKind(const std::string& aKind) const;
+  void Push(const std::string& aKind,
+            std::uint64_t aBase,
+            const std::vector<store::ObjectRecord>& aChanged);
   wire::KindNews NewsOf(const std::string& aKind,
                         std::uint64_t aBase,
                         const std::vector<store::ObjectRecord>& aObjects) const;
-  void TakeKind(const std::string& aFrom,
-                const wire::KindNews& aNews,
-                std::vector<std::string>& aMissing);
+  void TakeKind(const std::string& aFrom, const wire::KindNews& aNews);
+  void RequestIfBehind(const std::string& aFrom,
+                       const std::string& aKind,
+                       std::uint64_t aLastChange);
 
   std::string self;
   std::vector<std::string> kinds;
   StoreRelayHooks hooks;
   store::ObjectReplica replica;
-  /** Kinds of which all objects are known. */
-  std::set<std::string, std::less<>> listed;
-  std::map<std::string, Watcher, std::less<>> watchers;
-  /** When whole kinds were asked for last. */
-  core::TimePoint requestedAt{};
+  core::TimePoint startedAt;
+  /** When each watching daemon was heard last. */
+  std::map<std::string, core::TimePoint, std::less<>> watchers;
+  /** When changes of a kind were asked for last. */
+  std::map<std::string, core::TimePoint, std::less<>> requestedAt;
 };
 
 } // namespace fireflytrail::proxy
--- a/modules/store/ObjectReplica.cpp
+++ b/modules/store/ObjectReplica.cpp
@@ -94,6 +94,30 @@
   return objects;
 }
 
+bool
+ObjectReplica::IsListed(std::string_view aKind) const
+{
+  const auto found = this->kinds.find(aKind);
+  return found != this->kinds.end() && found->second.isListed;
+}
+
+std::vector<ObjectRecord>
+ObjectReplica::ChangesSince(std::string_view aKind,
+                            std::uint64_t aRevision) const
+{
+  std::vector<ObjectRecord> changes;
+  const auto found = this->kinds.find(aKind);
+  if (found == this->kinds.end()) {
+    return changes;
+  }
+  for (const auto& [name, object] : found->second.objects) {
+    if (object.revision > aRevision) {
+      changes.push_back(object);
+    }
+  }
+  return changes;
+}
+
 bool
 ObjectReplica::Take(Kind& aKind, const ObjectRecord& aObject)
 {
--- a/modules/store/ObjectReplica.h
+++ b/modules/store/ObjectReplica.h
@@ -47,9 +47,16 @@
    */
   std::uint64_t LastChange(std::string_view aKind) const;
 
+  /** Whether all objects of a kind were known once. */
+  bool IsListed(std::string_view aKind) const;
+
   /** Returns the objects of a kind that exist. */
   std::vector<ObjectRecord> Objects(std::string_view aKind) const;
 
+  /** Returns the changes of a kind after a revision, deletions too. */
+  std::vector<ObjectRecord> ChangesSince(std::string_view aKind,
+                                         std::uint64_t aRevision) const;
+
 private:
   struct Kind
   {
--- a/modules/wire/EntryConversion.cpp
+++ b/modules/wire/EntryConversion.cpp
@@ -36,7 +36,8 @@
                                   CountOf(aRequest.goal.count()),
                                   CountOf(aRequest.deadline.count()),
                                   aRequest.priority,
-                                  avoid) };
+                                  avoid,
+                                  aRequest.digest) };
 }
 
 Written<fbs::SlotDecision>
@@ -79,7 +80,9 @@
              load.running,
              load.waiting,
              load.slots,
-             CountOf(std::llround(load.slowdown * kPercent))) };
+             CountOf(std::llround(load.slowdown * kPercent)),
+             aRelease.digest,
+             aRelease.death) };
 }
 
 Written<fbs::StoreNews>
@@ -107,12 +110,19 @@
   return { fbs::Message::StoreNews, fbs::CreateStoreNews(aBuilder, written) };
 }
 
+Written<fbs::StoreBeat>
+Write(FlatBufferBuilder& aBuilder, const StoreBeat& aBeat)
+{
+  const auto changes = aBuilder.CreateVector(aBeat.lastChanges);
+  return { fbs::Message::StoreBeat, fbs::CreateStoreBeat(aBuilder, changes) };
+}
+
 Written<fbs::StoreNewsRequest>
 Write(FlatBufferBuilder& aBuilder, const StoreNewsRequest& aRequest)
 {
-  const auto kinds = aBuilder.CreateVectorOfStrings(aRequest.kinds);
+  const auto kind = aBuilder.CreateString(aRequest.kind);
   return { fbs::Message::StoreNewsRequest,
-           fbs::CreateStoreNewsRequest(aBuilder, kinds) };
+           fbs::CreateStoreNewsRequest(aBuilder, kind, aRequest.since) };
 }
 
 FrameError
@@ -131,6 +141,7 @@
   if (aRequest.avoid() != nullptr) {
     request.avoid.assign(aRequest.avoid()->begin(), aRequest.avoid()->end());
   }
+  request.digest = aRequest.digest();
   aMessage = std::move(request);
   return FrameError::None;
 }
@@ -179,6 +190,8 @@
                            std::max(aRelease.slots(), 1U),
                            aRelease.slowdown_percent() / kPercent };
   }
+  release.digest = aRelease.digest();
+  release.death = aRelease.death();
   aMessage = std::move(release);
   return FrameError::None;
 }
@@ -209,15 +222,24 @@
 }
 
 FrameError
-Read(const fbs::StoreNewsRequest& aRequest, WireMessage& aMessage)
+Read(const fbs::StoreBeat& aBeat, WireMessage& aMessage)
 {
-  StoreNewsRequest request;
-  if (aRequest.kinds() != nullptr) {
-    for (const flatbuffers::String* kind : *aRequest.kinds()) {
-      request.kinds.push_back(kind->str());
-    }
+  if (!IsAligned(aBeat.last_changes(), alignof(std::uint64_t))) {
+    return FrameError::Corrupt;
   }
-  aMessage = std::move(request);
+  StoreBeat beat;
+  if (aBeat.last_changes() != nullptr) {
+    beat.lastChanges.assign(aBeat.last_changes()->begin(),
+                            aBeat.last_changes()->end());
+  }
+  aMessage = std::move(beat);
+  return FrameError::None;
+}
+
+FrameError
+Read(const fbs::StoreNewsRequest& aRequest, WireMessage& aMessage)
+{
+  aMessage = StoreNewsRequest{ aRequest.kind()->str(), aRequest.since() };
   return FrameError::None;
 }
 
--- a/modules/wire/EntryConversion.h
+++ b/modules/wire/EntryConversion.h
@@ -19,6 +19,8 @@
 Write(FlatBufferBuilder& aBuilder, const SlotRelease& aRelease);
 Written<fbs::StoreNews>
 Write(FlatBufferBuilder& aBuilder, const StoreNews& aNews);
+Written<fbs::StoreBeat>
+Write(FlatBufferBuilder& aBuilder, const StoreBeat& aBeat);
 Written<fbs::StoreNewsRequest>
 Write(FlatBufferBuilder& aBuilder, const StoreNewsRequest& aRequest);
 
@@ -31,6 +33,8 @@
 FrameError
 Read(const fbs::StoreNews& aNews, WireMessage& aMessage);
 FrameError
+Read(const fbs::StoreBeat& aBeat, WireMessage& aMessage);
+FrameError
 Read(const fbs::StoreNewsRequest& aRequest, WireMessage& aMessage);
 
 } // namespace fireflytrail::wire
--- a/modules/wire/MessageConversion.cpp
+++ b/modules/wire/MessageConversion.cpp
@@ -470,6 +470,8 @@
       return Read(*envelope.message_as_SlotRelease(), aMessage);
     case fbs::Message::StoreNews:
       return Read(*envelope.message_as_StoreNews(), aMessage);
+    case fbs::Message::StoreBeat:
+      return Read(*envelope.message_as_StoreBeat(), aMessage);
     case fbs::Message::StoreNewsRequest:
       return Read(*envelope.message_as_StoreNewsRequest(), aMessage);
     case fbs::Message::NONE:
--- a/modules/wire/SlotRelease.h
+++ b/modules/wire/SlotRelease.h
@@ -10,7 +10,8 @@
 
 namespace fireflytrail::wire {
 
-/** Gives a granted instance back, or withdraws a request without a decision. */
+/** Gives a granted instance back, withdraws a request without a decision, or
+ * tells of a server's death. */
 struct SlotRelease
 {
   /** Number of the withdrawn request; 0 for a grant. */
@@ -22,6 +23,11 @@
   std::chrono::microseconds duration{ 0 };
   /** The load that the instance reported with its answer. */
   std::optional<routing::LoadSample> load;
+  /** Digest of the request; see `calls::RequestDigest`. */
+  std::uint64_t digest = 0;
+  /** Set if a server died while the request was running; see
+   * `calls::CrashGuard::DeathOf`. */
+  std::uint64_t death = 0;
 
   bool operator==(const SlotRelease&) const = default;
 };
--- a/modules/wire/SlotRequest.h
+++ b/modules/wire/SlotRequest.h
@@ -22,6 +22,8 @@
   unsigned priority = 0;
   /** Keys of the instances that were tried. */
   std::vector<std::uint64_t> avoid;
+  /** See `calls::RequestDigest`. */
+  std::uint64_t digest = 0;
 
   bool operator==(const SlotRequest&) const = default;
 };
--- a/modules/wire/StoreNewsRequest.h
+++ b/modules/wire/StoreNewsRequest.h
@@ -1,14 +1,16 @@
 #pragma once
 
+#include <cstdint>
 #include <string>
-#include <vector>
 
 namespace fireflytrail::wire {
 
-/** Asks for all objects of some kinds. */
+/** Asks for the changes of a kind that the sender misses. */
 struct StoreNewsRequest
 {
-  std::vector<std::string> kinds;
+  std::string kind;
+  /** Revision of the last change that is known; 0 asks for all objects. */
+  std::uint64_t since = 0;
 
   bool operator==(const StoreNewsRequest&) const = default;
 };
--- a/modules/wire/WireMessage.h
+++ b/modules/wire/WireMessage.h
@@ -10,6 +10,7 @@
 #include "wire/SlotDecision.h"
 #include "wire/SlotRelease.h"
 #include "wire/SlotRequest.h"
+#include "wire/StoreBeat.h"
 #include "wire/StoreNews.h"
 #include "wire/StoreNewsRequest.h"
 
@@ -29,6 +30,7 @@
                                  SlotDecision,
                                  SlotRelease,
                                  StoreNews,
+                                 StoreBeat,
                                  StoreNewsRequest>;
 
 } // namespace fireflytrail::wire
--- a/modules/wire/messages_generated.h
+++ b/modules/wire/messages_generated.h
@@ -74,6 +74,9 @@
 struct StoreNews;
 struct StoreNewsBuilder;
 
+struct StoreBeat;
+struct StoreBeatBuilder;
+
 struct StoreNewsRequest;
 struct StoreNewsRequestBuilder;
 
@@ -126,12 +129,13 @@
   SlotDecision = 9,
   SlotRelease = 10,
   StoreNews = 11,
-  StoreNewsRequest = 12,
+  StoreBeat = 12,
+  StoreNewsRequest = 13,
   MIN = NONE,
   MAX = StoreNewsRequest
 };
 
-inline const Message (&EnumValuesMessage())[13] {
+inline const Message (&EnumValuesMessage())[14] {
   static const Message values[] = {
     Message::NONE,
     Message::Hello,
@@ -145,13 +149,14 @@
     Message::SlotDecision,
     Message::SlotRelease,
     Message::StoreNews,
+    Message::StoreBeat,
     Message::StoreNewsRequest
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[14] = {
+  static const char * const names[15] = {
     "NONE",
     "Hello",
     "GossipDigest",
@@ -164,6 +169,7 @@
     "SlotDecision",
     "SlotRelease",
     "StoreNews",
+    "StoreBeat",
     "StoreNewsRequest",
     nullptr
   };
@@ -224,6 +230,10 @@
   static const Message enum_value = Message::StoreNews;
 };
 
+template<> struct MessageTraits<fireflytrail::wire::fbs::StoreBeat> {
+  static const Message enum_value = Message::StoreBeat;
+};
+
 template<> struct MessageTraits<fireflytrail::wire::fbs::StoreNewsRequest> {
   static const Message enum_value = Message::StoreNewsRequest;
 };
@@ -1535,7 +1545,8 @@
     VT_GOAL_MS = 10,
     VT_DEADLINE_MS = 12,
     VT_PRIORITY = 14,
-    VT_AVOID = 16
+    VT_AVOID = 16,
+    VT_DIGEST = 18
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -1558,6 +1569,9 @@
   const flatbuffers::Vector<uint64_t> *avoid() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_AVOID);
   }
+  uint64_t digest() const {
+    return GetField<uint64_t>(VT_DIGEST, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -1570,6 +1584,7 @@
            VerifyField<uint32_t>(verifier, VT_PRIORITY, 4) &&
            VerifyOffset(verifier, VT_AVOID) &&
            verifier.VerifyVector(avoid()) &&
+           VerifyField<uint64_t>(verifier, VT_DIGEST, 8) &&
            verifier.EndTable();
   }
 };
@@ -1599,6 +1614,9 @@
   void add_avoid(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> avoid) {
     fbb_.AddOffset(SlotRequest::VT_AVOID, avoid);
   }
+  void add_digest(uint64_t digest) {
+    fbb_.AddElement<uint64_t>(SlotRequest::VT_DIGEST, digest, 0);
+  }
   explicit SlotRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1619,8 +1637,10 @@
     uint32_t goal_ms = 0,
     uint32_t deadline_ms = 0,
     uint32_t priority = 0,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> avoid = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> avoid = 0,
+    uint64_t digest = 0) {
   SlotRequestBuilder builder_(_fbb);
+  builder_.add_digest(digest);
   builder_.add_number(number);
   builder_.add_avoid(avoid);
   builder_.add_priority(priority);
@@ -1644,7 +1664,8 @@
     uint32_t goal_ms = 0,
     uint32_t deadline_ms = 0,
     uint32_t priority = 0,
-    const std::vector<uint64_t> *avoid = nullptr) {
+    const std::vector<uint64_t> *avoid = nullptr,
+    uint64_t digest = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto failure_domain__ = failure_domain ? _fbb.CreateString(failure_domain) : 0;
   auto avoid__ = avoid ? _fbb.CreateVector<uint64_t>(*avoid) : 0;
@@ -1656,7 +1677,8 @@
       goal_ms,
       deadline_ms,
       priority,
-      avoid__);
+      avoid__,
+      digest);
 }
 
 struct SlotDecision FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1843,7 +1865,9 @@
     VT_RUNNING = 16,
     VT_WAITING = 18,
     VT_SLOTS = 20,
-    VT_SLOWDOWN_PERCENT = 22
+    VT_SLOWDOWN_PERCENT = 22,
+    VT_DIGEST = 24,
+    VT_DEATH = 26
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -1875,6 +1899,12 @@
   uint32_t slowdown_percent() const {
     return GetField<uint32_t>(VT_SLOWDOWN_PERCENT, 0);
   }
+  uint64_t digest() const {
+    return GetField<uint64_t>(VT_DIGEST, 0);
+  }
+  uint64_t death() const {
+    return GetField<uint64_t>(VT_DEATH, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -1888,6 +1918,8 @@
            VerifyField<uint32_t>(verifier, VT_WAITING, 4) &&
            VerifyField<uint32_t>(verifier, VT_SLOTS, 4) &&
            VerifyField<uint32_t>(verifier, VT_SLOWDOWN_PERCENT, 4) &&
+           VerifyField<uint64_t>(verifier, VT_DIGEST, 8) &&
+           VerifyField<uint64_t>(verifier, VT_DEATH, 8) &&
            verifier.EndTable();
   }
 };
@@ -1926,6 +1958,12 @@
   void add_slowdown_percent(uint32_t slowdown_percent) {
     fbb_.AddElement<uint32_t>(SlotRelease::VT_SLOWDOWN_PERCENT, slowdown_percent, 0);
   }
+  void add_digest(uint64_t digest) {
+    fbb_.AddElement<uint64_t>(SlotRelease::VT_DIGEST, digest, 0);
+  }
+  void add_death(uint64_t death) {
+    fbb_.AddElement<uint64_t>(SlotRelease::VT_DEATH, death, 0);
+  }
   explicit SlotReleaseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1949,8 +1987,12 @@
     uint32_t running = 0,
     uint32_t waiting = 0,
     uint32_t slots = 0,
-    uint32_t slowdown_percent = 0) {
+    uint32_t slowdown_percent = 0,
+    uint64_t digest = 0,
+    uint64_t death = 0) {
   SlotReleaseBuilder builder_(_fbb);
+  builder_.add_death(death);
+  builder_.add_digest(digest);
   builder_.add_duration_us(duration_us);
   builder_.add_grant(grant);
   builder_.add_number(number);
@@ -1980,7 +2022,9 @@
     uint32_t running = 0,
     uint32_t waiting = 0,
     uint32_t slots = 0,
-    uint32_t slowdown_percent = 0) {
+    uint32_t slowdown_percent = 0,
+    uint64_t digest = 0,
+    uint64_t death = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   return fireflytrail::wire::fbs::CreateSlotRelease(
       _fbb,
@@ -1993,7 +2037,9 @@
       running,
       waiting,
       slots,
-      slowdown_percent);
+      slowdown_percent,
+      digest,
+      death);
 }
 
 struct NewsObject FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2259,20 +2305,81 @@
       kinds__);
 }
 
+struct StoreBeat FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef StoreBeatBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_LAST_CHANGES = 4
+  };
+  const flatbuffers::Vector<uint64_t> *last_changes() const {
+    return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_LAST_CHANGES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_LAST_CHANGES) &&
+           verifier.VerifyVector(last_changes()) &&
+           verifier.EndTable();
+  }
+};
+
+struct StoreBeatBuilder {
+  typedef StoreBeat Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_last_changes(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> last_changes) {
+    fbb_.AddOffset(StoreBeat::VT_LAST_CHANGES, last_changes);
+  }
+  explicit StoreBeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<StoreBeat> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<StoreBeat>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<StoreBeat> CreateStoreBeat(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> last_changes = 0) {
+  StoreBeatBuilder builder_(_fbb);
+  builder_.add_last_changes(last_changes);
+  return builder_.Finish();
+}
+
+struct StoreBeat::Traits {
+  using type = StoreBeat;
+  static auto constexpr Create = CreateStoreBeat;
+};
+
+inline flatbuffers::Offset<StoreBeat> CreateStoreBeatDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<uint64_t> *last_changes = nullptr) {
+  auto last_changes__ = last_changes ? _fbb.CreateVector<uint64_t>(*last_changes) : 0;
+  return fireflytrail::wire::fbs::CreateStoreBeat(
+      _fbb,
+      last_changes__);
+}
+
 struct StoreNewsRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef StoreNewsRequestBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_KINDS = 4
+    VT_KIND = 4,
+    VT_SINCE = 6
   };
-  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *kinds() const {
-    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_KINDS);
+  const flatbuffers::String *kind() const {
+    return GetPointer<const flatbuffers::String *>(VT_KIND);
+  }
+  uint64_t since() const {
+    return GetField<uint64_t>(VT_SINCE, 0);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyOffset(verifier, VT_KINDS) &&
-           verifier.VerifyVector(kinds()) &&
-           verifier.VerifyVectorOfStrings(kinds()) &&
+           VerifyOffsetRequired(verifier, VT_KIND) &&
+           verifier.VerifyString(kind()) &&
+           VerifyField<uint64_t>(verifier, VT_SINCE, 8) &&
            verifier.EndTable();
   }
 };
@@ -2281,8 +2388,11 @@
   typedef StoreNewsRequest Table;
   flatbuffers::FlatBufferBuilder &fbb_;
   flatbuffers::uoffset_t start_;
-  void add_kinds(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> kinds) {
-    fbb_.AddOffset(StoreNewsRequest::VT_KINDS, kinds);
+  void add_kind(flatbuffers::Offset<flatbuffers::String> kind) {
+    fbb_.AddOffset(StoreNewsRequest::VT_KIND, kind);
+  }
+  void add_since(uint64_t since) {
+    fbb_.AddElement<uint64_t>(StoreNewsRequest::VT_SINCE, since, 0);
   }
   explicit StoreNewsRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
@@ -2291,15 +2401,18 @@
   flatbuffers::Offset<StoreNewsRequest> Finish() {
     const auto end = fbb_.EndTable(start_);
     auto o = flatbuffers::Offset<StoreNewsRequest>(end);
+    fbb_.Required(o, StoreNewsRequest::VT_KIND);
     return o;
   }
 };
 
 inline flatbuffers::Offset<StoreNewsRequest> CreateStoreNewsRequest(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> kinds = 0) {
+    flatbuffers::Offset<flatbuffers::String> kind = 0,
+    uint64_t since = 0) {
   StoreNewsRequestBuilder builder_(_fbb);
-  builder_.add_kinds(kinds);
+  builder_.add_since(since);
+  builder_.add_kind(kind);
   return builder_.Finish();
 }
 
@@ -2310,11 +2423,13 @@
 
 inline flatbuffers::Offset<StoreNewsRequest> CreateStoreNewsRequestDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<flatbuffers::Offset<flatbuffers::String>> *kinds = nullptr) {
-  auto kinds__ = kinds ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*kinds) : 0;
+    const char *kind = nullptr,
+    uint64_t since = 0) {
+  auto kind__ = kind ? _fbb.CreateString(kind) : 0;
   return fireflytrail::wire::fbs::CreateStoreNewsRequest(
       _fbb,
-      kinds__);
+      kind__,
+      since);
 }
 
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -2368,6 +2483,9 @@
   const fireflytrail::wire::fbs::StoreNews *message_as_StoreNews() const {
     return message_type() == fireflytrail::wire::fbs::Message::StoreNews ? static_cast<const fireflytrail::wire::fbs::StoreNews *>(message()) : nullptr;
   }
+  const fireflytrail::wire::fbs::StoreBeat *message_as_StoreBeat() const {
+    return message_type() == fireflytrail::wire::fbs::Message::StoreBeat ? static_cast<const fireflytrail::wire::fbs::StoreBeat *>(message()) : nullptr;
+  }
   const fireflytrail::wire::fbs::StoreNewsRequest *message_as_StoreNewsRequest() const {
     return message_type() == fireflytrail::wire::fbs::Message::StoreNewsRequest ? static_cast<const fireflytrail::wire::fbs::StoreNewsRequest *>(message()) : nullptr;
   }
@@ -2425,6 +2543,10 @@
   return message_as_StoreNews();
 }
 
+template<> inline const fireflytrail::wire::fbs::StoreBeat *Envelope::message_as<fireflytrail::wire::fbs::StoreBeat>() const {
+  return message_as_StoreBeat();
+}
+
 template<> inline const fireflytrail::wire::fbs::StoreNewsRequest *Envelope::message_as<fireflytrail::wire::fbs::StoreNewsRequest>() const {
   return message_as_StoreNewsRequest();
 }
@@ -2519,6 +2641,10 @@
       auto ptr = reinterpret_cast<const fireflytrail::wire::fbs::StoreNews *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::StoreBeat: {
+      auto ptr = reinterpret_cast<const fireflytrail::wire::fbs::StoreBeat *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     case Message::StoreNewsRequest: {
       auto ptr = reinterpret_cast<const fireflytrail::wire::fbs::StoreNewsRequest *>(obj);
       return verifier.VerifyTable(ptr);
--- a/modules/wire/wire.h
+++ b/modules/wire/wire.h
@@ -17,6 +17,7 @@
 #include "wire/SlotDecision.h"
 #include "wire/SlotRelease.h"
 #include "wire/SlotRequest.h"
+#include "wire/StoreBeat.h"
 #include "wire/StoreNews.h"
 #include "wire/StoreNewsRequest.h"
 #include "wire/WireMessage.h"
