--- a/app/main.cpp
+++ b/app/main.cpp
@@ -1,6 +1,7 @@
 #include "configuration/DaemonSettings.h"
 #include "configuration/Endpoint.h"
 #include "core/Log.h"
+#include "core/OutputSink.h"
 #include "daemon/Serve.h"
 #include "operator_client/operator_client.h"
 #include "platform/platform.h"
@@ -14,6 +15,7 @@
 
 #include <array>
 #include <chrono>
+#include <csignal>
 #include <cstdio>
 #include <cstdlib>
 #include <functional>
@@ -25,6 +27,8 @@
 #include <thread>
 #include <vector>
 
+#include <unistd.h>
+
 DEFINE_string(store, "", "store's address, IP:PORT");
 DEFINE_string(daemon, "", "operator port of an entry daemon, IP:PORT");
 DEFINE_int64(expected_version,
@@ -181,7 +185,12 @@
   if (!settings) {
     return ExitCode::Refused;
   }
-  const core::Log log(settings->logLevel);
+  // A reader of the log that has gone must not end the daemon.
+  std::signal(SIGPIPE, SIG_IGN);
+  core::OutputSink output(STDOUT_FILENO, settings->logBytesPerSecond);
+  const core::Log log(settings->logLevel, [&output](std::string_view aLine) {
+    output.Write(aLine);
+  });
   proxy::ProxyDaemon daemon(
     *settings, platform::MakeAdapter(), log, [path = aArguments[0]] {
       return ReadProxySettings(path);
--- a/modules/core/Log.cpp
+++ b/modules/core/Log.cpp
@@ -1,13 +1,17 @@
 #include "core/Log.h"
 
+#include "core/OutputSink.h"
+
 #include <fmt/chrono.h>
 #include <fmt/format.h>
 
 #include <cassert>
 #include <chrono>
-#include <cstdio>
+#include <memory>
 #include <utility>
 
+#include <unistd.h>
+
 namespace fireflytrail::core {
 
 namespace {
@@ -28,12 +32,15 @@
   return "error";
 }
 
-void
-WriteToStandardError(std::string_view aLine)
+// Bytes of a log without settings of its own: some 300 lines a second.
+constexpr std::size_t kBytesPerSecond = 65'536;
+
+Log::Sink
+StandardOutput()
 {
-  // A single write keeps lines of several threads apart.
-  const std::string line = fmt::format("{}\n", aLine);
-  std::fwrite(line.data(), 1, line.size(), stderr);
+  const auto sink =
+    std::make_shared<OutputSink>(STDOUT_FILENO, kBytesPerSecond);
+  return [sink](std::string_view aLine) { sink->Write(aLine); };
 }
 
 struct ValueFormatter
@@ -56,7 +63,7 @@
 } // namespace
 
 Log::Log(LogLevel aLevel)
-  : Log(aLevel, WriteToStandardError)
+  : Log(aLevel, StandardOutput())
 {
 }
 
--- a/modules/core/Log.h
+++ b/modules/core/Log.h
@@ -35,7 +35,7 @@
   /** Receives one finished line without its line break. */
   using Sink = std::function<void(std::string_view)>;
 
-  /** Makes a log that writes to standard error. */
+  /** Makes a log that writes to standard output; see `OutputSink`. */
   explicit Log(LogLevel aLevel = LogLevel::Info);
 
   /** Makes a log that writes to a sink. The sink must be thread-safe. */
--- a/modules/proxy/StoreRelay.cpp
+++ b/modules/proxy/StoreRelay.cpp
@@ -20,6 +20,10 @@
 // beat.
 constexpr std::chrono::milliseconds kRequestInterval{ 200 };
 
+// Time that a push may take longer than the beat of another daemon that knows the
+// same change.
+constexpr std::chrono::milliseconds kPushTime{ 100 };
+
 // Time that a daemon that has just started leaves to its own lists before it asks
 // others for all objects, which are up to 100 KB.
 constexpr std::chrono::milliseconds kOwnListTime{ 1000 };
@@ -265,7 +269,13 @@
   // A daemon that has just started lists the kinds itself.
   const bool isStarting =
     !isListed && now - this->startedAt < kOwnListTime;
-  if ((isListed && known >= aLastChange) || isStarting ||
+  if ((isListed && known >= aLastChange) || isStarting) {
+    this->behindSince.erase(aKind);
+    return;
+  }
+  const core::TimePoint since =
+    this->behindSince.try_emplace(aKind, now).first->second;
+  if (now - since < kPushTime ||
       now - this->requestedAt[aKind] < kRequestInterval) {
     return;
   }
--- a/modules/proxy/StoreRelay.h
+++ b/modules/proxy/StoreRelay.h
@@ -56,19 +56,20 @@
   static constexpr std::size_t kWatcherCount = 3;
 
   /** Time between two beats of a daemon that watches. */
-  static constexpr std::chrono::milliseconds kBeatInterval{ 400 };
+  static constexpr std::chrono::milliseconds kBeatInterval{ 500 };
 
   /** A watching daemon that is silent for this long is not counted: two lost
    * beats, and below the shortest bound of the platform, 2 s. */
-  static constexpr std::chrono::milliseconds kBeatLimit{ 1000 };
+  static constexpr std::chrono::milliseconds kBeatLimit{ 1200 };
 
   /** A store that has not answered for this long does not count as answering:
    * the longest wait of a watch of the kinds with the shortest bounds. */
   static constexpr std::chrono::milliseconds kContactLimit{ 2000 };
 
   /** Time over which daemons that start together begin to watch, in the order by
-   * hash: the first are heard before the others begin. */
-  static constexpr std::chrono::milliseconds kStartSpread{ 1500 };
+   * hash: the first are heard before the others begin. The platform's bounds do
+   * not hold for a host in its first three seconds. */
+  static constexpr std::chrono::milliseconds kStartSpread{ 3000 };
 
   /** `aSelf` is the name of this daemon; `aKinds` are in the order that all
    * daemons use. */
@@ -129,6 +130,8 @@
   core::TimePoint startedAt;
   /** When each watching daemon was heard last. */
   std::map<std::string, core::TimePoint, std::less<>> watchers;
+  /** Since when changes of a kind are known to be missing. */
+  std::map<std::string, core::TimePoint, std::less<>> behindSince;
   /** When changes of a kind were asked for last. */
   std::map<std::string, core::TimePoint, std::less<>> requestedAt;
 };
