--- a/modules/calls/CallFlowTest.cpp
+++ b/modules/calls/CallFlowTest.cpp
@@ -402,3 +402,107 @@
   CallFlow resent = fixture.Flow(request);
   BOOST_TEST((AnswerKind(resent.Begin()) == ErrorKind::TicketAnswerDropped));
 }
+
+namespace {
+
+CallHooks
+AskingHooks(Fixture& aFixture)
+{
+  CallHooks hooks = aFixture.Hooks();
+  hooks.chooseServer = nullptr;
+  return hooks;
+}
+
+const calls::SendStep&
+SendOf(const CallStep& aStep)
+{
+  BOOST_REQUIRE(std::holds_alternative<SendStep>(aStep));
+  return std::get<SendStep>(aStep);
+}
+
+const AnswerStep&
+AnswerOfStep(const CallStep& aStep)
+{
+  BOOST_REQUIRE(std::holds_alternative<AnswerStep>(aStep));
+  return std::get<AnswerStep>(aStep);
+}
+
+} // namespace
+
+// Guards against a request that waits for a server past its deadline, and
+// against a false "may have run" for it.
+BOOST_FIXTURE_TEST_CASE(ACallThatWaitsForAServerEndsAsNotRun, Fixture)
+{
+  CallFlow flow(
+    this->Request(), AskingHooks(*this), this->ledger, this->guard);
+  BOOST_TEST(std::holds_alternative<ChooseStep>(flow.Begin()));
+  const CallStep step = flow.DeadlineReached(AttemptProgress::NothingSent);
+  BOOST_TEST((AnswerOfStep(step).kind == ErrorKind::DeadlineBeforeSend));
+}
+
+// Guards against a send after the deadline because the choice took too long.
+BOOST_FIXTURE_TEST_CASE(ALateChoiceIsNotSent, Fixture)
+{
+  CallFlow flow(
+    this->Request(), AskingHooks(*this), this->ledger, this->guard);
+  flow.Begin();
+  this->time += 1s;
+  const CallStep step = flow.ServerChosen(ServerHandle{ 1, nullptr });
+  BOOST_TEST((AnswerOfStep(step).kind == ErrorKind::DeadlineBeforeSend));
+}
+
+// Guards against a server's own failure that is replaced by one of this daemon
+// when the retry finds no server.
+BOOST_FIXTURE_TEST_CASE(AFailureIsPassedOnIfTheRetryFindsNoServer, Fixture)
+{
+  CallRequest request = this->Request();
+  request.repeatable = true;
+  CallFlow flow(request, AskingHooks(*this), this->ledger, this->guard);
+  flow.Begin();
+  SendOf(flow.ServerChosen(ServerHandle{ 1, nullptr }));
+  auto answer = std::make_shared<Answer>();
+  answer->status = 500;
+  AttemptResult result{ .progress = AttemptProgress::Answered,
+                        .answer = answer };
+  result.isFailure = true;
+  const CallStep retry = flow.AttemptEnded(result);
+  BOOST_REQUIRE(std::holds_alternative<ChooseStep>(retry));
+  BOOST_TEST(std::get<ChooseStep>(retry).isRetry);
+  BOOST_TEST(std::get<ChooseStep>(retry).avoid.size() == 1U);
+  const CallStep step =
+    flow.ServerChosen(core::Error{ ErrorKind::Overloaded, "" });
+  BOOST_TEST((AnswerOfStep(step).kind == ErrorKind::None));
+  BOOST_TEST(AnswerOfStep(step).answer->status == 500U);
+}
+
+// Guards against a second run of a request that must not be repeated, after a
+// failure of its server.
+BOOST_FIXTURE_TEST_CASE(AFailureIsNotRetriedUnlessRepeatable, Fixture)
+{
+  CallRequest request = this->Request();
+  request.repeatable = false;
+  CallFlow flow(request, AskingHooks(*this), this->ledger, this->guard);
+  flow.Begin();
+  SendOf(flow.ServerChosen(ServerHandle{ 1, nullptr }));
+  auto answer = std::make_shared<Answer>();
+  answer->status = 500;
+  AttemptResult result{ .progress = AttemptProgress::Answered,
+                        .answer = answer };
+  result.isFailure = true;
+  const CallStep step = flow.AttemptEnded(result);
+  BOOST_TEST(AnswerOfStep(step).answer->status == 500U);
+}
+
+// Guards against more attempts than the operators allow for a route.
+BOOST_FIXTURE_TEST_CASE(KeepsTheMostRetriesOfTheRequest, Fixture)
+{
+  CallRequest request = this->Request();
+  request.repeatable = true;
+  request.mostRetries = 0;
+  CallFlow flow(request, AskingHooks(*this), this->ledger, this->guard);
+  flow.Begin();
+  SendOf(flow.ServerChosen(ServerHandle{ 1, nullptr }));
+  const CallStep step =
+    flow.AttemptEnded({ .progress = AttemptProgress::Refused });
+  BOOST_TEST((AnswerOfStep(step).kind == ErrorKind::ServerRefused));
+}
--- /dev/null
+++ b/modules/configuration/ProxySettingsTest.cpp
@@ -0,0 +1,53 @@
+#include "configuration/ProxySettings.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace fireflytrail::configuration;
+using namespace std::chrono_literals;
+
+namespace {
+
+const std::string kSettings = R"({
+  // One entry host.
+  "name": "edge-akl-a-1", "failure_domain": "akl-a",
+  "store": "10.200.1.7:8642", "listen": "10.1.0.15:8641",
+  "ready_listen": "10.1.0.15:8640", "operator_listen": "10.1.0.15:8649",
+  "peer_listen": "10.1.0.15:7620",
+  "first_peers": ["10.1.0.15:8649", "10.2.0.42:8649"],
+  "stop_limit_ms": 5000, "retry_ratio": 0.25, "free_retries": 64.0,
+  "trial_share": 0.05, "log_bytes_per_second": 4096
+})";
+
+} // namespace
+
+// Guards against a setting that is read into the wrong field.
+BOOST_AUTO_TEST_CASE(ReadsAllProxySettings)
+{
+  const auto result = ProxySettings::Parse(kSettings);
+  BOOST_REQUIRE(result.has_value());
+  const ProxySettings& settings = result.value();
+  BOOST_TEST(settings.name == "edge-akl-a-1");
+  BOOST_TEST(settings.failureDomain == "akl-a");
+  BOOST_TEST(settings.store.ToString() == "10.200.1.7:8642");
+  BOOST_TEST(settings.listen.port == 8641);
+  BOOST_TEST(settings.readyListen.port == 8640);
+  BOOST_TEST(settings.operatorListen.port == 8649);
+  BOOST_TEST(settings.peerListen.port == 7620);
+  BOOST_REQUIRE(settings.firstPeers.size() == 2U);
+  BOOST_TEST(settings.firstPeers[1].address == "10.2.0.42");
+  BOOST_TEST((settings.stopLimit == 5s));
+  BOOST_TEST(settings.retryRatio == 0.25);
+  BOOST_TEST(settings.freeRetries == 64);
+  BOOST_TEST(settings.trialShare == 0.05);
+  BOOST_TEST(settings.logBytesPerSecond == 4096U);
+}
+
+// Guards against settings that are accepted with a mistake, and against errors
+// that are reported one at a time.
+BOOST_AUTO_TEST_CASE(ReportsAllProxySettingErrors)
+{
+  const auto result = ProxySettings::Parse(
+    R"({ "name": "x", "retry_ratio": 2, "listen": "nowhere", "extra": 1 })");
+  BOOST_REQUIRE(!result.has_value());
+  BOOST_TEST(result.error().size() >= 4U);
+}
--- /dev/null
+++ b/modules/routing/ServiceDirectoryTest.cpp
@@ -0,0 +1,116 @@
+#include "routing/ServiceDirectory.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace fireflytrail;
+using namespace fireflytrail::routing;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Fixture
+{
+  core::TimePoint time{ 1h };
+  ServiceDirectory directory{ [this] { return this->time; } };
+
+  BackendInstance Instance(const std::string& aId,
+                           const std::string& aVersion = "v1") const
+  {
+    BackendInstance instance;
+    instance.id = aId;
+    instance.service = "s";
+    instance.version = aVersion;
+    instance.address = "127.0.0.1:1";
+    instance.failureDomain = "a";
+    instance.slots = 4;
+    return instance;
+  }
+
+  std::size_t UsableCount() const
+  {
+    std::size_t count = 0;
+    for (const DispatchTarget& target : this->directory.TargetsOf("s")) {
+      count += target.isUsable && !target.isOnTrial ? 1 : 0;
+    }
+    return count;
+  }
+};
+
+} // namespace
+
+// Guards against losing all servers at once when their entries have lapsed while
+// the store was away.
+BOOST_FIXTURE_TEST_CASE(KeepsEntriesThatLapsedWhileTheStoreWasAway, Fixture)
+{
+  this->directory.Put(this->Instance("x"));
+  this->directory.Put(this->Instance("y"));
+  this->directory.NoteStoreReturn();
+  this->time += 100ms;
+  this->directory.Remove("x");
+  this->directory.Remove("y");
+  BOOST_TEST(this->UsableCount() == 2U);
+  this->directory.Put(this->Instance("x"));
+  this->time = *this->directory.NextDue();
+  BOOST_TEST(this->directory.RemoveLapsed());
+  BOOST_TEST(this->UsableCount() == 1U);
+  BOOST_TEST(!this->directory.NextDue().has_value());
+}
+
+// Guards against requests to a server whose entry was removed while the store
+// answered: it is leaving.
+BOOST_FIXTURE_TEST_CASE(RemovesEntriesAtOnceOtherwise, Fixture)
+{
+  this->directory.Put(this->Instance("x"));
+  this->directory.NoteStoreReturn();
+  this->time += ServiceDirectory::kLapseTime;
+  this->directory.Remove("x");
+  BOOST_TEST(this->UsableCount() == 0U);
+}
+
+// Guards against requests to a draining server or a failure domain that is out.
+BOOST_FIXTURE_TEST_CASE(LeavesOutDrainingServersAndDomainsOut, Fixture)
+{
+  BackendInstance draining = this->Instance("x");
+  draining.isDraining = true;
+  this->directory.Put(draining);
+  BOOST_TEST(this->UsableCount() == 0U);
+  BOOST_TEST(!this->directory.IsUsable(draining));
+  this->directory.Put(this->Instance("y"));
+  BOOST_TEST(this->UsableCount() == 1U);
+  this->directory.SetDomainsOut({ "a" });
+  BOOST_TEST(this->UsableCount() == 0U);
+  BOOST_TEST(!this->directory.IsUsable(this->Instance("y")));
+}
+
+// Guards against a grant that names a server whose address belongs to another
+// one by now.
+BOOST_FIXTURE_TEST_CASE(AnInstanceAtAnotherAddressIsNotUsable, Fixture)
+{
+  this->directory.Put(this->Instance("x"));
+  BackendInstance old = this->Instance("x");
+  old.address = "127.0.0.1:2";
+  BOOST_TEST(!this->directory.IsUsable(old));
+}
+
+// Guards against traffic for a version before it is judged, and for the old one
+// after the move.
+BOOST_FIXTURE_TEST_CASE(RolloutsDecideWhichVersionsAreUsed, Fixture)
+{
+  this->directory.Put(this->Instance("old", "v1"));
+  this->directory.Put(this->Instance("new", "v2"));
+  RolloutOrder order{ .service = "s", .targetVersion = "v2", .duration = 12s };
+  this->directory.PutRollout(order);
+  BOOST_TEST(this->UsableCount() == 1U);
+  BOOST_TEST(this->directory.IsUsable(this->Instance("new", "v2")));
+  order.state = RolloutState::RolledBack;
+  this->directory.PutRollout(order);
+  BOOST_TEST(!this->directory.IsUsable(this->Instance("new", "v2")));
+  // A late message must not undo the verdict.
+  order.state = RolloutState::Running;
+  this->directory.PutRollout(order);
+  BOOST_TEST(!this->directory.IsUsable(this->Instance("new", "v2")));
+  order.state = RolloutState::Completed;
+  this->directory.PutRollout(order);
+  BOOST_TEST(this->directory.IsUsable(this->Instance("new", "v2")));
+  BOOST_TEST(!this->directory.IsUsable(this->Instance("old", "v1")));
+}
--- /dev/null
+++ b/modules/routing/ServiceDispatcherTest.cpp
@@ -0,0 +1,343 @@
+#include "routing/ServiceDispatcher.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+#include <queue>
+#include <random>
+#include <set>
+
+using namespace fireflytrail;
+using namespace fireflytrail::routing;
+using namespace std::chrono_literals;
+using core::ErrorKind;
+
+namespace {
+
+std::shared_ptr<const BackendInstance>
+Instance(const std::string& aId, const std::string& aDomain = "a")
+{
+  BackendInstance instance;
+  instance.id = aId;
+  instance.service = "s";
+  instance.version = "v1";
+  instance.address = "127.0.0.1:1";
+  instance.failureDomain = aDomain;
+  instance.slots = 4;
+  return std::make_shared<const BackendInstance>(std::move(instance));
+}
+
+struct Fixture
+{
+  core::TimePoint time{ 1h };
+  std::uint64_t drawn = 0;
+  std::map<std::uint64_t, DispatchResult> results;
+  std::vector<std::uint64_t> order;
+  ServiceDispatcher dispatcher{
+    { .now = [this] { return this->time; },
+      .random = [this] { return this->drawn += 0x9e3779b97f4a7c15ULL; },
+      .decided =
+        [this](std::uint64_t aId, const DispatchResult& aResult) {
+          BOOST_TEST(!this->results.contains(aId));
+          this->results[aId] = aResult;
+          this->order.push_back(aId);
+        } }
+  };
+  std::uint64_t nextId = 0;
+
+  std::uint64_t Submit(core::TimePoint::duration aGoal = 600ms,
+                       core::TimePoint::duration aDeadline = 2s,
+                       unsigned aPriority = 0,
+                       std::vector<std::uint64_t> aAvoid = {})
+  {
+    DispatchRequest request;
+    request.id = ++this->nextId;
+    request.failureDomain = "a";
+    request.goal = this->time + aGoal;
+    request.deadline = this->time + aDeadline;
+    request.priority = aPriority;
+    request.avoid = std::move(aAvoid);
+    this->dispatcher.Submit(std::move(request));
+    return this->nextId;
+  }
+
+  std::string InstanceOf(std::uint64_t aId) const
+  {
+    const auto found = this->results.find(aId);
+    return found == this->results.end() || !found->second.instance
+             ? std::string()
+             : found->second.instance->id;
+  }
+
+  void Release(std::uint64_t aId,
+               UseOutcome aOutcome = UseOutcome::Answered,
+               std::chrono::nanoseconds aDuration = 100ms,
+               std::optional<LoadSample> aSample = {})
+  {
+    this->dispatcher.Release(
+      this->results.at(aId).grant, aOutcome, aDuration, aSample);
+  }
+};
+
+} // namespace
+
+// Guards against filling an instance to its last slot, where its work takes 1.7
+// times as long, while another one has room.
+BOOST_FIXTURE_TEST_CASE(KeepsInstancesBelowTheirLastSlot, Fixture)
+{
+  this->dispatcher.SetInstances({ { Instance("x") }, { Instance("y") } });
+  std::map<std::string, int> counts;
+  for (int index = 0; index < 6; ++index) {
+    ++counts[this->InstanceOf(this->Submit())];
+  }
+  BOOST_TEST(counts["x"] == 3);
+  BOOST_TEST(counts["y"] == 3);
+  const std::uint64_t waiting = this->Submit();
+  BOOST_TEST(!this->results.contains(waiting));
+  this->Release(1);
+  BOOST_TEST(this->results.contains(waiting));
+}
+
+// Guards against a burst that is queued in arrival order: a request that can
+// still meet its goal must not wait behind one that cannot.
+BOOST_FIXTURE_TEST_CASE(ServesRequestsThatCanMeetTheirGoalFirst, Fixture)
+{
+  this->dispatcher.SetInstances({ { Instance("x") } });
+  for (int index = 0; index < 3; ++index) {
+    this->Submit();
+  }
+  const std::uint64_t late = this->Submit(50ms);
+  const std::uint64_t inTime = this->Submit(600ms);
+  this->Release(1);
+  BOOST_TEST(this->results.contains(inTime));
+  BOOST_TEST(!this->results.contains(late));
+  this->Release(2);
+  BOOST_TEST(this->results.contains(late));
+}
+
+// Guards against an urgent kind of request waiting behind others.
+BOOST_FIXTURE_TEST_CASE(ServesUrgentRequestsFirst, Fixture)
+{
+  this->dispatcher.SetInstances({ { Instance("x") } });
+  for (int index = 0; index < 3; ++index) {
+    this->Submit();
+  }
+  const std::uint64_t low = this->Submit(600ms, 2s, 2);
+  const std::uint64_t urgent = this->Submit(600ms, 2s, 0);
+  this->Release(1);
+  BOOST_TEST(this->results.contains(urgent));
+  BOOST_TEST(!this->results.contains(low));
+}
+
+// Guards against holding a request that cannot be served in its time: it is
+// refused at once, with the time until there is likely to be room.
+BOOST_FIXTURE_TEST_CASE(RefusesAtOnceWhatCannotBeServed, Fixture)
+{
+  this->dispatcher.SetInstances({ { Instance("x") } });
+  for (int index = 0; index < 3; ++index) {
+    this->Submit();
+  }
+  std::uint64_t refused = 0;
+  for (int index = 0; index < 30 && refused == 0; ++index) {
+    const std::uint64_t id = this->Submit(200ms, 500ms);
+    refused = this->results.contains(id) ? id : 0;
+  }
+  BOOST_REQUIRE(refused != 0);
+  BOOST_TEST((this->results.at(refused).kind == ErrorKind::Overloaded));
+  // About 400 ms of work wait: 12 requests of 100 ms for 3 slots.
+  BOOST_TEST(this->results.at(refused).retryAfter.count() >= 200);
+  BOOST_TEST(this->results.at(refused).retryAfter.count() <= 800);
+}
+
+// Guards against requests that are held until their deadline although their
+// instances never come back.
+BOOST_FIXTURE_TEST_CASE(RefusesWaitingRequestsBeforeTheirDeadline, Fixture)
+{
+  this->dispatcher.SetInstances({ { Instance("x") } });
+  for (int index = 0; index < 3; ++index) {
+    this->Submit();
+  }
+  const std::uint64_t waiting = this->Submit(200ms, 500ms);
+  this->time += 440ms;
+  BOOST_TEST(!this->results.contains(waiting));
+  this->time += 20ms;
+  this->dispatcher.Tick();
+  BOOST_REQUIRE(this->results.contains(waiting));
+  BOOST_TEST((this->results.at(waiting).kind == ErrorKind::Overloaded));
+}
+
+// Guards against an instance that fails fast and attracts all requests because
+// it looks idle.
+BOOST_FIXTURE_TEST_CASE(ExcludesAnInstanceThatFailsFast, Fixture)
+{
+  this->dispatcher.SetInstances({ { Instance("bad") }, { Instance("good") } });
+  int bad = 0;
+  for (int index = 0; index < 100; ++index) {
+    const std::uint64_t id = this->Submit();
+    BOOST_REQUIRE(!this->InstanceOf(id).empty());
+    this->time += 5ms;
+    if (this->InstanceOf(id) == "bad") {
+      ++bad;
+      this->Release(id, UseOutcome::Failed, 1ms);
+    } else {
+      this->Release(id, UseOutcome::Answered, 5ms);
+    }
+  }
+  BOOST_TEST(bad <= 4);
+}
+
+// Guards against the choice of an instance whose neighbours slow it down now.
+BOOST_FIXTURE_TEST_CASE(AvoidsAnInstanceThatReportsSlowness, Fixture)
+{
+  this->dispatcher.SetInstances({ { Instance("slow") }, { Instance("fast") } });
+  std::uint64_t slow = this->Submit();
+  const std::uint64_t other = this->Submit();
+  if (this->InstanceOf(slow) != "slow") {
+    slow = other;
+  }
+  this->Release(slow,
+                UseOutcome::Answered,
+                100ms,
+                LoadSample{ .running = 1, .slots = 4, .slowdown = 4 });
+  this->time += 50ms;
+  BOOST_TEST(this->InstanceOf(this->Submit()) == "fast");
+  // Neighbours change several times a second, so the report is soon worthless.
+  this->time += 2s;
+  std::set<std::string> used;
+  for (int index = 0; index < 4; ++index) {
+    used.insert(this->InstanceOf(this->Submit()));
+  }
+  BOOST_TEST(used.contains("slow"));
+}
+
+// Guards against crossing failure domains without need, which is paid for, and
+// against staying in a full one.
+BOOST_FIXTURE_TEST_CASE(PrefersItsFailureDomainWhileThereIsRoom, Fixture)
+{
+  this->dispatcher.SetInstances(
+    { { Instance("far", "b") }, { Instance("near", "a") } });
+  for (int index = 0; index < 3; ++index) {
+    BOOST_TEST(this->InstanceOf(this->Submit()) == "near");
+  }
+  BOOST_TEST(this->InstanceOf(this->Submit()) == "far");
+}
+
+// Guards against a cold instance that gets more than it bears when everything
+// else is full.
+BOOST_FIXTURE_TEST_CASE(PacesColdInstances, Fixture)
+{
+  configuration::BackendService service;
+  service.coldRequestsPerSecond = 5;
+  this->dispatcher.SetService(service);
+  BackendInstance cold = *Instance("cold");
+  cold.coldFor = 3s;
+  this->dispatcher.SetInstances(
+    { { std::make_shared<const BackendInstance>(cold) } });
+  int granted = 0;
+  for (int index = 0; index < 100; ++index) {
+    const std::uint64_t id = this->Submit(600ms, 10s);
+    this->time += 10ms;
+    this->dispatcher.Tick();
+    if (this->results.contains(id)) {
+      this->Release(id, UseOutcome::Answered, 1ms);
+    }
+  }
+  for (const auto& [id, result] : this->results) {
+    granted += result.instance ? 1 : 0;
+  }
+  BOOST_TEST(granted >= 4);
+  BOOST_TEST(granted <= 6);
+}
+
+// Guards against a second send to an instance that was tried, and against
+// requests for a version on trial beyond its share.
+BOOST_FIXTURE_TEST_CASE(LeavesOutTriedInstancesAndThoseOnTrial, Fixture)
+{
+  const auto first = Instance("first");
+  DispatchTarget trial{ Instance("trial"), true, true };
+  this->dispatcher.SetInstances({ { first }, trial });
+  const std::uint64_t id =
+    this->Submit(600ms, 2s, 0, { ServiceDispatcher::KeyOf(*first) });
+  BOOST_TEST((this->results.at(id).kind == ErrorKind::NoServer));
+  for (int index = 0; index < 3; ++index) {
+    BOOST_TEST(this->InstanceOf(this->Submit()) == "first");
+  }
+}
+
+// Guards against slots that are lost for ever when the host that used them has
+// died.
+BOOST_FIXTURE_TEST_CASE(GrantsExpireAfterTheirDeadline, Fixture)
+{
+  this->dispatcher.SetInstances({ { Instance("x") } });
+  for (int index = 0; index < 3; ++index) {
+    this->Submit(600ms, 1s);
+  }
+  this->time += 2100ms;
+  this->dispatcher.Tick();
+  BOOST_TEST(this->dispatcher.GrantCount() == 0U);
+  BOOST_TEST(this->InstanceOf(this->Submit()) == "x");
+}
+
+namespace {
+
+/** A burst at twice the capacity of 4 instances with 3 usable slots each, whose
+ * work takes 200 ms. Returns the share answered within 600 ms. */
+double
+ReplayBurst(Fixture& aFixture, double aPerSecond)
+{
+  std::vector<DispatchTarget> targets;
+  for (const char* id : { "a", "b", "c", "d" }) {
+    targets.push_back({ Instance(id) });
+  }
+  aFixture.dispatcher.SetInstances(targets);
+  const core::TimePoint begin = aFixture.time;
+  std::map<std::uint64_t, core::TimePoint> arrivals;
+  std::multimap<core::TimePoint, std::uint64_t> running;
+  std::size_t seen = 0;
+  int inTime = 0;
+  const int total = static_cast<int>(aPerSecond * 3);
+  for (int index = 0; index < total; ++index) {
+    const core::TimePoint next =
+      begin + std::chrono::duration_cast<core::TimePoint::duration>(
+                std::chrono::duration<double>(index / aPerSecond));
+    const auto note = [&] {
+      for (; seen < aFixture.order.size(); ++seen) {
+        const std::uint64_t id = aFixture.order[seen];
+        if (aFixture.results.at(id).instance) {
+          running.emplace(aFixture.time + 200ms, id);
+        }
+      }
+    };
+    while (!running.empty() && running.begin()->first <= next) {
+      const auto [end, id] = *running.begin();
+      running.erase(running.begin());
+      aFixture.time = end;
+      inTime += end - arrivals.at(id) <= 600ms ? 1 : 0;
+      aFixture.Release(id, UseOutcome::Answered, 200ms);
+      note();
+    }
+    aFixture.time = next;
+    arrivals[aFixture.nextId + 1] = next;
+    aFixture.Submit(600ms, 2s);
+    note();
+  }
+  return static_cast<double>(inTime) / total;
+}
+
+} // namespace
+
+// Guards against congestion collapse: at twice the capacity, 60 requests a
+// second, at least 0.9 of the capacity is still served in time. First come,
+// first served would serve only those of the first second in time.
+BOOST_FIXTURE_TEST_CASE(ABurstAboveCapacityKeepsGoodput, Fixture)
+{
+  BOOST_TEST(ReplayBurst(*this, 120) >= 0.9 * 0.5);
+}
+
+// Guards against losses below capacity.
+BOOST_FIXTURE_TEST_CASE(LoadBelowCapacityIsServedInTime, Fixture)
+{
+  BOOST_TEST(ReplayBurst(*this, 50) >= 0.98 * (1 - 0.2 / 3));
+}
--- a/modules/store/ObjectWatcher.cpp
+++ b/modules/store/ObjectWatcher.cpp
@@ -86,10 +86,12 @@
       (!this->isActive && state.revision != 0)) {
     return;
   }
-  if (this->isLost && this->isTesting) {
-    return;
+  if (this->isLost) {
+    if (!this->testingKind.empty() && this->testingKind != aKind) {
+      return;
+    }
+    this->testingKind = aKind;
   }
-  this->isTesting = this->isLost;
   if (state.revision == 0) {
     this->List(aKind);
   } else {
@@ -220,7 +222,7 @@
     return;
   }
   this->isLost = false;
-  this->isTesting = false;
+  this->testingKind.clear();
   this->hooks.onContact(false, "");
   for (const WatchedKind& kind : this->kinds) {
     this->Continue(kind.name);
@@ -230,15 +232,14 @@
 void
 ObjectWatcher::NoteFailure(const std::string& aKind, const std::string& aDetail)
 {
-  const bool wasTest = this->isLost && this->isTesting;
   if (!this->isLost) {
     this->isLost = true;
     this->hooks.onContact(true, aDetail);
-  } else if (!wasTest) {
+  } else if (this->testingKind != aKind) {
     // Another kind tests already.
     return;
   }
-  this->isTesting = true;
+  this->testingKind = aKind;
   const milliseconds longest =
     std::min(kFirstRetry * (1U << std::min(this->failures, 8U)), kLongestRetry);
   ++this->failures;
@@ -248,10 +249,7 @@
     milliseconds(static_cast<milliseconds::rep>(
       this->hooks.random() %
       static_cast<std::uint64_t>(longest.count() / 2 + 1)));
-  this->hooks.after(delay, [this, aKind] {
-    this->isTesting = false;
-    this->Continue(aKind);
-  });
+  this->hooks.after(delay, [this, aKind] { this->Continue(aKind); });
 }
 
 } // namespace fireflytrail::store
--- a/modules/store/ObjectWatcher.h
+++ b/modules/store/ObjectWatcher.h
@@ -123,7 +123,8 @@
   WatcherHooks hooks;
   std::map<std::string, Progress, std::less<>> progress;
   bool isLost = false;
-  bool isTesting = false;
+  /** Kind whose calls test a store that is lost; empty if none does. */
+  std::string testingKind;
   bool isStopped = false;
   bool isActive = true;
   unsigned failures = 0;
--- /dev/null
+++ b/modules/store/ObjectWatcherTest.cpp
@@ -0,0 +1,212 @@
+#include "store/ObjectWatcher.h"
+
+#include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
+
+#include <algorithm>
+#include <deque>
+#include <sstream>
+
+using namespace fireflytrail;
+using namespace fireflytrail::store;
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+
+namespace {
+
+/** A watcher of two kinds whose requests and timers the test completes. */
+struct Fixture
+{
+  struct Call
+  {
+    StoreRequest request;
+    std::function<void(StoreResponse)> done;
+  };
+
+  core::TimePoint time{ 1h };
+  std::deque<Call> calls;
+  std::deque<std::pair<milliseconds, std::function<void()>>> timers;
+  std::vector<std::string> events;
+  ObjectWatcher watcher{
+    { { "k", 1500ms }, { "l", 3000ms } },
+    { .listTarget =
+        [](std::string_view aKind, std::string_view aAfter) {
+          return fmt::format("list {} {}", aKind, aAfter);
+        },
+      .watchTarget =
+        [](std::string_view aKind,
+           std::uint64_t aRevision,
+           milliseconds aWait) {
+          return fmt::format(
+            "watch {} {} {}", aKind, aRevision, aWait.count());
+        },
+      .statusTarget = [](std::string_view, std::string_view) { return ""; },
+      .readList = Read,
+      .readChanges = Read },
+    { .now = [this] { return this->time; },
+      .random = [] { return 0; },
+      .send =
+        [this](const StoreRequest& aRequest,
+               std::function<void(StoreResponse)> aDone) {
+          this->calls.push_back({ aRequest, std::move(aDone) });
+        },
+      .after =
+        [this](milliseconds aTime, std::function<void()> aFunction) {
+          this->timers.emplace_back(aTime, std::move(aFunction));
+        },
+      .onList =
+        [this](const std::string& aKind,
+               std::uint64_t,
+               std::vector<ObjectRecord> aObjects) {
+          this->events.push_back(
+            fmt::format("list {} {}", aKind, aObjects.size()));
+        },
+      .onChanges =
+        [this](const std::string& aKind, std::vector<ObjectRecord> aObjects) {
+          this->events.push_back(
+            fmt::format("change {} {}", aKind, aObjects.size()));
+        },
+      .onCall = [](const StoreRequest&, const StoreResponse&) {},
+      .onContact =
+        [this](bool aIsLost, const std::string&) {
+          this->events.push_back(aIsLost ? "lost" : "regained");
+        } }
+  };
+
+  /** A body is "revision more name name ..."; "?" cannot be read. */
+  static core::Result<ObjectPage> Read(std::string_view aKind,
+                                       std::string_view aBody)
+  {
+    if (aBody == "?") {
+      return core::Error{ core::ErrorKind::Internal, "unreadable" };
+    }
+    ObjectPage page;
+    std::istringstream words{ std::string(aBody) };
+    words >> page.revision >> page.hasMore;
+    for (std::string name; words >> name;) {
+      page.objects.push_back({ std::string(aKind), name, 1, false, {} });
+    }
+    return page;
+  }
+
+  /** Answers the oldest call and returns its target. */
+  std::string Answer(unsigned aStatus, const std::string& aBody = "")
+  {
+    BOOST_REQUIRE(!this->calls.empty());
+    Call call = std::move(this->calls.front());
+    this->calls.pop_front();
+    call.done({ StoreDelivery::Answered, aStatus, 0, aBody, "" });
+    return call.request.target;
+  }
+
+  std::string Lose()
+  {
+    BOOST_REQUIRE(!this->calls.empty());
+    Call call = std::move(this->calls.front());
+    this->calls.pop_front();
+    call.done({ StoreDelivery::Lost, 0, 0, "", "no answer in time" });
+    return call.request.target;
+  }
+
+  milliseconds RunTimer()
+  {
+    BOOST_REQUIRE(!this->timers.empty());
+    const auto [time, function] = std::move(this->timers.front());
+    this->timers.pop_front();
+    function();
+    return time;
+  }
+
+  void ListBoth()
+  {
+    this->watcher.Start();
+    this->Answer(200, "10 0 a");
+    this->Answer(200, "11 0");
+  }
+};
+
+} // namespace
+
+// Guards against a list that stops at its first page, and against changes that
+// are missed between the list and the watch.
+BOOST_FIXTURE_TEST_CASE(ListsAllPagesThenWatchesFromTheirRevision, Fixture)
+{
+  this->watcher.Start();
+  BOOST_TEST(this->Answer(200, "10 1 a b") == "list k ");
+  BOOST_TEST(this->Answer(200, "11 0") == "list l ");
+  BOOST_TEST(this->Answer(200, "12 0 c") == "list k b");
+  BOOST_TEST(this->events ==
+               std::vector<std::string>({ "list l 0", "list k 3" }),
+             boost::test_tools::per_element());
+  BOOST_TEST(this->calls.at(0).request.target == "watch l 11 3000");
+  BOOST_TEST(this->calls.at(1).request.target == "watch k 12 1500");
+}
+
+// Guards against a watch that has gone silent without a reset: its answer is
+// awaited little longer than it was to wait.
+BOOST_FIXTURE_TEST_CASE(AWatchThatStaysSilentIsGivenUp, Fixture)
+{
+  this->ListBoth();
+  BOOST_TEST(this->calls.at(0).request.timeout.count() <= 2000);
+}
+
+// Guards against a history that is gone: the kind is listed anew.
+BOOST_FIXTURE_TEST_CASE(AGoneHistoryIsListedAnew, Fixture)
+{
+  this->ListBoth();
+  BOOST_TEST(this->Answer(410) == "watch k 10 1500");
+  BOOST_TEST(this->calls.back().request.target == "list k ");
+}
+
+// Guards against a store that is called by every kind while it is away, since
+// refused calls are paid for, and against a return that is noticed late.
+BOOST_FIXTURE_TEST_CASE(OneCallTestsAStoreThatIsAway, Fixture)
+{
+  this->ListBoth();
+  this->events.clear();
+  this->Answer(503);
+  this->Answer(503);
+  BOOST_TEST(this->calls.empty());
+  milliseconds waited{ 0 };
+  for (int test = 0; test < 8; ++test) {
+    waited = this->RunTimer();
+    BOOST_REQUIRE(this->calls.size() == 1U);
+    BOOST_TEST(this->Lose() == "watch k 10 0");
+  }
+  BOOST_TEST(waited.count() <= 1000);
+  this->RunTimer();
+  this->Answer(200, "15 0");
+  BOOST_TEST(this->events ==
+               std::vector<std::string>({ "lost", "regained", "change k 0" }),
+             boost::test_tools::per_element());
+  // Both kinds go on from what they knew.
+  std::vector<std::string> targets;
+  for (const Call& call : this->calls) {
+    targets.push_back(call.request.target);
+  }
+  std::ranges::sort(targets);
+  BOOST_TEST(targets == std::vector<std::string>(
+                          { "watch k 15 1500", "watch l 11 3000" }),
+             boost::test_tools::per_element());
+}
+
+// Guards against an answer that cannot be read and passes for an empty one.
+BOOST_FIXTURE_TEST_CASE(AnUnreadableAnswerIsAFailure, Fixture)
+{
+  this->watcher.Start();
+  this->Answer(200, "?");
+  BOOST_TEST(this->events.front() == "lost");
+  BOOST_TEST(this->watcher.IsLost());
+}
+
+// Guards against watches by a daemon that hears the news from others.
+BOOST_FIXTURE_TEST_CASE(AnInactiveWatcherListsOnly, Fixture)
+{
+  this->watcher.SetActive(false);
+  this->ListBoth();
+  BOOST_TEST(this->calls.empty());
+  this->watcher.NoteRevision("k", 20);
+  this->watcher.SetActive(true);
+  BOOST_REQUIRE(this->calls.size() == 2U);
+  BOOST_TEST(this->calls.at(0).request.target == "watch k 20 1500");
+}
