--- a/modules/configuration/ProxySettings.cpp
+++ b/modules/configuration/ProxySettings.cpp
@@ -13,6 +13,14 @@
 constexpr std::int64_t kMaxLogBytes = 1 << 30;
 constexpr std::int64_t kMaxHosts = 100'000;
 constexpr double kMaxFreeRetries = 1e6;
+constexpr double kMaxShare = 1024;
+constexpr double kMaxMegabits = 1e6;
+
+// Least link and processor share of a host that works for the others: 1.5 MB in
+// a quarter of a second, and 1,000 short messages a second in a tenth of the
+// share.
+constexpr double kStrongMegabits = 50;
+constexpr double kStrongShare = 0.2;
 
 Endpoint
 ReadEndpoint(ObjectReader& aReader, std::string_view aName)
@@ -60,6 +68,9 @@
   settings.freeRetries =
     reader.Number("free_retries", 0, kMaxFreeRetries, 64);
   settings.trialShare = reader.Number("trial_share", 0, 1, 0.1);
+  settings.processorShare =
+    reader.Number("processor_share", 0, kMaxShare, 1);
+  settings.linkMegabits = reader.Number("link_mbps", 0, kMaxMegabits, 1000);
   settings.expectedHosts = static_cast<unsigned>(
     reader.Integer("expected_hosts", 1, kMaxHosts, 19));
   reader.Finish();
@@ -70,4 +81,11 @@
   return settings;
 }
 
+bool
+ProxySettings::IsStrong() const
+{
+  return this->linkMegabits >= kStrongMegabits &&
+         this->processorShare >= kStrongShare;
+}
+
 } // namespace fireflytrail::configuration
--- a/modules/configuration/ProxySettings.h
+++ b/modules/configuration/ProxySettings.h
@@ -38,6 +38,10 @@
   double freeRetries = 64;
   /** Least part of a service's requests that a bad version may get. */
   double trialShare = 0.1;
+  /** Part of a processor core that the host gives the daemon. */
+  double processorShare = 1;
+  /** Bandwidth of the host's link, in Mbit/s. */
+  double linkMegabits = 1000;
   /** Entry hosts that share budgets when their number is not known. */
   unsigned expectedHosts = 19;
 
@@ -46,6 +50,13 @@
    * in line order. Thread-safe.
    */
   static Checked<ProxySettings> Parse(std::string_view aText);
+
+  /**
+   * Whether the host can carry work for all others: reading the store and
+   * dispatching services. A batch of changes for 100 hosts is up to 1.5 MB,
+   * more than a second on a link of 10 Mbit/s. Thread-safe.
+   */
+  bool IsStrong() const;
 };
 
 } // namespace fireflytrail::configuration
--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -48,7 +48,9 @@
 // Hosts that start together are up within 0.3 s. A record that is pushed then
 // makes each known to all within a second.
 constexpr milliseconds kAnnounceDelay = 400ms;
-constexpr std::string_view kStartKey = "started";
+constexpr std::string_view kStrengthKey = "strength";
+constexpr std::string_view kStrong = "strong";
+constexpr std::string_view kWeak = "weak";
 
 // Longest waits of watches. News of kinds with bounds of 2 s may be late by the
 // first, news of kinds with bounds of 5 s by the second.
@@ -147,6 +149,7 @@
   const ObjectKinds& kinds = this->platform.kinds;
   this->relay = std::make_unique<StoreRelay>(
     this->self.name,
+    aSettings.IsStrong(),
     std::vector<std::string>{
       kinds.configuration, kinds.instances, kinds.rollouts, kinds.domainsOut },
     this->MakeRelayHooks());
@@ -219,6 +222,7 @@
           return;
         }
         this->directory.NoteStoreReturn();
+        this->relay->Tick();
         this->log.Write(LogLevel::Info, "store_regained");
       }
   };
@@ -262,8 +266,9 @@
   return {
     .now = std::chrono::steady_clock::now,
     .random = RandomNumber,
-    .peers = [this] { return this->PeerNames(); },
-    .mayDispatch = [this] { return !this->isStopping; },
+    .peers = [this] { return this->StrongPeerNames(); },
+    .mayDispatch =
+      [this] { return !this->isStopping && this->settings.IsStrong(); },
     .send =
       [this](const std::string& aTo, wire::WireMessage aMessage) {
         this->SendTo(aTo, std::move(aMessage));
@@ -439,7 +444,8 @@
   this->startTimer.expires_after(kAnnounceDelay);
   this->startTimer.async_wait([this](boost::system::error_code aError) {
     if (!aError) {
-      this->node->Exchanger().PublishUrgent(kStartKey, "1");
+      this->node->Exchanger().PublishUrgent(
+        kStrengthKey, this->settings.IsStrong() ? kStrong : kWeak);
     }
   });
 }
@@ -500,6 +506,18 @@
   return names;
 }
 
+std::vector<std::string>
+ProxyDaemon::StrongPeerNames() const
+{
+  std::vector<std::string> names = this->PeerNames();
+  std::erase_if(names, [this](const std::string& aName) {
+    const gossip::Record* record =
+      this->node->State().FindRecord(aName, kStrengthKey);
+    return record == nullptr || record->value != kStrong;
+  });
+  return names;
+}
+
 void
 ProxyDaemon::OnObjects(const std::string& aKind,
                        const std::vector<store::ObjectRecord>& aObjects)
--- a/modules/proxy/ProxyDaemon.h
+++ b/modules/proxy/ProxyDaemon.h
@@ -85,6 +85,7 @@
   void OnGossipTick();
   void SendTo(const std::string& aName, wire::WireMessage aMessage);
   std::vector<std::string> PeerNames() const;
+  std::vector<std::string> StrongPeerNames() const;
   store::WatcherHooks MakeWatcherHooks();
   StoreRelayHooks MakeRelayHooks();
   SlotBrokerHooks MakeBrokerHooks();
--- a/modules/proxy/StoreRelay.cpp
+++ b/modules/proxy/StoreRelay.cpp
@@ -8,6 +8,7 @@
 #include <algorithm>
 #include <cassert>
 #include <limits>
+#include <tuple>
 #include <utility>
 
 namespace fireflytrail::proxy {
@@ -29,18 +30,20 @@
 constexpr std::chrono::milliseconds kOwnListTime{ 1000 };
 
 /** Position of a daemon in the order of watchers: greater comes first. */
-std::pair<std::uint64_t, std::string_view>
-RankOf(std::string_view aName)
+std::tuple<bool, std::uint64_t, std::string_view>
+RankOf(std::string_view aName, bool aIsStrong)
 {
-  return { core::RendezvousWeight("store", aName), aName };
+  return { aIsStrong, core::RendezvousWeight("store", aName), aName };
 }
 
 } // namespace
 
 StoreRelay::StoreRelay(std::string aSelf,
+                       bool aIsStrong,
                        std::vector<std::string> aKinds,
                        StoreRelayHooks aHooks)
   : self(std::move(aSelf))
+  , isStrong(aIsStrong)
   , kinds(std::move(aKinds))
   , hooks(std::move(aHooks))
 {
@@ -91,7 +94,7 @@
 void
 StoreRelay::OnBeat(const std::string& aFrom, const wire::StoreBeat& aBeat)
 {
-  this->watchers[aFrom] = this->hooks.now();
+  this->watchers[aFrom] = { this->hooks.now(), aBeat.isLost, aBeat.isStrong };
   const std::size_t count =
     std::min(aBeat.lastChanges.size(), this->kinds.size());
   for (std::size_t index = 0; index < count; ++index) {
@@ -122,12 +125,14 @@
 {
   const core::TimePoint now = this->hooks.now();
   std::erase_if(this->watchers, [now](const auto& aWatcher) {
-    return now - aWatcher.second > kBeatLimit;
+    return now - aWatcher.second.heardAt > kBeatLimit;
   });
-  if (!this->ShouldWatch() || !this->IsInContact()) {
+  if (!this->ShouldWatch()) {
     return;
   }
   wire::StoreBeat beat;
+  beat.isLost = !this->IsInContact();
+  beat.isStrong = this->isStrong;
   for (const std::string& kind : this->kinds) {
     beat.lastChanges.push_back(this->replica.LastChange(kind));
   }
@@ -139,21 +144,27 @@
 {
   constexpr double kRange =
     static_cast<double>(std::numeric_limits<std::uint64_t>::max());
-  const double place = static_cast<double>(RankOf(this->self).first) / kRange;
-  const auto turn =
-    std::chrono::duration<double>(kStartSpread) * (1 - place);
+  const auto rank = RankOf(this->self, this->isStrong);
+  // Strong hosts take the first half of the spread.
+  const double place = static_cast<double>(std::get<1>(rank)) / kRange;
+  const auto turn = std::chrono::duration<double>(kStartSpread) *
+                    ((this->isStrong ? 0.5 : 1) - place / 2);
   if (this->hooks.now() - this->startedAt < turn) {
     return false;
   }
-  return this->WatchersBefore() < kWatcherCount;
+  const std::size_t watching = this->WatchersBefore(false);
+  return watching < kWatcherCount &&
+         watching + this->WatchersBefore(true) < kTesterCount;
 }
 
 std::optional<std::chrono::nanoseconds>
 StoreRelay::Age() const
 {
   std::optional<core::TimePoint> latest = this->hooks.lastContact();
-  for (const auto& [name, heardAt] : this->watchers) {
-    latest = latest ? std::max(*latest, heardAt) : heardAt;
+  for (const auto& [name, watcher] : this->watchers) {
+    if (!watcher.isLost) {
+      latest = latest ? std::max(*latest, watcher.heardAt) : watcher.heardAt;
+    }
   }
   if (!latest) {
     return std::nullopt;
@@ -162,14 +173,16 @@
 }
 
 std::size_t
-StoreRelay::WatchersBefore() const
+StoreRelay::WatchersBefore(bool aLost) const
 {
   const core::TimePoint now = this->hooks.now();
-  const auto own = RankOf(this->self);
+  const auto own = RankOf(this->self, this->isStrong);
   return static_cast<std::size_t>(
     std::ranges::count_if(this->watchers, [&](const auto& aWatcher) {
-      return now - aWatcher.second <= kBeatLimit &&
-             RankOf(aWatcher.first) > own;
+      const auto& [name, watcher] = aWatcher;
+      return watcher.isLost == aLost &&
+             now - watcher.heardAt <= kBeatLimit &&
+             RankOf(name, watcher.isStrong) > own;
     }));
 }
 
@@ -192,7 +205,7 @@
                  const std::vector<ObjectRecord>& aChanged)
 {
   if (aChanged.empty() || !this->ShouldWatch() ||
-      this->WatchersBefore() > 0) {
+      this->WatchersBefore(false) > 0) {
     return;
   }
   this->hooks.broadcast(
--- a/modules/proxy/StoreRelay.h
+++ b/modules/proxy/StoreRelay.h
@@ -41,7 +41,8 @@
  * store is paid for and its rates do not grow with the fleet.
  *
  * A daemon watches the store unless it hears from `kWatcherCount` daemons that
- * do and that come before it in an order by hash. Those send a beat every
+ * do and that come before it: strong hosts first, then in an order by hash.
+ * Those send a beat every
  * `kBeatInterval` while the store answers them, so that the next daemons take
  * over when they stop, freeze or lose the store, without an election. The first
  * of them also pushes each change at once; a daemon that learns from a beat
@@ -55,6 +56,10 @@
   /** Daemons that watch: two may fail together without a gap. */
   static constexpr std::size_t kWatcherCount = 3;
 
+  /** Daemons that go on trying while the store answers none of them. A platform
+   * that turns a third of the hosts away hits all six of them one time in 700. */
+  static constexpr std::size_t kTesterCount = 6;
+
   /** Time between two beats of a daemon that watches. */
   static constexpr std::chrono::milliseconds kBeatInterval{ 500 };
 
@@ -71,9 +76,11 @@
    * not hold for a host in its first three seconds. */
   static constexpr std::chrono::milliseconds kStartSpread{ 3000 };
 
-  /** `aSelf` is the name of this daemon; `aKinds` are in the order that all
-   * daemons use. */
+  /** `aSelf` is the name of this daemon, `aIsStrong` tells whether its host can
+   * carry work for all others; `aKinds` are in the order that all daemons use.
+   */
   StoreRelay(std::string aSelf,
+             bool aIsStrong,
              std::vector<std::string> aKinds,
              StoreRelayHooks aHooks);
   StoreRelay(const StoreRelay&) = delete;
@@ -98,7 +105,8 @@
   void OnRequest(const std::string& aFrom,
                  const wire::StoreNewsRequest& aRequest);
 
-  /** Sends a beat if this daemon watches. Call every `kBeatInterval`. */
+  /** Sends a beat if this daemon watches. Call every `kBeatInterval` and when
+   * the store answers again. */
   void Tick();
 
   /** Returns whether this daemon should watch the store. */
@@ -109,7 +117,15 @@
   std::optional<std::chrono::nanoseconds> Age() const;
 
 private:
-  std::size_t WatchersBefore() const;
+  struct Watcher
+  {
+    core::TimePoint heardAt;
+    bool isLost = false;
+    bool isStrong = false;
+  };
+
+  /** Counts the watching daemons that come before this one. */
+  std::size_t WatchersBefore(bool aLost) const;
   bool IsInContact() const;
   bool IsKnownKind(const std::string& aKind) const;
   void Push(const std::string& aKind,
@@ -124,12 +140,12 @@
                        std::uint64_t aLastChange);
 
   std::string self;
+  bool isStrong;
   std::vector<std::string> kinds;
   StoreRelayHooks hooks;
   store::ObjectReplica replica;
   core::TimePoint startedAt;
-  /** When each watching daemon was heard last. */
-  std::map<std::string, core::TimePoint, std::less<>> watchers;
+  std::map<std::string, Watcher, std::less<>> watchers;
   /** Since when changes of a kind are known to be missing. */
   std::map<std::string, core::TimePoint, std::less<>> behindSince;
   /** When changes of a kind were asked for last. */
--- a/modules/proxy/StoreRelayTest.cpp
+++ b/modules/proxy/StoreRelayTest.cpp
@@ -40,7 +40,7 @@
     }
     for (auto& [name, host] : this->hosts) {
       host.relay = std::make_unique<StoreRelay>(
-        name, std::vector<std::string>{ "k" }, this->HooksOf(name));
+        name, true, std::vector<std::string>{ "k" }, this->HooksOf(name));
     }
   }
 
--- a/modules/store/ObjectWatcher.cpp
+++ b/modules/store/ObjectWatcher.cpp
@@ -22,8 +22,8 @@
 constexpr milliseconds kWatchSlack = 400ms;
 
 // Time between the answer of a watch and the next one. Changes come in series;
-// this brings several in one call and is a tenth of the shortest bound, 2 s.
-constexpr milliseconds kCoalesceTime = 200ms;
+// this brings several in one call and is a sixth of the shortest bound, 2 s.
+constexpr milliseconds kCoalesceTime = 300ms;
 
 // Times between tests of a store that does not answer. The longest is half of
 // the shortest bound that starts when the store is back, 2 s.
--- a/modules/wire/EntryConversion.cpp
+++ b/modules/wire/EntryConversion.cpp
@@ -114,7 +114,8 @@
 Write(FlatBufferBuilder& aBuilder, const StoreBeat& aBeat)
 {
   const auto changes = aBuilder.CreateVector(aBeat.lastChanges);
-  return { fbs::Message::StoreBeat, fbs::CreateStoreBeat(aBuilder, changes) };
+  return { fbs::Message::StoreBeat, fbs::CreateStoreBeat(
+             aBuilder, changes, aBeat.isLost, aBeat.isStrong) };
 }
 
 Written<fbs::StoreNewsRequest>
@@ -232,6 +233,8 @@
     beat.lastChanges.assign(aBeat.last_changes()->begin(),
                             aBeat.last_changes()->end());
   }
+  beat.isLost = aBeat.lost();
+  beat.isStrong = aBeat.strong();
   aMessage = std::move(beat);
   return FrameError::None;
 }
--- a/modules/wire/FrameCodecTest.cpp
+++ b/modules/wire/FrameCodecTest.cpp
@@ -88,7 +88,7 @@
                    true,
                    { { "i-1", 5, false, "{}" }, { "i-2", 9, true, "" } } },
                  { "config", 1, 1, false, {} } } },
-    StoreBeat{ { 1, 0xffffffffffffffff } },
+    StoreBeat{ { 1, 0xffffffffffffffff }, true, true },
     StoreNewsRequest{ "servers", 4 },
   };
 }
--- a/modules/wire/messages_generated.h
+++ b/modules/wire/messages_generated.h
@@ -2309,15 +2309,25 @@
   typedef StoreBeatBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_LAST_CHANGES = 4
+    VT_LAST_CHANGES = 4,
+    VT_LOST = 6,
+    VT_STRONG = 8
   };
   const flatbuffers::Vector<uint64_t> *last_changes() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_LAST_CHANGES);
   }
+  bool lost() const {
+    return GetField<uint8_t>(VT_LOST, 0) != 0;
+  }
+  bool strong() const {
+    return GetField<uint8_t>(VT_STRONG, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_LAST_CHANGES) &&
            verifier.VerifyVector(last_changes()) &&
+           VerifyField<uint8_t>(verifier, VT_LOST, 1) &&
+           VerifyField<uint8_t>(verifier, VT_STRONG, 1) &&
            verifier.EndTable();
   }
 };
@@ -2329,6 +2339,12 @@
   void add_last_changes(flatbuffers::Offset<flatbuffers::Vector<uint64_t>> last_changes) {
     fbb_.AddOffset(StoreBeat::VT_LAST_CHANGES, last_changes);
   }
+  void add_lost(bool lost) {
+    fbb_.AddElement<uint8_t>(StoreBeat::VT_LOST, static_cast<uint8_t>(lost), 0);
+  }
+  void add_strong(bool strong) {
+    fbb_.AddElement<uint8_t>(StoreBeat::VT_STRONG, static_cast<uint8_t>(strong), 0);
+  }
   explicit StoreBeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2342,9 +2358,13 @@
 
 inline flatbuffers::Offset<StoreBeat> CreateStoreBeat(
     flatbuffers::FlatBufferBuilder &_fbb,
-    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> last_changes = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint64_t>> last_changes = 0,
+    bool lost = false,
+    bool strong = false) {
   StoreBeatBuilder builder_(_fbb);
   builder_.add_last_changes(last_changes);
+  builder_.add_strong(strong);
+  builder_.add_lost(lost);
   return builder_.Finish();
 }
 
@@ -2355,11 +2375,15 @@
 
 inline flatbuffers::Offset<StoreBeat> CreateStoreBeatDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
-    const std::vector<uint64_t> *last_changes = nullptr) {
+    const std::vector<uint64_t> *last_changes = nullptr,
+    bool lost = false,
+    bool strong = false) {
   auto last_changes__ = last_changes ? _fbb.CreateVector<uint64_t>(*last_changes) : 0;
   return fireflytrail::wire::fbs::CreateStoreBeat(
       _fbb,
-      last_changes__);
+      last_changes__,
+      lost,
+      strong);
 }
 
 struct StoreNewsRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
