--- a/modules/proxy/StoreRelay.cpp
+++ b/modules/proxy/StoreRelay.cpp
@@ -279,12 +279,14 @@
   // A daemon that has just started lists the kinds itself.
   const bool isStarting = !isListed && now - this->startedAt < kOwnListTime;
   if ((isListed && known >= aLastChange) || isStarting) {
-    this->behindSince.erase(aKind);
     return;
   }
-  const core::TimePoint since =
-    this->behindSince.try_emplace(aKind, now).first->second;
-  if (now - since < kPushTime ||
+  // Beats of daemons that know less come in between and say nothing about it.
+  Gap& gap = this->gaps[aKind];
+  if (gap.lastChange <= known) {
+    gap = { aLastChange, now };
+  }
+  if (now - gap.since < kPushTime ||
       now - this->requestedAt[aKind] < kRequestInterval) {
     return;
   }
--- a/modules/proxy/StoreRelay.h
+++ b/modules/proxy/StoreRelay.h
@@ -125,6 +125,13 @@
     bool isStrong = false;
   };
 
+  /** A change of a kind that is known to be missing. */
+  struct Gap
+  {
+    std::uint64_t lastChange = 0;
+    core::TimePoint since;
+  };
+
   /** Counts the watching daemons that come before this one. */
   std::size_t WatchersBefore(bool aLost) const;
   bool IsInContact() const;
@@ -147,8 +154,7 @@
   store::ObjectReplica replica;
   core::TimePoint startedAt;
   std::map<std::string, Watcher, std::less<>> watchers;
-  /** Since when changes of a kind are known to be missing. */
-  std::map<std::string, core::TimePoint, std::less<>> behindSince;
+  std::map<std::string, Gap, std::less<>> gaps;
   /** When changes of a kind were asked for last. */
   std::map<std::string, core::TimePoint, std::less<>> requestedAt;
 };
--- a/modules/proxy/StoreRelayTest.cpp
+++ b/modules/proxy/StoreRelayTest.cpp
@@ -230,3 +230,24 @@
   fleet.Run(5s);
   BOOST_TEST(fleet.hosts.at("host-0").objects.at("a") == 5U);
 }
+
+// Guards against a host that never asks for a change because daemons that do
+// not know it send beats in between (kowhai-trail trouble-1, seed
+// 192331379365).
+BOOST_AUTO_TEST_CASE(BeatsOfDaemonsThatKnowLessDoNotHideAGap)
+{
+  Fleet fleet(3);
+  fleet.ListAll();
+  StoreRelay& relay = *fleet.hosts.at("host-0").relay;
+  fleet.hosts.at("host-1").relay->OnWatched(
+    "k", { { "k", "b", 20, false, boost::json::object{} } });
+  fleet.hosts.at("host-0").objects.clear();
+  fleet.cut.clear();
+  for (int beat = 0; beat < 3; ++beat) {
+    relay.OnBeat("host-1", { { 20 }, false, true });
+    fleet.time += 250ms;
+    relay.OnBeat("host-2", { { 5 }, true, true });
+    fleet.time += 250ms;
+  }
+  BOOST_TEST(fleet.hosts.at("host-0").objects.contains("b"));
+}
