Pace cold servers by the dispatching daemon, which sees the requests of all

Cause: each daemon used one nineteenth of a cold server's rate although one daemon dispatches, so servers that came back cold stood nearly idle; with more than 19 hosts the sum of those that decide alone would have exceeded the rate.

--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -264,6 +264,12 @@
            .peers = [this] { return this->StrongPeerNames(); },
            .mayDispatch =
              [this] { return !this->isStopping && this->settings.IsStrong(); },
+           .hostCount =
+             [this] {
+               return std::max<std::size_t>(
+                 this->settings.expectedHosts,
+                 this->node->Members().PlausibleHostCount());
+             },
            .send =
              [this](const std::string& aTo, wire::WireMessage aMessage) {
                this->SendTo(aTo, std::move(aMessage));
@@ -655,7 +661,6 @@
     return;
   }
   routing::DispatcherSettings dispatcher;
-  dispatcher.coldShare = 1.0 / this->settings.expectedHosts;
   dispatcher.trialShare = 0;
   this->broker.Update(
     this->routes->Configuration(), this->directory, dispatcher);
--- a/modules/proxy/SlotBroker.cpp
+++ b/modules/proxy/SlotBroker.cpp
@@ -26,6 +26,12 @@
 // a word. It then says again that the request still waits.
 constexpr milliseconds kWaitingTime = 400ms;
 
+// Parts of a cold server's rate for the daemon that dispatches its service, of
+// which there may be two for a moment, and for all daemons together that decide
+// alone. The platform allows one and a half times the rate.
+constexpr double kDispatcherColdShare = 0.6;
+constexpr double kAloneColdShare = 0.25;
+
 // Misses in a row after which another daemon is asked, and for how long. One
 // miss happens to a busy host.
 constexpr unsigned kMissesToAvoid = 2;
@@ -43,7 +49,7 @@
 {
   assert(this->hooks.now && this->hooks.random && this->hooks.peers);
   assert(this->hooks.mayDispatch && this->hooks.send && this->hooks.isUsable);
-  assert(this->hooks.peerChanged);
+  assert(this->hooks.peerChanged && this->hooks.hostCount);
 }
 
 void
@@ -84,7 +90,7 @@
   entry.onDecided = std::move(aOnDecided);
   entry.asked = this->DispatcherName(aService);
   if (entry.asked.empty()) {
-    this->DecideHere(number);
+    this->DecideHere(number, false);
   } else {
     this->Ask(number, entry);
   }
@@ -175,6 +181,7 @@
   request.deadline = now + aRequest.deadline;
   request.priority = aRequest.priority;
   request.avoid = aRequest.avoid;
+  request.coldShare = kDispatcherColdShare;
   this->DispatcherOf(aRequest.service).Submit(std::move(request));
   if (this->remotes.contains(id)) {
     // Tells that the request waits.
@@ -224,7 +231,7 @@
       release.service = found->second.service;
       release.grant = aDecision.grant;
       this->hooks.send(aFrom, std::move(release));
-      this->DecideHere(aDecision.number);
+      this->DecideHere(aDecision.number, true);
       return;
     }
   }
@@ -331,9 +338,12 @@
 }
 
 void
-SlotBroker::DecideHere(std::uint64_t aNumber)
+SlotBroker::DecideHere(std::uint64_t aNumber, bool aIsAlone)
 {
   Pending& entry = this->pending.at(aNumber);
+  entry.request.coldShare =
+    aIsAlone ? kAloneColdShare / static_cast<double>(this->hooks.hostCount())
+             : kDispatcherColdShare;
   entry.asked.clear();
   if (entry.timer) {
     entry.timer->cancel();
@@ -380,7 +390,7 @@
     withdrawal.service = found->second.service;
     this->hooks.send(found->second.asked, std::move(withdrawal));
     this->NoteMiss(found->second.asked);
-    this->DecideHere(aNumber);
+    this->DecideHere(aNumber, true);
   });
 }
 
--- a/modules/proxy/SlotBroker.h
+++ b/modules/proxy/SlotBroker.h
@@ -48,6 +48,8 @@
   std::function<std::vector<std::string>()> peers;
   /** Whether this daemon may dispatch for others. */
   std::function<bool()> mayDispatch;
+  /** Returns the largest plausible number of entry hosts. */
+  std::function<std::size_t()> hostCount;
   /** Sends a message to a daemon by name; it may be lost. */
   std::function<void(const std::string&, wire::WireMessage)> send;
   /** Whether what is believed here lets an instance get requests. */
@@ -160,7 +162,9 @@
 
   routing::ServiceDispatcher& DispatcherOf(const std::string& aService);
   void OnDecided(std::uint64_t aNumber, const routing::DispatchResult& aResult);
-  void DecideHere(std::uint64_t aNumber);
+  /** Decides an own request. `aIsAlone` tells that another daemon should have
+   * done so. */
+  void DecideHere(std::uint64_t aNumber, bool aIsAlone);
   void Ask(std::uint64_t aNumber, Pending& aPending);
   void AwaitDecision(std::uint64_t aNumber, std::chrono::milliseconds aTime);
   void NoteMiss(const std::string& aName);
--- a/modules/routing/DispatchRequest.h
+++ b/modules/routing/DispatchRequest.h
@@ -26,6 +26,9 @@
   core::TimePoint deadline;
   /** 0 is the most important. */
   unsigned priority = 0;
+  /** Part of a cold instance's rate that may be used for it: small if other
+   * hosts may decide at the same time. */
+  double coldShare = 1;
   /** Keys of the instances that were tried; see `ServiceDispatcher::KeyOf`. */
   std::vector<std::uint64_t> avoid;
 };
--- a/modules/routing/ServiceDispatcher.cpp
+++ b/modules/routing/ServiceDispatcher.cpp
@@ -293,7 +293,7 @@
                                  (aTarget.source.isOnTrial ? 1 : 0));
   if (now<aTarget.coldUntil&& this->service.coldRequestsPerSecond> 0) {
     const double rate =
-      this->service.coldRequestsPerSecond * this->settings.coldShare;
+      this->service.coldRequestsPerSecond * aRequest.coldShare;
     aTarget.nextColdSend =
       now + std::chrono::duration_cast<nanoseconds>(
               std::chrono::duration<double>(1 / std::max(rate, 0.01)));
--- a/modules/routing/ServiceDispatcher.h
+++ b/modules/routing/ServiceDispatcher.h
@@ -40,8 +40,6 @@
   /** Time that a request may take longer to stay in its failure domain; bytes
    * between failure domains are paid for. */
   std::chrono::milliseconds crossDomainCost{ 60 };
-  /** Part of a cold instance's rate that this dispatcher may use. */
-  double coldShare = 1;
   /** Part of the requests that go to instances on trial. */
   double trialShare = 0;
   /** Duration that is assumed before the first answer. */
--- a/modules/routing/ServiceDispatcherTest.cpp
+++ b/modules/routing/ServiceDispatcherTest.cpp
@@ -278,6 +278,32 @@
   BOOST_TEST(granted <= 6);
 }
 
+// Guards against hosts that decide alone, each at the whole rate of a cold
+// instance: their sum pushes it over.
+BOOST_FIXTURE_TEST_CASE(UsesOnlyItsShareOfAColdInstance, Fixture)
+{
+  configuration::BackendService service;
+  service.coldRequestsPerSecond = 5;
+  this->dispatcher.SetService(service);
+  BackendInstance cold = *Instance("cold");
+  cold.coldFor = 30s;
+  this->dispatcher.SetInstances(
+    { { std::make_shared<const BackendInstance>(cold) } });
+  int granted = 0;
+  for (int index = 0; index < 100; ++index) {
+    DispatchRequest request;
+    request.id = ++this->nextId;
+    request.goal = this->time + 50ms;
+    request.deadline = this->time + 50ms;
+    request.coldShare = 0.1;
+    this->dispatcher.Submit(std::move(request));
+    granted += this->InstanceOf(this->nextId).empty() ? 0 : 1;
+    this->time += 100ms;
+  }
+  // Ten seconds at half a request a second.
+  BOOST_TEST(granted <= 6);
+}
+
 // Guards against a second send to an instance that was tried, and against
 // requests for a version on trial beyond its share.
 BOOST_FIXTURE_TEST_CASE(LeavesOutTriedInstancesAndThoseOnTrial, Fixture)
