--- a/modules/proxy/StoreRelay.cpp
+++ b/modules/proxy/StoreRelay.cpp
@@ -126,11 +126,14 @@
   std::erase_if(this->watchers, [now](const auto& aWatcher) {
     return now - aWatcher.second.heardAt > kBeatLimit;
   });
-  if (!this->ShouldWatch()) {
+  const bool isInContact = this->IsInContact();
+  const bool isNewlyLost = !isInContact && this->hasSaidInContact;
+  this->hasSaidInContact = isInContact && this->ShouldWatch();
+  if (!this->hasSaidInContact && !isNewlyLost) {
     return;
   }
   wire::StoreBeat beat;
-  beat.isLost = !this->IsInContact();
+  beat.isLost = !isInContact;
   beat.isStrong = this->isStrong;
   for (const std::string& kind : this->kinds) {
     beat.lastChanges.push_back(this->replica.LastChange(kind));
@@ -151,9 +154,7 @@
   if (this->hooks.now() - this->startedAt < turn) {
     return false;
   }
-  const std::size_t watching = this->WatchersBefore(false);
-  return watching < kWatcherCount &&
-         watching + this->WatchersBefore(true) < kTesterCount;
+  return this->WatchersBefore() < kWatcherCount;
 }
 
 std::optional<std::chrono::nanoseconds>
@@ -172,14 +173,14 @@
 }
 
 std::size_t
-StoreRelay::WatchersBefore(bool aLost) const
+StoreRelay::WatchersBefore() const
 {
   const core::TimePoint now = this->hooks.now();
   const auto own = RankOf(this->self, this->isStrong);
   return static_cast<std::size_t>(
     std::ranges::count_if(this->watchers, [&](const auto& aWatcher) {
       const auto& [name, watcher] = aWatcher;
-      return watcher.isLost == aLost && now - watcher.heardAt <= kBeatLimit &&
+      return !watcher.isLost && now - watcher.heardAt <= kBeatLimit &&
              RankOf(name, watcher.isStrong) > own;
     }));
 }
@@ -202,8 +203,7 @@
                  std::uint64_t aBase,
                  const std::vector<ObjectRecord>& aChanged)
 {
-  if (aChanged.empty() || !this->ShouldWatch() ||
-      this->WatchersBefore(false) > 0) {
+  if (aChanged.empty() || !this->ShouldWatch() || this->WatchersBefore() > 0) {
     return;
   }
   this->hooks.broadcast(
--- a/modules/proxy/StoreRelay.h
+++ b/modules/proxy/StoreRelay.h
@@ -56,11 +56,6 @@
   /** Daemons that watch: two may fail together without a gap. */
   static constexpr std::size_t kWatcherCount = 3;
 
-  /** Daemons that go on trying while the store answers none of them. A platform
-   * that turns a third of the hosts away hits all six of them one time in 700.
-   */
-  static constexpr std::size_t kTesterCount = 6;
-
   /** Time between two beats of a daemon that watches. */
   static constexpr std::chrono::milliseconds kBeatInterval{ 500 };
 
@@ -106,8 +101,10 @@
   void OnRequest(const std::string& aFrom,
                  const wire::StoreNewsRequest& aRequest);
 
-  /** Sends a beat if this daemon watches. Call every `kBeatInterval` and when
-   * the store answers again. */
+  /**
+   * Sends a beat if this daemon watches, or once when it has lost contact. Call
+   * every `kBeatInterval` and when contact changes.
+   */
   void Tick();
 
   /** Returns whether this daemon should watch the store. */
@@ -132,8 +129,8 @@
     core::TimePoint since;
   };
 
-  /** Counts the watching daemons that come before this one. */
-  std::size_t WatchersBefore(bool aLost) const;
+  /** Counts the daemons that watch, with contact, and come before this one. */
+  std::size_t WatchersBefore() const;
   bool IsInContact() const;
   bool IsKnownKind(const std::string& aKind) const;
   void Push(const std::string& aKind,
@@ -153,6 +150,8 @@
   StoreRelayHooks hooks;
   store::ObjectReplica replica;
   core::TimePoint startedAt;
+  /** Whether the last beat said that the store answers. */
+  bool hasSaidInContact = false;
   std::map<std::string, Watcher, std::less<>> watchers;
   std::map<std::string, Gap, std::less<>> gaps;
   /** When changes of a kind were asked for last. */
--- a/modules/proxy/StoreRelayTest.cpp
+++ b/modules/proxy/StoreRelayTest.cpp
@@ -251,3 +251,24 @@
   }
   BOOST_TEST(fleet.hosts.at("host-0").objects.contains("b"));
 }
+
+// Guards against hosts that rely on watching hosts which have all lost the
+// store while a later one still reads it (icheon-lampgas-grown trouble-1, seed
+// 946424377207: seven of eight strong hosts were turned away).
+BOOST_AUTO_TEST_CASE(AnyHostWithContactGoesOnWhenTheFirstHaveLostTheStore)
+{
+  Fleet fleet(30);
+  fleet.ListAll();
+  fleet.Run(5s);
+  for (int round = 0; round < 8; ++round) {
+    for (const std::string& name : fleet.Watchers()) {
+      fleet.hosts.at(name).lastContact.reset();
+    }
+    fleet.Run(1500ms);
+  }
+  fleet.Change("b", 20);
+  fleet.Run(1s);
+  for (const auto& [name, host] : fleet.hosts) {
+    BOOST_TEST(host.objects.contains("b"));
+  }
+}
