Carry out rollouts: try, judge, complete or roll back new versions

Cause: orders to move a service to a version were read and nothing was done: good versions were not moved (a missed duty each), bad ones were never reported.

Change: the daemon that dispatches a service tries the version, since it sees all its requests. moves::VersionTrial decides the share and the verdict by failures and slow requests, in all and for each route, against the old version's requests of the same second; proxy::RolloutDriver writes the state under the condition of the order's revision and repeats the write until it is accepted. A bad version gets no request from the moment of the verdict; a good one is completed when it has carried all requests and none runs at the old version.

Ruled out: moves::VersionMove, whose evidence spreads in 10 s windows and whose moves take minutes; the moves here take 12 to 16 s.

--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -6,6 +6,7 @@
 #include "gateway/SocketAddress.h"
 #include "proxy/RequestRunner.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/json/array.hpp>
 #include <boost/json/object.hpp>
 #include <boost/json/serialize.hpp>
@@ -62,6 +63,10 @@
 constexpr milliseconds kUrgentWatchWait = 2200ms;
 constexpr milliseconds kWatchWait = 4000ms;
 
+// A write that takes longer is tried again; a slow store answers in a quarter
+// of a second.
+constexpr milliseconds kWriteTimeout = 1500ms;
+
 // The settings file may change without a signal; a read costs 0.1 ms.
 constexpr milliseconds kSettingsInterval = 5000ms;
 
@@ -113,11 +118,13 @@
   , beatTimer(this->context)
   , startTimer(this->context)
   , gossipTimer(this->context)
+  , rolloutTimer(this->context)
   , self{ aSettings.peerListen.ToString(), RandomNumber() }
   , callMetrics(this->metrics)
   , ledger(this->self, RandomNumber(), std::chrono::steady_clock::now)
   , guard(std::chrono::steady_clock::now)
   , prober(this->context, this->platform.measuring)
+  , rollouts(this->MakeRolloutHooks(), aSettings.trialShare)
   , broker(this->context, this->self.name, this->MakeBrokerHooks())
   , shared{ .context = this->context,
             .broker = this->broker,
@@ -300,6 +307,10 @@
                     LoadProber::MeasuredFunction aOnMeasured) {
                this->Measure(aInstance, std::move(aOnMeasured));
              },
+           .ended =
+             [this](const routing::EndedRequest& aRequest) {
+               this->rollouts.OnEnded(aRequest);
+             },
            .peerChanged =
              [this](const std::string& aName, bool aIsLost) {
                this->log.Write(LogLevel::Info,
@@ -309,6 +320,110 @@
              } };
 }
 
+RolloutDriverHooks
+ProxyDaemon::MakeRolloutHooks()
+{
+  return {
+    .now = std::chrono::steady_clock::now,
+    .isDispatching =
+      [this](const std::string& aService) {
+        return !this->isStopping && this->settings.IsStrong() &&
+               this->broker.DispatcherName(aService).empty();
+      },
+    .capacityOf =
+      [this](const std::string& aService) {
+        const auto* dispatcher = this->broker.FindDispatcher(aService);
+        return dispatcher == nullptr
+                 ? moves::VersionTrial::Capacity{}
+                 : moves::VersionTrial::Capacity{
+                     .newInstances = dispatcher->WarmCount(true),
+                     .oldInstances = dispatcher->WarmCount(false),
+                     .oldRequests = dispatcher->GrantCount(false)
+                   };
+      },
+    .setShare =
+      [this](const std::string& aService, double aShare) {
+        this->broker.SetTrialShare(aService, aShare);
+      },
+    .write =
+      [this](const routing::RolloutOrder& aOrder,
+             std::function<void(std::optional<unsigned>)> aOnWritten) {
+        this->WriteRolloutState(aOrder, std::move(aOnWritten));
+      },
+    .decided =
+      [this](const routing::RolloutOrder& aOrder, const std::string& aWhy) {
+        this->OnRolloutDecided(aOrder, aWhy);
+      },
+    .written =
+      [this](const routing::RolloutOrder& aOrder,
+             std::optional<unsigned> aStatus) {
+        this->log.Write(
+          LogLevel::Info,
+          "rollout_state_written",
+          { { "service", aOrder.service },
+            { "version", aOrder.targetVersion },
+            { "state", routing::NameOf(aOrder.state) },
+            { "revision", static_cast<std::int64_t>(aOrder.revision) },
+            { "status", static_cast<std::int64_t>(aStatus.value_or(0)) } });
+      }
+  };
+}
+
+void
+ProxyDaemon::WriteRolloutState(
+  const routing::RolloutOrder& aOrder,
+  std::function<void(std::optional<unsigned>)> aOnWritten)
+{
+  store::StoreRequest request;
+  request.kind = store::StoreRequestKind::RawWrite;
+  request.target = this->platform.objects.statusTarget(
+    this->platform.kinds.rollouts, aOrder.service);
+  request.body = this->platform.writeRolloutState(aOrder);
+  request.timeout = kWriteTimeout;
+  this->transport.Send(
+    request,
+    [onWritten = std::move(aOnWritten)](const store::StoreResponse& aResponse) {
+      onWritten(aResponse.delivery == store::StoreDelivery::Answered
+                  ? std::optional(aResponse.status)
+                  : std::nullopt);
+    });
+}
+
+void
+ProxyDaemon::OnRolloutDecided(const routing::RolloutOrder& aOrder,
+                              const std::string& aWhy)
+{
+  this->log.Write(LogLevel::Info,
+                  "rollout_decided",
+                  { { "service", aOrder.service },
+                    { "version", aOrder.targetVersion },
+                    { "state", routing::NameOf(aOrder.state) },
+                    { "why", aWhy } });
+  this->metrics.Count("rollouts_decided_total");
+  // In force here before the store has told all: callers must not meet a bad
+  // version once more. From the event loop, since the driver goes through the
+  // orders.
+  boost::asio::post(this->context, [this, aOrder] {
+    this->directory.PutRollout(aOrder);
+    this->UpdateBroker();
+  });
+}
+
+void
+ProxyDaemon::UpdateRollouts()
+{
+  this->rollouts.Update(this->directory.Rollouts());
+  if (this->directory.Rollouts().empty()) {
+    return;
+  }
+  this->rolloutTimer.expires_after(RolloutDriver::kTickInterval);
+  this->rolloutTimer.async_wait([this](boost::system::error_code aError) {
+    if (!aError) {
+      this->UpdateRollouts();
+    }
+  });
+}
+
 void
 ProxyDaemon::Measure(const routing::BackendInstance& aInstance,
                      LoadProber::MeasuredFunction aOnMeasured)
@@ -688,7 +803,7 @@
       "rollout_seen",
       { { "service", read.value().service },
         { "version", read.value().targetVersion },
-        { "state", static_cast<std::int64_t>(read.value().state) },
+        { "state", routing::NameOf(read.value().state) },
         { "revision", static_cast<std::int64_t>(object.revision) } });
   }
 }
@@ -718,10 +833,8 @@
   if (!this->routes) {
     return;
   }
-  routing::DispatcherSettings dispatcher;
-  dispatcher.trialShare = 0;
-  this->broker.Update(
-    this->routes->Configuration(), this->directory, dispatcher);
+  this->broker.Update(this->routes->Configuration(), this->directory);
+  this->UpdateRollouts();
   this->ScheduleLapse();
 }
 
@@ -1009,7 +1122,7 @@
     rollouts.push_back(
       json::object{ { "service", service },
                     { "version", order.targetVersion },
-                    { "state", static_cast<int>(order.state) } });
+                    { "state", routing::NameOf(order.state) } });
   }
   const json::object dump{
     { "name", this->settings.name },
--- a/modules/proxy/ProxyDaemon.h
+++ b/modules/proxy/ProxyDaemon.h
@@ -15,6 +15,7 @@
 #include "proxy/LoadProber.h"
 #include "proxy/PlatformAdapter.h"
 #include "proxy/ProxyShared.h"
+#include "proxy/RolloutDriver.h"
 #include "proxy/SlotBroker.h"
 #include "proxy/StoreRelay.h"
 #include "routing/HttpRouteTable.h"
@@ -94,6 +95,13 @@
                LoadProber::MeasuredFunction aOnMeasured);
   StoreRelayHooks MakeRelayHooks();
   SlotBrokerHooks MakeBrokerHooks();
+  RolloutDriverHooks MakeRolloutHooks();
+  void WriteRolloutState(
+    const routing::RolloutOrder& aOrder,
+    std::function<void(std::optional<unsigned>)> aOnWritten);
+  void OnRolloutDecided(const routing::RolloutOrder& aOrder,
+                        const std::string& aWhy);
+  void UpdateRollouts();
   bool OpenPeers();
   void UpdateBroker();
   void ScheduleLapse();
@@ -128,6 +136,7 @@
   boost::asio::steady_timer beatTimer;
   boost::asio::steady_timer startTimer;
   boost::asio::steady_timer gossipTimer;
+  boost::asio::steady_timer rolloutTimer;
   core::DaemonId self;
   daemon::Metrics metrics;
   daemon::CallMetrics callMetrics;
@@ -135,6 +144,7 @@
   calls::CrashGuard guard;
   routing::TransferSizes transferSizes;
   LoadProber prober;
+  RolloutDriver rollouts;
   SlotBroker broker;
   ProxyShared shared;
   store::StoreTransport transport;
--- a/modules/proxy/RequestRunner.cpp
+++ b/modules/proxy/RequestRunner.cpp
@@ -2,6 +2,7 @@
 
 #include "calls/RequestDigest.h"
 #include "core/ErrorTable.h"
+#include "core/Hash.h"
 #include "gateway/ServerConnection.h"
 #include "gateway/ServerPool.h"
 #include "proxy/ProxyShared.h"
@@ -117,6 +118,9 @@
                                                  this->shared.ledger,
                                                  this->shared.guard,
                                                  times);
+  // Half of the hash is enough to tell the routes of a service apart.
+  this->routeKey =
+    static_cast<std::uint32_t>(core::HashOf(this->route.name)) | 1U;
   this->shared.budgetOf(this->service).CountFirstAttempt();
   this->timer.expires_at(this->deadline);
   this->timer.async_wait(
@@ -163,6 +167,7 @@
     std::min(this->begin + this->route.latencyGoal, this->deadline);
   request.deadline = this->deadline;
   request.priority = this->route.priority;
+  request.route = this->routeKey;
   request.expectedBytes = this->shared.transferSizes.Expected(this->route.name);
   request.avoid = std::move(aStep.avoid);
   const core::TimePoint asked = this->shared.now();
--- a/modules/proxy/RequestRunner.h
+++ b/modules/proxy/RequestRunner.h
@@ -85,6 +85,7 @@
   core::TimePoint deadline;
   std::unique_ptr<calls::CallFlow> flow;
   std::uint64_t digest = 0;
+  std::uint32_t routeKey = 0;
   /** Number of the request for a slot that is not decided yet; 0 for none. */
   std::uint64_t slotRequest = 0;
   std::optional<Slot> slot;
--- a/modules/proxy/SlotBroker.cpp
+++ b/modules/proxy/SlotBroker.cpp
@@ -55,26 +55,25 @@
 
 void
 SlotBroker::Update(const configuration::RouteConfiguration& aConfiguration,
-                   const routing::ServiceDirectory& aDirectory,
-                   const routing::DispatcherSettings& aSettings)
+                   const routing::ServiceDirectory& aDirectory)
 {
-  this->settings = aSettings;
   for (const auto& [name, service] : aConfiguration.services) {
     this->DispatcherOf(name).SetService(service);
   }
   for (auto& [name, dispatcher] : this->dispatchers) {
-    routing::DispatcherSettings own = aSettings;
-    const auto rollout = aDirectory.Rollouts().find(name);
-    const bool isMoving =
-      rollout != aDirectory.Rollouts().end() &&
-      rollout->second.state == routing::RolloutState::Running;
-    own.trialShare = isMoving ? aSettings.trialShare : 0;
-    dispatcher->SetSettings(own);
     dispatcher->SetInstances(aDirectory.TargetsOf(name));
   }
   this->ScheduleTick();
 }
 
+void
+SlotBroker::SetTrialShare(const std::string& aService, double aShare)
+{
+  routing::DispatcherSettings own = this->settings;
+  own.trialShare = aShare;
+  this->DispatcherOf(aService).SetSettings(own);
+}
+
 std::uint64_t
 SlotBroker::Acquire(const std::string& aService,
                     std::uint64_t aDigest,
@@ -183,8 +182,9 @@
   request.priority = aRequest.priority;
   request.avoid = aRequest.avoid;
   request.expectedBytes = aRequest.expectedBytes;
+  request.route = aRequest.route;
   request.coldShare = kDispatcherColdShare;
-  request.mayMeasure = true;
+  request.isForAllHosts = true;
   this->DispatcherOf(aRequest.service).Submit(std::move(request));
   if (this->remotes.contains(id)) {
     // Tells that the request waits.
@@ -301,6 +301,13 @@
   return count;
 }
 
+const ServiceDispatcher*
+SlotBroker::FindDispatcher(std::string_view aService) const
+{
+  const auto found = this->dispatchers.find(aService);
+  return found == this->dispatchers.end() ? nullptr : found->second.get();
+}
+
 ServiceDispatcher&
 SlotBroker::DispatcherOf(const std::string& aService)
 {
@@ -315,7 +322,8 @@
             this->OnDecided(aNumber, aResult);
           },
         .measure = [this](const std::shared_ptr<const routing::BackendInstance>&
-                            aInstance) { this->Measure(aInstance); } },
+                            aInstance) { this->Measure(aInstance); },
+        .ended = this->hooks.ended },
       this->settings);
   }
   return *dispatcher;
@@ -362,7 +370,7 @@
   entry.request.coldShare =
     aIsAlone ? kAloneColdShare / static_cast<double>(this->hooks.hostCount())
              : kDispatcherColdShare;
-  entry.request.mayMeasure = !aIsAlone;
+  entry.request.isForAllHosts = !aIsAlone;
   entry.asked.clear();
   if (entry.timer) {
     entry.timer->cancel();
@@ -388,6 +396,7 @@
   request.avoid = aPending.request.avoid;
   request.digest = aPending.digest;
   request.expectedBytes = aPending.request.expectedBytes;
+  request.route = static_cast<std::uint32_t>(aPending.request.route);
   this->hooks.send(aPending.asked, std::move(request));
   this->AwaitDecision(aNumber, kDecisionTime);
 }
--- a/modules/proxy/SlotBroker.h
+++ b/modules/proxy/SlotBroker.h
@@ -61,6 +61,8 @@
     const routing::BackendInstance&,
     std::function<void(const std::optional<routing::Measurement>&)>)>
     measure;
+  /** Told how each request has ended whose slot was granted here. */
+  std::function<void(const routing::EndedRequest&)> ended;
   /** Told when a dispatching daemon stops answering or answers again. */
   std::function<void(const std::string& aName, bool aIsLost)> peerChanged;
 };
@@ -92,8 +94,11 @@
 
   /** Takes over what is believed of services and instances. */
   void Update(const configuration::RouteConfiguration& aConfiguration,
-              const routing::ServiceDirectory& aDirectory,
-              const routing::DispatcherSettings& aSettings);
+              const routing::ServiceDirectory& aDirectory);
+
+  /** Sets the part of a service's requests that goes to instances on trial,
+   * while this daemon dispatches for all. */
+  void SetTrialShare(const std::string& aService, double aShare);
 
   /**
    * Asks for a slot; `aRequest.id` is ignored. The function is called once,
@@ -134,6 +139,10 @@
    * one. */
   std::string DispatcherName(std::string_view aService) const;
 
+  /** Returns the dispatcher of a service; null if there is none yet. */
+  const routing::ServiceDispatcher* FindDispatcher(
+    std::string_view aService) const;
+
   /** Returns the requests that wait here. */
   std::size_t WaitingCount() const;
 
--- a/modules/routing/ChangingLoadReplayTest.cpp
+++ b/modules/routing/ChangingLoadReplayTest.cpp
@@ -71,7 +71,7 @@
       request.failureDomain = "a";
       request.goal = this->time + kGoal;
       request.deadline = this->time + 4s;
-      request.mayMeasure = true;
+      request.isForAllHosts = true;
       this->dispatcher.Submit(std::move(request));
     }
     this->RunUntil(next + 5s);
--- a/modules/routing/DispatchRequest.h
+++ b/modules/routing/DispatchRequest.h
@@ -26,14 +26,17 @@
   core::TimePoint deadline;
   /** 0 is the most important. */
   unsigned priority = 0;
+  /** Tells routes apart; 0 if it does not matter. */
+  std::uint64_t route = 0;
   /** Expected size of the request and its answer. */
   std::uint32_t expectedBytes = 0;
   /** Part of a cold instance's rate that may be used for it: small if other
    * hosts may decide at the same time. */
   double coldShare = 1;
-  /** Whether instances may be measured for requests like this one: only by the
-   * daemon that dispatches for all, so that the budget holds. */
-  bool mayMeasure = false;
+  /** Whether the requests of all hosts pass this dispatcher. If not, no
+   * instance is measured and none on trial is used, so that the sums over hosts
+   * hold. */
+  bool isForAllHosts = false;
   /** Keys of the instances that were tried; see `ServiceDispatcher::KeyOf`. */
   std::vector<std::uint64_t> avoid;
 };
--- a/modules/routing/RolloutOrder.h
+++ b/modules/routing/RolloutOrder.h
@@ -1,8 +1,11 @@
 #pragma once
 
+#include "core/Hooks.h"
+
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <string_view>
 
 namespace fireflytrail::routing {
 
@@ -16,6 +19,10 @@
   RolledBack,
 };
 
+/** Returns the name of a state for logs. */
+std::string_view
+NameOf(RolloutState aState);
+
 /** The operators' order to move a service to a version. */
 struct RolloutOrder
 {
@@ -24,6 +31,10 @@
   /** Time from the order by which the move is to be completed. */
   std::chrono::milliseconds duration{ 0 };
   RolloutState state = RolloutState::Running;
+  /** Whether the store shows a state for this version. */
+  bool hasState = false;
+  /** When this daemon has first seen the order. */
+  core::TimePoint seenAt{};
   /** Revision of the order's object, as the condition of a status write. */
   std::uint64_t revision = 0;
   /** Revision at which the object was made; tells an order from a later one. */
--- a/modules/routing/ServiceDirectory.cpp
+++ b/modules/routing/ServiceDirectory.cpp
@@ -76,16 +76,23 @@
 ServiceDirectory::PutRollout(const RolloutOrder& aOrder)
 {
   const auto known = this->rollouts.find(aOrder.service);
-  if (known != this->rollouts.end() &&
-      known->second.createdRevision == aOrder.createdRevision &&
-      known->second.targetVersion == aOrder.targetVersion &&
-      known->second.state != RolloutState::Running &&
-      aOrder.state == RolloutState::Running) {
-    // The own verdict has not reached the store yet.
-    known->second.revision = aOrder.revision;
+  const bool isKnown =
+    known != this->rollouts.end() &&
+    known->second.createdRevision == aOrder.createdRevision &&
+    known->second.targetVersion == aOrder.targetVersion;
+  if (!isKnown) {
+    RolloutOrder& order = this->rollouts[aOrder.service] = aOrder;
+    order.seenAt = this->now();
     return;
   }
-  this->rollouts[aOrder.service] = aOrder;
+  const RolloutState state = known->second.state;
+  const core::TimePoint seenAt = known->second.seenAt;
+  known->second = aOrder;
+  known->second.seenAt = seenAt;
+  if (aOrder.state == RolloutState::Running) {
+    // The own verdict has not reached the store yet.
+    known->second.state = state;
+  }
 }
 
 void
--- a/modules/routing/ServiceDispatcher.cpp
+++ b/modules/routing/ServiceDispatcher.cpp
@@ -157,8 +157,18 @@
     return;
   }
   const auto target = this->targets.find(grant->second.key);
+  const std::uint64_t route = grant->second.route;
   this->grants.erase(grant);
   if (target != this->targets.end()) {
+    if (this->hooks.ended) {
+      this->hooks.ended({ target->second.source.instance,
+                          target->second.source.isOnTrial,
+                          this->hooks.now() < target->second.coldUntil,
+                          route,
+                          aOutcome,
+                          aDuration,
+                          this->typical });
+    }
     // The report counts the request that it came with.
     if (aSample) {
       this->TakeSample(target->second.load, *aSample);
@@ -236,14 +246,39 @@
   return due;
 }
 
+std::size_t
+ServiceDispatcher::GrantCount(bool aOnTrial) const
+{
+  std::size_t count = 0;
+  for (const auto& [key, target] : this->targets) {
+    if (target.source.isOnTrial == aOnTrial) {
+      count += target.load.InFlight();
+    }
+  }
+  return count;
+}
+
+std::size_t
+ServiceDispatcher::WarmCount(bool aOnTrial) const
+{
+  const TimePoint now = this->hooks.now();
+  return static_cast<std::size_t>(
+    std::ranges::count_if(this->targets, [&](const auto& aEntry) {
+      const Target& target = aEntry.second;
+      return target.source.isUsable && target.source.isOnTrial == aOnTrial &&
+             now >= target.coldUntil;
+    }));
+}
+
 ServiceDispatcher::Choice
 ServiceDispatcher::ChooseForShare(const DispatchRequest& aRequest)
 {
-  if (this->settings.trialShare > 0) {
+  if (this->settings.trialShare > 0 && aRequest.isForAllHosts) {
+    const bool isForAll = this->settings.trialShare >= 1;
     const double credit = this->trialCredit + this->settings.trialShare;
-    if (credit >= 1) {
+    if (isForAll || credit >= 1) {
       const Choice trial = this->Choose(aRequest, true);
-      if (trial.target != nullptr) {
+      if (trial.target != nullptr || (isForAll && trial.hasTargets)) {
         return trial;
       }
     }
@@ -281,7 +316,7 @@
 void
 ServiceDispatcher::KeepReserve(const DispatchRequest& aRequest)
 {
-  if (!this->hooks.measure || !aRequest.mayMeasure) {
+  if (!this->hooks.measure || !aRequest.isForAllHosts) {
     return;
   }
   const TimePoint now = this->hooks.now();
@@ -359,9 +394,11 @@
 ServiceDispatcher::Give(const DispatchRequest& aRequest, Target& aTarget)
 {
   const TimePoint now = this->hooks.now();
-  this->trialCredit = std::min(2.0,
-                               this->trialCredit + this->settings.trialShare -
-                                 (aTarget.source.isOnTrial ? 1 : 0));
+  if (aRequest.isForAllHosts) {
+    this->trialCredit = std::min(2.0,
+                                 this->trialCredit + this->settings.trialShare -
+                                   (aTarget.source.isOnTrial ? 1 : 0));
+  }
   if (now<aTarget.coldUntil&& this->service.coldRequestsPerSecond> 0) {
     const double rate =
       this->service.coldRequestsPerSecond * aRequest.coldShare;
@@ -371,9 +408,10 @@
   }
   aTarget.load.Begin();
   const std::uint64_t id = ++this->lastGrant;
-  this->grants.emplace(
-    id,
-    Grant{ KeyOf(*aTarget.source.instance), aRequest.deadline + kGrantGrace });
+  this->grants.emplace(id,
+                       Grant{ KeyOf(*aTarget.source.instance),
+                              aRequest.deadline + kGrantGrace,
+                              aRequest.route });
   this->hooks.decided(aRequest.id,
                       { .kind = ErrorKind::None,
                         .grant = id,
--- a/modules/routing/ServiceDispatcher.h
+++ b/modules/routing/ServiceDispatcher.h
@@ -19,6 +19,21 @@
 
 namespace fireflytrail::routing {
 
+/** A granted request that has ended. */
+struct EndedRequest
+{
+  std::shared_ptr<const BackendInstance> instance;
+  /** Whether the instance is on trial. */
+  bool isOnTrial = false;
+  /** Whether the instance was cold. */
+  bool isCold = false;
+  std::uint64_t route = 0;
+  UseOutcome outcome = UseOutcome::Cancelled;
+  std::chrono::nanoseconds duration{ 0 };
+  /** Usual duration of a request to the service. */
+  std::chrono::nanoseconds typical{ 0 };
+};
+
 /** The surroundings of a `ServiceDispatcher`. All functions must be set, but
  * for optional ones. */
 struct DispatcherHooks
@@ -30,6 +45,8 @@
   std::function<void(std::uint64_t, const DispatchResult&)> decided;
   /** Optional: asks an instance for its load; `OnMeasured` takes the result. */
   std::function<void(const std::shared_ptr<const BackendInstance>&)> measure;
+  /** Optional: told how each granted request has ended. */
+  std::function<void(const EndedRequest&)> ended;
 };
 
 /** How a dispatcher weighs. */
@@ -47,7 +64,8 @@
    * between failure domains are paid for: 5 KB cost a quarter of what an answer
    * in time is worth, as does a risk of a quarter to meet a slow instance. */
   std::chrono::milliseconds crossDomainCostPerKilobyte{ 30 };
-  /** Part of the requests that go to instances on trial. */
+  /** Part of the requests that go to instances on trial; 1 for all, so that
+   * the others get none while there is any on trial. */
   double trialShare = 0;
   /** Duration that is assumed before the first answer. */
   std::chrono::milliseconds firstTypical{ 100 };
@@ -147,6 +165,13 @@
   /** Returns the grants that have not ended. */
   std::size_t GrantCount() const { return this->grants.size(); }
 
+  /** Returns the grants at instances that are on trial, or that are not. */
+  std::size_t GrantCount(bool aOnTrial) const;
+
+  /** Returns the warm instances that may get requests and are on trial, or are
+   * not. */
+  std::size_t WarmCount(bool aOnTrial) const;
+
   /** Returns the usual duration of a request. */
   std::chrono::nanoseconds Typical() const { return this->typical; }
 
@@ -163,6 +188,7 @@
   {
     std::uint64_t key = 0;
     core::TimePoint expires;
+    std::uint64_t route = 0;
   };
   struct Waiting
   {
--- a/modules/routing/ServiceDispatcherTest.cpp
+++ b/modules/routing/ServiceDispatcherTest.cpp
@@ -50,7 +50,7 @@
         } }
   };
   std::map<std::string, int> measured;
-  bool mayMeasure = false;
+  bool isForAllHosts = false;
   std::uint32_t expectedBytes = 0;
   std::uint64_t nextId = 0;
 
@@ -66,7 +66,7 @@
     request.deadline = this->time + aDeadline;
     request.priority = aPriority;
     request.expectedBytes = this->expectedBytes;
-    request.mayMeasure = this->mayMeasure;
+    request.isForAllHosts = this->isForAllHosts;
     request.avoid = std::move(aAvoid);
     this->dispatcher.Submit(std::move(request));
     return this->nextId;
@@ -314,10 +314,10 @@
 BOOST_FIXTURE_TEST_CASE(MeasuresIdleInstancesWithinABudget, Fixture)
 {
   this->dispatcher.SetInstances({ { Instance("x") }, { Instance("y") } });
-  this->mayMeasure = false;
+  this->isForAllHosts = false;
   this->Submit();
   BOOST_TEST(this->measured.empty());
-  this->mayMeasure = true;
+  this->isForAllHosts = true;
   for (int index = 0; index < 100; ++index) {
     this->Release(this->Submit());
     this->time += 10ms;
@@ -427,6 +427,36 @@
   }
 }
 
+// Guards against a version on trial that gets more than its share because every
+// host adds its own, and against old instances in use after all requests were
+// to go to the new version.
+BOOST_FIXTURE_TEST_CASE(OnlyTheDispatcherForAllUsesTheTrialShare, Fixture)
+{
+  DispatchTarget trial{ Instance("new"), true, true };
+  this->dispatcher.SetInstances({ { Instance("old") }, trial });
+  this->dispatcher.SetSettings({ .trialShare = 0.5 });
+  const auto countNew = [this] {
+    int count = 0;
+    for (int index = 0; index < 20; ++index) {
+      const std::uint64_t id = this->Submit();
+      count += this->InstanceOf(id) == "new" ? 1 : 0;
+      this->Release(id);
+    }
+    return count;
+  };
+  BOOST_TEST(countNew() == 0);
+  this->isForAllHosts = true;
+  BOOST_TEST(countNew() == 10);
+  this->dispatcher.SetSettings({ .trialShare = 1 });
+  for (int index = 0; index < 3; ++index) {
+    BOOST_TEST(this->InstanceOf(this->Submit()) == "new");
+  }
+  const std::uint64_t waiting = this->Submit();
+  BOOST_TEST(!this->results.contains(waiting));
+  BOOST_TEST(this->dispatcher.GrantCount(true) == 3U);
+  BOOST_TEST(this->dispatcher.GrantCount(false) == 0U);
+}
+
 // Guards against slots that are lost for ever when the host that used them has
 // died.
 BOOST_FIXTURE_TEST_CASE(GrantsExpireAfterTheirDeadline, Fixture)
--- a/modules/wire/EntryConversion.cpp
+++ b/modules/wire/EntryConversion.cpp
@@ -38,7 +38,8 @@
                                   aRequest.priority,
                                   avoid,
                                   aRequest.digest,
-                                  aRequest.expectedBytes) };
+                                  aRequest.expectedBytes,
+                                  aRequest.route) };
 }
 
 Written<fbs::SlotDecision>
@@ -148,6 +149,7 @@
   }
   request.digest = aRequest.digest();
   request.expectedBytes = aRequest.expected_bytes();
+  request.route = aRequest.route();
   aMessage = std::move(request);
   return FrameError::None;
 }
--- a/modules/wire/SlotRequest.h
+++ b/modules/wire/SlotRequest.h
@@ -24,6 +24,8 @@
   std::vector<std::uint64_t> avoid;
   /** See `calls::RequestDigest`. */
   std::uint64_t digest = 0;
+  /** Tells routes apart; 0 if it does not matter. */
+  std::uint32_t route = 0;
   /** Expected size of the request and its answer. */
   std::uint32_t expectedBytes = 0;
 
--- a/modules/wire/messages_generated.h
+++ b/modules/wire/messages_generated.h
@@ -1547,7 +1547,8 @@
     VT_PRIORITY = 14,
     VT_AVOID = 16,
     VT_DIGEST = 18,
-    VT_EXPECTED_BYTES = 20
+    VT_EXPECTED_BYTES = 20,
+    VT_ROUTE = 22
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -1576,6 +1577,9 @@
   uint32_t expected_bytes() const {
     return GetField<uint32_t>(VT_EXPECTED_BYTES, 0);
   }
+  uint32_t route() const {
+    return GetField<uint32_t>(VT_ROUTE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -1590,6 +1594,7 @@
            verifier.VerifyVector(avoid()) &&
            VerifyField<uint64_t>(verifier, VT_DIGEST, 8) &&
            VerifyField<uint32_t>(verifier, VT_EXPECTED_BYTES, 4) &&
+           VerifyField<uint32_t>(verifier, VT_ROUTE, 4) &&
            verifier.EndTable();
   }
 };
@@ -1625,6 +1630,9 @@
   void add_expected_bytes(uint32_t expected_bytes) {
     fbb_.AddElement<uint32_t>(SlotRequest::VT_EXPECTED_BYTES, expected_bytes, 0);
   }
+  void add_route(uint32_t route) {
+    fbb_.AddElement<uint32_t>(SlotRequest::VT_ROUTE, route, 0);
+  }
   explicit SlotRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1647,10 +1655,12 @@
     uint32_t priority = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> avoid = 0,
     uint64_t digest = 0,
-    uint32_t expected_bytes = 0) {
+    uint32_t expected_bytes = 0,
+    uint32_t route = 0) {
   SlotRequestBuilder builder_(_fbb);
   builder_.add_digest(digest);
   builder_.add_number(number);
+  builder_.add_route(route);
   builder_.add_expected_bytes(expected_bytes);
   builder_.add_avoid(avoid);
   builder_.add_priority(priority);
@@ -1676,7 +1686,8 @@
     uint32_t priority = 0,
     const std::vector<uint64_t> *avoid = nullptr,
     uint64_t digest = 0,
-    uint32_t expected_bytes = 0) {
+    uint32_t expected_bytes = 0,
+    uint32_t route = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto failure_domain__ = failure_domain ? _fbb.CreateString(failure_domain) : 0;
   auto avoid__ = avoid ? _fbb.CreateVector<uint64_t>(*avoid) : 0;
@@ -1690,7 +1701,8 @@
       priority,
       avoid__,
       digest,
-      expected_bytes);
+      expected_bytes,
+      route);
 }
 
 struct SlotDecision FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
