Bound the work that waits and refuse the excess of a burst early

Change: 150 ms of work may wait; beyond that, what cannot be in time, the least urgent and the oldest is refused, with the time in which the queue and the callers that are about to return are served.

--- a/modules/routing/ServiceDispatcher.cpp
+++ b/modules/routing/ServiceDispatcher.cpp
@@ -28,6 +28,15 @@
 constexpr milliseconds kLeastRetryAfter = 50ms;
 constexpr milliseconds kMostRetryAfter = 2000ms;
 
+// Work that may wait, as the time in which all usable slots do it. The newest
+// goes first, so under lasting overload what waits beyond this is not served in
+// time any more and is refused while its caller can still come back.
+constexpr milliseconds kMostQueuedWork = 150ms;
+
+// Time over which refusals are counted: their callers are about to return and
+// need room too.
+constexpr milliseconds kReturnTime = 1000ms;
+
 // Time to return when no instance is usable: discovery reports new instances
 // about that often.
 constexpr milliseconds kRetryWithoutInstances = 500ms;
@@ -46,6 +55,9 @@
 // slots.
 constexpr milliseconds kMeasureInterval = 300ms;
 
+// Requests that may wait however few instances there are.
+constexpr double kLeastQueue = 4;
+
 // Weight of one report in the average slowdown of the service.
 constexpr double kMeanSlowdownWeight = 0.02;
 
@@ -133,7 +145,7 @@
   const TimePoint now = this->hooks.now();
   const nanoseconds wait = this->ExpectedWait(this->AheadOf(aRequest));
   if (now + wait + this->typical > aRequest.deadline) {
-    this->Refuse(aRequest.id, ErrorKind::Overloaded, wait);
+    this->Refuse(aRequest.id, ErrorKind::Overloaded, this->TimeUntilRoom());
     return;
   }
   this->waiting.push_back({ std::move(aRequest), now });
@@ -426,6 +438,9 @@
                           ErrorKind aKind,
                           nanoseconds aRetryAfter)
 {
+  const TimePoint now = this->hooks.now();
+  this->returning = this->Returning() + 1;
+  this->returningAt = now;
   // A part is random, so that callers refused together do not return together.
   const nanoseconds spread(
     static_cast<nanoseconds::rep>(this->hooks.random() % 1000) *
@@ -480,6 +495,45 @@
       isServed = late != this->waiting.end() && this->Serve(late);
     }
   }
+  this->RefuseExcess();
+}
+
+void
+ServiceDispatcher::RefuseExcess()
+{
+  if (this->waiting.empty()) {
+    return;
+  }
+  const double slots = std::max(this->UsableSlotsOfAll(), 1.0);
+  const double most = std::max(slots * Milliseconds(kMostQueuedWork) /
+                                 Milliseconds(this->typical),
+                               kLeastQueue);
+  while (static_cast<double>(this->waiting.size()) > most) {
+    // The list is in order of arrival: the oldest of the least urgent.
+    auto worst = this->waiting.begin();
+    for (auto entry = this->waiting.begin(); entry != this->waiting.end();
+         ++entry) {
+      const bool isWorstInTime = this->IsInTime(worst->request);
+      const bool isInTime = this->IsInTime(entry->request);
+      if (isInTime != isWorstInTime
+            ? isWorstInTime
+            : entry->request.priority > worst->request.priority) {
+        worst = entry;
+      }
+    }
+    const std::uint64_t id = worst->request.id;
+    this->waiting.erase(worst);
+    this->Refuse(id, ErrorKind::Overloaded, this->TimeUntilRoom());
+  }
+}
+
+double
+ServiceDispatcher::Returning() const
+{
+  const std::chrono::duration<double> age =
+    this->hooks.now() - this->returningAt;
+  return this->returning *
+         std::exp(-age / std::chrono::duration<double>(kReturnTime));
 }
 
 bool
@@ -547,13 +601,12 @@
     }
     const std::uint64_t id = entry->request.id;
     entry = this->waiting.erase(entry);
-    this->Refuse(
-      id, ErrorKind::Overloaded, this->ExpectedWait(this->waiting.size()));
+    this->Refuse(id, ErrorKind::Overloaded, this->TimeUntilRoom());
   }
 }
 
-nanoseconds
-ServiceDispatcher::ExpectedWait(std::size_t aAhead) const
+double
+ServiceDispatcher::UsableSlotsOfAll() const
 {
   const TimePoint now = this->hooks.now();
   double usable = 0;
@@ -562,6 +615,13 @@
       usable += this->UsableSlots(target);
     }
   }
+  return usable;
+}
+
+nanoseconds
+ServiceDispatcher::ExpectedWait(std::size_t aAhead) const
+{
+  const double usable = this->UsableSlotsOfAll();
   if (usable == 0) {
     return kRetryWithoutInstances;
   }
@@ -570,6 +630,13 @@
                                   static_cast<double>(aAhead + 1) / usable));
 }
 
+nanoseconds
+ServiceDispatcher::TimeUntilRoom() const
+{
+  return this->ExpectedWait(this->waiting.size() +
+                            static_cast<std::size_t>(this->Returning()));
+}
+
 std::size_t
 ServiceDispatcher::AheadOf(const DispatchRequest& aRequest) const
 {
--- a/modules/routing/ServiceDispatcher.h
+++ b/modules/routing/ServiceDispatcher.h
@@ -96,8 +96,9 @@
  * - a burst above capacity: requests wait here, where they can still go to any
  *   instance; those that can meet their goal go first, by priority and then the
  *   newest, so that in a lasting burst they are not all served just too late;
- * - lasting overload: a request that would wait past its deadline is refused
- *   at once with the time until there is likely to be room;
+ * - lasting overload: no more waits than can be done in a moment; the rest is
+ *   refused with the time until there is likely to be room, in which those that
+ *   were refused before count too;
  * - instances that fail fast and look idle: excluded after repeated failures;
  * - cold instances: paced to the rate that they bear.
  *
@@ -225,6 +226,12 @@
   std::list<Waiting>::iterator NextWaiting();
   std::list<Waiting>::iterator NextLate();
   void RefuseHopeless();
+  void RefuseExcess();
+  double UsableSlotsOfAll() const;
+  /** Returns the refused callers that are about to return. */
+  double Returning() const;
+  /** Returns the time in which what waits and what returns is done. */
+  std::chrono::nanoseconds TimeUntilRoom() const;
   std::chrono::nanoseconds ExpectedWait(std::size_t aAhead) const;
   std::size_t AheadOf(const DispatchRequest& aRequest) const;
   void TakeTypical(UseOutcome aOutcome, std::chrono::nanoseconds aDuration);
@@ -238,6 +245,9 @@
   std::list<Waiting> waiting;
   std::uint64_t lastGrant = 0;
   std::chrono::nanoseconds typical;
+  /** Refusals, fading over the time in which callers return. */
+  double returning = 0;
+  core::TimePoint returningAt{};
   /** Average of the slowdown that instances report. */
   double meanSlowdown = 1;
   /** Grants owed to instances on trial. */
