--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -144,7 +144,7 @@
                 return this->PoolOf(aInstance);
               } }
   , transport(this->context, SocketEndpoint(aSettings.store))
-  , directory(std::chrono::steady_clock::now)
+  , beliefs(this->platform, aLog, std::chrono::steady_clock::now)
   , sessionHooks(std::make_shared<gateway::CallerSessionHooks>())
 {
   assert(this->readSettings);
@@ -233,7 +233,7 @@
           this->relay->Tick();
           return;
         }
-        this->directory.NoteStoreReturn();
+        this->beliefs.Directory().NoteStoreReturn();
         this->relay->NoteContactRegained();
         this->relay->Tick();
         this->watcher->SetActive(this->relay->ShouldWatch());
@@ -299,7 +299,7 @@
              },
            .isUsable =
              [this](const routing::BackendInstance& aInstance) {
-               return this->directory.IsUsable(aInstance);
+               return this->beliefs.Directory().IsUsable(aInstance);
              },
            .guard = this->guard,
            .measure =
@@ -404,7 +404,7 @@
   // version once more. From the event loop, since the driver goes through the
   // orders.
   boost::asio::post(this->context, [this, aOrder] {
-    this->directory.PutRollout(aOrder);
+    this->beliefs.Directory().PutRollout(aOrder);
     this->UpdateBroker();
   });
 }
@@ -412,8 +412,8 @@
 void
 ProxyDaemon::UpdateRollouts()
 {
-  this->rollouts.Update(this->directory.Rollouts());
-  if (this->directory.Rollouts().empty()) {
+  this->rollouts.Update(this->beliefs.Directory().Rollouts());
+  if (this->beliefs.Directory().Rollouts().empty()) {
     return;
   }
   this->rolloutTimer.expires_after(RolloutDriver::kTickInterval);
@@ -428,7 +428,7 @@
 ProxyDaemon::Measure(const routing::BackendInstance& aInstance,
                      LoadProber::MeasuredFunction aOnMeasured)
 {
-  const auto& services = this->routes->Configuration().services;
+  const auto& services = this->beliefs.Routes()->Configuration().services;
   const auto service = services.find(aInstance.service);
   if (service == services.end() || service->second.healthPath.empty()) {
     aOnMeasured(std::nullopt);
@@ -517,7 +517,8 @@
     .metrics = [this] { return this->MetricsText(); },
     .dump = [this] { return this->DumpText(); },
     .status = [this] { return this->DumpText(); },
-    .isReady = [this] { return !this->isStopping && this->routes != nullptr; }
+    .isReady =
+      [this] { return !this->isStopping && this->beliefs.Routes() != nullptr; }
   };
   this->readyEndpoint =
     std::make_unique<daemon::OperatorEndpoint>(this->context, pages);
@@ -631,7 +632,7 @@
   } else if (const auto* beat = std::get_if<wire::StoreBeat>(&aPart)) {
     const auto age = this->relay->Age();
     if (!age || *age > StoreRelay::kContactLimit) {
-      this->directory.NoteStoreReturn();
+      this->beliefs.Directory().NoteStoreReturn();
     }
     this->relay->OnBeat(aFrom, *beat);
   } else if (const auto* wanted = std::get_if<wire::StoreNewsRequest>(&aPart)) {
@@ -690,150 +691,28 @@
 ProxyDaemon::OnObjects(const std::string& aKind,
                        const std::vector<store::ObjectRecord>& aObjects)
 {
-  const ObjectKinds& kinds = this->platform.kinds;
-  if (aKind == kinds.configuration) {
-    this->OnConfiguration(aObjects);
-  } else if (aKind == kinds.instances) {
-    this->OnInstances(aObjects);
-  } else if (aKind == kinds.rollouts) {
-    this->OnRollouts(aObjects);
-  } else if (aKind == kinds.domainsOut) {
-    this->OnDomainsOut(aObjects);
-  }
-  this->UpdateBroker();
-}
-
-void
-ProxyDaemon::OnConfiguration(const std::vector<store::ObjectRecord>& aObjects)
-{
-  for (const store::ObjectRecord& object : aObjects) {
-    if (object.name != this->platform.kinds.configurationName ||
-        object.isDeleted) {
-      continue;
-    }
-    auto read = this->platform.readConfiguration(object);
-    if (!read) {
-      this->log.Write(LogLevel::Error,
-                      "configuration_unreadable",
-                      { { "why", read.error().detail } });
-      continue;
-    }
-    const std::uint64_t held =
-      this->routes ? this->routes->Configuration().version : 0;
-    if (read.value().version <= held) {
-      continue;
-    }
-    this->sessionHooks->limits = read.value().limits;
-    this->routes = std::make_shared<const routing::HttpRouteTable>(
-      std::make_shared<const configuration::RouteConfiguration>(
-        std::move(read).value()));
-    const auto& inForce = this->routes->Configuration();
+  const std::uint64_t held = this->beliefs.ConfigurationVersion();
+  this->beliefs.Take(aKind, aObjects);
+  if (this->beliefs.ConfigurationVersion() != held) {
+    const auto& inForce = this->beliefs.Routes()->Configuration();
+    this->sessionHooks->limits = inForce.limits;
     this->transferSizes.Keep([&inForce](const std::string& aRoute) {
       return std::ranges::any_of(inForce.routes, [&](const auto& aKnown) {
         return aKnown.name == aRoute;
       });
     });
-    this->log.Write(
-      LogLevel::Info,
-      "configuration_in_force",
-      { { "version", static_cast<std::int64_t>(inForce.version) },
-        { "before", static_cast<std::int64_t>(held) },
-        { "revision", static_cast<std::int64_t>(object.revision) },
-        { "routes", static_cast<std::int64_t>(inForce.routes.size()) } });
-  }
-}
-
-void
-ProxyDaemon::OnInstances(const std::vector<store::ObjectRecord>& aObjects)
-{
-  for (const store::ObjectRecord& object : aObjects) {
-    if (object.isDeleted) {
-      this->log.Write(
-        LogLevel::Info,
-        "instance_removed",
-        { { "instance", object.name },
-          { "revision", static_cast<std::int64_t>(object.revision) } });
-      this->directory.Remove(object.name);
-      continue;
-    }
-    auto read = this->platform.readInstance(object);
-    if (!read) {
-      // Another writer's entry names no instance to use.
-      this->log.Write(
-        LogLevel::Warning,
-        "instance_unreadable",
-        { { "instance", object.name }, { "why", read.error().detail } });
-      this->directory.Remove(object.name);
-      continue;
-    }
-    const routing::BackendInstance& instance = read.value();
-    this->log.Write(
-      LogLevel::Info,
-      "instance_changed",
-      { { "instance", instance.id },
-        { "service", instance.service },
-        { "version", instance.version },
-        { "failure_domain", instance.failureDomain },
-        { "is_draining", instance.isDraining },
-        { "cold_ms", instance.coldFor.count() },
-        { "revision", static_cast<std::int64_t>(object.revision) } });
-    this->directory.Put(std::move(read).value());
   }
-}
-
-void
-ProxyDaemon::OnRollouts(const std::vector<store::ObjectRecord>& aObjects)
-{
-  for (const store::ObjectRecord& object : aObjects) {
-    if (object.isDeleted) {
-      this->directory.RemoveRollout(object.name);
-      continue;
-    }
-    const auto read = this->platform.readRollout(object);
-    if (!read) {
-      this->log.Write(
-        LogLevel::Error,
-        "rollout_unreadable",
-        { { "service", object.name }, { "why", read.error().detail } });
-      continue;
-    }
-    this->directory.PutRollout(read.value());
-    this->log.Write(
-      LogLevel::Info,
-      "rollout_seen",
-      { { "service", read.value().service },
-        { "version", read.value().targetVersion },
-        { "state", routing::NameOf(read.value().state) },
-        { "revision", static_cast<std::int64_t>(object.revision) } });
-  }
-}
-
-void
-ProxyDaemon::OnDomainsOut(const std::vector<store::ObjectRecord>& aObjects)
-{
-  for (const store::ObjectRecord& object : aObjects) {
-    if (object.isDeleted) {
-      this->domainsOut.erase(object.name);
-    } else {
-      this->domainsOut.insert(object.name);
-    }
-    this->log.Write(
-      LogLevel::Info,
-      "failure_domain_changed",
-      { { "failure_domain", object.name },
-        { "is_out", !object.isDeleted },
-        { "revision", static_cast<std::int64_t>(object.revision) } });
-  }
-  this->directory.SetDomainsOut(this->domainsOut);
+  this->UpdateBroker();
 }
 
 void
 ProxyDaemon::UpdateBroker()
 {
-  if (!this->routes) {
+  if (!this->beliefs.Routes()) {
     return;
   }
-  this->broker.Update(this->routes->Configuration(), this->directory);
+  this->broker.Update(this->beliefs.Routes()->Configuration(),
+                      this->beliefs.Directory());
   this->UpdateRollouts();
   this->ScheduleLapse();
 }
@@ -841,7 +720,7 @@
 void
 ProxyDaemon::ScheduleLapse()
 {
-  const auto due = this->directory.NextDue();
+  const auto due = this->beliefs.Directory().NextDue();
   if (!due) {
     return;
   }
@@ -850,7 +729,7 @@
     if (aError) {
       return;
     }
-    if (this->directory.RemoveLapsed()) {
+    if (this->beliefs.Directory().RemoveLapsed()) {
       this->log.Write(LogLevel::Info, "lapsed_instances_removed");
     }
     this->UpdateBroker();
@@ -871,19 +750,18 @@
         { "host", aCall.host },
         { "kind", core::ErrorTable::RowOf(aKind).name },
         { "configuration",
-          static_cast<std::int64_t>(
-            this->routes ? this->routes->Configuration().version : 0) } });
+          static_cast<std::int64_t>(this->beliefs.ConfigurationVersion()) } });
     this->metrics.Count("refused_total");
     auto answer = gateway::CallAnswer::OfError(aKind);
     answer.retryAfter = aRetryAfter;
     aOnAnswer(std::move(answer));
     return gateway::CallerSessionHooks::CancelFunction{};
   };
-  if (!this->routes) {
+  if (!this->beliefs.Routes()) {
     return refuse(ErrorKind::NoConfiguration, kRetryWithoutConfiguration);
   }
   const configuration::HttpRoute* route =
-    this->routes->Match(aCall.host, aCall.target);
+    this->beliefs.Routes()->Match(aCall.host, aCall.target);
   if (route == nullptr) {
     return refuse(ErrorKind::UnknownCall, std::nullopt);
   }
@@ -892,14 +770,14 @@
   }
   ++this->requestCount;
   std::shared_ptr<void> guard(nullptr, [this](void*) { --this->requestCount; });
-  const auto runner =
-    std::make_shared<RequestRunner>(this->shared,
-                                    std::move(aCall),
-                                    *route,
-                                    this->DrawService(*route),
-                                    this->routes->Configuration().version,
-                                    std::move(guard),
-                                    std::move(aOnAnswer));
+  const auto runner = std::make_shared<RequestRunner>(
+    this->shared,
+    std::move(aCall),
+    *route,
+    this->DrawService(*route),
+    this->beliefs.Routes()->Configuration().version,
+    std::move(guard),
+    std::move(aOnAnswer));
   runner->Begin();
   return [weak = std::weak_ptr(runner)] {
     if (const auto running = weak.lock()) {
@@ -1100,13 +978,12 @@
   this->metrics.Set("requests_waiting",
                     static_cast<double>(this->broker.WaitingCount()));
   this->metrics.Set("sessions", static_cast<double>(this->sessionCount));
-  this->metrics.Set("instances",
-                    static_cast<double>(this->directory.InstanceCount()));
-  this->metrics.Set("store_is_lost", this->watcher->IsLost() ? 1 : 0);
   this->metrics.Set(
-    "configuration_version",
-    static_cast<double>(this->routes ? this->routes->Configuration().version
-                                     : 0));
+    "instances",
+    static_cast<double>(this->beliefs.Directory().InstanceCount()));
+  this->metrics.Set("store_is_lost", this->watcher->IsLost() ? 1 : 0);
+  this->metrics.Set("configuration_version",
+                    static_cast<double>(this->beliefs.ConfigurationVersion()));
   return this->metrics.Text();
 }
 
@@ -1114,11 +991,11 @@
 ProxyDaemon::DumpText() const
 {
   json::array domains;
-  for (const std::string& domain : this->domainsOut) {
+  for (const std::string& domain : this->beliefs.Directory().DomainsOut()) {
     domains.emplace_back(domain);
   }
   json::array rollouts;
-  for (const auto& [service, order] : this->directory.Rollouts()) {
+  for (const auto& [service, order] : this->beliefs.Directory().Rollouts()) {
     rollouts.push_back(
       json::object{ { "service", service },
                     { "version", order.targetVersion },
@@ -1127,10 +1004,9 @@
   const json::object dump{
     { "name", this->settings.name },
     { "is_stopping", this->isStopping },
-    { "configuration_version",
-      this->routes ? this->routes->Configuration().version : 0 },
+    { "configuration_version", this->beliefs.ConfigurationVersion() },
     { "store_is_lost", this->watcher->IsLost() },
-    { "instances", this->directory.InstanceCount() },
+    { "instances", this->beliefs.Directory().InstanceCount() },
     { "requests_in_progress", this->requestCount },
     { "requests_waiting", this->broker.WaitingCount() },
     { "sessions", this->sessionCount },
--- a/modules/proxy/ProxyDaemon.h
+++ b/modules/proxy/ProxyDaemon.h
@@ -17,9 +17,8 @@
 #include "proxy/ProxyShared.h"
 #include "proxy/RolloutDriver.h"
 #include "proxy/SlotBroker.h"
+#include "proxy/StoreBeliefs.h"
 #include "proxy/StoreRelay.h"
-#include "routing/HttpRouteTable.h"
-#include "routing/ServiceDirectory.h"
 #include "routing/TransferSizes.h"
 #include "store/ObjectWatcher.h"
 #include "store/StoreTransport.h"
@@ -33,7 +32,6 @@
 #include <map>
 #include <memory>
 #include <optional>
-#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -78,10 +76,6 @@
   void ListenForSignals();
   void OnObjects(const std::string& aKind,
                  const std::vector<store::ObjectRecord>& aObjects);
-  void OnInstances(const std::vector<store::ObjectRecord>& aObjects);
-  void OnConfiguration(const std::vector<store::ObjectRecord>& aObjects);
-  void OnRollouts(const std::vector<store::ObjectRecord>& aObjects);
-  void OnDomainsOut(const std::vector<store::ObjectRecord>& aObjects);
   void OnPeerMessage(const std::string& aFrom, const wire::WireMessage& aPart);
   void OnBeat();
   void AnnounceStart();
@@ -152,9 +146,7 @@
   std::unique_ptr<StoreRelay> relay;
   std::shared_ptr<gateway::PeerHub> hub;
   std::unique_ptr<gossip::GossipNode> node;
-  routing::ServiceDirectory directory;
-  std::shared_ptr<const routing::HttpRouteTable> routes;
-  std::set<std::string, std::less<>> domainsOut;
+  StoreBeliefs beliefs;
   std::shared_ptr<gateway::CallerSessionHooks> sessionHooks;
   std::shared_ptr<gateway::CallerListener> listener;
   std::vector<std::weak_ptr<gateway::CallerSession>> sessions;
