Add the explain command: the story of a request from the daemons' logs

Prints the lines of a request by its id in the order of time, with what the daemons that handled it believed at that moment, and what the error kind means.

--- a/app/main.cpp
+++ b/app/main.cpp
@@ -19,6 +19,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <functional>
+#include <iterator>
 #include <memory>
 #include <optional>
 #include <random>
@@ -51,6 +52,9 @@
 
 namespace {
 
+// A fleet of two years on, with a log for each of some restarts.
+constexpr std::size_t kMostLogFiles = 4096;
+
 struct Subcommand
 {
   std::string_view name;
@@ -417,6 +421,19 @@
       0,
       0,
       RunDump },
+    { "explain",
+      "explain ID LOG_FILE...",
+      "Prints from daemons' logs what became of a request.\n"
+      "ID is the caller's id of the attempt; each file is the log of one\n"
+      "daemon. Beliefs in force at that moment are printed with it.",
+      {},
+      2,
+      kMostLogFiles,
+      [](const std::vector<std::string>& aArguments) {
+        return ExplainCommand(StandardOutput())
+          .Run(aArguments.front(),
+               { std::next(aArguments.begin()), aArguments.end() });
+      } },
     { "version",
       "version",
       "Prints the version of this program.",
