Add a fault soak of the entry daemon as separate processes

Runs daemons as processes with a store, servers, callers and loopback proxies around them; injects faults drawn from a seed in series that overlap, and checks from what callers and servers see that nothing runs twice, a "not run" is true, answers are whole and their own, leaving servers get no new work, a planned stop loses nothing, a configuration is in force in time, and that all recovers.

--- /dev/null
+++ b/soak/SoakMain.cpp
@@ -0,0 +1,95 @@
+#include "soak/Soak.h"
+
+#include <fmt/format.h>
+#include <gflags/gflags.h>
+
+#include <chrono>
+#include <cstdlib>
+#include <filesystem>
+#include <string>
+
+#include <unistd.h>
+
+DEFINE_string(program, "", "the fireflytrail program to run");
+DEFINE_uint64(seed, 1, "seed of the first run");
+DEFINE_uint32(runs, 1, "runs, with one seed after the other");
+DEFINE_uint32(seconds, 18, "time with faults of a run, in seconds");
+DEFINE_uint32(daemons, 4, "entry daemons");
+DEFINE_uint32(servers, 6, "servers");
+DEFINE_uint32(callers, 12, "callers");
+DEFINE_bool(verbose, false, "print each fault");
+
+using namespace fireflytrail::soak;
+
+namespace {
+
+/** Runs one seed; returns whether all promises were kept. */
+bool
+RunSeed(std::uint64_t aSeed)
+{
+  // Ports below those that the system gives out by itself.
+  constexpr int kFirstPort = 10'000;
+  constexpr int kPortRange = 20'000;
+  constexpr int kPortsOfRun = 8;
+  const std::string folder = (std::filesystem::temp_directory_path() /
+                              fmt::format("soak-{}-{}", getpid(), aSeed))
+                               .string();
+  std::filesystem::create_directories(folder);
+  SoakPlan plan;
+  plan.seed = aSeed;
+  plan.length = std::chrono::seconds(FLAGS_seconds);
+  plan.daemons = FLAGS_daemons;
+  plan.servers = FLAGS_servers;
+  plan.callers = FLAGS_callers;
+  plan.program = FLAGS_program;
+  plan.folder = folder;
+  plan.basePort = static_cast<std::uint16_t>(
+    kFirstPort + getpid() * kPortsOfRun % kPortRange);
+  const auto begin = std::chrono::steady_clock::now();
+  Soak soak(plan, [begin](const std::string& aLine) {
+    if (FLAGS_verbose) {
+      const std::chrono::duration<double> time =
+        std::chrono::steady_clock::now() - begin;
+      fmt::print("{:8.3f} {}\n", time.count(), aLine);
+    }
+  });
+  const auto& broken = soak.Run();
+  const Ledger& results = soak.Results();
+  fmt::print("seed {}: {} served, {} not run, {} failed, {} cut; {}\n",
+             aSeed,
+             results.Count(Ledger::End::Success),
+             results.Count(Ledger::End::NotRun),
+             results.Count(Ledger::End::Failure),
+             results.Count(Ledger::End::Cut),
+             broken.empty() ? "kept" : "BROKEN");
+  for (const std::string& line : broken) {
+    fmt::print("  {}\n", line);
+  }
+  if (broken.empty()) {
+    std::filesystem::remove_all(folder);
+  } else {
+    fmt::print("  logs in {}\n", folder);
+  }
+  std::fflush(stdout);
+  return broken.empty();
+}
+
+} // namespace
+
+int
+main(int aCount, char** aArguments)
+{
+  gflags::SetUsageMessage("Runs entry daemons under faults drawn from a seed.");
+  gflags::ParseCommandLineFlags(&aCount, &aArguments, true);
+  if (FLAGS_program.empty() || FLAGS_daemons < 2 || FLAGS_servers < 2) {
+    fmt::print(stderr,
+               "--program is required, and two daemons and servers at least\n");
+    return 2;
+  }
+  unsigned failed = 0;
+  for (std::uint64_t run = 0; run < FLAGS_runs; ++run) {
+    failed += RunSeed(FLAGS_seed + run) ? 0 : 1;
+  }
+  fmt::print("{} passed, {} failed\n", FLAGS_runs - failed, failed);
+  return failed == 0 ? 0 : 1;
+}
