--- a/modules/operator_client/LogStory.cpp
+++ b/modules/operator_client/LogStory.cpp
@@ -189,6 +189,7 @@
     newest[{ belief->group, TextOf(line.fields, belief->subject) }] = &line;
   }
   std::vector<const Line*> lines;
+  lines.reserve(newest.size());
   for (const auto& [key, line] : newest) {
     lines.push_back(line);
   }
--- a/modules/proxy/SlotBrokerTest.cpp
+++ b/modules/proxy/SlotBrokerTest.cpp
@@ -150,6 +150,7 @@
 {
   const std::string other = this->NameOf(false);
   std::vector<std::shared_ptr<Outcome>> granted;
+  granted.reserve(3);
   for (int index = 0; index < 3; ++index) {
     granted.push_back(this->Acquire(other));
   }
--- a/modules/routing/ServiceDispatcher.cpp
+++ b/modules/routing/ServiceDispatcher.cpp
@@ -50,9 +50,9 @@
 // domain with requests: the requests of a domain arrive in twos and threes.
 constexpr double kReserveSlots = 8;
 
-// Shortest time between two measurements of one instance: a good report is worth
-// half as much after it, and at 6 ms each, measurements take one percent of four
-// slots.
+// Shortest time between two measurements of one instance: a good report is
+// worth half as much after it, and at 6 ms each, measurements take one percent
+// of four slots.
 constexpr milliseconds kMeasureInterval = 150ms;
 
 // Requests that may wait however few instances there are.
