--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -47,15 +47,6 @@
 
 constexpr milliseconds kStopCheckInterval = 100ms;
 
-// Hosts that start together are up within 0.3 s. A record that is pushed then
-// makes each known to all within a second.
-constexpr milliseconds kAnnounceDelay = 400ms;
-
-// Record that tells what a daemon's host can carry and its failure domain.
-constexpr std::string_view kHostKey = "host";
-constexpr std::string_view kStrong = "strong";
-constexpr std::string_view kWeak = "weak";
-
 // Longest waits of watches. A connection may go silent without a reset; after
 // that the platform's bounds do not hold for 3 s. The first, with the time for
 // the next call, is below that; the second is below that plus the bound of 5 s
@@ -116,10 +107,15 @@
   , lapseTimer(this->context)
   , settingsTimer(this->context)
   , beatTimer(this->context)
-  , startTimer(this->context)
-  , gossipTimer(this->context)
   , rolloutTimer(this->context)
   , self{ aSettings.peerListen.ToString(), RandomNumber() }
+  , peers(this->context,
+          this->settings,
+          this->self,
+          RandomNumber,
+          [this](const std::string& aFrom, const wire::WireMessage& aPart) {
+            this->OnPeerMessage(aFrom, aPart);
+          })
   , callMetrics(this->metrics)
   , ledger(this->self, RandomNumber(), std::chrono::steady_clock::now)
   , guard(std::chrono::steady_clock::now)
@@ -160,7 +156,7 @@
   this->sessionHooks->dialect = this->platform.callers;
   const ObjectKinds& kinds = this->platform.kinds;
   this->relay = std::make_unique<StoreRelay>(
-    RelayPeer{ this->self.name, aSettings.IsStrong(), aSettings.failureDomain },
+    PeerHost{ this->self.name, aSettings.IsStrong(), aSettings.failureDomain },
     std::vector<std::string>{
       kinds.configuration, kinds.instances, kinds.rollouts, kinds.domainsOut },
     this->MakeRelayHooks());
@@ -173,12 +169,7 @@
     this->MakeWatcherHooks());
 }
 
-ProxyDaemon::~ProxyDaemon()
-{
-  if (this->hub) {
-    this->hub->Close();
-  }
-}
+ProxyDaemon::~ProxyDaemon() = default;
 
 store::WatcherHooks
 ProxyDaemon::MakeWatcherHooks()
@@ -248,21 +239,21 @@
   return { .now = std::chrono::steady_clock::now,
            .peers =
              [this] {
-               std::vector<RelayPeer> peers;
-               for (const std::string& name : this->PeerNames()) {
-                 peers.push_back(this->DescriptionOf(name));
+               std::vector<PeerHost> peers;
+               for (const std::string& name : this->peers.Names()) {
+                 peers.push_back(this->peers.DescriptionOf(name));
                }
                return peers;
              },
            .broadcast =
              [this](const wire::WireMessage& aMessage) {
-               for (const std::string& name : this->PeerNames()) {
-                 this->SendTo(name, aMessage);
+               for (const std::string& name : this->peers.Names()) {
+                 this->peers.Send(name, aMessage);
                }
              },
            .send =
              [this](const std::string& aTo, wire::WireMessage aMessage) {
-               this->SendTo(aTo, std::move(aMessage));
+               this->peers.Send(aTo, std::move(aMessage));
              },
            .onObjects =
              [this](const std::string& aKind,
@@ -284,18 +275,17 @@
 {
   return { .now = std::chrono::steady_clock::now,
            .random = RandomNumber,
-           .peers = [this] { return this->StrongPeerNames(); },
+           .peers = [this] { return this->peers.StrongNames(); },
            .mayDispatch =
              [this] { return !this->isStopping && this->settings.IsStrong(); },
            .hostCount =
              [this] {
-               return std::max<std::size_t>(
-                 this->settings.expectedHosts,
-                 this->node->Members().PlausibleHostCount());
+               return std::max<std::size_t>(this->settings.expectedHosts,
+                                            this->peers.PlausibleHostCount());
              },
            .send =
              [this](const std::string& aTo, wire::WireMessage aMessage) {
-               this->SendTo(aTo, std::move(aMessage));
+               this->peers.Send(aTo, std::move(aMessage));
              },
            .isUsable =
              [this](const routing::BackendInstance& aInstance) {
@@ -438,52 +428,6 @@
     aInstance, service->second.healthPath, std::move(aOnMeasured));
 }
 
-bool
-ProxyDaemon::OpenPeers()
-{
-  this->hub = std::make_shared<gateway::PeerHub>(
-    this->context,
-    this->self,
-    gateway::PeerHubHooks{
-      .onGossip =
-        [this](const std::string& aFrom, const gossip::GossipMessage& aPart) {
-          this->node->Receive(aFrom, aPart);
-        },
-      .onMessage =
-        [this](const std::string& aFrom, const wire::WireMessage& aPart) {
-          this->OnPeerMessage(aFrom, aPart);
-        },
-      .onForwardCall =
-        [](const wire::ForwardCall&,
-           const gateway::PeerHubHooks::ReplyFunction&) {
-          // Calls are not forwarded: requests carry no tickets here.
-        } });
-  this->node = std::make_unique<gossip::GossipNode>(
-    this->self,
-    this->self.name,
-    gossip::GossipHooks{
-      .now = std::chrono::steady_clock::now,
-      .wallNow = std::chrono::system_clock::now,
-      .random = RandomNumber,
-      .send =
-        [this](const gossip::Peer& aPeer, const gossip::GossipMessage& aPart) {
-          this->hub->SendGossip(aPeer, aPart);
-        },
-      .recordChanged = {},
-      .desiredAccepted = {},
-      .hostsAccepted = {} });
-  std::vector<gossip::ListedHost> firstPeers;
-  for (const configuration::Endpoint& seed : this->settings.firstPeers) {
-    configuration::Endpoint peer = seed;
-    peer.port = this->settings.peerListen.port;
-    if (peer != this->settings.peerListen) {
-      firstPeers.push_back({ peer.ToString(), peer.ToString(), false });
-    }
-  }
-  this->node->Members().SetHostList(std::move(firstPeers));
-  return !this->hub->Open(SocketEndpoint(this->settings.peerListen));
-}
-
 bool
 ProxyDaemon::Open()
 {
@@ -494,7 +438,7 @@
                     { { "port", aPort }, { "error", aError.message() } });
     return false;
   };
-  if (!this->OpenPeers()) {
+  if (!this->peers.Open()) {
     return report("peer_listen", boost::asio::error::address_in_use);
   }
   this->listener = std::make_shared<gateway::CallerListener>(
@@ -542,8 +486,7 @@
   this->watcher->Start();
   this->WatchSettings();
   this->OnBeat();
-  this->OnGossipTick();
-  this->AnnounceStart();
+  this->peers.Start();
   this->log.Write(LogLevel::Info,
                   "daemon_started",
                   { { "name", this->settings.name },
@@ -590,33 +533,6 @@
   });
 }
 
-void
-ProxyDaemon::AnnounceStart()
-{
-  this->startTimer.expires_after(kAnnounceDelay);
-  this->startTimer.async_wait([this](boost::system::error_code aError) {
-    if (!aError) {
-      this->node->Exchanger().PublishUrgent(
-        kHostKey,
-        fmt::format("{} {}",
-                    this->settings.IsStrong() ? kStrong : kWeak,
-                    this->settings.failureDomain));
-    }
-  });
-}
-
-void
-ProxyDaemon::OnGossipTick()
-{
-  this->node->Tick();
-  this->gossipTimer.expires_after(gossip::GossipExchanger::kTickInterval);
-  this->gossipTimer.async_wait([this](boost::system::error_code aError) {
-    if (!aError) {
-      this->OnGossipTick();
-    }
-  });
-}
-
 void
 ProxyDaemon::OnPeerMessage(const std::string& aFrom,
                            const wire::WireMessage& aPart)
@@ -640,53 +556,6 @@
   }
 }
 
-void
-ProxyDaemon::SendTo(const std::string& aName, wire::WireMessage aMessage)
-{
-  // A daemon's name is the address of its peer port.
-  this->hub->Send({ aName, aName }, std::move(aMessage));
-}
-
-std::vector<std::string>
-ProxyDaemon::PeerNames() const
-{
-  std::vector<std::string> names;
-  for (const gossip::Member& member : this->node->Members().Members()) {
-    if (member.state == gossip::MemberState::Alive &&
-        member.peer.name != this->self.name) {
-      names.push_back(member.peer.name);
-    }
-  }
-  return names;
-}
-
-std::vector<std::string>
-ProxyDaemon::StrongPeerNames() const
-{
-  std::vector<std::string> names = this->PeerNames();
-  std::erase_if(names, [this](const std::string& aName) {
-    return !this->DescriptionOf(aName).isStrong;
-  });
-  return names;
-}
-
-RelayPeer
-ProxyDaemon::DescriptionOf(const std::string& aName) const
-{
-  RelayPeer peer;
-  peer.name = aName;
-  const gossip::Record* record =
-    this->node->State().FindRecord(aName, kHostKey);
-  if (record == nullptr) {
-    return peer;
-  }
-  const std::string_view value = record->value;
-  const std::size_t end = std::min(value.find(' '), value.size());
-  peer.isStrong = value.substr(0, end) == kStrong;
-  peer.failureDomain = value.substr(std::min(end + 1, value.size()));
-  return peer;
-}
-
 void
 ProxyDaemon::OnObjects(const std::string& aKind,
                        const std::vector<store::ObjectRecord>& aObjects)
@@ -859,7 +728,7 @@
     return;
   }
   this->isStopping = true;
-  this->node->AnnounceLeaving();
+  this->peers.AnnounceLeaving();
   this->stopBegin = std::chrono::steady_clock::now();
   this->log.Write(
     LogLevel::Info,
@@ -936,7 +805,7 @@
 void
 ProxyDaemon::LogPeerTraffic() const
 {
-  const gateway::PeerCounts& counts = this->hub->Counts();
+  const gateway::PeerCounts& counts = this->peers.Counts();
   this->log.Write(
     LogLevel::Info,
     "peer_traffic",
--- a/modules/proxy/ProxyDaemon.h
+++ b/modules/proxy/ProxyDaemon.h
@@ -10,9 +10,8 @@
 #include "daemon/Metrics.h"
 #include "daemon/OperatorEndpoint.h"
 #include "gateway/CallerSession.h"
-#include "gateway/PeerHub.h"
-#include "gossip/GossipNode.h"
 #include "proxy/LoadProber.h"
+#include "proxy/PeerNetwork.h"
 #include "proxy/PlatformAdapter.h"
 #include "proxy/ProxyShared.h"
 #include "proxy/RolloutDriver.h"
@@ -78,12 +77,6 @@
                  const std::vector<store::ObjectRecord>& aObjects);
   void OnPeerMessage(const std::string& aFrom, const wire::WireMessage& aPart);
   void OnBeat();
-  void AnnounceStart();
-  void OnGossipTick();
-  void SendTo(const std::string& aName, wire::WireMessage aMessage);
-  std::vector<std::string> PeerNames() const;
-  std::vector<std::string> StrongPeerNames() const;
-  RelayPeer DescriptionOf(const std::string& aName) const;
   store::WatcherHooks MakeWatcherHooks();
   void Measure(const routing::BackendInstance& aInstance,
                LoadProber::MeasuredFunction aOnMeasured);
@@ -96,7 +89,6 @@
   void OnRolloutDecided(const routing::RolloutOrder& aOrder,
                         const std::string& aWhy);
   void UpdateRollouts();
-  bool OpenPeers();
   void UpdateBroker();
   void ScheduleLapse();
 
@@ -128,10 +120,9 @@
   boost::asio::steady_timer lapseTimer;
   boost::asio::steady_timer settingsTimer;
   boost::asio::steady_timer beatTimer;
-  boost::asio::steady_timer startTimer;
-  boost::asio::steady_timer gossipTimer;
   boost::asio::steady_timer rolloutTimer;
   core::DaemonId self;
+  PeerNetwork peers;
   daemon::Metrics metrics;
   daemon::CallMetrics callMetrics;
   calls::TicketLedger ledger;
@@ -144,8 +135,6 @@
   store::StoreTransport transport;
   std::unique_ptr<store::ObjectWatcher> watcher;
   std::unique_ptr<StoreRelay> relay;
-  std::shared_ptr<gateway::PeerHub> hub;
-  std::unique_ptr<gossip::GossipNode> node;
   StoreBeliefs beliefs;
   std::shared_ptr<gateway::CallerSessionHooks> sessionHooks;
   std::shared_ptr<gateway::CallerListener> listener;
--- a/modules/proxy/StoreRelay.cpp
+++ b/modules/proxy/StoreRelay.cpp
@@ -43,7 +43,7 @@
 
 } // namespace
 
-StoreRelay::StoreRelay(RelayPeer aSelf,
+StoreRelay::StoreRelay(PeerHost aSelf,
                        std::vector<std::string> aKinds,
                        StoreRelayHooks aHooks)
   : self(std::move(aSelf))
@@ -209,8 +209,8 @@
 StoreRelay::CandidatesBefore() const
 {
   const auto own = RankOf(this->self.name, this->self.isStrong);
-  const std::vector<RelayPeer> peers = this->hooks.peers();
-  const auto before = std::ranges::count_if(peers, [&](const RelayPeer& aPeer) {
+  const std::vector<PeerHost> peers = this->hooks.peers();
+  const auto before = std::ranges::count_if(peers, [&](const PeerHost& aPeer) {
     return RankOf(aPeer.name, aPeer.isStrong) > own;
   });
   const std::size_t watching = this->WatchersBefore();
@@ -256,7 +256,7 @@
 StoreRelay::SendInDomain(const wire::StoreNews& aNews,
                          const std::string& aExcept)
 {
-  for (const RelayPeer& peer : this->hooks.peers()) {
+  for (const PeerHost& peer : this->hooks.peers()) {
     if (peer.failureDomain == this->self.failureDomain &&
         peer.name != aExcept) {
       this->hooks.send(peer.name, aNews);
@@ -271,8 +271,8 @@
   // The order differs from change to change, so that a daemon which has stopped
   // unnoticed is not chosen each time.
   const std::string key = std::to_string(aNews.kinds.front().revision);
-  std::map<std::string, std::vector<RelayPeer>> domains;
-  for (RelayPeer& peer : this->hooks.peers()) {
+  std::map<std::string, std::vector<PeerHost>> domains;
+  for (PeerHost& peer : this->hooks.peers()) {
     if (peer.failureDomain != this->self.failureDomain) {
       domains[peer.failureDomain].push_back(std::move(peer));
     }
@@ -283,7 +283,7 @@
       peers,
       peers.begin() + static_cast<std::ptrdiff_t>(count),
       std::ranges::greater(),
-      [&key](const RelayPeer& aPeer) {
+      [&key](const PeerHost& aPeer) {
         return std::pair(aPeer.isStrong,
                          core::RendezvousWeight(key, aPeer.name));
       });
--- a/modules/proxy/StoreRelay.h
+++ b/modules/proxy/StoreRelay.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/Hooks.h"
+#include "proxy/PeerHost.h"
 #include "store/ObjectReplica.h"
 #include "wire/StoreBeat.h"
 #include "wire/StoreNews.h"
@@ -18,21 +19,12 @@
 
 namespace fireflytrail::proxy {
 
-/** Another daemon, as a possible reader of the store. */
-struct RelayPeer
-{
-  std::string name;
-  /** Whether its host can carry work for all others. */
-  bool isStrong = false;
-  std::string failureDomain;
-};
-
 /** The surroundings of a `StoreRelay`. All functions must be set. */
 struct StoreRelayHooks
 {
   core::NowFunction now;
   /** Returns the live daemons, without this one. */
-  std::function<std::vector<RelayPeer>()> peers;
+  std::function<std::vector<PeerHost>()> peers;
   /** Sends a beat to every known daemon. */
   std::function<void(const wire::WireMessage&)> broadcast;
   /** Sends news or a request to one daemon. */
@@ -93,7 +85,7 @@
 
   /** `aSelf` describes this daemon; `aKinds` are in the order that all daemons
    * use. */
-  StoreRelay(RelayPeer aSelf,
+  StoreRelay(PeerHost aSelf,
              std::vector<std::string> aKinds,
              StoreRelayHooks aHooks);
   StoreRelay(const StoreRelay&) = delete;
@@ -171,7 +163,7 @@
                        const std::string& aKind,
                        std::uint64_t aLastChange);
 
-  RelayPeer self;
+  PeerHost self;
   std::vector<std::string> kinds;
   StoreRelayHooks hooks;
   store::ObjectReplica replica;
--- a/modules/proxy/StoreRelayTest.cpp
+++ b/modules/proxy/StoreRelayTest.cpp
@@ -42,7 +42,7 @@
     }
     for (auto& [name, host] : this->hosts) {
       host.relay =
-        std::make_unique<StoreRelay>(RelayPeer{ name, true, DomainOf(name) },
+        std::make_unique<StoreRelay>(PeerHost{ name, true, DomainOf(name) },
                                      std::vector<std::string>{ "k" },
                                      this->HooksOf(name));
     }
@@ -60,7 +60,7 @@
     return { .now = [this] { return this->time; },
              .peers =
                [this, aName] {
-                 std::vector<RelayPeer> peers;
+                 std::vector<PeerHost> peers;
                  for (const auto& [name, other] : this->hosts) {
                    if (name != aName) {
                      peers.push_back({ name, true, DomainOf(name) });
