--- a/modules/store/ObjectWatcher.cpp
+++ b/modules/store/ObjectWatcher.cpp
@@ -284,9 +284,7 @@
     this->hooks.onCall(request, aResponse);
     const bool isAnswered = aResponse.delivery == StoreDelivery::Answered;
     if (isAnswered && aResponse.status == kStatusOk) {
-      this->NoteContact();
       this->TakePing(aResponse);
-      this->SchedulePing(kPingInterval);
     } else {
       this->NoteFailure(isAnswered ? fmt::format("status {}", aResponse.status)
                                    : aResponse.detail);
@@ -300,7 +298,13 @@
   const std::string& kind = this->kinds.back().name;
   const Progress& state = this->progress.at(kind);
   auto page = this->dialect.readList(kind, aResponse.body);
-  if (!page || state.revision == 0) {
+  if (!page) {
+    this->NoteFailure(page.error().detail);
+    return;
+  }
+  this->NoteContact();
+  this->SchedulePing(kPingInterval);
+  if (state.revision == 0) {
     return;
   }
   // A watch may have gone silent. What is gone is left to the watch, since the
--- a/modules/store/ObjectWatcherTest.cpp
+++ b/modules/store/ObjectWatcherTest.cpp
@@ -276,3 +276,17 @@
   BOOST_TEST(this->events == std::vector<std::string>({ "change l 1" }),
              boost::test_tools::per_element());
 }
+
+// Guards against an answer to a ping that cannot be read and passes for
+// contact.
+BOOST_FIXTURE_TEST_CASE(AnUnreadablePingIsAFailure, Fixture)
+{
+  this->ListBoth();
+  this->events.clear();
+  this->RunTimer();
+  Call call = std::move(this->calls.back());
+  this->calls.pop_back();
+  call.done({ StoreDelivery::Answered, 200, 0, "?", "" });
+  BOOST_TEST(this->events == std::vector<std::string>({ "lost" }),
+             boost::test_tools::per_element());
+}
