Try no version without contact with the store

Seven of 19 hosts were cut off from the store and from the others, but not from each other, for 12 s; one of them dispatched for these, tried the version as well, and raised its share.

Change: a daemon tries a version only while it or a daemon that it hears has contact with the store.

--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -308,7 +308,11 @@
     .now = std::chrono::steady_clock::now,
     .isDispatching =
       [this](const std::string& aService) {
-        return !this->isStopping && this->settings.IsStrong() &&
+        // Daemons that are cut off from the store together dispatch for
+        // themselves, and know no verdict of the others.
+        const auto age = this->relay->Age();
+        return !this->isStopping && this->settings.IsStrong() && age &&
+               *age <= StoreRelay::kContactLimit &&
                this->broker.DispatcherName(aService).empty();
       },
     .capacityOf =
