Log each copy of a configuration that arrives and count dropped messages

A host that used an old configuration showed only that the new one was late. Whether it had received nothing, several copies, or one copy that it took long to process could not be told apart, and messages that were dropped at a full or failed connection were not counted.

--- a/modules/gateway/PeerHub.h
+++ b/modules/gateway/PeerHub.h
@@ -35,6 +35,9 @@
    * by their index in `wire::WireMessage`. Forwarded calls, their answers and
    * each `Hello` are not counted. */
   std::array<std::uint64_t, std::variant_size_v<wire::WireMessage>> sent{};
+  /** Messages dropped because the connection could not be opened or because too
+   * much was queued for it. */
+  std::uint64_t dropped = 0;
   std::uint64_t corruptFrames = 0;
   std::uint64_t unknownVersions = 0;
 };
--- a/modules/gateway/PeerLink.cpp
+++ b/modules/gateway/PeerLink.cpp
@@ -23,12 +23,15 @@
 PeerLink::Send(wire::WireMessage aMessage)
 {
   if (this->connection) {
-    this->connection->Send(aMessage);
+    if (!this->connection->Send(aMessage)) {
+      ++this->hub.counts.dropped;
+    }
     return;
   }
   if (this->isClosed || this->queuedMessages.size() >= kMaxQueuedMessages ||
       (!this->isConnecting &&
        std::chrono::steady_clock::now() < this->retryAllowedAt)) {
+    ++this->hub.counts.dropped;
     return;
   }
   this->queuedMessages.push_back(std::move(aMessage));
@@ -91,6 +94,7 @@
   this->isConnecting = false;
   const auto messages = std::exchange(this->queuedMessages, {});
   if (aError || this->isClosed) {
+    this->hub.counts.dropped += messages.size();
     this->retryAllowedAt = std::chrono::steady_clock::now() + kRetryInterval;
     this->stream.close();
     this->EndPendingForwards(ForwardProgress::NothingSent);
--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -554,6 +554,7 @@
                std::get_if<wire::SlotRelease>(&aPeerMessage)) {
     this->broker.OnMessage(aFrom, *release);
   } else if (const auto* update = std::get_if<wire::StoreNews>(&aPeerMessage)) {
+    this->LogUpdate(aFrom, *update);
     this->relay->OnUpdate(aFrom, *update);
   } else if (const auto* heartbeat =
                std::get_if<wire::StoreBeat>(&aPeerMessage)) {
@@ -568,6 +569,28 @@
   }
 }
 
+void
+ProxyDaemon::LogUpdate(const std::string& aFrom,
+                       const wire::StoreNews& aUpdate) const
+{
+  for (const wire::KindNews& part : aUpdate.kinds) {
+    if (part.kind != this->platform.kinds.configuration) {
+      continue;
+    }
+    std::size_t bytes = 0;
+    for (const wire::NewsObject& object : part.objects) {
+      bytes += object.content.size();
+    }
+    this->log.Write(LogLevel::Info,
+                    "configuration_update",
+                    { { "from", aFrom },
+                      { "base", static_cast<std::int64_t>(part.base) },
+                      { "revision", static_cast<std::int64_t>(part.revision) },
+                      { "is_forwarder", aUpdate.isForwardRequested },
+                      { "bytes", static_cast<std::int64_t>(bytes) } });
+  }
+}
+
 void
 ProxyDaemon::OnObjects(const std::string& aKind,
                        const std::vector<store::ObjectRecord>& aObjects)
@@ -834,6 +857,7 @@
     LogLevel::Info,
     "peer_traffic",
     { { "bytes", static_cast<std::int64_t>(counts.bytes) },
+      { "dropped", static_cast<std::int64_t>(counts.dropped) },
       { "store_calls",
         static_cast<std::int64_t>(this->watcher->RequestCount()) },
       { "is_watching", this->relay->ShouldWatch() },
@@ -867,6 +891,8 @@
   this->metrics.Set("store_requests",
                     static_cast<double>(this->watcher->RequestCount()));
   this->metrics.Set("measurements", static_cast<double>(this->prober.Count()));
+  this->metrics.Set("peer_messages_dropped",
+                    static_cast<double>(this->peers.Counts().dropped));
   this->metrics.Set("requests_in_progress",
                     static_cast<double>(this->requestCount));
   this->metrics.Set("requests_waiting",
--- a/modules/proxy/ProxyDaemon.h
+++ b/modules/proxy/ProxyDaemon.h
@@ -87,6 +87,9 @@
                  const std::vector<store::ObjectRecord>& aObjects);
   void OnPeerMessage(const std::string& aFrom,
                      const wire::WireMessage& aPeerMessage);
+  /** Logs the sizes of received configurations, to explain late ones. */
+  void LogUpdate(const std::string& aFrom,
+                 const wire::StoreNews& aUpdate) const;
   void OnHeartbeatTimer();
   store::WatcherHooks MakeWatcherHooks();
   void Measure(const routing::BackendInstance& aInstance,
