Send changes of large objects to other hosts as patches

Callers got 404 for routes whose addition had been confirmed more than 2.5 s before (CONFIG), and requests beside such a change got no answer (LOST), on deployments of more than a hundred hosts.

Two hosts forward it in each other failure domain, one of them possibly on a link of 10 Mbit/s, and a missing change was requested again every 200 ms while the reply was on its way. Copies queued on slow links until the text in force was many changes old. Class: the cost of a change grew with the size of the whole state, and retries added load where load caused the delay.

All hosts received updates, so missing members were not the cause.

Change: UpdateContents writes changes of large objects as patches against the revision before. A host without that revision requests whole objects, at most every 0.5 s. Large updates are forwarded by strong hosts only, if a failure domain has any. A change now costs its own size on each link.

--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -579,7 +579,8 @@
     }
     std::size_t bytes = 0;
     for (const wire::NewsObject& object : part.objects) {
-      bytes += object.content.size();
+      bytes += object.content.size() +
+               gossip::DocumentPatch::EncodedSize(object.patch);
     }
     this->log.Write(LogLevel::Info,
                     "configuration_update",
--- a/modules/proxy/StoreRelay.cpp
+++ b/modules/proxy/StoreRelay.cpp
@@ -2,9 +2,6 @@
 
 #include "core/Hash.h"
 
-#include <boost/json/parse.hpp>
-#include <boost/json/serialize.hpp>
-
 #include <algorithm>
 #include <cassert>
 #include <functional>
@@ -18,9 +15,10 @@
 
 namespace {
 
-// Minimum time between two requests for changes of a kind. An answer takes a
-// few milliseconds; the next heartbeat makes up for a lost request.
-constexpr std::chrono::milliseconds kRequestInterval{ 200 };
+// Time after which a request without an answer is repeated. The slowest links
+// take 0.3 s for the whole of a large object, and each repetition would add
+// another copy to the queue.
+constexpr std::chrono::milliseconds kRequestTimeout{ 500 };
 
 // Time by which a push may arrive later than the heartbeat of another daemon
 // that already has the same change.
@@ -35,6 +33,29 @@
 // heartbeat.
 constexpr std::size_t kForwardersPerDomain = 2;
 
+// Updates above this size are forwarded by strong hosts only: a weak one would
+// need seconds to send them to the thirty hosts of its domain.
+constexpr std::size_t kLargeUpdateBytes = std::size_t{ 16 } << 10;
+
+// Base of an update of which an object could not be read, so that it does not
+// count as complete.
+constexpr std::uint64_t kUnknownBase =
+  std::numeric_limits<std::uint64_t>::max();
+
+/** Returns the approximate size of an update in bytes. */
+std::size_t
+SizeOf(const wire::StoreNews& aUpdate)
+{
+  std::size_t size = 0;
+  for (const wire::KindNews& part : aUpdate.kinds) {
+    for (const wire::NewsObject& object : part.objects) {
+      size += object.name.size() + object.content.size() +
+              gossip::DocumentPatch::EncodedSize(object.patch);
+    }
+  }
+  return size;
+}
+
 /** Rank of a daemon in the order of watchers: greater comes first. */
 std::tuple<bool, std::uint64_t, std::string_view>
 RankOf(std::string_view aName, bool aIsStrong)
@@ -70,6 +91,7 @@
   if (base != 0) {
     this->Push(aKind, base, changed);
   }
+  this->KeepContents(changed);
   this->hooks.onObjects(aKind, changed);
 }
 
@@ -85,6 +107,7 @@
     return;
   }
   this->Push(aKind, base, changed);
+  this->KeepContents(changed);
   this->hooks.onObjects(aKind, changed);
 }
 
@@ -127,12 +150,13 @@
     return;
   }
   const bool isSnapshot = aRequest.since == 0;
-  wire::KindNews update = this->MakeKindUpdate(
-    aRequest.kind,
-    aRequest.since,
-    isSnapshot ? this->replica.Objects(aRequest.kind)
-               : this->replica.ChangesSince(aRequest.kind, aRequest.since));
+  wire::KindNews update = this->MakeKindUpdate(aRequest.kind, aRequest.since);
   update.isSnapshot = isSnapshot;
+  for (const ObjectRecord& object :
+       isSnapshot ? this->replica.Objects(aRequest.kind)
+                  : this->replica.ChangesSince(aRequest.kind, aRequest.since)) {
+    update.objects.push_back(this->contents.Write(object));
+  }
   this->hooks.send(aFrom, wire::StoreNews{ { std::move(update) } });
 }
 
@@ -256,11 +280,23 @@
       this->CountWatchersAhead() > 0) {
     return;
   }
-  wire::StoreNews update{ { this->MakeKindUpdate(aKind, aBase, aChanged) } };
+  wire::KindNews part = this->MakeKindUpdate(aKind, aBase);
+  for (const ObjectRecord& object : aChanged) {
+    part.objects.push_back(this->contents.WriteChange(object));
+  }
+  wire::StoreNews update{ { std::move(part) } };
   this->SendInDomain(update, {});
   this->SendToOtherDomains(std::move(update));
 }
 
+void
+StoreRelay::KeepContents(const std::vector<ObjectRecord>& aObjects)
+{
+  for (const ObjectRecord& object : aObjects) {
+    this->contents.Keep(object);
+  }
+}
+
 void
 StoreRelay::SendInDomain(const wire::StoreNews& aUpdate,
                          const std::string& aExcept)
@@ -286,7 +322,12 @@
       domains[peer.failureDomain].push_back(std::move(peer));
     }
   }
+  const bool isLarge = SizeOf(aUpdate) > kLargeUpdateBytes;
   for (auto& [domain, peers] : domains) {
+    if (isLarge && std::ranges::any_of(peers, &PeerHost::isStrong)) {
+      std::erase_if(peers,
+                    [](const PeerHost& aPeer) { return !aPeer.isStrong; });
+    }
     const std::size_t count = std::min(kForwardersPerDomain, peers.size());
     std::ranges::partial_sort(
       peers,
@@ -303,23 +344,9 @@
 }
 
 wire::KindNews
-StoreRelay::MakeKindUpdate(const std::string& aKind,
-                           std::uint64_t aBase,
-                           const std::vector<ObjectRecord>& aObjects) const
+StoreRelay::MakeKindUpdate(const std::string& aKind, std::uint64_t aBase) const
 {
-  wire::KindNews update{
-    aKind, aBase, this->replica.CompleteRevision(aKind), false, {}
-  };
-  update.objects.reserve(aObjects.size());
-  for (const ObjectRecord& object : aObjects) {
-    update.objects.push_back({ object.name,
-                               object.revision,
-                               object.isDeleted,
-                               object.isDeleted
-                                 ? std::string()
-                                 : boost::json::serialize(object.content) });
-  }
-  return update;
+  return { aKind, aBase, this->replica.CompleteRevision(aKind), false, {} };
 }
 
 void
@@ -328,33 +355,46 @@
 {
   std::vector<ObjectRecord> objects;
   objects.reserve(aUpdate.objects.size());
+  bool isReadable = true;
   for (const wire::NewsObject& sent : aUpdate.objects) {
+    // Forwarded changes arrive more than once.
+    if (!aUpdate.isSnapshot && !sent.isDeleted &&
+        this->replica.RevisionOf(aUpdate.kind, sent.name) >= sent.revision) {
+      continue;
+    }
     ObjectRecord object{
       aUpdate.kind, sent.name, sent.revision, sent.isDeleted, {}
     };
     if (!sent.isDeleted) {
-      boost::system::error_code error;
-      object.content = boost::json::parse(sent.content, error);
-      if (error) {
-        // Daemons send only content that they have parsed, so the sender runs
-        // another version of the program. The objects are still available from
-        // the store.
-        return;
+      auto content = this->contents.Read(aUpdate.kind, sent);
+      if (!content) {
+        isReadable = false;
+        continue;
       }
+      object.content = std::move(*content);
     }
     objects.push_back(std::move(object));
   }
+  if (aUpdate.isSnapshot && !isReadable) {
+    // Daemons send only content that they have parsed, so the sender runs
+    // another version of the program. The objects are still available from the
+    // store.
+    return;
+  }
+  const bool isComplete =
+    aUpdate.isSnapshot ||
+    (isReadable && this->replica.IsListed(aUpdate.kind) &&
+     aUpdate.base <= this->replica.CompleteRevision(aUpdate.kind));
   const auto changed =
     aUpdate.isSnapshot
       ? this->replica.ReplaceAll(
           aUpdate.kind, aUpdate.revision, std::move(objects))
-      : this->replica.Apply(aUpdate.kind, aUpdate.base, std::move(objects));
-  const bool isComplete =
-    aUpdate.isSnapshot ||
-    (this->replica.IsListed(aUpdate.kind) &&
-     aUpdate.base <= this->replica.CompleteRevision(aUpdate.kind));
+      : this->replica.Apply(aUpdate.kind,
+                            isReadable ? aUpdate.base : kUnknownBase,
+                            std::move(objects));
   if (isComplete) {
     this->replica.NoteComplete(aUpdate.kind, aUpdate.revision);
+    this->requestedAt.erase(aUpdate.kind);
     this->hooks.onRevision(aUpdate.kind,
                            this->replica.CompleteRevision(aUpdate.kind));
   } else {
@@ -386,12 +426,21 @@
     gap = { aPeerRevision, now };
   }
   if (now - gap.since < kPushLagAllowance ||
-      now - this->requestedAt[aKind] < kRequestInterval) {
+      this->IsRequestPending(aKind, now)) {
     return;
   }
-  this->requestedAt[aKind] = now;
+  this->requestedAt.insert_or_assign(aKind, now);
   this->hooks.send(aFrom,
                    wire::StoreNewsRequest{ aKind, isListed ? known : 0 });
 }
 
+bool
+StoreRelay::IsRequestPending(const std::string& aKind,
+                             core::TimePoint aNow) const
+{
+  const auto requested = this->requestedAt.find(aKind);
+  return requested != this->requestedAt.end() &&
+         aNow - requested->second < kRequestTimeout;
+}
+
 } // namespace fireflytrail::proxy
--- a/modules/proxy/StoreRelay.h
+++ b/modules/proxy/StoreRelay.h
@@ -2,6 +2,7 @@
 
 #include "core/Hooks.h"
 #include "proxy/PeerHost.h"
+#include "proxy/UpdateContents.h"
 #include "store/ObjectReplica.h"
 #include "wire/StoreBeat.h"
 #include "wire/StoreNews.h"
@@ -60,8 +61,9 @@
  *
  * The first watching daemon also pushes each change immediately to all daemons
  * of its failure domain and to two daemons of each other domain, which forward
- * it there, since bytes between domains are billed. A daemon that detects from
- * a heartbeat that it misses a change requests it.
+ * it there, since bytes between domains are billed. Changes of large objects
+ * are pushed as patches; see `UpdateContents`. A daemon that detects from a
+ * heartbeat that it misses a change requests it and receives whole objects.
  *
  * Heartbeats are sent as `wire::StoreBeat`, updates as `wire::StoreNews` and
  * update requests as `wire::StoreNewsRequest`. Performs no I/O. Not
@@ -195,19 +197,23 @@
             const std::vector<store::ObjectRecord>& aChanged);
   void SendInDomain(const wire::StoreNews& aUpdate, const std::string& aExcept);
   void SendToOtherDomains(wire::StoreNews aUpdate);
-  wire::KindNews MakeKindUpdate(
-    const std::string& aKind,
-    std::uint64_t aBase,
-    const std::vector<store::ObjectRecord>& aObjects) const;
+  /** Keeps the contents of objects that this daemon has read from the store. */
+  void KeepContents(const std::vector<store::ObjectRecord>& aObjects);
+  /** Returns an update without objects. */
+  wire::KindNews MakeKindUpdate(const std::string& aKind,
+                                std::uint64_t aBase) const;
   void ApplyKindUpdate(const std::string& aFrom, const wire::KindNews& aUpdate);
   void RequestIfBehind(const std::string& aFrom,
                        const std::string& aKind,
                        std::uint64_t aPeerRevision);
+  /** Whether requested changes of a kind may still arrive. */
+  bool IsRequestPending(const std::string& aKind, core::TimePoint aNow) const;
 
   PeerHost self;
   std::vector<std::string> kinds;
   StoreRelayHooks hooks;
   store::ObjectReplica replica;
+  UpdateContents contents;
   core::TimePoint startedAt;
   /**
    * Start of the time that this daemon waits before it takes over; see
@@ -218,7 +224,7 @@
   bool hasReportedStoreAvailable = false;
   std::map<std::string, WatcherState, std::less<>> watchers;
   std::map<std::string, Gap, std::less<>> gaps;
-  /** When changes of a kind were last requested. */
+  /** When changes of a kind that have not arrived yet were last requested. */
   std::map<std::string, core::TimePoint, std::less<>> requestedAt;
 };
 
--- a/modules/store/ObjectReplica.cpp
+++ b/modules/store/ObjectReplica.cpp
@@ -82,6 +82,17 @@
   return found == this->kinds.end() ? 0 : found->second.completeRevision;
 }
 
+std::uint64_t
+ObjectReplica::RevisionOf(std::string_view aKind, std::string_view aName) const
+{
+  const auto kind = this->kinds.find(aKind);
+  if (kind == this->kinds.end()) {
+    return 0;
+  }
+  const auto object = kind->second.objects.find(aName);
+  return object == kind->second.objects.end() ? 0 : object->second.revision;
+}
+
 std::vector<ObjectRecord>
 ObjectReplica::Objects(std::string_view aKind) const
 {
--- a/modules/store/ObjectReplica.h
+++ b/modules/store/ObjectReplica.h
@@ -48,6 +48,11 @@
    */
   std::uint64_t CompleteRevision(std::string_view aKind) const;
 
+  /** Returns the known revision of an object, also of a deleted one; 0 if the
+   * object is not known. */
+  std::uint64_t RevisionOf(std::string_view aKind,
+                           std::string_view aName) const;
+
   /** Whether a complete list of a kind has been applied. */
   bool IsListed(std::string_view aKind) const;
 
--- a/modules/wire/ConversionTools.h
+++ b/modules/wire/ConversionTools.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gossip/DocumentPatch.h"
 #include "wire/messages_generated.h"
 
 #include <flatbuffers/flatbuffers.h>
@@ -8,6 +9,7 @@
 #include <cstdint>
 #include <string>
 #include <string_view>
+#include <vector>
 
 /** Helpers for converting to and from FlatBuffers. All are thread-safe. */
 namespace fireflytrail::wire {
@@ -57,6 +59,35 @@
                          aBytes->size());
 }
 
+inline Offset<flatbuffers::Vector<Offset<fbs::PatchPart>>>
+WritePatch(FlatBufferBuilder& aBuilder,
+           const std::vector<gossip::PatchPart>& aPatch)
+{
+  std::vector<Offset<fbs::PatchPart>> parts;
+  parts.reserve(aPatch.size());
+  for (const gossip::PatchPart& part : aPatch) {
+    const auto literal = WriteBytes(aBuilder, part.literal);
+    parts.push_back(
+      fbs::CreatePatchPart(aBuilder, literal, part.offset, part.length));
+  }
+  return parts.empty() ? Offset<flatbuffers::Vector<Offset<fbs::PatchPart>>>()
+                       : aBuilder.CreateVector(parts);
+}
+
+inline std::vector<gossip::PatchPart>
+ReadPatch(const flatbuffers::Vector<Offset<fbs::PatchPart>>* aPatch)
+{
+  std::vector<gossip::PatchPart> parts;
+  if (aPatch != nullptr) {
+    parts.reserve(aPatch->size());
+    for (const fbs::PatchPart* part : *aPatch) {
+      parts.push_back(
+        { BytesOf(part->literal()), part->offset(), part->length() });
+    }
+  }
+  return parts;
+}
+
 /**
  * Returns whether the elements of a vector are aligned. The verifier of
  * FlatBuffers 2.0.8 checks only the vector's length field.
--- a/modules/wire/EntryConversion.cpp
+++ b/modules/wire/EntryConversion.cpp
@@ -100,8 +100,15 @@
     for (const NewsObject& object : part.objects) {
       const auto name = aBuilder.CreateString(object.name);
       const auto content = WriteBytes(aBuilder, object.content);
-      objects.push_back(fbs::CreateNewsObject(
-        aBuilder, name, object.revision, object.isDeleted, content));
+      const auto patch = WritePatch(aBuilder, object.patch);
+      objects.push_back(fbs::CreateNewsObject(aBuilder,
+                                              name,
+                                              object.revision,
+                                              object.isDeleted,
+                                              content,
+                                              object.patchBase,
+                                              patch,
+                                              object.contentHash));
     }
     const auto kind = aBuilder.CreateString(part.kind);
     const auto written =
@@ -221,7 +228,10 @@
           kindNews.objects.push_back({ object->name()->str(),
                                        object->revision(),
                                        object->deleted(),
-                                       BytesOf(object->content()) });
+                                       BytesOf(object->content()),
+                                       object->patch_base(),
+                                       ReadPatch(object->patch()),
+                                       object->content_hash() });
         }
       }
       news.kinds.push_back(std::move(kindNews));
--- a/modules/wire/MessageConversion.cpp
+++ b/modules/wire/MessageConversion.cpp
@@ -152,16 +152,7 @@
 Write(FlatBufferBuilder& aBuilder, const gossip::DesiredResponse& aResponse)
 {
   const auto document = WriteBytes(aBuilder, aResponse.document);
-  std::vector<Offset<fbs::PatchPart>> parts;
-  parts.reserve(aResponse.patch.size());
-  for (const gossip::PatchPart& part : aResponse.patch) {
-    const auto literal = WriteBytes(aBuilder, part.literal);
-    parts.push_back(
-      fbs::CreatePatchPart(aBuilder, literal, part.offset, part.length));
-  }
-  const auto patch = parts.empty()
-                       ? Offset<flatbuffers::Vector<Offset<fbs::PatchPart>>>()
-                       : aBuilder.CreateVector(parts);
+  const auto patch = WritePatch(aBuilder, aResponse.patch);
   const auto askInstead = WriteOptionalString(aBuilder, aResponse.askInstead);
   return { fbs::Message::DesiredResponse,
            fbs::CreateDesiredResponse(
@@ -361,13 +352,7 @@
   response.version = aResponse.version();
   response.document = BytesOf(aResponse.document());
   response.patchBase = aResponse.patch_base();
-  if (aResponse.patch() != nullptr) {
-    response.patch.reserve(aResponse.patch()->size());
-    for (const fbs::PatchPart* part : *aResponse.patch()) {
-      response.patch.push_back(
-        { BytesOf(part->literal()), part->offset(), part->length() });
-    }
-  }
+  response.patch = ReadPatch(aResponse.patch());
   response.documentHash = aResponse.document_hash();
   response.askInstead = TextOf(aResponse.ask_instead());
   aMessage = std::move(response);
--- a/modules/wire/StoreNews.h
+++ b/modules/wire/StoreNews.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "gossip/DocumentPatch.h"
+
 #include <cstdint>
 #include <string>
 #include <vector>
@@ -12,8 +14,15 @@
   std::string name;
   std::uint64_t revision = 0;
   bool isDeleted = false;
-  /** The object as read from the store, in JSON; empty if deleted. */
+  /** The object as read from the store, in JSON; empty if the object is deleted
+   * or sent as a patch. */
   std::string content;
+  /** Revision of the object that the patch applies to; 0 if there is no patch.
+   */
+  std::uint64_t patchBase = 0;
+  std::vector<gossip::PatchPart> patch;
+  /** Hash of the patched content. */
+  std::uint64_t contentHash = 0;
 
   bool operator==(const NewsObject&) const = default;
 };
--- a/modules/wire/messages_generated.h
+++ b/modules/wire/messages_generated.h
@@ -2073,7 +2073,10 @@
     VT_NAME = 4,
     VT_REVISION = 6,
     VT_DELETED = 8,
-    VT_CONTENT = 10
+    VT_CONTENT = 10,
+    VT_PATCH_BASE = 12,
+    VT_PATCH = 14,
+    VT_CONTENT_HASH = 16
   };
   const flatbuffers::String *name() const {
     return GetPointer<const flatbuffers::String *>(VT_NAME);
@@ -2087,6 +2090,15 @@
   const flatbuffers::Vector<uint8_t> *content() const {
     return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_CONTENT);
   }
+  uint64_t patch_base() const {
+    return GetField<uint64_t>(VT_PATCH_BASE, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<fireflytrail::wire::fbs::PatchPart>> *patch() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<fireflytrail::wire::fbs::PatchPart>> *>(VT_PATCH);
+  }
+  uint64_t content_hash() const {
+    return GetField<uint64_t>(VT_CONTENT_HASH, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_NAME) &&
@@ -2095,6 +2107,11 @@
            VerifyField<uint8_t>(verifier, VT_DELETED, 1) &&
            VerifyOffset(verifier, VT_CONTENT) &&
            verifier.VerifyVector(content()) &&
+           VerifyField<uint64_t>(verifier, VT_PATCH_BASE, 8) &&
+           VerifyOffset(verifier, VT_PATCH) &&
+           verifier.VerifyVector(patch()) &&
+           verifier.VerifyVectorOfTables(patch()) &&
+           VerifyField<uint64_t>(verifier, VT_CONTENT_HASH, 8) &&
            verifier.EndTable();
   }
 };
@@ -2115,6 +2132,15 @@
   void add_content(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> content) {
     fbb_.AddOffset(NewsObject::VT_CONTENT, content);
   }
+  void add_patch_base(uint64_t patch_base) {
+    fbb_.AddElement<uint64_t>(NewsObject::VT_PATCH_BASE, patch_base, 0);
+  }
+  void add_patch(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fireflytrail::wire::fbs::PatchPart>>> patch) {
+    fbb_.AddOffset(NewsObject::VT_PATCH, patch);
+  }
+  void add_content_hash(uint64_t content_hash) {
+    fbb_.AddElement<uint64_t>(NewsObject::VT_CONTENT_HASH, content_hash, 0);
+  }
   explicit NewsObjectBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2132,9 +2158,15 @@
     flatbuffers::Offset<flatbuffers::String> name = 0,
     uint64_t revision = 0,
     bool deleted = false,
-    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> content = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> content = 0,
+    uint64_t patch_base = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fireflytrail::wire::fbs::PatchPart>>> patch = 0,
+    uint64_t content_hash = 0) {
   NewsObjectBuilder builder_(_fbb);
+  builder_.add_content_hash(content_hash);
+  builder_.add_patch_base(patch_base);
   builder_.add_revision(revision);
+  builder_.add_patch(patch);
   builder_.add_content(content);
   builder_.add_name(name);
   builder_.add_deleted(deleted);
@@ -2151,15 +2183,22 @@
     const char *name = nullptr,
     uint64_t revision = 0,
     bool deleted = false,
-    const std::vector<uint8_t> *content = nullptr) {
+    const std::vector<uint8_t> *content = nullptr,
+    uint64_t patch_base = 0,
+    const std::vector<flatbuffers::Offset<fireflytrail::wire::fbs::PatchPart>> *patch = nullptr,
+    uint64_t content_hash = 0) {
   auto name__ = name ? _fbb.CreateString(name) : 0;
   auto content__ = content ? _fbb.CreateVector<uint8_t>(*content) : 0;
+  auto patch__ = patch ? _fbb.CreateVector<flatbuffers::Offset<fireflytrail::wire::fbs::PatchPart>>(*patch) : 0;
   return fireflytrail::wire::fbs::CreateNewsObject(
       _fbb,
       name__,
       revision,
       deleted,
-      content__);
+      content__,
+      patch_base,
+      patch__,
+      content_hash);
 }
 
 struct KindNews FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
