Keep removed servers only after a reported store outage

Cause: the entry of a server that leaves without a notice is removed. For 2.2 s after the store answers again, hosts keep removed entries, since they may only have expired. A host took every pause of 1.2 s in the heartbeats of the watching hosts for an outage of the store, and so did a host that had just started. When the watching hosts fail together, the store is up, and the removals that arrive with the first heartbeat afterwards are real. Class: the failure of an observer taken for the failure of the observed.

Change: an outage counts only if a daemon has reported that the store does not answer it and no daemon reached the store meanwhile (StoreRelay), and only if it lasted long enough for entries to expire, which the new setting report_interval_ms decides (ServiceDirectory). The line store_outage_ended shows each outage.

Tests: FailureOfTheWatchersIsNotAStoreOutage, StoreOutageIsKnownToAllHosts, RemovesEntriesAtOnceAfterAShortOutage; the decision was in ProxyDaemon before, where no test reached it.

--- a/modules/configuration/ProxySettings.cpp
+++ b/modules/configuration/ProxySettings.cpp
@@ -10,6 +10,7 @@
 namespace {
 
 constexpr std::int64_t kMaxStopMilliseconds = 600'000;
+constexpr std::int64_t kMaxReportMilliseconds = 600'000;
 constexpr std::int64_t kMaxLogBytesPerSecond = 1 << 30;
 constexpr std::int64_t kMaxHosts = 100'000;
 constexpr double kMaxFreeRetries = 1e6;
@@ -63,6 +64,8 @@
     "log_bytes_per_second", 1024, kMaxLogBytesPerSecond, 65'536));
   settings.stopLimit = std::chrono::milliseconds(
     reader.Integer("stop_limit_ms", 1, kMaxStopMilliseconds, 6000));
+  settings.reportInterval = std::chrono::milliseconds(
+    reader.Integer("report_interval_ms", 1, kMaxReportMilliseconds, 1500));
   settings.retryRatio = reader.Number("retry_ratio", 0, 1, 0.2);
   settings.freeRetries = reader.Number("free_retries", 0, kMaxFreeRetries, 64);
   settings.trialShare = reader.Number("trial_share", 0, 1, 0.1);
--- a/modules/configuration/ProxySettings.h
+++ b/modules/configuration/ProxySettings.h
@@ -34,6 +34,8 @@
   std::size_t logBytesPerSecond = 65'536;
   /** Maximum duration of a graceful stop. */
   std::chrono::milliseconds stopLimit{ 6000 };
+  /** Time between two reports of a server to the store. */
+  std::chrono::milliseconds reportInterval{ 1500 };
   /** Retries that the whole fleet may send per request in any 10 s. */
   double retryRatio = 0.2;
   /** Retries that the whole fleet may send in any 10 s in addition, regardless
--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -140,7 +140,10 @@
                 return this->PoolOf(aInstance);
               } }
   , transport(this->context, SocketEndpoint(aSettings.store))
-  , storeView(this->platform, aLog, std::chrono::steady_clock::now)
+  , storeView(this->platform,
+              aLog,
+              std::chrono::steady_clock::now,
+              aSettings.reportInterval)
   , sessionHooks(std::make_shared<gateway::CallerSessionHooks>())
 {
   assert(this->readSettings);
@@ -222,10 +225,10 @@
             LogLevel::Warning, "store_lost", { { "why", aDetail } });
           // A heartbeat that reports the loss lets other daemons take over at
           // once.
+          this->relay->OnStoreLost();
           this->relay->Tick();
           return;
         }
-        this->storeView.Directory().OnStoreRegained();
         this->relay->OnStoreRegained();
         this->relay->Tick();
         this->watcher->SetActive(this->relay->ShouldWatch());
@@ -237,39 +240,50 @@
 StoreRelayHooks
 ProxyDaemon::MakeRelayHooks()
 {
-  return { .now = std::chrono::steady_clock::now,
-           .peers =
-             [this] {
-               std::vector<PeerHost> peers;
-               for (const std::string& name : this->peers.LivePeerNames()) {
-                 peers.push_back(this->peers.DescriptionOf(name));
-               }
-               return peers;
-             },
-           .broadcast =
-             [this](const wire::WireMessage& aMessage) {
-               for (const std::string& name : this->peers.LivePeerNames()) {
-                 this->peers.Send(name, aMessage);
-               }
-             },
-           .send =
-             [this](const std::string& aTo, wire::WireMessage aMessage) {
-               this->peers.Send(aTo, std::move(aMessage));
-             },
-           .onObjects =
-             [this](const std::string& aKind,
-                    const std::vector<store::ObjectRecord>& aObjects) {
-               this->OnObjects(aKind, aObjects);
-             },
-           .onRevision =
-             [this](const std::string& aKind, std::uint64_t aRevision) {
-               this->watcher->NoteRevision(aKind, aRevision);
-             },
-           .lastAnswerTime = [this]() -> std::optional<core::TimePoint> {
-             return this->watcher->IsStoreUnavailable()
-                      ? std::nullopt
-                      : this->watcher->LastAnswerTime();
-           } };
+  return {
+    .now = std::chrono::steady_clock::now,
+    .peers =
+      [this] {
+        std::vector<PeerHost> peers;
+        for (const std::string& name : this->peers.LivePeerNames()) {
+          peers.push_back(this->peers.DescriptionOf(name));
+        }
+        return peers;
+      },
+    .broadcast =
+      [this](const wire::WireMessage& aMessage) {
+        for (const std::string& name : this->peers.LivePeerNames()) {
+          this->peers.Send(name, aMessage);
+        }
+      },
+    .send =
+      [this](const std::string& aTo, wire::WireMessage aMessage) {
+        this->peers.Send(aTo, std::move(aMessage));
+      },
+    .onObjects =
+      [this](const std::string& aKind,
+             const std::vector<store::ObjectRecord>& aObjects) {
+        this->OnObjects(aKind, aObjects);
+      },
+    .onRevision =
+      [this](const std::string& aKind, std::uint64_t aRevision) {
+        this->watcher->NoteRevision(aKind, aRevision);
+      },
+    .lastAnswerTime = [this]() -> std::optional<core::TimePoint> {
+      return this->watcher->IsStoreUnavailable()
+               ? std::nullopt
+               : this->watcher->LastAnswerTime();
+    },
+    .onOutageEnded =
+      [this](std::chrono::nanoseconds aOutage) {
+        this->log.Write(
+          LogLevel::Info,
+          "store_outage_ended",
+          { { "outage_ms",
+              std::chrono::duration_cast<milliseconds>(aOutage).count() } });
+        this->storeView.Directory().OnStoreRegained(aOutage);
+      }
+  };
 }
 
 SlotBrokerHooks
@@ -558,10 +572,6 @@
     this->relay->OnUpdate(aFrom, *update);
   } else if (const auto* heartbeat =
                std::get_if<wire::StoreBeat>(&aPeerMessage)) {
-    const auto staleness = this->relay->Staleness();
-    if (!staleness || *staleness > StoreRelay::kStoreTimeout) {
-      this->storeView.Directory().OnStoreRegained();
-    }
     this->relay->OnHeartbeat(aFrom, *heartbeat);
   } else if (const auto* updateRequest =
                std::get_if<wire::StoreNewsRequest>(&aPeerMessage)) {
--- a/modules/proxy/StoreRelay.cpp
+++ b/modules/proxy/StoreRelay.cpp
@@ -75,8 +75,9 @@
   assert(this->hooks.peers);
   assert(this->hooks.now && this->hooks.broadcast && this->hooks.send);
   assert(this->hooks.onObjects && this->hooks.onRevision);
-  assert(this->hooks.lastAnswerTime);
+  assert(this->hooks.lastAnswerTime && this->hooks.onOutageEnded);
   this->startedAt = this->hooks.now();
+  this->lastContact = this->startedAt;
   this->takeoverDelayStart = this->startedAt;
 }
 
@@ -134,6 +135,11 @@
   this->watchers[aFrom] = { this->hooks.now(),
                             aHeartbeat.isLost,
                             aHeartbeat.isStrong };
+  if (aHeartbeat.isLost) {
+    this->isOutageReported = true;
+  } else {
+    this->NoteContact(this->hooks.now());
+  }
   const std::size_t count =
     std::min(aHeartbeat.lastRevisions.size(), this->kinds.size());
   for (std::size_t index = 0; index < count; ++index) {
@@ -169,6 +175,9 @@
     return now - aWatcher.second.lastHeartbeatAt > kHeartbeatTimeout;
   });
   const bool isStoreAvailable = this->IsStoreAvailable();
+  if (isStoreAvailable) {
+    this->NoteContact(*this->hooks.lastAnswerTime());
+  }
   const bool isNewlyLost = !isStoreAvailable && this->hasReportedStoreAvailable;
   this->hasReportedStoreAvailable = isStoreAvailable && this->ShouldWatch();
   if (!this->hasReportedStoreAvailable && !isNewlyLost) {
@@ -201,10 +210,29 @@
            this->CountCandidatesAhead() * kTakeoverInterval;
 }
 
+void
+StoreRelay::OnStoreLost()
+{
+  this->isOutageReported = true;
+}
+
 void
 StoreRelay::OnStoreRegained()
 {
   this->takeoverDelayStart = this->hooks.now();
+  this->NoteContact(this->hooks.now());
+}
+
+void
+StoreRelay::NoteContact(core::TimePoint aTime)
+{
+  if (aTime < this->lastContact) {
+    return;
+  }
+  const auto outage = aTime - std::exchange(this->lastContact, aTime);
+  if (std::exchange(this->isOutageReported, false)) {
+    this->hooks.onOutageEnded(outage);
+  }
 }
 
 std::optional<std::chrono::nanoseconds>
--- a/modules/proxy/StoreRelay.h
+++ b/modules/proxy/StoreRelay.h
@@ -44,6 +44,13 @@
    * store does not answer.
    */
   std::function<std::optional<core::TimePoint>()> lastAnswerTime;
+  /**
+   * Called when the store is known to be available again after an outage that a
+   * daemon has reported, with the time for which no daemon was known to reach
+   * it. A time without heartbeats alone is no outage: the watching daemons may
+   * have stopped.
+   */
+  std::function<void(std::chrono::nanoseconds aOutage)> onOutageEnded;
 };
 
 /**
@@ -147,6 +154,9 @@
    */
   void Tick();
 
+  /** Records that the store does not answer this daemon. */
+  void OnStoreLost();
+
   /**
    * Restarts the takeover delay because the store answers this daemon again.
    */
@@ -191,6 +201,8 @@
   /** Restarts the takeover delay if enough higher-ranked daemons watch. */
   void RestartTakeoverDelayIfEnoughWatchers();
   bool IsStoreAvailable() const;
+  /** Records that a daemon reached the store at a time. */
+  void NoteContact(core::TimePoint aTime);
   bool IsKnownKind(const std::string& aKind) const;
   void Push(const std::string& aKind,
             std::uint64_t aBase,
@@ -222,6 +234,11 @@
   core::TimePoint takeoverDelayStart{};
   /** Whether the last heartbeat reported that the store is available. */
   bool hasReportedStoreAvailable = false;
+  /** When any daemon was last known to reach the store; the start before that.
+   */
+  core::TimePoint lastContact{};
+  /** Whether a daemon has reported since then that it lost the store. */
+  bool isOutageReported = false;
   std::map<std::string, WatcherState, std::less<>> watchers;
   std::map<std::string, Gap, std::less<>> gaps;
   /** When changes of a kind that have not arrived yet were last requested. */
--- a/modules/proxy/StoreRelayBandwidthTest.cpp
+++ b/modules/proxy/StoreRelayBandwidthTest.cpp
@@ -141,7 +141,8 @@
                    aObjects.back().content.at("Resources").as_array().size();
                },
              .onRevision = [](const std::string&, std::uint64_t) {},
-             .lastAnswerTime = [this] { return this->time; } };
+             .lastAnswerTime = [this] { return this->time; },
+             .onOutageEnded = [](std::chrono::nanoseconds) {} };
   }
 
   void Transmit(const std::string& aFrom,
@@ -285,7 +286,8 @@
       .onObjects = [](const std::string&,
                       const std::vector<store::ObjectRecord>&) {},
       .onRevision = [](const std::string&, std::uint64_t) {},
-      .lastAnswerTime = [&now] { return now; } });
+      .lastAnswerTime = [&now] { return now; },
+      .onOutageEnded = [](std::chrono::nanoseconds) {} });
   relay.OnListed("k", 1, { { "k", "a", 1, false, boost::json::object{} } });
   relay.OnHeartbeat("host-1", { { 2 }, false, true });
   const core::TimePoint firstRequest = now + kHeartbeatSpacing;
--- a/modules/proxy/StoreRelayTest.cpp
+++ b/modules/proxy/StoreRelayTest.cpp
@@ -26,6 +26,7 @@
   {
     std::unique_ptr<StoreRelay> relay;
     std::optional<core::TimePoint> lastAnswerTime;
+    unsigned outages = 0;
     /** Revisions of the known objects by name; 0 if deleted. */
     std::map<std::string, std::uint64_t> objects;
   };
@@ -60,38 +61,40 @@
   StoreRelayHooks HooksOf(const std::string& aName)
   {
     Host& host = this->hosts[aName];
-    return { .now = [this] { return this->time; },
-             .peers =
-               [this, aName] {
-                 std::vector<PeerHost> peers;
-                 for (const auto& [name, other] : this->hosts) {
-                   if (name != aName) {
-                     peers.push_back({ name, true, DomainOf(name) });
-                   }
-                 }
-                 return peers;
-               },
-             .broadcast =
-               [this, aName](const wire::WireMessage& aMessage) {
-                 for (const auto& [name, other] : this->hosts) {
-                   this->Deliver(aName, name, aMessage);
-                 }
-               },
-             .send =
-               [this, aName](const std::string& aTo,
-                             const wire::WireMessage& aMessage) {
-                 this->Deliver(aName, aTo, aMessage);
-               },
-             .onObjects =
-               [&host](const std::string&,
-                       const std::vector<store::ObjectRecord>& aObjects) {
-                 for (const auto& object : aObjects) {
-                   host.objects[object.name] =
-                     object.isDeleted ? 0 : object.revision;
-                 }
-               },
-             .onRevision = [](const std::string&, std::uint64_t) {},
-             .lastAnswerTime = [&host] { return host.lastAnswerTime; } };
+    return {
+      .now = [this] { return this->time; },
+      .peers =
+        [this, aName] {
+          std::vector<PeerHost> peers;
+          for (const auto& [name, other] : this->hosts) {
+            if (name != aName) {
+              peers.push_back({ name, true, DomainOf(name) });
+            }
+          }
+          return peers;
+        },
+      .broadcast =
+        [this, aName](const wire::WireMessage& aMessage) {
+          for (const auto& [name, other] : this->hosts) {
+            this->Deliver(aName, name, aMessage);
+          }
+        },
+      .send =
+        [this, aName](const std::string& aTo,
+                      const wire::WireMessage& aMessage) {
+          this->Deliver(aName, aTo, aMessage);
+        },
+      .onObjects =
+        [&host](const std::string&,
+                const std::vector<store::ObjectRecord>& aObjects) {
+          for (const auto& object : aObjects) {
+            host.objects[object.name] = object.isDeleted ? 0 : object.revision;
+          }
+        },
+      .onRevision = [](const std::string&, std::uint64_t) {},
+      .lastAnswerTime = [&host] { return host.lastAnswerTime; },
+      .onOutageEnded = [&host](std::chrono::nanoseconds) { ++host.outages; }
+    };
   }
 
   void Deliver(const std::string& aFrom,
@@ -378,3 +381,50 @@
       (fleet.disconnected.contains(name) || host.objects.contains("b")));
   }
 }
+
+// Guards against hosts that send requests to servers which have left, because
+// they take the failure of the daemons that read the store for a failure of the
+// store and keep removed entries (icheon-lampgas-grown, watchers-drain,
+// seed 81).
+BOOST_AUTO_TEST_CASE(FailureOfTheWatchersIsNotAStoreOutage)
+{
+  Fleet fleet(19);
+  fleet.ListAll();
+  fleet.Run(5s);
+  for (const std::string& name : fleet.Watchers()) {
+    fleet.disconnected.insert(name);
+  }
+  fleet.Run(5s);
+  for (const auto& [name, host] : fleet.hosts) {
+    BOOST_TEST(host.outages == 0U);
+  }
+}
+
+// Guards against hosts that remove all servers at once when the store answers
+// again and the entries have expired.
+BOOST_AUTO_TEST_CASE(StoreOutageIsKnownToAllHosts)
+{
+  Fleet fleet(19);
+  fleet.ListAll();
+  fleet.Run(5s);
+  const auto watchers = fleet.Watchers();
+  for (auto& [name, host] : fleet.hosts) {
+    host.lastAnswerTime.reset();
+  }
+  for (const std::string& name : watchers) {
+    fleet.hosts.at(name).relay->OnStoreLost();
+    fleet.hosts.at(name).relay->Tick();
+  }
+  fleet.Run(5s);
+  for (auto& [name, host] : fleet.hosts) {
+    host.lastAnswerTime = fleet.time;
+  }
+  for (const std::string& name : watchers) {
+    fleet.hosts.at(name).relay->OnStoreRegained();
+    fleet.hosts.at(name).relay->Tick();
+  }
+  fleet.Run(1s);
+  for (const auto& [name, host] : fleet.hosts) {
+    BOOST_TEST(host.outages == 1U);
+  }
+}
--- a/modules/proxy/StoreView.cpp
+++ b/modules/proxy/StoreView.cpp
@@ -9,10 +9,11 @@
 
 StoreView::StoreView(const PlatformAdapter& aPlatform,
                      const core::Log& aLog,
-                     core::NowFunction aNow)
+                     core::NowFunction aNow,
+                     std::chrono::milliseconds aReportInterval)
   : platform(aPlatform)
   , log(aLog)
-  , directory(std::move(aNow))
+  , directory(std::move(aNow), aReportInterval)
 {
 }
 
--- a/modules/proxy/StoreView.h
+++ b/modules/proxy/StoreView.h
@@ -7,6 +7,7 @@
 #include "routing/ServiceDirectory.h"
 #include "store/ObjectRecord.h"
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -26,10 +27,12 @@
 class StoreView
 {
 public:
-  /** The adapter and the log must outlive this object. */
+  /** The adapter and the log must outlive this object. `aReportInterval` is the
+   * time between two reports of an instance to the store. */
   StoreView(const PlatformAdapter& aPlatform,
             const core::Log& aLog,
-            core::NowFunction aNow);
+            core::NowFunction aNow,
+            std::chrono::milliseconds aReportInterval);
   StoreView(const StoreView&) = delete;
   StoreView& operator=(const StoreView&) = delete;
 
--- a/modules/routing/ServiceDirectory.cpp
+++ b/modules/routing/ServiceDirectory.cpp
@@ -6,10 +6,12 @@
 
 namespace fireflytrail::routing {
 
-ServiceDirectory::ServiceDirectory(core::NowFunction aNow)
+ServiceDirectory::ServiceDirectory(core::NowFunction aNow,
+                                   std::chrono::milliseconds aReportInterval)
   : now(std::move(aNow))
+  , reportInterval(aReportInterval)
 {
-  assert(this->now);
+  assert(this->now && aReportInterval.count() > 0);
 }
 
 void
@@ -41,9 +43,13 @@
 }
 
 void
-ServiceDirectory::OnStoreRegained()
+ServiceDirectory::OnStoreRegained(std::chrono::nanoseconds aOutage)
 {
-  this->storeRegainedAt = this->now();
+  // The last report before the outage may be one interval old, and the outage
+  // was noticed up to one interval after its start.
+  if (aOutage >= (kReportsToExpiry - 2) * this->reportInterval) {
+    this->storeRegainedAt = this->now();
+  }
 }
 
 bool
--- a/modules/routing/ServiceDirectory.h
+++ b/modules/routing/ServiceDirectory.h
@@ -34,7 +34,14 @@
    * two seconds. */
   static constexpr std::chrono::milliseconds kExpiryGracePeriod{ 2200 };
 
-  explicit ServiceDirectory(core::NowFunction aNow);
+  /** Intervals without a report after which the store removes an entry. */
+  static constexpr int kReportsToExpiry = 3;
+
+  /** `aReportInterval` is the time between two reports of an instance to the
+   * store, above 0. */
+  explicit ServiceDirectory(core::NowFunction aNow,
+                            std::chrono::milliseconds aReportInterval =
+                              std::chrono::milliseconds(1500));
 
   /** Adds or replaces an instance. */
   void Put(BackendInstance aInstance);
@@ -43,8 +50,12 @@
    * unavailable, only marks it for removal. Unknown ids are ignored. */
   void Remove(const std::string& aId);
 
-  /** Records that the store is available again and starts the grace period. */
-  void OnStoreRegained();
+  /**
+   * Records that the store is available again after an outage that is known to
+   * have lasted at least `aOutage`. Starts the grace period if entries can have
+   * expired in that time; an outage is noticed up to one report interval late.
+   */
+  void OnStoreRegained(std::chrono::nanoseconds aOutage);
 
   /** Removes marked instances whose grace period is over. Returns whether any
    * was removed. */
@@ -100,6 +111,7 @@
   };
 
   core::NowFunction now;
+  std::chrono::milliseconds reportInterval;
   std::map<std::string, Entry, std::less<>> entries;
   std::set<std::string, std::less<>> domainsOut;
   std::map<std::string, RolloutOrder, std::less<>> rollouts;
--- a/modules/routing/ServiceDirectoryTest.cpp
+++ b/modules/routing/ServiceDirectoryTest.cpp
@@ -44,7 +44,7 @@
 {
   this->directory.Put(this->Instance("x"));
   this->directory.Put(this->Instance("y"));
-  this->directory.OnStoreRegained();
+  this->directory.OnStoreRegained(5s);
   this->time += 100ms;
   this->directory.Remove("x");
   this->directory.Remove("y");
@@ -61,12 +61,22 @@
 BOOST_FIXTURE_TEST_CASE(RemovesEntriesAtOnceWithoutAStoreOutage, Fixture)
 {
   this->directory.Put(this->Instance("x"));
-  this->directory.OnStoreRegained();
+  this->directory.OnStoreRegained(5s);
   this->time += ServiceDirectory::kExpiryGracePeriod;
   this->directory.Remove("x");
   BOOST_TEST(this->UsableCount() == 0U);
 }
 
+// Guards against requests to a leaving server whose entry was removed after an
+// interruption that was too short for entries to expire.
+BOOST_FIXTURE_TEST_CASE(RemovesEntriesAtOnceAfterAShortOutage, Fixture)
+{
+  this->directory.Put(this->Instance("x"));
+  this->directory.OnStoreRegained(1s);
+  this->directory.Remove("x");
+  BOOST_TEST(this->UsableCount() == 0U);
+}
+
 // Guards against requests to a draining server or a failure domain that is out.
 BOOST_FIXTURE_TEST_CASE(LeavesOutDrainingServersAndDomainsOut, Fixture)
 {
