Replace connections to daemons that have gone silent

Cause: connections between daemons had neither keep-alive nor a limit for unacknowledged bytes. Messages to a host without power queue on the old connection, and are lost when its reset arrives after a retransmission. A connection that goes silent for good would never be replaced.

Change: EnableDeadPeerDetection, moved from StoreConnection to core, is used for connections between daemons with 1 s; a Hello of a new process replaces the connection to the process before it at once.

--- a/modules/core/core.h
+++ b/modules/core/core.h
@@ -3,11 +3,12 @@
 /**
  * Basic types that every other module uses: the error kinds and the table that
  * maps each kind to an answer, the result type, function types for clocks and
- * random numbers, daemon identities, hashing and a log of JSON lines. Depends
- * on no other module.
+ * random numbers, daemon identities, hashing, detection of silent connections
+ * and a log of JSON lines. Depends on no other module.
  */
 
 #include "core/DaemonId.h"
+#include "core/DeadPeerDetection.h"
 #include "core/Error.h"
 #include "core/ErrorKind.h"
 #include "core/ErrorTable.h"
--- a/modules/gateway/PeerConnection.cpp
+++ b/modules/gateway/PeerConnection.cpp
@@ -1,5 +1,7 @@
 #include "gateway/PeerConnection.h"
 
+#include "core/DeadPeerDetection.h"
+
 #include <boost/asio/buffer.hpp>
 #include <boost/asio/write.hpp>
 
@@ -11,6 +13,14 @@
 
 using boost::asio::ip::tcp;
 
+namespace {
+
+// Several retransmissions of a lost packet within a region. A change must reach
+// every host within two seconds, also over the connection that is opened next.
+constexpr std::chrono::milliseconds kSilenceTimeout{ 1000 };
+
+} // namespace
+
 PeerConnection::PeerConnection(tcp::socket aSocket)
   : socket(std::move(aSocket))
 {
@@ -29,6 +39,7 @@
   this->onBytes = std::move(aOnBytes);
   boost::system::error_code ignored;
   this->socket.set_option(tcp::no_delay(true), ignored);
+  core::EnableDeadPeerDetection(this->socket, kSilenceTimeout);
   this->Read();
 }
 
--- a/modules/gateway/PeerConnection.h
+++ b/modules/gateway/PeerConnection.h
@@ -17,7 +17,8 @@
 
 /**
  * A framed connection to another daemon. It keeps itself alive by shared
- * ownership while operations are pending. A corrupt frame closes it.
+ * ownership while operations are pending. A corrupt frame closes it, and so
+ * does a peer that does not acknowledge messages.
  */
 class PeerConnection : public std::enable_shared_from_this<PeerConnection>
 {
--- a/modules/gateway/PeerHub.cpp
+++ b/modules/gateway/PeerHub.cpp
@@ -131,7 +131,7 @@
       }
       if (const auto* hello = std::get_if<wire::Hello>(&aMessage)) {
         sender = hello->id.name;
-        hub->helloAddresses[sender] = hello->address;
+        hub->OnHello(*hello);
         return;
       }
       // The first message must be a `Hello`, which identifies the sender.
@@ -175,6 +175,22 @@
     });
 }
 
+void
+PeerHub::OnHello(const wire::Hello& aHello)
+{
+  this->helloAddresses[aHello.id.name] = aHello.address;
+  const auto [known, isNew] =
+    this->processes.try_emplace(aHello.id.name, aHello.id.start);
+  const bool isReplaced =
+    !isNew && std::exchange(known->second, aHello.id.start) != aHello.id.start;
+  // The connection to a process that lost power is not reset until its address
+  // answers again, and messages on it would be lost until then.
+  const auto link = this->links.find(aHello.address);
+  if (isReplaced && link != this->links.end()) {
+    link->second->Reconnect();
+  }
+}
+
 void
 PeerHub::CountError(wire::FrameError aError)
 {
--- a/modules/gateway/PeerHub.h
+++ b/modules/gateway/PeerHub.h
@@ -115,6 +115,7 @@
 
   std::shared_ptr<PeerLink> FindOrCreateLink(const gossip::Peer& aPeer);
   void StartReading(boost::asio::ip::tcp::socket aSocket);
+  void OnHello(const wire::Hello& aHello);
   void CountError(wire::FrameError aError);
   wire::Hello OwnHello() const;
 
@@ -128,6 +129,8 @@
   /** Addresses that peers stated in their `Hello`, by name. Used for answers to
    * a peer whose gossip record has not arrived yet. */
   std::map<std::string, std::string, std::less<>> helloAddresses;
+  /** The start numbers of the processes that sent the last `Hello`, by name. */
+  std::map<std::string, std::uint64_t, std::less<>> processes;
   std::map<const PeerConnection*, std::weak_ptr<PeerConnection>>
     acceptedConnections;
 };
--- a/modules/gateway/PeerLink.cpp
+++ b/modules/gateway/PeerLink.cpp
@@ -63,6 +63,14 @@
   }
 }
 
+void
+PeerLink::Reconnect()
+{
+  if (this->connection) {
+    this->connection->Close();
+  }
+}
+
 void
 PeerLink::Close()
 {
--- a/modules/gateway/PeerLink.h
+++ b/modules/gateway/PeerLink.h
@@ -39,6 +39,12 @@
   /** Sends a call and calls `aOnEnd` once. */
   void Forward(wire::ForwardCall aCall, PeerHub::ForwardFunction aOnEnd);
 
+  /**
+   * Closes the connection, whose other end is a process that has been replaced.
+   * The next message opens a new one.
+   */
+  void Reconnect();
+
   /** Closes the connection and ends pending calls. */
   void Close();
 
--- a/modules/store/StoreConnection.cpp
+++ b/modules/store/StoreConnection.cpp
@@ -1,6 +1,7 @@
 #include "store/StoreConnection.h"
 
-#include <boost/asio/detail/socket_option.hpp>
+#include "core/DeadPeerDetection.h"
+
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <fmt/format.h>
@@ -21,13 +22,10 @@
 // are far smaller.
 constexpr std::uint64_t kBodyLimitBytes = 4U << 20U;
 
-// A connection on which not even acknowledgements arrive fails after three
-// seconds. The platform requires a host to react to changes within that time
-// after a connection loss.
-constexpr int kKeepAliveIdleSeconds = 1;
-constexpr int kKeepAliveIntervalSeconds = 1;
-constexpr int kKeepAliveProbes = 2;
-constexpr int kUserTimeoutMilliseconds = 3000;
+// A connection on which not even acknowledgements arrive, such as that of a
+// watch, fails after this time. The platform requires a host to react to
+// changes within that time after a connection loss.
+constexpr std::chrono::milliseconds kSilenceTimeout{ 3000 };
 
 std::string
 TargetOf(const StoreRequest& aRequest)
@@ -50,24 +48,6 @@
   return "/objects/" + aRequest.key;
 }
 
-/** Makes the connection fail if the other side is silent. Otherwise a watch on
- * a lost connection would look like a watch without changes. */
-void
-EnableDeadPeerDetection(tcp::socket& aSocket)
-{
-  using boost::asio::detail::socket_option::integer;
-  boost::system::error_code ignored;
-  aSocket.set_option(boost::asio::socket_base::keep_alive(true), ignored);
-  aSocket.set_option(integer<IPPROTO_TCP, TCP_KEEPIDLE>(kKeepAliveIdleSeconds),
-                     ignored);
-  aSocket.set_option(
-    integer<IPPROTO_TCP, TCP_KEEPINTVL>(kKeepAliveIntervalSeconds), ignored);
-  aSocket.set_option(integer<IPPROTO_TCP, TCP_KEEPCNT>(kKeepAliveProbes),
-                     ignored);
-  aSocket.set_option(
-    integer<IPPROTO_TCP, TCP_USER_TIMEOUT>(kUserTimeoutMilliseconds), ignored);
-}
-
 std::uint64_t
 VersionOf(std::string_view aText)
 {
@@ -151,7 +131,7 @@
       }
       boost::system::error_code ignored;
       self->socket.set_option(tcp::no_delay(true), ignored);
-      EnableDeadPeerDetection(self->socket);
+      core::EnableDeadPeerDetection(self->socket, kSilenceTimeout);
       self->Write();
     });
 }
