Keep the limit of requests that a server names

Cause: the header was not read. Class: a statement of a server about itself that does not reach the place where requests are distributed.

It reaches the dispatching daemon with the release of each grant; ServiceDispatcher paces the instance like a cold one, counts only that rate as its capacity, and does not measure it. A dispatching daemon uses 0.95 of the rate, all daemons that decide alone share 0.05 of it. The limit ends with an answer without it to a request sent after it was last named. Requests beyond the limit go to other servers or are refused as soon as they cannot be served.

--- a/modules/gateway/ServerConnection.cpp
+++ b/modules/gateway/ServerConnection.cpp
@@ -239,6 +239,9 @@
   exchange.loadSample = info.load;
   exchange.remainingColdTime = info.remainingColdTime;
   exchange.isWrongServer = info.reply == ServerReply::WrongServer;
+  if (!exchange.isWrongServer) {
+    exchange.notice = info.notice;
+  }
   exchange.progress = info.reply == ServerReply::Answer
                         ? AttemptProgress::Answered
                         : AttemptProgress::Refused;
--- a/modules/gateway/ServerDialect.h
+++ b/modules/gateway/ServerDialect.h
@@ -2,6 +2,7 @@
 
 #include "gateway/CallRequest.h"
 #include "routing/LoadSample.h"
+#include "routing/ServerNotice.h"
 
 #include <boost/beast/http/message.hpp>
 
@@ -50,6 +51,8 @@
   std::optional<std::string> loadText;
   /** The load report, if it is stated as numbers. */
   std::optional<routing::LoadSample> load;
+  /** What the server states about itself. */
+  routing::ServerNotice notice;
   /** Remaining time for which the server is cold; 0 if not stated. */
   std::chrono::milliseconds remainingColdTime{ 0 };
   /** How long the server keeps an idle connection open, if stated. */
--- a/modules/gateway/ServerExchange.h
+++ b/modules/gateway/ServerExchange.h
@@ -2,6 +2,7 @@
 
 #include "calls/AttemptResult.h"
 #include "routing/LoadSample.h"
+#include "routing/ServerNotice.h"
 
 #include <chrono>
 #include <memory>
@@ -21,6 +22,8 @@
   std::optional<std::string> serverLoad;
   /** The load report, if the answer states it as numbers. */
   std::optional<routing::LoadSample> loadSample;
+  /** What the server states about itself; empty if another server answered. */
+  routing::ServerNotice notice;
   /** Remaining time for which the server is cold; 0 if not stated. */
   std::chrono::milliseconds remainingColdTime{ 0 };
   /** Whether another server answered at the address. */
--- a/modules/proxy/LoadProber.cpp
+++ b/modules/proxy/LoadProber.cpp
@@ -67,7 +67,8 @@
       }
       if (aExchange.answer && aExchange.loadSample) {
         report(routing::Measurement{ *aExchange.loadSample,
-                                     aExchange.remainingColdTime });
+                                     aExchange.remainingColdTime,
+                                     aExchange.notice });
       } else {
         report(std::nullopt);
       }
--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -313,6 +313,16 @@
              [this](const routing::EndedRequest& aRequest) {
                this->rollouts.OnRequestEnded(aRequest);
              },
+           .onLimitChanged =
+             [this](const routing::BackendInstance& aInstance,
+                    std::optional<double> aLimit) {
+               this->log.Write(LogLevel::Info,
+                               "server_limit_changed",
+                               { { "instance", aInstance.id },
+                                 { "service", aInstance.service },
+                                 { "is_limited", aLimit.has_value() },
+                                 { "requests_per_s", aLimit.value_or(0) } });
+             },
            .onPeerAvailabilityChange =
              [this](const std::string& aName, bool aIsLost) {
                this->log.Write(LogLevel::Info,
--- a/modules/proxy/RequestRunner.cpp
+++ b/modules/proxy/RequestRunner.cpp
@@ -243,7 +243,7 @@
   const AttemptOutcome outcome = OutcomeOf(aExchange);
   const Slot used = *std::exchange(this->slot, std::nullopt);
   this->shared.broker.Release(
-    used, outcome, aExchange.duration, aExchange.loadSample);
+    used, outcome, aExchange.duration, aExchange.loadSample, aExchange.notice);
   if (this->isCallerGone) {
     this->RunStep(this->flow->CallerGone(AttemptProgress::SentNoAnswer));
     return;
@@ -349,8 +349,11 @@
     this->pool->Cancel(*running);
   }
   if (const auto used = std::exchange(this->slot, std::nullopt)) {
-    this->shared.broker.Release(
-      *used, aOutcome, this->shared.now() - this->attemptBegin, std::nullopt);
+    this->shared.broker.Release(*used,
+                                aOutcome,
+                                this->shared.now() - this->attemptBegin,
+                                std::nullopt,
+                                {});
   }
 }
 
--- a/modules/proxy/SlotBroker.cpp
+++ b/modules/proxy/SlotBroker.cpp
@@ -38,6 +38,12 @@
 constexpr double kDispatcherColdShare = 0.6;
 constexpr double kFallbackColdShare = 0.25;
 
+// The same for the limit that a server has named. A second dispatching daemon
+// is used for two seconds at a time; the platform allows one and a half times
+// the limit over four.
+constexpr double kDispatcherLimitShare = 0.95;
+constexpr double kFallbackLimitShare = 0.05;
+
 // Consecutive timeouts after which another daemon is asked, and for how long. A
 // single timeout can occur at a busy host.
 constexpr unsigned kTimeoutsToAvoid = 2;
@@ -129,17 +135,18 @@
 SlotBroker::Release(const Slot& aSlot,
                     routing::AttemptOutcome aOutcome,
                     nanoseconds aDuration,
-                    const std::optional<routing::LoadSample>& aSample)
+                    const std::optional<routing::LoadSample>& aSample,
+                    const routing::ServerNotice& aNotice)
 {
   ServiceDispatcher& dispatcher = this->GetOrCreateDispatcher(aSlot.service);
   if (aSlot.grantedBy.empty()) {
-    dispatcher.Release(aSlot.grant, aOutcome, aDuration, aSample);
+    dispatcher.Release(aSlot.grant, aOutcome, aDuration, aSample, aNotice);
     this->ScheduleTick();
     return;
   }
   // Record the outcome here as well, in case this daemon has to decide alone
   // later.
-  dispatcher.Observe(*aSlot.instance, aOutcome, aDuration, aSample);
+  dispatcher.Observe(*aSlot.instance, aOutcome, aDuration, aSample, aNotice);
   wire::SlotRelease release;
   release.service = aSlot.service;
   release.grant = aSlot.grant;
@@ -147,6 +154,7 @@
   release.duration =
     std::chrono::duration_cast<std::chrono::microseconds>(aDuration);
   release.load = aSample;
+  release.notice = aNotice;
   release.digest = aSlot.digest;
   this->hooks.send(aSlot.grantedBy, std::move(release));
 }
@@ -197,6 +205,7 @@
   request.expectedBytes = aRequest.expectedBytes;
   request.route = aRequest.route;
   request.coldRateShare = kDispatcherColdShare;
+  request.limitShare = kDispatcherLimitShare;
   request.isCentrallyDispatched = true;
   this->GetOrCreateDispatcher(aRequest.service).Submit(std::move(request));
   if (this->remoteRequests.contains(id)) {
@@ -265,8 +274,11 @@
     if (aRelease.outcome == routing::AttemptOutcome::Answered) {
       this->hooks.guard.RecordCompletion(aRelease.digest);
     }
-    dispatcher.Release(
-      aRelease.grant, aRelease.outcome, aRelease.duration, aRelease.load);
+    dispatcher.Release(aRelease.grant,
+                       aRelease.outcome,
+                       aRelease.duration,
+                       aRelease.load,
+                       aRelease.notice);
     this->ScheduleTick();
     return;
   }
@@ -334,7 +346,8 @@
           },
         .measure = [this](const std::shared_ptr<const routing::BackendInstance>&
                             aInstance) { this->Measure(aInstance); },
-        .onRequestEnded = this->hooks.onRequestEnded },
+        .onRequestEnded = this->hooks.onRequestEnded,
+        .onLimitChanged = this->hooks.onLimitChanged },
       this->settings);
   }
   return *dispatcher;
@@ -382,6 +395,10 @@
     aIsFallback
       ? kFallbackColdShare / static_cast<double>(this->hooks.hostCount())
       : kDispatcherColdShare;
+  entry.request.limitShare =
+    aIsFallback
+      ? kFallbackLimitShare / static_cast<double>(this->hooks.hostCount())
+      : kDispatcherLimitShare;
   entry.request.isCentrallyDispatched = !aIsFallback;
   entry.askedDaemon.clear();
   if (entry.timer) {
--- a/modules/proxy/SlotBroker.h
+++ b/modules/proxy/SlotBroker.h
@@ -71,6 +71,10 @@
     measure;
   /** Called when a request whose slot was granted by this daemon has ended. */
   std::function<void(const routing::EndedRequest&)> onRequestEnded;
+  /** Optional: called when an instance names another limit, or none any more.
+   */
+  std::function<void(const routing::BackendInstance&, std::optional<double>)>
+    onLimitChanged;
   /**
    * Called when a dispatching daemon stops answering and when it answers again.
    */
@@ -135,7 +139,8 @@
   void Release(const Slot& aSlot,
                routing::AttemptOutcome aOutcome,
                std::chrono::nanoseconds aDuration,
-               const std::optional<routing::LoadSample>& aSample);
+               const std::optional<routing::LoadSample>& aSample,
+               const routing::ServerNotice& aNotice = {});
 
   /**
    * Reports to the daemon that granted the slot that a server died while the
--- a/modules/routing/DispatchRequest.h
+++ b/modules/routing/DispatchRequest.h
@@ -34,6 +34,8 @@
   /** Fraction of a cold instance's request rate that this dispatcher may use;
    * small if other hosts may send to the instance at the same time. */
   double coldRateShare = 1;
+  /** The same for the limit that an instance has named; see `ServerNotice`. */
+  double limitShare = 1;
   /** Whether this dispatcher receives the requests of all hosts. If not, it
    * measures no instance and uses none on trial, since the minimum interval
    * between measurements and the trial share apply to all hosts together. */
--- a/modules/routing/Measurement.h
+++ b/modules/routing/Measurement.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "routing/LoadSample.h"
+#include "routing/ServerNotice.h"
 
 #include <chrono>
 
@@ -12,6 +13,7 @@
   LoadSample load;
   /** Remaining time for which the instance is cold. */
   std::chrono::milliseconds remainingColdTime{ 0 };
+  ServerNotice notice;
 };
 
 } // namespace fireflytrail::routing
--- /dev/null
+++ b/modules/routing/ServerNotice.h
@@ -0,0 +1,19 @@
+#pragma once
+
+#include <optional>
+
+namespace fireflytrail::routing {
+
+/** What a server states about itself in an answer, besides its load. */
+struct ServerNotice
+{
+  /**
+   * Requests a second that the server takes from all hosts together, 0 or
+   * above; nothing if it names no limit.
+   */
+  std::optional<double> requestsPerSecond;
+
+  bool operator==(const ServerNotice&) const = default;
+};
+
+} // namespace fireflytrail::routing
--- a/modules/routing/ServiceDispatcher.cpp
+++ b/modules/routing/ServiceDispatcher.cpp
@@ -79,6 +79,28 @@
 
 constexpr double kBytesPerKilobyte = 1000;
 
+// Rate at which an instance that names a lower limit gets requests: without an
+// answer it would never be known that the limit has ended.
+constexpr double kMinLimitRate = 0.25;
+
+/** Returns the time between two requests at a share of a limit. */
+nanoseconds
+IntervalOf(double aRequestsPerSecond, double aShare)
+{
+  const double rate = std::max(aRequestsPerSecond, kMinLimitRate) * aShare;
+  return std::chrono::duration_cast<nanoseconds>(
+    std::chrono::duration<double>(1 / std::max(rate, kMinLimitRate / 1000)));
+}
+
+/** Whether the instance itself answered. */
+bool
+HasAnswer(AttemptOutcome aOutcome)
+{
+  return aOutcome == AttemptOutcome::Answered ||
+         aOutcome == AttemptOutcome::Failed ||
+         aOutcome == AttemptOutcome::Refused;
+}
+
 double
 Milliseconds(nanoseconds aTime)
 {
@@ -170,7 +192,8 @@
 ServiceDispatcher::Release(std::uint64_t aGrant,
                            AttemptOutcome aOutcome,
                            nanoseconds aDuration,
-                           const std::optional<LoadSample>& aSample)
+                           const std::optional<LoadSample>& aSample,
+                           const ServerNotice& aNotice)
 {
   const auto grant = this->grants.find(aGrant);
   if (grant == this->grants.end()) {
@@ -178,6 +201,7 @@
   }
   const auto target = this->targets.find(grant->second.key);
   const std::uint64_t route = grant->second.route;
+  const TimePoint begin = grant->second.begin;
   this->grants.erase(grant);
   if (target != this->targets.end()) {
     if (this->hooks.onRequestEnded) {
@@ -194,6 +218,9 @@
     if (aSample) {
       this->ApplyReport(target->second.load, *aSample);
     }
+    if (HasAnswer(aOutcome)) {
+      this->ApplyNotice(target->second, aNotice, begin);
+    }
     target->second.load.End(
       aOutcome, aDuration, this->typicalDuration, this->hooks.now());
   }
@@ -205,7 +232,8 @@
 ServiceDispatcher::Observe(const BackendInstance& aInstance,
                            AttemptOutcome aOutcome,
                            nanoseconds aDuration,
-                           const std::optional<LoadSample>& aSample)
+                           const std::optional<LoadSample>& aSample,
+                           const ServerNotice& aNotice)
 {
   const auto target = this->targets.find(KeyOf(aInstance));
   if (target == this->targets.end()) {
@@ -216,6 +244,9 @@
   if (aSample) {
     this->ApplyReport(load, *aSample);
   }
+  if (HasAnswer(aOutcome)) {
+    this->ApplyNotice(target->second, aNotice, this->hooks.now() - aDuration);
+  }
   load.End(aOutcome, aDuration, this->typicalDuration, this->hooks.now());
   this->UpdateTypicalDuration(aOutcome, aDuration);
 }
@@ -229,6 +260,8 @@
     return;
   }
   this->ApplyReport(target->second.load, aMeasurement->load);
+  this->ApplyNotice(
+    target->second, aMeasurement->notice, target->second.measuredAt);
   if (aMeasurement->remainingColdTime.count() > 0) {
     target->second.coldUntil =
       this->hooks.now() + aMeasurement->remainingColdTime;
@@ -320,7 +353,7 @@
       continue;
     }
     choice.hasTargets = true;
-    if (!this->HasCapacity(target, now)) {
+    if (!this->HasCapacity(target, aRequest, now)) {
       continue;
     }
     if (this->IsTooSlowFor(target, aRequest)) {
@@ -345,9 +378,10 @@
   double freeGoodSlots = 0;
   Target* leastRecent = nullptr;
   for (auto& [key, target] : this->targets) {
-    if (!target.source.isUsable || now < target.coldUntil ||
+    // A measurement counts as a request of an instance that names a limit.
+    if (!target.source.isUsable || now < target.coldUntil || target.limit ||
         target.source.instance->failureDomain != aRequest.failureDomain ||
-        !this->HasCapacity(target, now)) {
+        !this->HasCapacity(target, aRequest, now)) {
       continue;
     }
     if (target.load.IsKnownGood(now)) {
@@ -367,11 +401,17 @@
 }
 
 bool
-ServiceDispatcher::HasCapacity(const Target& aTarget, TimePoint aNow) const
+ServiceDispatcher::HasCapacity(const Target& aTarget,
+                               const DispatchRequest& aRequest,
+                               TimePoint aNow) const
 {
   if (aTarget.load.IsEjected(aNow)) {
     return false;
   }
+  if (aTarget.limit && aNow - aTarget.lastLimitedSend <
+                         IntervalOf(*aTarget.limit, aRequest.limitShare)) {
+    return false;
+  }
   if (aTarget.load.IsOnProbation()) {
     return aTarget.load.InFlight() == 0;
   }
@@ -390,6 +430,29 @@
     std::floor(this->settings.usableShare * aTarget.source.instance->slots));
 }
 
+void
+ServiceDispatcher::ApplyNotice(Target& aTarget,
+                               const ServerNotice& aNotice,
+                               TimePoint aRequestBegin)
+{
+  const TimePoint now = this->hooks.now();
+  const std::optional<double> previous = aTarget.limit;
+  if (aNotice.requestsPerSecond) {
+    if (!aTarget.limit) {
+      aTarget.lastLimitedSend = now;
+    }
+    aTarget.limit = aNotice.requestsPerSecond;
+    aTarget.limitNamedAt = now;
+  } else if (aRequestBegin >= aTarget.limitNamedAt) {
+    // An answer without a limit ends it only if it is certainly later than the
+    // one that named it: releases of several hosts overtake each other.
+    aTarget.limit.reset();
+  }
+  if (aTarget.limit != previous && this->hooks.onLimitChanged) {
+    this->hooks.onLimitChanged(*aTarget.source.instance, aTarget.limit);
+  }
+}
+
 double
 ServiceDispatcher::CostOf(const Target& aTarget,
                           const DispatchRequest& aRequest,
@@ -432,12 +495,20 @@
       now + std::chrono::duration_cast<nanoseconds>(
               std::chrono::duration<double>(1 / std::max(rate, 0.01)));
   }
+  if (aTarget.limit) {
+    // One request that was not sent when it could have been is made up for.
+    const nanoseconds interval =
+      IntervalOf(*aTarget.limit, aRequest.limitShare);
+    aTarget.lastLimitedSend = std::min(
+      now, std::max(aTarget.lastLimitedSend + interval, now - interval));
+  }
   aTarget.load.Begin();
   const std::uint64_t id = ++this->lastGrant;
   this->grants.emplace(id,
                        Grant{ KeyOf(*aTarget.source.instance),
                               aRequest.deadline + kGrantGracePeriod,
-                              aRequest.route });
+                              aRequest.route,
+                              now });
   this->hooks.decided(aRequest.id,
                       { .kind = ErrorKind::None,
                         .grant = id,
@@ -627,9 +698,17 @@
   const TimePoint now = this->hooks.now();
   double usableSlots = 0;
   for (const auto& [key, target] : this->targets) {
-    if (target.source.isUsable && !target.load.IsEjected(now)) {
-      usableSlots += this->UsableSlots(target);
+    if (!target.source.isUsable || target.load.IsEjected(now)) {
+      continue;
     }
+    const double slots = this->UsableSlots(target);
+    usableSlots +=
+      target.limit
+        ? std::min(
+            slots,
+            *target.limit *
+              std::chrono::duration<double>(this->typicalDuration).count())
+        : slots;
   }
   return usableSlots;
 }
--- a/modules/routing/ServiceDispatcher.h
+++ b/modules/routing/ServiceDispatcher.h
@@ -6,6 +6,7 @@
 #include "routing/DispatchRequest.h"
 #include "routing/InstanceLoad.h"
 #include "routing/Measurement.h"
+#include "routing/ServerNotice.h"
 
 #include <chrono>
 #include <cstdint>
@@ -49,6 +50,10 @@
   std::function<void(const std::shared_ptr<const BackendInstance>&)> measure;
   /** Optional: called when a granted request is released, with its outcome. */
   std::function<void(const EndedRequest&)> onRequestEnded;
+  /** Optional: called when an instance names another limit, or none any more.
+   */
+  std::function<void(const BackendInstance&, std::optional<double>)>
+    onLimitChanged;
 };
 
 /** Parameters of a dispatcher's decisions. */
@@ -106,7 +111,10 @@
  *   allows for the retries of requests that were refused before;
  * - instances that fail fast look idle: they are excluded after repeated
  *   failures;
- * - cold instances: their requests are paced to the rate that they can handle.
+ * - cold instances: their requests are paced to the rate that they can handle;
+ * - instances that name a limit: they get no more than their share of it, so
+ *   that all hosts together stay within it. Requests beyond it go to others or,
+ *   if they would miss their deadline, are refused at once.
  *
  * Performs no I/O. Not thread-safe.
  */
@@ -148,14 +156,16 @@
   void Release(std::uint64_t aGrant,
                AttemptOutcome aOutcome,
                std::chrono::nanoseconds aDuration,
-               const std::optional<LoadSample>& aSample);
+               const std::optional<LoadSample>& aSample,
+               const ServerNotice& aNotice = {});
 
   /** Records the outcome of a request whose instance was granted by another
    * dispatcher. */
   void Observe(const BackendInstance& aInstance,
                AttemptOutcome aOutcome,
                std::chrono::nanoseconds aDuration,
-               const std::optional<LoadSample>& aSample);
+               const std::optional<LoadSample>& aSample,
+               const ServerNotice& aNotice = {});
 
   /** Applies the result of measuring an instance; nothing if it did not answer.
    */
@@ -202,12 +212,19 @@
     /** Earliest time of the next request while the instance is cold. */
     core::TimePoint nextColdSend{};
     core::TimePoint measuredAt{};
+    /** Requests a second that the instance takes from all hosts. */
+    std::optional<double> limit;
+    /** When the instance last named its limit. */
+    core::TimePoint limitNamedAt{};
+    /** Time from which the interval to its next request counts. */
+    core::TimePoint lastLimitedSend{};
   };
   struct Grant
   {
     std::uint64_t key = 0;
     core::TimePoint expires;
     std::uint64_t route = 0;
+    core::TimePoint begin;
   };
   struct Waiting
   {
@@ -228,7 +245,13 @@
    * the others. */
   Choice Choose(const DispatchRequest& aRequest, bool aOnTrial);
   Choice ChooseByTrialShare(const DispatchRequest& aRequest);
-  bool HasCapacity(const Target& aTarget, core::TimePoint aNow) const;
+  bool HasCapacity(const Target& aTarget,
+                   const DispatchRequest& aRequest,
+                   core::TimePoint aNow) const;
+  /** Applies what an instance stated in an answer to a request of a time. */
+  void ApplyNotice(Target& aTarget,
+                   const ServerNotice& aNotice,
+                   core::TimePoint aRequestBegin);
   double UsableSlots(const Target& aTarget) const;
   double CostOf(const Target& aTarget,
                 const DispatchRequest& aRequest,
--- a/modules/routing/ServiceDispatcherTest.cpp
+++ b/modules/routing/ServiceDispatcherTest.cpp
@@ -580,3 +580,123 @@
 {
   BOOST_TEST(ReplayBurst(*this, 50) >= 0.98 * (1 - 0.2 / 3));
 }
+
+namespace {
+
+struct LimitFixture : Fixture
+{
+  double limitShare = 1;
+
+  std::uint64_t SubmitLimited(core::TimePoint::duration aDeadline)
+  {
+    DispatchRequest request;
+    request.id = ++this->nextId;
+    request.failureDomain = "a";
+    request.goal = this->time + aDeadline;
+    request.deadline = this->time + aDeadline;
+    request.limitShare = this->limitShare;
+    this->dispatcher.Submit(std::move(request));
+    return this->nextId;
+  }
+
+  /** Releases a request whose answer named a limit, or none. */
+  void ReleaseWithLimit(std::uint64_t aId, std::optional<double> aLimit)
+  {
+    this->dispatcher.Release(this->results.at(aId).grant,
+                             AttemptOutcome::Answered,
+                             1ms,
+                             std::nullopt,
+                             ServerNotice{ aLimit });
+  }
+
+  /** Sends a request every 10 ms and returns how many were granted. */
+  int CountGranted(core::TimePoint::duration aTime,
+                   std::optional<double> aLimit)
+  {
+    int count = 0;
+    for (const core::TimePoint end = this->time + aTime; this->time < end;) {
+      const std::uint64_t id = this->SubmitLimited(20ms);
+      this->time += 10ms;
+      if (!this->InstanceOf(id).empty()) {
+        ++count;
+        this->ReleaseWithLimit(id, aLimit);
+      }
+    }
+    return count;
+  }
+};
+
+} // namespace
+
+// Guards against a server in need that gets its usual share of requests
+// although its answers name a limit (rule LIMIT; icheon-lampgas, capped,
+// seed 41).
+BOOST_FIXTURE_TEST_CASE(KeepsTheLimitThatAnInstanceNames, LimitFixture)
+{
+  this->dispatcher.SetInstances({ { Instance("limited") } });
+  this->ReleaseWithLimit(this->SubmitLimited(1s), 5);
+  const int granted = this->CountGranted(10s, 5);
+  BOOST_TEST(granted >= 45);
+  BOOST_TEST(granted <= 51);
+  this->limitShare = 0.1;
+  BOOST_TEST(this->CountGranted(10s, 5) <= 6);
+}
+
+// Guards against requests that wait for a limited instance until their deadline
+// although others have room, or although it is known that none has.
+BOOST_FIXTURE_TEST_CASE(RequestsBeyondALimitGoToOthersOrAreRefused,
+                        LimitFixture)
+{
+  this->dispatcher.SetInstances({ { Instance("limited") } });
+  this->ReleaseWithLimit(this->SubmitLimited(1s), 1);
+  const std::uint64_t refused = this->SubmitLimited(500ms);
+  BOOST_TEST(this->results.contains(refused));
+  BOOST_TEST((this->results.at(refused).kind == ErrorKind::Overloaded));
+  this->dispatcher.SetInstances(
+    { { Instance("limited") }, { Instance("other") } });
+  BOOST_TEST(this->InstanceOf(this->SubmitLimited(500ms)) == "other");
+}
+
+// Guards against an instance that stays limited after its answers no longer
+// name a limit, and against an early end because a release of a host overtook
+// that of another.
+BOOST_FIXTURE_TEST_CASE(LimitEndsWithALaterAnswerWithoutIt, LimitFixture)
+{
+  this->dispatcher.SetInstances({ { Instance("limited") } });
+  const std::uint64_t first = this->SubmitLimited(1s);
+  const std::uint64_t second = this->SubmitLimited(1s);
+  this->time += 50ms;
+  this->ReleaseWithLimit(first, 1);
+  this->ReleaseWithLimit(second, std::nullopt);
+  BOOST_TEST(this->InstanceOf(this->SubmitLimited(100ms)).empty());
+  this->time += 1s;
+  const std::uint64_t later = this->SubmitLimited(100ms);
+  BOOST_TEST(this->InstanceOf(later) == "limited");
+  this->ReleaseWithLimit(later, std::nullopt);
+  BOOST_TEST(this->InstanceOf(this->SubmitLimited(100ms)) == "limited");
+  BOOST_TEST(this->InstanceOf(this->SubmitLimited(100ms)) == "limited");
+}
+
+// Guards against an instance that names the limit 0 and then never gets a
+// request whose answer would end the limit.
+BOOST_FIXTURE_TEST_CASE(InstanceWithLimitZeroIsTriedNowAndThen, LimitFixture)
+{
+  this->dispatcher.SetInstances({ { Instance("limited") } });
+  this->ReleaseWithLimit(this->SubmitLimited(1s), 0);
+  const int granted = this->CountGranted(12s, 0);
+  BOOST_TEST(granted >= 2);
+  BOOST_TEST(granted <= 3);
+}
+
+// Guards against measurements that a limited instance counts as requests.
+BOOST_FIXTURE_TEST_CASE(DoesNotMeasureLimitedInstances, LimitFixture)
+{
+  this->dispatcher.SetInstances({ { Instance("limited") } });
+  this->ReleaseWithLimit(this->SubmitLimited(1s), 5);
+  this->isCentrallyDispatched = true;
+  for (int index = 0; index < 20; ++index) {
+    this->time += 200ms;
+    this->Submit(20ms, 20ms);
+  }
+  BOOST_TEST(this->measured["limited"] == 0);
+}
--- a/modules/routing/routing.h
+++ b/modules/routing/routing.h
@@ -33,6 +33,7 @@
 #include "routing/ServerHealth.h"
 #include "routing/ServerIdentity.h"
 #include "routing/ServerLoad.h"
+#include "routing/ServerNotice.h"
 #include "routing/ServerRoute.h"
 #include "routing/ServerSelector.h"
 #include "routing/ServerState.h"
--- a/modules/wire/EntryConversion.cpp
+++ b/modules/wire/EntryConversion.cpp
@@ -9,6 +9,9 @@
 
 namespace {
 
+// Limit of a server that names none.
+constexpr double kNoLimit = -1;
+
 constexpr double kPercent = 100;
 
 std::uint32_t
@@ -86,7 +89,8 @@
              load.slots,
              SaturateToUint32(std::llround(load.slowdown * kPercent)),
              aRelease.digest,
-             aRelease.death) };
+             aRelease.death,
+             aRelease.notice.requestsPerSecond.value_or(kNoLimit)) };
 }
 
 EncodedMessage<fbs::StoreNews>
@@ -206,6 +210,10 @@
                            std::max(aRelease.slots(), 1U),
                            aRelease.slowdown_percent() / kPercent };
   }
+  if (std::isfinite(aRelease.request_limit()) &&
+      aRelease.request_limit() >= 0) {
+    release.notice.requestsPerSecond = aRelease.request_limit();
+  }
   release.digest = aRelease.digest();
   release.death = aRelease.death();
   aMessage = std::move(release);
--- a/modules/wire/SlotRelease.h
+++ b/modules/wire/SlotRelease.h
@@ -2,6 +2,7 @@
 
 #include "routing/InstanceLoad.h"
 #include "routing/LoadSample.h"
+#include "routing/ServerNotice.h"
 
 #include <chrono>
 #include <cstdint>
@@ -25,6 +26,8 @@
   std::chrono::microseconds duration{ 0 };
   /** The load that the instance reported with its answer. */
   std::optional<routing::LoadSample> load;
+  /** What the instance stated about itself with its answer. */
+  routing::ServerNotice notice;
   /** Digest of the request; see `calls::RequestDigest`. */
   std::uint64_t digest = 0;
   /** Identifier of the death if a server died while the request was running,
--- a/modules/wire/messages_generated.h
+++ b/modules/wire/messages_generated.h
@@ -1891,7 +1891,8 @@
     VT_SLOTS = 20,
     VT_SLOWDOWN_PERCENT = 22,
     VT_DIGEST = 24,
-    VT_DEATH = 26
+    VT_DEATH = 26,
+    VT_REQUEST_LIMIT = 28
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -1929,6 +1930,9 @@
   uint64_t death() const {
     return GetField<uint64_t>(VT_DEATH, 0);
   }
+  double request_limit() const {
+    return GetField<double>(VT_REQUEST_LIMIT, -1.0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -1944,6 +1948,7 @@
            VerifyField<uint32_t>(verifier, VT_SLOWDOWN_PERCENT, 4) &&
            VerifyField<uint64_t>(verifier, VT_DIGEST, 8) &&
            VerifyField<uint64_t>(verifier, VT_DEATH, 8) &&
+           VerifyField<double>(verifier, VT_REQUEST_LIMIT, 8) &&
            verifier.EndTable();
   }
 };
@@ -1988,6 +1993,9 @@
   void add_death(uint64_t death) {
     fbb_.AddElement<uint64_t>(SlotRelease::VT_DEATH, death, 0);
   }
+  void add_request_limit(double request_limit) {
+    fbb_.AddElement<double>(SlotRelease::VT_REQUEST_LIMIT, request_limit, -1.0);
+  }
   explicit SlotReleaseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2013,8 +2021,10 @@
     uint32_t slots = 0,
     uint32_t slowdown_percent = 0,
     uint64_t digest = 0,
-    uint64_t death = 0) {
+    uint64_t death = 0,
+    double request_limit = -1.0) {
   SlotReleaseBuilder builder_(_fbb);
+  builder_.add_request_limit(request_limit);
   builder_.add_death(death);
   builder_.add_digest(digest);
   builder_.add_duration_us(duration_us);
@@ -2048,7 +2058,8 @@
     uint32_t slots = 0,
     uint32_t slowdown_percent = 0,
     uint64_t digest = 0,
-    uint64_t death = 0) {
+    uint64_t death = 0,
+    double request_limit = -1.0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   return fireflytrail::wire::fbs::CreateSlotRelease(
       _fbb,
@@ -2063,7 +2074,8 @@
       slots,
       slowdown_percent,
       digest,
-      death);
+      death,
+      request_limit);
 }
 
 struct NewsObject FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
