Do not take an earlier refusal for the answer to a later request

A faulty server can write an earlier refusal once more on a kept connection. The caller of the next request was then told "not run" although the request was running (REFUSED), or it ran at a second server (TWICE).

Cause: the id of an answer was compared only if the answer has one, and bytes that had arrived on an idle connection were read as the answer if the request was written before the idle watch ran. Answers to other requests were skipped without a limit, so that a server that writes them without end held a request until its deadline. Class: an answer matched by its position where it can be matched by its name.

Change: on a connection that has carried other requests, a refusal or "wrong server" without the request's id is skipped like an answer to another request, at most 16 of them; a connection with unread bytes is not used. A first answer on a new connection cannot be a repetition, so it is still believed.

Tests: RepeatedRefusalIsNotTheAnswerToALaterRequest, BytesFromBeforeA- RequestAreNotItsAnswer and BytesWithoutEndEndTheAttempt (heads and bodies without end, and other answers without end) failed on the old code, the last one for other answers only.

--- a/modules/gateway/ServerConnection.cpp
+++ b/modules/gateway/ServerConnection.cpp
@@ -33,6 +33,10 @@
 // that the server states in whole seconds.
 constexpr auto kIdleMargin = 1000ms;
 
+// Answers to other requests that are read before the answer to this one. A
+// server that sends more of them is faulty.
+constexpr unsigned kMaxMismatchedAnswers = 16;
+
 std::shared_ptr<const calls::Answer>
 AnswerOf(http::response<http::string_body>& aMessage)
 {
@@ -131,6 +135,13 @@
   this->CloseSocket();
 }
 
+bool
+ServerConnection::HasUnsolicitedBytes()
+{
+  boost::system::error_code error;
+  return this->stream.socket().available(error) > 0 || error;
+}
+
 bool
 ServerConnection::IsReusable() const
 {
@@ -222,15 +233,21 @@
   }
   const ServerReplyInfo info =
     this->dialect->readAnswer(message.base(), this->call);
-  if (info.reply == ServerReply::MismatchedAnswer && hasKnownEnd) {
+  // On a connection that has carried other requests, a refusal without the id
+  // of its request may belong to an earlier one. This request may be running.
+  const bool isUnprovenRefusal = (info.reply == ServerReply::Refusal ||
+                                  info.reply == ServerReply::WrongServer) &&
+                                 !info.namesRequest && !this->isNewConnection;
+  const bool isMismatched =
+    info.reply == ServerReply::MismatchedAnswer || isUnprovenRefusal;
+  if (isMismatched && hasKnownEnd &&
+      ++this->mismatchedAnswers <= kMaxMismatchedAnswers) {
     // A late second answer to an earlier request. The answer to this request is
     // still to come.
-    this->sawMismatchedAnswer = true;
     this->Read();
     return;
   }
-  if (info.reply == ServerReply::Invalid ||
-      info.reply == ServerReply::MismatchedAnswer) {
+  if (info.reply == ServerReply::Invalid || isMismatched) {
     this->Fail(AttemptProgress::AnswerInvalid);
     return;
   }
@@ -249,7 +266,7 @@
   // Bytes after the answer belong to no request, so the connection is not
   // reused for another one.
   if (!message.keep_alive() || !hasKnownEnd || this->buffer.size() > 0 ||
-      this->sawMismatchedAnswer || exchange.isWrongServer) {
+      this->mismatchedAnswers > 0 || exchange.isWrongServer) {
     this->CloseSocket();
   }
   if (exchange.progress == AttemptProgress::Answered) {
--- a/modules/gateway/ServerConnection.h
+++ b/modules/gateway/ServerConnection.h
@@ -81,6 +81,10 @@
   /** Returns whether the connection can be reused. Not thread-safe. */
   bool IsReusable() const;
 
+  /** Returns whether the server has sent bytes on an open idle connection; they
+   * belong to no request. Call on the context's thread. */
+  bool HasUnsolicitedBytes();
+
   /**
    * Watches an idle connection. Closes it and calls the function once if the
    * server closes it or sends unsolicited bytes. Call on the context's thread.
@@ -113,8 +117,8 @@
   std::chrono::steady_clock::time_point sendStart;
   std::chrono::steady_clock::time_point idleSince;
   std::chrono::milliseconds idleLimit{ 0 };
-  /** An answer to another request arrived, so more of them may follow. */
-  bool sawMismatchedAnswer = false;
+  /** Number of answers to other requests that arrived; more may follow. */
+  unsigned mismatchedAnswers = 0;
   bool isConnectRefused = false;
   bool isOpen = false;
   bool isNewConnection = false;
--- a/modules/gateway/ServerConnectionTest.cpp
+++ b/modules/gateway/ServerConnectionTest.cpp
@@ -23,6 +23,8 @@
 const std::string kAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
                             "Server-Load: in_flight=1, slots=4\r\n\r\nhello";
 
+constexpr auto kUnsolicitedDelay = 20ms;
+
 /**
  * Accepts connections and answers each request with the next script entry:
  * bytes to write, and whether to close the connection afterwards.
@@ -34,6 +36,8 @@
   {
     std::string bytes;
     bool closes = false;
+    /** Written a little later, without another request. */
+    std::string unsolicitedBytes;
   };
 
   explicit ScriptedServer(std::deque<Step> aSteps)
@@ -80,6 +84,11 @@
         const Step step = this->steps.front();
         this->steps.pop_front();
         boost::asio::write(socket, boost::asio::buffer(step.bytes), error);
+        if (!step.unsolicitedBytes.empty()) {
+          std::this_thread::sleep_for(kUnsolicitedDelay);
+          boost::asio::write(
+            socket, boost::asio::buffer(step.unsolicitedBytes), error);
+        }
         if (step.closes) {
           break;
         }
@@ -96,8 +105,14 @@
 class Client
 {
 public:
-  explicit Client(const tcp::endpoint& aServer)
-    : pool(std::make_shared<ServerPool>(this->context, aServer, 4))
+  explicit Client(
+    const tcp::endpoint& aServer,
+    std::shared_ptr<const ServerDialect> aDialect = ServerDialect::Native())
+    : pool(std::make_shared<ServerPool>(this->context,
+                                        aServer,
+                                        4,
+                                        std::string(),
+                                        std::move(aDialect)))
   {
   }
 
@@ -223,3 +238,95 @@
   const ServerExchange exchange = client.Send();
   BOOST_TEST((exchange.progress == AttemptProgress::NothingSent));
 }
+
+namespace {
+
+/** A protocol whose answers name their request in the field `Id`. */
+std::shared_ptr<const ServerDialect>
+DialectWithIds()
+{
+  auto dialect = std::make_shared<ServerDialect>(*ServerDialect::Native());
+  dialect->readAnswer = [native = dialect->readAnswer](
+                          boost::beast::http::response_header<>& aHeader,
+                          const CallRequest& aCall) {
+    ServerReplyInfo info = native(aHeader, aCall);
+    info.namesRequest = aHeader.find("Id") != aHeader.end();
+    return info;
+  };
+  return dialect;
+}
+
+const std::string kRefusalWithoutId =
+  "HTTP/1.1 503 Busy\r\nCall-Outcome: not-run\r\nContent-Length: 0\r\n\r\n";
+
+} // namespace
+
+// Guards against telling a caller "not run" about a request that the server
+// runs, because an earlier refusal was written once more on the connection.
+BOOST_AUTO_TEST_CASE(RepeatedRefusalIsNotTheAnswerToALaterRequest)
+{
+  const std::string answer =
+    "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 3\r\n\r\nran";
+  ScriptedServer server(
+    { { kRefusalWithoutId }, { kRefusalWithoutId + answer, true } });
+  Client client(server.Endpoint(), DialectWithIds());
+  BOOST_TEST((client.Send().progress == AttemptProgress::Refused));
+  const ServerExchange later = client.Send();
+  BOOST_TEST(!later.isNewConnection);
+  BOOST_REQUIRE((later.progress == AttemptProgress::Answered));
+  BOOST_TEST(later.answer->body == "ran");
+  BOOST_TEST(client.pool->ConnectionCount() == 0U);
+}
+
+// Guards against the same with bytes that had arrived before the request was
+// written, in a protocol whose answers name no request.
+BOOST_AUTO_TEST_CASE(BytesFromBeforeARequestAreNotItsAnswer)
+{
+  ScriptedServer server(
+    { { kAnswer, false, kRefusalWithoutId }, { kAnswer, true } });
+  Client client(server.Endpoint());
+  BOOST_TEST((client.Send().progress == AttemptProgress::Answered));
+  std::this_thread::sleep_for(3 * kUnsolicitedDelay);
+  const ServerExchange later = client.Send();
+  BOOST_TEST((later.progress == AttemptProgress::Answered));
+  BOOST_TEST(later.isNewConnection);
+}
+
+// Guards against a request that waits, or memory that grows, while a faulty
+// server sends bytes without end in a head, in a body or in other answers.
+BOOST_AUTO_TEST_CASE(BytesWithoutEndEndTheAttempt)
+{
+  constexpr std::size_t kSize = 4 * ServerConnection::kMaxAnswerBytes;
+  std::string answers;
+  while (answers.size() < kSize) {
+    answers += "HTTP/1.1 503 Busy\r\nCall-Outcome: not-run\r\n"
+               "Content-Length: 1000\r\n\r\n" +
+               std::string(1000, 'x');
+  }
+  const std::vector<std::string> endless = {
+    "HTTP/1.1 200 OK\r\nField: " + std::string(kSize, 'x'),
+    "HTTP/1.1 200 OK\r\n\r\n" + std::string(kSize, 'x'),
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" +
+      [] {
+        std::string chunks;
+        while (chunks.size() < kSize) {
+          chunks += "400\r\n" + std::string(0x400, 'x') + "\r\n";
+        }
+        return chunks;
+      }(),
+    std::string(kSize, 'x'),
+  };
+  for (const std::string& bytes : endless) {
+    ScriptedServer server({ { bytes } });
+    Client client(server.Endpoint(), DialectWithIds());
+    const ServerExchange exchange = client.Send();
+    BOOST_TEST((exchange.progress == AttemptProgress::AnswerInvalid));
+    BOOST_TEST(client.pool->ConnectionCount() == 0U);
+  }
+  // On a kept connection, other answers may come before the one that is due.
+  ScriptedServer server({ { kRefusalWithoutId }, { answers } });
+  Client client(server.Endpoint(), DialectWithIds());
+  BOOST_TEST((client.Send().progress == AttemptProgress::Refused));
+  BOOST_TEST((client.Send().progress == AttemptProgress::AnswerInvalid));
+  BOOST_TEST(client.pool->ConnectionCount() == 0U);
+}
--- a/modules/gateway/ServerDialect.h
+++ b/modules/gateway/ServerDialect.h
@@ -47,6 +47,10 @@
 struct ServerReplyInfo
 {
   ServerReply reply = ServerReply::Invalid;
+  /** Whether the answer names the request that it belongs to. If not, it may be
+   * an earlier answer that the server has written once more. Always set by
+   * protocols whose answers name no request. */
+  bool namesRequest = true;
   /** The load report, if it is stated as text for `LoadReport::Parse`. */
   std::optional<std::string> loadText;
   /** The load report, if it is stated as numbers. */
--- a/modules/gateway/ServerPool.cpp
+++ b/modules/gateway/ServerPool.cpp
@@ -62,12 +62,16 @@
       now - this->idle.back()->IdleSince() > this->idle.back()->IdleLimit()) {
     this->CloseIdle();
   }
-  if (this->idle.empty()) {
-    return nullptr;
+  while (!this->idle.empty()) {
+    auto connection = std::move(this->idle.back());
+    this->idle.pop_back();
+    // The idle watch may not have run yet.
+    if (!connection->HasUnsolicitedBytes()) {
+      return connection;
+    }
+    connection->Cancel();
   }
-  auto connection = std::move(this->idle.back());
-  this->idle.pop_back();
-  return connection;
+  return nullptr;
 }
 
 void
