Send nothing more to a server that states it is leaving

A server that leaves says so in all its answers (Server-Leaving). A host that the store does not reach, or that has not heard of the change yet, went on sending requests to it. Nothing read the header.

Change: ServerNotice has isLeaving. From that answer on, no request of this host is sent to that process, whether granted here or by another daemon, queued or retried, until the process ends: the id and the start of a server identify it, so an entry that appears again does not revoke it and a reused address is another server. The dispatching daemon learns it from the release of the grant or from a rejected grant. Health answers count too.

Not covered: an answer whose body never ends is not passed on, and its header is not used.

--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -323,6 +323,13 @@
                                  { "is_limited", aLimit.has_value() },
                                  { "requests_per_s", aLimit.value_or(0) } });
              },
+           .onLeaving =
+             [this](const routing::BackendInstance& aInstance) {
+               this->log.Write(LogLevel::Info,
+                               "server_leaving",
+                               { { "instance", aInstance.id },
+                                 { "service", aInstance.service } });
+             },
            .onPeerAvailabilityChange =
              [this](const std::string& aName, bool aIsLost) {
                this->log.Write(LogLevel::Info,
--- a/modules/proxy/SlotBroker.cpp
+++ b/modules/proxy/SlotBroker.cpp
@@ -248,11 +248,14 @@
     result.grant = aDecision.grant;
     result.instance =
       std::make_shared<const routing::BackendInstance>(std::move(instance));
-    if (!this->hooks.isUsable(*result.instance)) {
+    const bool isLeaving = this->GetOrCreateDispatcher(found->second.service)
+                             .IsLeaving(*result.instance);
+    if (isLeaving || !this->hooks.isUsable(*result.instance)) {
       // This daemon has newer data, for example that the instance is leaving.
       wire::SlotRelease release;
       release.service = found->second.service;
       release.grant = aDecision.grant;
+      release.notice.isLeaving = isLeaving;
       this->hooks.send(aFrom, std::move(release));
       this->DecideLocally(aDecision.number, true);
       return;
@@ -347,7 +350,8 @@
         .measure = [this](const std::shared_ptr<const routing::BackendInstance>&
                             aInstance) { this->Measure(aInstance); },
         .onRequestEnded = this->hooks.onRequestEnded,
-        .onLimitChanged = this->hooks.onLimitChanged },
+        .onLimitChanged = this->hooks.onLimitChanged,
+        .onLeaving = this->hooks.onLeaving },
       this->settings);
   }
   return *dispatcher;
--- a/modules/proxy/SlotBroker.h
+++ b/modules/proxy/SlotBroker.h
@@ -75,6 +75,8 @@
    */
   std::function<void(const routing::BackendInstance&, std::optional<double>)>
     onLimitChanged;
+  /** Optional: called when an instance first states that it is leaving. */
+  std::function<void(const routing::BackendInstance&)> onLeaving;
   /**
    * Called when a dispatching daemon stops answering and when it answers again.
    */
--- a/modules/proxy/SlotBrokerTest.cpp
+++ b/modules/proxy/SlotBrokerTest.cpp
@@ -203,3 +203,30 @@
   BOOST_REQUIRE(outcome->slot.has_value());
   BOOST_TEST(outcome->slot->grantedBy.empty());
 }
+
+// Guards against a request to a leaving server that was granted by a daemon
+// which has not heard that it leaves.
+BOOST_FIXTURE_TEST_CASE(GrantForAServerThatStatedItIsLeavingIsNotUsed, Fleet)
+{
+  const std::string other = this->NameOf(false);
+  const auto granted = this->Acquire(other);
+  this->Run(20ms);
+  BOOST_REQUIRE(granted->slot.has_value());
+  // The release to the dispatching daemon is lost.
+  this->unresponsive.insert(this->NameOf(true));
+  this->brokers.at(other)->Release(*granted->slot,
+                                   routing::AttemptOutcome::Answered,
+                                   100ms,
+                                   std::nullopt,
+                                   routing::ServerNotice{ .isLeaving = true });
+  this->unresponsive.clear();
+  const auto later = this->Acquire(other);
+  this->Run(60ms);
+  BOOST_TEST(later->isDecided);
+  BOOST_TEST(!later->slot.has_value());
+  // The dispatching daemon has learned it from the rejected grant.
+  const auto own = this->Acquire(this->NameOf(true));
+  this->Run(20ms);
+  BOOST_TEST(own->isDecided);
+  BOOST_TEST(!own->slot.has_value());
+}
--- a/modules/routing/ServerNotice.h
+++ b/modules/routing/ServerNotice.h
@@ -12,6 +12,9 @@
    * above; nothing if it names no limit.
    */
   std::optional<double> requestsPerSecond;
+  /** Whether the server is leaving: it must get no further requests until its
+   * process ends. */
+  bool isLeaving = false;
 
   bool operator==(const ServerNotice&) const = default;
 };
--- a/modules/routing/ServiceDispatcher.cpp
+++ b/modules/routing/ServiceDispatcher.cpp
@@ -143,6 +143,7 @@
       target.coldUntil = now + source.instance->remainingColdTime;
     }
     target.source = source;
+    target.isLeaving = this->leavingKeys.contains(key);
     next.emplace(key, std::move(target));
   }
   this->targets = std::move(next);
@@ -202,6 +203,9 @@
   const auto target = this->targets.find(grant->second.key);
   const std::uint64_t route = grant->second.route;
   const TimePoint begin = grant->second.begin;
+  if (aNotice.isLeaving) {
+    this->MarkLeaving(grant->second.key);
+  }
   this->grants.erase(grant);
   if (target != this->targets.end()) {
     if (this->hooks.onRequestEnded) {
@@ -235,6 +239,9 @@
                            const std::optional<LoadSample>& aSample,
                            const ServerNotice& aNotice)
 {
+  if (aNotice.isLeaving) {
+    this->MarkLeaving(KeyOf(aInstance));
+  }
   const auto target = this->targets.find(KeyOf(aInstance));
   if (target == this->targets.end()) {
     return;
@@ -260,6 +267,9 @@
     return;
   }
   this->ApplyReport(target->second.load, aMeasurement->load);
+  if (aMeasurement->notice.isLeaving) {
+    this->MarkLeaving(target->first);
+  }
   this->ApplyNotice(
     target->second, aMeasurement->notice, target->second.measuredAt);
   if (aMeasurement->remainingColdTime.count() > 0) {
@@ -320,7 +330,7 @@
   return static_cast<std::size_t>(
     std::ranges::count_if(this->targets, [&](const auto& aEntry) {
       const Target& target = aEntry.second;
-      return target.source.isUsable && target.source.isOnTrial == aOnTrial &&
+      return this->IsUsable(target) && target.source.isOnTrial == aOnTrial &&
              now >= target.coldUntil;
     }));
 }
@@ -348,7 +358,7 @@
   Choice choice;
   double lowestCost = std::numeric_limits<double>::infinity();
   for (auto& [key, target] : this->targets) {
-    if (!target.source.isUsable || target.source.isOnTrial != aOnTrial ||
+    if (!this->IsUsable(target) || target.source.isOnTrial != aOnTrial ||
         std::ranges::find(aRequest.avoid, key) != aRequest.avoid.end()) {
       continue;
     }
@@ -379,7 +389,7 @@
   Target* leastRecent = nullptr;
   for (auto& [key, target] : this->targets) {
     // A measurement counts as a request of an instance that names a limit.
-    if (!target.source.isUsable || now < target.coldUntil || target.limit ||
+    if (!this->IsUsable(target) || now < target.coldUntil || target.limit ||
         target.source.instance->failureDomain != aRequest.failureDomain ||
         !this->HasCapacity(target, aRequest, now)) {
       continue;
@@ -400,6 +410,12 @@
   }
 }
 
+bool
+ServiceDispatcher::IsUsable(const Target& aTarget) const
+{
+  return aTarget.source.isUsable && !aTarget.isLeaving;
+}
+
 bool
 ServiceDispatcher::HasCapacity(const Target& aTarget,
                                const DispatchRequest& aRequest,
@@ -430,6 +446,20 @@
     std::floor(this->settings.usableShare * aTarget.source.instance->slots));
 }
 
+void
+ServiceDispatcher::MarkLeaving(std::uint64_t aKey)
+{
+  const bool isNew = this->leavingKeys.insert(aKey).second;
+  const auto target = this->targets.find(aKey);
+  if (target == this->targets.end()) {
+    return;
+  }
+  target->second.isLeaving = true;
+  if (isNew && this->hooks.onLeaving) {
+    this->hooks.onLeaving(*target->second.source.instance);
+  }
+}
+
 void
 ServiceDispatcher::ApplyNotice(Target& aTarget,
                                const ServerNotice& aNotice,
@@ -698,7 +728,7 @@
   const TimePoint now = this->hooks.now();
   double usableSlots = 0;
   for (const auto& [key, target] : this->targets) {
-    if (!target.source.isUsable || target.load.IsEjected(now)) {
+    if (!this->IsUsable(target) || target.load.IsEjected(now)) {
       continue;
     }
     const double slots = this->UsableSlots(target);
--- a/modules/routing/ServiceDispatcher.h
+++ b/modules/routing/ServiceDispatcher.h
@@ -15,6 +15,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -54,6 +55,8 @@
    */
   std::function<void(const BackendInstance&, std::optional<double>)>
     onLimitChanged;
+  /** Optional: called when an instance first states that it is leaving. */
+  std::function<void(const BackendInstance&)> onLeaving;
 };
 
 /** Parameters of a dispatcher's decisions. */
@@ -151,7 +154,8 @@
 
   /**
    * Ends a grant. Unknown grants are ignored, since a grant expires some time
-   * after the deadline of its request.
+   * after the deadline of its request. Without an answer of the instance, the
+   * notice can only state that the sender knows the instance to be leaving.
    */
   void Release(std::uint64_t aGrant,
                AttemptOutcome aOutcome,
@@ -176,6 +180,13 @@
    * `NextDue`. */
   void Tick();
 
+  /** Whether an instance has stated, as far as known here, that it is leaving.
+   * This holds until its process ends. */
+  bool IsLeaving(const BackendInstance& aInstance) const
+  {
+    return this->leavingKeys.contains(KeyOf(aInstance));
+  }
+
   /** Returns when `Tick` must be called next; nothing if no request waits and
    * there is no grant. */
   std::optional<core::TimePoint> NextDue() const;
@@ -212,6 +223,8 @@
     /** Earliest time of the next request while the instance is cold. */
     core::TimePoint nextColdSend{};
     core::TimePoint measuredAt{};
+    /** Whether it has stated that it is leaving. */
+    bool isLeaving = false;
     /** Requests a second that the instance takes from all hosts. */
     std::optional<double> limit;
     /** When the instance last named its limit. */
@@ -245,10 +258,15 @@
    * the others. */
   Choice Choose(const DispatchRequest& aRequest, bool aOnTrial);
   Choice ChooseByTrialShare(const DispatchRequest& aRequest);
+  /** Whether the instance may get requests now. */
+  bool IsUsable(const Target& aTarget) const;
   bool HasCapacity(const Target& aTarget,
                    const DispatchRequest& aRequest,
                    core::TimePoint aNow) const;
-  /** Applies what an instance stated in an answer to a request of a time. */
+  /** Records that an instance has stated that it is leaving. */
+  void MarkLeaving(std::uint64_t aKey);
+  /** Applies the limit that an instance stated in an answer to a request of a
+   * time. */
   void ApplyNotice(Target& aTarget,
                    const ServerNotice& aNotice,
                    core::TimePoint aRequestBegin);
@@ -298,6 +316,9 @@
   DispatcherSettings settings;
   configuration::BackendService service;
   std::map<std::uint64_t, Target> targets;
+  /** Keys of the instances that are leaving. They are kept when an instance is
+   * removed, since its entry may appear again. */
+  std::set<std::uint64_t> leavingKeys;
   std::map<std::uint64_t, Grant> grants;
   /** In order of arrival. */
   std::list<Waiting> waiting;
--- a/modules/routing/ServiceDispatcherTest.cpp
+++ b/modules/routing/ServiceDispatcherTest.cpp
@@ -606,7 +606,7 @@
                              AttemptOutcome::Answered,
                              1ms,
                              std::nullopt,
-                             ServerNotice{ aLimit });
+                             ServerNotice{ .requestsPerSecond = aLimit });
   }
 
   /** Sends a request every 10 ms and returns how many were granted. */
@@ -700,3 +700,59 @@
   }
   BOOST_TEST(this->measured["limited"] == 0);
 }
+
+// Guards against requests to a server that has stated in an answer that it is
+// leaving, while the store is silent or still lists it (rule DRAIN).
+BOOST_FIXTURE_TEST_CASE(InstanceThatStatesItIsLeavingGetsNoMoreRequests,
+                        Fixture)
+{
+  const auto leaving = Instance("leaving");
+  this->dispatcher.SetInstances({ { leaving } });
+  const std::uint64_t first = this->Submit();
+  const std::uint64_t second = this->Submit();
+  const std::uint64_t third = this->Submit();
+  const std::uint64_t queued = this->Submit();
+  BOOST_TEST(!this->results.contains(queued));
+  const ServerNotice notice{ .isLeaving = true };
+  this->dispatcher.Release(this->results.at(first).grant,
+                           AttemptOutcome::Refused,
+                           1ms,
+                           std::nullopt,
+                           notice);
+  BOOST_TEST(this->dispatcher.IsLeaving(*leaving));
+  BOOST_TEST((this->results.at(queued).kind == ErrorKind::NoServer));
+  // A late answer, or an entry that appears again, does not revoke it.
+  this->Release(second);
+  this->dispatcher.SetInstances({});
+  this->Release(third);
+  this->dispatcher.SetInstances({ { leaving }, { Instance("other") } });
+  for (int index = 0; index < 3; ++index) {
+    BOOST_TEST(this->InstanceOf(this->Submit()) == "other");
+  }
+  // A new process with the same id is another server.
+  BackendInstance restarted = *leaving;
+  restarted.startedAt = 5;
+  this->dispatcher.SetInstances(
+    { { std::make_shared<const BackendInstance>(restarted) } });
+  BOOST_TEST(this->InstanceOf(this->Submit()) == "leaving");
+}
+
+// Guards against the same if a health answer states it, or an answer whose
+// request another daemon has granted.
+BOOST_FIXTURE_TEST_CASE(LeavingIsLearnedFromMeasurementsAndObservations,
+                        Fixture)
+{
+  const auto measured = Instance("measured");
+  const auto observed = Instance("observed");
+  this->dispatcher.SetInstances({ { measured }, { observed } });
+  this->dispatcher.OnMeasured(
+    *measured,
+    Measurement{ { 0, 0, 4, 1 }, 0ms, ServerNotice{ .isLeaving = true } });
+  this->dispatcher.Observe(*observed,
+                           AttemptOutcome::Answered,
+                           10ms,
+                           std::nullopt,
+                           ServerNotice{ .isLeaving = true });
+  const std::uint64_t refused = this->Submit();
+  BOOST_TEST((this->results.at(refused).kind == ErrorKind::NoServer));
+}
--- a/modules/wire/EntryConversion.cpp
+++ b/modules/wire/EntryConversion.cpp
@@ -90,7 +90,8 @@
              SaturateToUint32(std::llround(load.slowdown * kPercent)),
              aRelease.digest,
              aRelease.death,
-             aRelease.notice.requestsPerSecond.value_or(kNoLimit)) };
+             aRelease.notice.requestsPerSecond.value_or(kNoLimit),
+             aRelease.notice.isLeaving) };
 }
 
 EncodedMessage<fbs::StoreNews>
@@ -214,6 +215,7 @@
       aRelease.request_limit() >= 0) {
     release.notice.requestsPerSecond = aRelease.request_limit();
   }
+  release.notice.isLeaving = aRelease.is_leaving();
   release.digest = aRelease.digest();
   release.death = aRelease.death();
   aMessage = std::move(release);
--- a/modules/wire/messages_generated.h
+++ b/modules/wire/messages_generated.h
@@ -1892,7 +1892,8 @@
     VT_SLOWDOWN_PERCENT = 22,
     VT_DIGEST = 24,
     VT_DEATH = 26,
-    VT_REQUEST_LIMIT = 28
+    VT_REQUEST_LIMIT = 28,
+    VT_IS_LEAVING = 30
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -1933,6 +1934,9 @@
   double request_limit() const {
     return GetField<double>(VT_REQUEST_LIMIT, -1.0);
   }
+  bool is_leaving() const {
+    return GetField<uint8_t>(VT_IS_LEAVING, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -1949,6 +1953,7 @@
            VerifyField<uint64_t>(verifier, VT_DIGEST, 8) &&
            VerifyField<uint64_t>(verifier, VT_DEATH, 8) &&
            VerifyField<double>(verifier, VT_REQUEST_LIMIT, 8) &&
+           VerifyField<uint8_t>(verifier, VT_IS_LEAVING, 1) &&
            verifier.EndTable();
   }
 };
@@ -1996,6 +2001,9 @@
   void add_request_limit(double request_limit) {
     fbb_.AddElement<double>(SlotRelease::VT_REQUEST_LIMIT, request_limit, -1.0);
   }
+  void add_is_leaving(bool is_leaving) {
+    fbb_.AddElement<uint8_t>(SlotRelease::VT_IS_LEAVING, static_cast<uint8_t>(is_leaving), 0);
+  }
   explicit SlotReleaseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2022,7 +2030,8 @@
     uint32_t slowdown_percent = 0,
     uint64_t digest = 0,
     uint64_t death = 0,
-    double request_limit = -1.0) {
+    double request_limit = -1.0,
+    bool is_leaving = false) {
   SlotReleaseBuilder builder_(_fbb);
   builder_.add_request_limit(request_limit);
   builder_.add_death(death);
@@ -2035,6 +2044,7 @@
   builder_.add_waiting(waiting);
   builder_.add_running(running);
   builder_.add_service(service);
+  builder_.add_is_leaving(is_leaving);
   builder_.add_has_load(has_load);
   builder_.add_outcome(outcome);
   return builder_.Finish();
@@ -2059,7 +2069,8 @@
     uint32_t slowdown_percent = 0,
     uint64_t digest = 0,
     uint64_t death = 0,
-    double request_limit = -1.0) {
+    double request_limit = -1.0,
+    bool is_leaving = false) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   return fireflytrail::wire::fbs::CreateSlotRelease(
       _fbb,
@@ -2075,7 +2086,8 @@
       slowdown_percent,
       digest,
       death,
-      request_limit);
+      request_limit,
+      is_leaving);
 }
 
 struct NewsObject FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
