Honour the pause that a server asks for

The instance gets no request until it is over, also if another daemon that has not heard of it grants the slot; the dispatching daemon learns it from the release of the grant or from a rejected grant and pauses the instance for all, since the next request would be refused too. It is not measured either. If all instances of a service pause, requests are refused at once with the time of the first that takes requests again, with jitter.

--- a/modules/proxy/SlotBroker.cpp
+++ b/modules/proxy/SlotBroker.cpp
@@ -248,14 +248,19 @@
     result.grant = aDecision.grant;
     result.instance =
       std::make_shared<const routing::BackendInstance>(std::move(instance));
-    const bool isLeaving = this->GetOrCreateDispatcher(found->second.service)
-                             .IsLeaving(*result.instance);
-    if (isLeaving || !this->hooks.isUsable(*result.instance)) {
+    const ServiceDispatcher& dispatcher =
+      this->GetOrCreateDispatcher(found->second.service);
+    const bool isLeaving = dispatcher.IsLeaving(*result.instance);
+    const nanoseconds pause = dispatcher.RemainingPause(*result.instance);
+    if (isLeaving || pause > 0ns || !this->hooks.isUsable(*result.instance)) {
       // This daemon has newer data, for example that the instance is leaving.
       wire::SlotRelease release;
       release.service = found->second.service;
       release.grant = aDecision.grant;
       release.notice.isLeaving = isLeaving;
+      if (pause > 0ns) {
+        release.notice.pause = std::chrono::ceil<milliseconds>(pause);
+      }
       this->hooks.send(aFrom, std::move(release));
       this->DecideLocally(aDecision.number, true);
       return;
--- a/modules/proxy/SlotBrokerTest.cpp
+++ b/modules/proxy/SlotBrokerTest.cpp
@@ -230,3 +230,28 @@
   BOOST_TEST(own->isDecided);
   BOOST_TEST(!own->slot.has_value());
 }
+
+// Guards against a request to a server that has told only this daemon to pause,
+// granted by a daemon that has not heard of it.
+BOOST_FIXTURE_TEST_CASE(GrantForAServerThatPausesIsNotUsed, Fleet)
+{
+  const std::string other = this->NameOf(false);
+  const auto granted = this->Acquire(other);
+  this->Run(20ms);
+  BOOST_REQUIRE(granted->slot.has_value());
+  this->unresponsive.insert(this->NameOf(true));
+  this->brokers.at(other)->Release(*granted->slot,
+                                   routing::AttemptOutcome::Refused,
+                                   1ms,
+                                   std::nullopt,
+                                   routing::ServerNotice{ .pause = 500ms });
+  this->unresponsive.clear();
+  const auto later = this->Acquire(other);
+  this->Run(60ms);
+  BOOST_TEST(later->isDecided);
+  BOOST_TEST(!later->slot.has_value());
+  this->Run(500ms);
+  const auto afterwards = this->Acquire(other);
+  this->Run(60ms);
+  BOOST_TEST(afterwards->slot.has_value());
+}
--- a/modules/routing/ServerNotice.h
+++ b/modules/routing/ServerNotice.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <chrono>
 #include <optional>
 
 namespace fireflytrail::routing {
@@ -15,6 +16,8 @@
   /** Whether the server is leaving: it must get no further requests until its
    * process ends. */
   bool isLeaving = false;
+  /** Time for which the server wants no requests; nothing if it names none. */
+  std::optional<std::chrono::milliseconds> pause;
 
   bool operator==(const ServerNotice&) const = default;
 };
--- a/modules/routing/ServiceDispatcher.cpp
+++ b/modules/routing/ServiceDispatcher.cpp
@@ -168,7 +168,7 @@
     return;
   }
   if (!choice.hasTargets) {
-    this->Refuse(aRequest.id, ErrorKind::NoServer, kRetryAfterWithoutInstances);
+    this->RefuseWithoutTargets(aRequest.id, choice);
     return;
   }
   const TimePoint now = this->hooks.now();
@@ -224,6 +224,8 @@
     }
     if (HasAnswer(aOutcome)) {
       this->ApplyNotice(target->second, aNotice, begin);
+    } else {
+      this->ApplyPause(target->second, aNotice);
     }
     target->second.load.End(
       aOutcome, aDuration, this->typicalDuration, this->hooks.now());
@@ -362,6 +364,12 @@
         std::ranges::find(aRequest.avoid, key) != aRequest.avoid.end()) {
       continue;
     }
+    if (now < target.pausedUntil) {
+      choice.firstReturn = choice.firstReturn
+                             ? std::min(*choice.firstReturn, target.pausedUntil)
+                             : target.pausedUntil;
+      continue;
+    }
     choice.hasTargets = true;
     if (!this->HasCapacity(target, aRequest, now)) {
       continue;
@@ -390,6 +398,7 @@
   for (auto& [key, target] : this->targets) {
     // A measurement counts as a request of an instance that names a limit.
     if (!this->IsUsable(target) || now < target.coldUntil || target.limit ||
+        now < target.pausedUntil ||
         target.source.instance->failureDomain != aRequest.failureDomain ||
         !this->HasCapacity(target, aRequest, now)) {
       continue;
@@ -460,12 +469,22 @@
   }
 }
 
+void
+ServiceDispatcher::ApplyPause(Target& aTarget, const ServerNotice& aNotice)
+{
+  if (aNotice.pause) {
+    aTarget.pausedUntil =
+      std::max(aTarget.pausedUntil, this->hooks.now() + *aNotice.pause);
+  }
+}
+
 void
 ServiceDispatcher::ApplyNotice(Target& aTarget,
                                const ServerNotice& aNotice,
                                TimePoint aRequestBegin)
 {
   const TimePoint now = this->hooks.now();
+  this->ApplyPause(aTarget, aNotice);
   const std::optional<double> previous = aTarget.limit;
   if (aNotice.requestsPerSecond) {
     if (!aTarget.limit) {
@@ -550,6 +569,15 @@
 ServiceDispatcher::Refuse(std::uint64_t aId,
                           ErrorKind aKind,
                           nanoseconds aRetryAfter)
+{
+  this->Refuse(aId, aKind, aRetryAfter, kMaxRetryAfter);
+}
+
+void
+ServiceDispatcher::Refuse(std::uint64_t aId,
+                          ErrorKind aKind,
+                          nanoseconds aRetryAfter,
+                          milliseconds aMaxRetryAfter)
 {
   const TimePoint now = this->hooks.now();
   this->recentRefusals = this->ExpectedRetries() + 1;
@@ -565,7 +593,22 @@
     { .kind = aKind,
       .grant = 0,
       .instance = nullptr,
-      .retryAfter = std::clamp(retryTime, kMinRetryAfter, kMaxRetryAfter) });
+      .retryAfter = std::clamp(retryTime, kMinRetryAfter, aMaxRetryAfter) });
+}
+
+void
+ServiceDispatcher::RefuseWithoutTargets(std::uint64_t aId,
+                                        const Choice& aChoice)
+{
+  if (!aChoice.firstReturn) {
+    this->Refuse(aId, ErrorKind::NoServer, kRetryAfterWithoutInstances);
+    return;
+  }
+  // This time is known, not estimated, so it is not cut.
+  this->Refuse(aId,
+               ErrorKind::Overloaded,
+               *aChoice.firstReturn - this->hooks.now(),
+               milliseconds::max());
 }
 
 bool
@@ -663,7 +706,7 @@
   const DispatchRequest request = std::move(aEntry->request);
   this->waiting.erase(aEntry);
   if (choice.target == nullptr) {
-    this->Refuse(request.id, ErrorKind::NoServer, kRetryAfterWithoutInstances);
+    this->RefuseWithoutTargets(request.id, choice);
   } else {
     this->GrantInstance(request, *choice.target);
   }
@@ -728,7 +771,8 @@
   const TimePoint now = this->hooks.now();
   double usableSlots = 0;
   for (const auto& [key, target] : this->targets) {
-    if (!this->IsUsable(target) || target.load.IsEjected(now)) {
+    if (!this->IsUsable(target) || target.load.IsEjected(now) ||
+        now < target.pausedUntil) {
       continue;
     }
     const double slots = this->UsableSlots(target);
@@ -743,6 +787,15 @@
   return usableSlots;
 }
 
+nanoseconds
+ServiceDispatcher::RemainingPause(const BackendInstance& aInstance) const
+{
+  const auto target = this->targets.find(KeyOf(aInstance));
+  return target == this->targets.end()
+           ? nanoseconds(0)
+           : target->second.pausedUntil - this->hooks.now();
+}
+
 nanoseconds
 ServiceDispatcher::ExpectedWait(std::size_t aAhead) const
 {
--- a/modules/routing/ServiceDispatcher.h
+++ b/modules/routing/ServiceDispatcher.h
@@ -117,7 +117,10 @@
  * - cold instances: their requests are paced to the rate that they can handle;
  * - instances that name a limit: they get no more than their share of it, so
  *   that all hosts together stay within it. Requests beyond it go to others or,
- *   if they would miss their deadline, are refused at once.
+ *   if they would miss their deadline, are refused at once;
+ * - instances that want a pause: they get no requests until it is over. If all
+ *   instances pause, requests are refused at once with the time of the first
+ *   that takes requests again, spread so that callers do not return together.
  *
  * Performs no I/O. Not thread-safe.
  */
@@ -155,7 +158,7 @@
   /**
    * Ends a grant. Unknown grants are ignored, since a grant expires some time
    * after the deadline of its request. Without an answer of the instance, the
-   * notice can only state that the sender knows the instance to be leaving.
+   * notice states what the sender already knew: that it is leaving, or pauses.
    */
   void Release(std::uint64_t aGrant,
                AttemptOutcome aOutcome,
@@ -187,6 +190,11 @@
     return this->leavingKeys.contains(KeyOf(aInstance));
   }
 
+  /** Returns how much longer an instance wants no requests, as far as known
+   * here; 0 or less if it takes them. */
+  std::chrono::nanoseconds RemainingPause(
+    const BackendInstance& aInstance) const;
+
   /** Returns when `Tick` must be called next; nothing if no request waits and
    * there is no grant. */
   std::optional<core::TimePoint> NextDue() const;
@@ -223,6 +231,8 @@
     /** Earliest time of the next request while the instance is cold. */
     core::TimePoint nextColdSend{};
     core::TimePoint measuredAt{};
+    /** Time until which it wants no requests. */
+    core::TimePoint pausedUntil{};
     /** Whether it has stated that it is leaving. */
     bool isLeaving = false;
     /** Requests a second that the instance takes from all hosts. */
@@ -252,6 +262,9 @@
     /** Whether any instance may be used for the request, even if none has
      * capacity now. */
     bool hasTargets = false;
+    /** When the first of the paused instances takes requests again, if there is
+     * any. Paused instances are not among those of `hasTargets`. */
+    std::optional<core::TimePoint> firstReturn;
   };
 
   /** Returns the instance with the lowest cost among those on trial or among
@@ -263,10 +276,13 @@
   bool HasCapacity(const Target& aTarget,
                    const DispatchRequest& aRequest,
                    core::TimePoint aNow) const;
+  /** Refuses a request for which no instance may be used. */
+  void RefuseWithoutTargets(std::uint64_t aId, const Choice& aChoice);
   /** Records that an instance has stated that it is leaving. */
   void MarkLeaving(std::uint64_t aKey);
-  /** Applies the limit that an instance stated in an answer to a request of a
-   * time. */
+  void ApplyPause(Target& aTarget, const ServerNotice& aNotice);
+  /** Applies the limit and the pause that an instance stated in an answer to a
+   * request of a time. */
   void ApplyNotice(Target& aTarget,
                    const ServerNotice& aNotice,
                    core::TimePoint aRequestBegin);
@@ -278,6 +294,10 @@
   void Refuse(std::uint64_t aId,
               core::ErrorKind aKind,
               std::chrono::nanoseconds aRetryAfter);
+  void Refuse(std::uint64_t aId,
+              core::ErrorKind aKind,
+              std::chrono::nanoseconds aRetryAfter,
+              std::chrono::milliseconds aMaxRetryAfter);
   /** Whether the request can still meet its goal if it is sent now. */
   bool IsInTime(const DispatchRequest& aRequest) const;
   /** Whether a recent report shows that the request would miss its goal at the
--- a/modules/routing/ServiceDispatcherTest.cpp
+++ b/modules/routing/ServiceDispatcherTest.cpp
@@ -756,3 +756,79 @@
   const std::uint64_t refused = this->Submit();
   BOOST_TEST((this->results.at(refused).kind == ErrorKind::NoServer));
 }
+
+namespace {
+
+ServerNotice
+PauseOf(std::chrono::milliseconds aTime)
+{
+  return ServerNotice{ .pause = aTime };
+}
+
+} // namespace
+
+// Guards against requests to a server that wants a pause (rule BUDGET), also
+// after answers to requests that were under way when it asked for it.
+BOOST_FIXTURE_TEST_CASE(PausedInstanceGetsNoRequestsUntilThePauseIsOver,
+                        Fixture)
+{
+  this->dispatcher.SetInstances({ { Instance("paused") } });
+  const std::uint64_t first = this->Submit();
+  const std::uint64_t second = this->Submit();
+  this->dispatcher.Release(this->results.at(first).grant,
+                           AttemptOutcome::Refused,
+                           1ms,
+                           std::nullopt,
+                           PauseOf(1500ms));
+  this->Release(second);
+  this->dispatcher.SetInstances(
+    { { Instance("paused") }, { Instance("other") } });
+  this->time += 1400ms;
+  for (int index = 0; index < 3; ++index) {
+    BOOST_TEST(this->InstanceOf(this->Submit()) == "other");
+  }
+  this->time += 200ms;
+  BOOST_TEST(this->InstanceOf(this->Submit()) == "paused");
+}
+
+// Guards against requests that wait, or callers that all return at the same
+// moment, while all servers of a service pause.
+BOOST_FIXTURE_TEST_CASE(AllInstancesPausedRefusesAtOnceWithTheFirstReturn,
+                        Fixture)
+{
+  const auto first = Instance("first");
+  const auto second = Instance("second");
+  this->dispatcher.SetInstances({ { first }, { second } });
+  this->dispatcher.Observe(
+    *first, AttemptOutcome::Refused, 1ms, std::nullopt, PauseOf(5s));
+  this->dispatcher.Observe(
+    *second, AttemptOutcome::Refused, 1ms, std::nullopt, PauseOf(3s));
+  this->time += 500ms;
+  std::set<std::chrono::milliseconds> retryTimes;
+  for (int index = 0; index < 10; ++index) {
+    const std::uint64_t id = this->Submit(600ms, 10s);
+    BOOST_REQUIRE(this->results.contains(id));
+    BOOST_TEST((this->results.at(id).kind == ErrorKind::Overloaded));
+    const auto retryAfter = this->results.at(id).retryAfter;
+    BOOST_TEST((retryAfter >= 2500ms));
+    BOOST_TEST((retryAfter <= 3750ms));
+    retryTimes.insert(retryAfter);
+  }
+  BOOST_TEST(retryTimes.size() >= 5U);
+}
+
+// Guards against a limited instance that gets requests during a pause, or whose
+// limit is forgotten during it.
+BOOST_FIXTURE_TEST_CASE(PauseAndLimitHoldTogether, LimitFixture)
+{
+  this->dispatcher.SetInstances({ { Instance("limited") } });
+  this->dispatcher.Release(this->results.at(this->SubmitLimited(1s)).grant,
+                           AttemptOutcome::Refused,
+                           1ms,
+                           std::nullopt,
+                           ServerNotice{ .requestsPerSecond = 5, .pause = 1s });
+  BOOST_TEST(this->CountGranted(990ms, 5) == 0);
+  const int granted = this->CountGranted(10s, 5);
+  BOOST_TEST(granted >= 45);
+  BOOST_TEST(granted <= 52);
+}
--- a/modules/wire/EntryConversion.cpp
+++ b/modules/wire/EntryConversion.cpp
@@ -74,24 +74,28 @@
   const auto service = aBuilder.CreateString(aRelease.service);
   const routing::LoadSample load =
     aRelease.load.value_or(routing::LoadSample{});
-  return { fbs::Message::SlotRelease,
-           fbs::CreateSlotRelease(
-             aBuilder,
-             aRelease.number,
-             service,
-             aRelease.grant,
-             static_cast<std::uint8_t>(aRelease.outcome),
-             static_cast<std::uint64_t>(
-               std::max<std::int64_t>(aRelease.duration.count(), 0)),
-             aRelease.load.has_value(),
-             load.running,
-             load.waiting,
-             load.slots,
-             SaturateToUint32(std::llround(load.slowdown * kPercent)),
-             aRelease.digest,
-             aRelease.death,
-             aRelease.notice.requestsPerSecond.value_or(kNoLimit),
-             aRelease.notice.isLeaving) };
+  return {
+    fbs::Message::SlotRelease,
+    fbs::CreateSlotRelease(
+      aBuilder,
+      aRelease.number,
+      service,
+      aRelease.grant,
+      static_cast<std::uint8_t>(aRelease.outcome),
+      static_cast<std::uint64_t>(
+        std::max<std::int64_t>(aRelease.duration.count(), 0)),
+      aRelease.load.has_value(),
+      load.running,
+      load.waiting,
+      load.slots,
+      SaturateToUint32(std::llround(load.slowdown * kPercent)),
+      aRelease.digest,
+      aRelease.death,
+      aRelease.notice.requestsPerSecond.value_or(kNoLimit),
+      aRelease.notice.isLeaving,
+      SaturateToUint32(
+        aRelease.notice.pause.value_or(std::chrono::milliseconds(0)).count()))
+  };
 }
 
 EncodedMessage<fbs::StoreNews>
@@ -216,6 +220,9 @@
     release.notice.requestsPerSecond = aRelease.request_limit();
   }
   release.notice.isLeaving = aRelease.is_leaving();
+  if (aRelease.pause_ms() > 0) {
+    release.notice.pause = std::chrono::milliseconds(aRelease.pause_ms());
+  }
   release.digest = aRelease.digest();
   release.death = aRelease.death();
   aMessage = std::move(release);
--- a/modules/wire/FrameCodecTest.cpp
+++ b/modules/wire/FrameCodecTest.cpp
@@ -81,7 +81,7 @@
                  routing::AttemptOutcome::Lost,
                  1'234us,
                  routing::LoadSample{ 3, 1, 4, 2.5 },
-                 routing::ServerNotice{ 1.5, true },
+                 routing::ServerNotice{ 1.5, true, 1'500ms },
                  99,
                  17 },
     StoreNews{
--- a/modules/wire/messages_generated.h
+++ b/modules/wire/messages_generated.h
@@ -1893,7 +1893,8 @@
     VT_DIGEST = 24,
     VT_DEATH = 26,
     VT_REQUEST_LIMIT = 28,
-    VT_IS_LEAVING = 30
+    VT_IS_LEAVING = 30,
+    VT_PAUSE_MS = 32
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -1937,6 +1938,9 @@
   bool is_leaving() const {
     return GetField<uint8_t>(VT_IS_LEAVING, 0) != 0;
   }
+  uint32_t pause_ms() const {
+    return GetField<uint32_t>(VT_PAUSE_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -1954,6 +1958,7 @@
            VerifyField<uint64_t>(verifier, VT_DEATH, 8) &&
            VerifyField<double>(verifier, VT_REQUEST_LIMIT, 8) &&
            VerifyField<uint8_t>(verifier, VT_IS_LEAVING, 1) &&
+           VerifyField<uint32_t>(verifier, VT_PAUSE_MS, 4) &&
            verifier.EndTable();
   }
 };
@@ -2004,6 +2009,9 @@
   void add_is_leaving(bool is_leaving) {
     fbb_.AddElement<uint8_t>(SlotRelease::VT_IS_LEAVING, static_cast<uint8_t>(is_leaving), 0);
   }
+  void add_pause_ms(uint32_t pause_ms) {
+    fbb_.AddElement<uint32_t>(SlotRelease::VT_PAUSE_MS, pause_ms, 0);
+  }
   explicit SlotReleaseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2031,7 +2039,8 @@
     uint64_t digest = 0,
     uint64_t death = 0,
     double request_limit = -1.0,
-    bool is_leaving = false) {
+    bool is_leaving = false,
+    uint32_t pause_ms = 0) {
   SlotReleaseBuilder builder_(_fbb);
   builder_.add_request_limit(request_limit);
   builder_.add_death(death);
@@ -2039,6 +2048,7 @@
   builder_.add_duration_us(duration_us);
   builder_.add_grant(grant);
   builder_.add_number(number);
+  builder_.add_pause_ms(pause_ms);
   builder_.add_slowdown_percent(slowdown_percent);
   builder_.add_slots(slots);
   builder_.add_waiting(waiting);
@@ -2070,7 +2080,8 @@
     uint64_t digest = 0,
     uint64_t death = 0,
     double request_limit = -1.0,
-    bool is_leaving = false) {
+    bool is_leaving = false,
+    uint32_t pause_ms = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   return fireflytrail::wire::fbs::CreateSlotRelease(
       _fbb,
@@ -2087,7 +2098,8 @@
       digest,
       death,
       request_limit,
-      is_leaving);
+      is_leaving,
+      pause_ms);
 }
 
 struct NewsObject FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
