Let hosts without heartbeats ask for them

A host that the other hosts do not count as live, for example because it has just been added and the first hosts that it contacts are down, received neither heartbeats nor updates. Found while looking for the same cause in other places.

Cause: the receiver of updates depends on the sender's list of members, and its own fallback counts on all members. Class: a receiver that cannot tell "nothing new" from "not connected".

Change: a host that has heard no heartbeat for 1.2 s asks the eight highest-ranked daemons twice a second. Those that watch answer at once and send it heartbeats for 30 s; from these it requests what it misses. A question is not taken for a loss of the store.

Test: HostThatOthersDoNotListReceivesChanges failed for all five changes within 10 s without the questions.

--- a/modules/proxy/StoreRelay.cpp
+++ b/modules/proxy/StoreRelay.cpp
@@ -131,6 +131,13 @@
 StoreRelay::OnHeartbeat(const std::string& aFrom,
                         const wire::StoreBeat& aHeartbeat)
 {
+  if (aHeartbeat.isAsking) {
+    this->listeners[aFrom] = this->hooks.now();
+    if (this->hasReportedStoreAvailable) {
+      this->hooks.send(aFrom, this->MakeHeartbeat());
+    }
+    return;
+  }
   this->RestartTakeoverDelayIfEnoughWatchers();
   this->watchers[aFrom] = { this->hooks.now(),
                             aHeartbeat.isLost,
@@ -180,16 +187,62 @@
   }
   const bool isNewlyLost = !isStoreAvailable && this->hasReportedStoreAvailable;
   this->hasReportedStoreAvailable = isStoreAvailable && this->ShouldWatch();
-  if (!this->hasReportedStoreAvailable && !isNewlyLost) {
-    return;
+  if (this->hasReportedStoreAvailable || isNewlyLost) {
+    this->SendHeartbeat(this->MakeHeartbeat());
+  } else if (this->watchers.empty() &&
+             now - this->startedAt >= kHeartbeatTimeout) {
+    this->AskForHeartbeats();
   }
+}
+
+wire::StoreBeat
+StoreRelay::MakeHeartbeat() const
+{
   wire::StoreBeat heartbeat;
-  heartbeat.isLost = !isStoreAvailable;
+  heartbeat.isLost = !this->IsStoreAvailable();
   heartbeat.isStrong = this->self.isStrong;
   for (const std::string& kind : this->kinds) {
     heartbeat.lastRevisions.push_back(this->replica.CompleteRevision(kind));
   }
-  this->hooks.broadcast(heartbeat);
+  return heartbeat;
+}
+
+void
+StoreRelay::SendHeartbeat(const wire::StoreBeat& aHeartbeat)
+{
+  this->hooks.broadcast(aHeartbeat);
+  const core::TimePoint now = this->hooks.now();
+  std::erase_if(this->listeners, [now](const auto& aListener) {
+    return now - aListener.second > kListenerTime;
+  });
+  if (this->listeners.empty()) {
+    return;
+  }
+  const std::vector<PeerHost> peers = this->hooks.peers();
+  for (const auto& [name, askedAt] : this->listeners) {
+    if (std::ranges::find(peers, name, &PeerHost::name) == peers.end()) {
+      this->hooks.send(name, aHeartbeat);
+    }
+  }
+}
+
+void
+StoreRelay::AskForHeartbeats()
+{
+  std::vector<PeerHost> peers = this->hooks.peers();
+  const std::size_t count = std::min(kAskedDaemons, peers.size());
+  std::ranges::partial_sort(
+    peers,
+    peers.begin() + static_cast<std::ptrdiff_t>(count),
+    std::ranges::greater(),
+    [](const PeerHost& aPeer) { return RankOf(aPeer.name, aPeer.isStrong); });
+  wire::StoreBeat question;
+  // Daemons of an older version take the question for a heartbeat.
+  question.isLost = true;
+  question.isAsking = true;
+  for (std::size_t index = 0; index < count; ++index) {
+    this->hooks.send(peers[index].name, question);
+  }
 }
 
 bool
--- a/modules/proxy/StoreRelay.h
+++ b/modules/proxy/StoreRelay.h
@@ -26,7 +26,7 @@
   core::NowFunction now;
   /** Returns the live daemons except this one. */
   std::function<std::vector<PeerHost>()> peers;
-  /** Sends a heartbeat to every known daemon. */
+  /** Sends a heartbeat to every live daemon. */
   std::function<void(const wire::WireMessage&)> broadcast;
   /** Sends an update or an update request to one daemon. */
   std::function<void(const std::string& aTo, wire::WireMessage)> send;
@@ -72,6 +72,10 @@
  * are pushed as patches; see `UpdateContents`. A daemon that detects from a
  * heartbeat that it misses a change requests it and receives whole objects.
  *
+ * A daemon that receives no heartbeats asks the highest-ranked daemons for
+ * them: it may be missing in their lists of live daemons, for example because
+ * it has just been added. Daemons that ask are sent heartbeats like live ones.
+ *
  * Heartbeats are sent as `wire::StoreBeat`, updates as `wire::StoreNews` and
  * update requests as `wire::StoreNewsRequest`. Performs no I/O. Not
  * thread-safe.
@@ -105,6 +109,16 @@
    */
   static constexpr std::chrono::milliseconds kTakeoverInterval{ 100 };
 
+  /**
+   * Number of daemons that are asked for heartbeats. Those that have stopped
+   * count as live for some time, so it exceeds `kWatcherCount`.
+   */
+  static constexpr std::size_t kAskedDaemons = 8;
+
+  /** Time for which a daemon that has asked is sent heartbeats. Gossip tells
+   * all daemons of a new one within this time. */
+  static constexpr std::chrono::seconds kListenerTime{ 30 };
+
   /**
    * Time over which daemons that start together begin to watch, in the order of
    * rank, so that heartbeats of the first arrive before the others begin. The
@@ -201,6 +215,11 @@
   /** Restarts the takeover delay if enough higher-ranked daemons watch. */
   void RestartTakeoverDelayIfEnoughWatchers();
   bool IsStoreAvailable() const;
+  wire::StoreBeat MakeHeartbeat() const;
+  /** Sends a heartbeat to the live daemons and those that have asked for it. */
+  void SendHeartbeat(const wire::StoreBeat& aHeartbeat);
+  /** Asks the highest-ranked daemons for heartbeats. */
+  void AskForHeartbeats();
   /** Records that a daemon reached the store at a time. */
   void NoteContact(core::TimePoint aTime);
   bool IsKnownKind(const std::string& aKind) const;
@@ -240,6 +259,9 @@
   /** Whether a daemon has reported since then that it lost the store. */
   bool isOutageReported = false;
   std::map<std::string, WatcherState, std::less<>> watchers;
+  /** When the daemons that are not live, as far as known here, last asked for
+   * heartbeats. */
+  std::map<std::string, core::TimePoint, std::less<>> listeners;
   std::map<std::string, Gap, std::less<>> gaps;
   /** When changes of a kind that have not arrived yet were last requested. */
   std::map<std::string, core::TimePoint, std::less<>> requestedAt;
--- a/modules/proxy/StoreRelayTest.cpp
+++ b/modules/proxy/StoreRelayTest.cpp
@@ -34,6 +34,8 @@
   core::TimePoint time{ 1h };
   std::map<std::string, Host> hosts;
   std::set<std::string> disconnected;
+  /** Hosts that the other hosts do not count as live. */
+  std::set<std::string> unlisted;
   std::size_t messages = 0;
   /** Messages from one failure domain to another. */
   std::size_t crossDomainMessages = 0;
@@ -67,7 +69,7 @@
         [this, aName] {
           std::vector<PeerHost> peers;
           for (const auto& [name, other] : this->hosts) {
-            if (name != aName) {
+            if (name != aName && !this->unlisted.contains(name)) {
               peers.push_back({ name, true, DomainOf(name) });
             }
           }
@@ -76,7 +78,9 @@
       .broadcast =
         [this, aName](const wire::WireMessage& aMessage) {
           for (const auto& [name, other] : this->hosts) {
-            this->Deliver(aName, name, aMessage);
+            if (!this->unlisted.contains(name)) {
+              this->Deliver(aName, name, aMessage);
+            }
           }
         },
       .send =
@@ -428,3 +432,38 @@
     BOOST_TEST(host.outages == 1U);
   }
 }
+
+// Guards against a host that uses old objects for as long as the other hosts do
+// not count it as live, for example because it has just been added: it receives
+// neither heartbeats nor updates, and a host of low rank reads the store itself
+// only after all hosts before it.
+BOOST_AUTO_TEST_CASE(HostThatOthersDoNotListReceivesChanges)
+{
+  Fleet fleet(100);
+  fleet.ListAll();
+  fleet.Run(5s);
+  const auto last =
+    std::ranges::min_element(fleet.hosts, {}, [](const auto& aHost) {
+      return core::RendezvousWeight("store", aHost.first);
+    });
+  const std::string name = last->first;
+  fleet.unlisted.insert(name);
+  fleet.Run(2s);
+  for (std::uint64_t revision = 20; revision < 25; ++revision) {
+    fleet.Change("b", revision);
+    fleet.Run(2s);
+    BOOST_TEST(fleet.hosts.at(name).objects["b"] == revision);
+  }
+}
+
+// Guards against a fleet in which each host asks many others all the time.
+BOOST_AUTO_TEST_CASE(HostsWithHeartbeatsDoNotAsk)
+{
+  Fleet fleet(19);
+  fleet.ListAll();
+  fleet.Run(5s);
+  fleet.messages = 0;
+  fleet.Run(10s);
+  // Three watching hosts send a heartbeat to 18 hosts twice a second.
+  BOOST_TEST(fleet.messages <= 3U * 18U * 20U);
+}
--- a/modules/wire/EntryConversion.cpp
+++ b/modules/wire/EntryConversion.cpp
@@ -137,7 +137,7 @@
   const auto changes = aBuilder.CreateVector(aBeat.lastRevisions);
   return { fbs::Message::StoreBeat,
            fbs::CreateStoreBeat(
-             aBuilder, changes, aBeat.isLost, aBeat.isStrong) };
+             aBuilder, changes, aBeat.isLost, aBeat.isStrong, aBeat.isAsking) };
 }
 
 EncodedMessage<fbs::StoreNewsRequest>
@@ -271,6 +271,7 @@
   }
   beat.isLost = aBeat.lost();
   beat.isStrong = aBeat.strong();
+  beat.isAsking = aBeat.asks();
   aMessage = std::move(beat);
   return FrameError::None;
 }
--- a/modules/wire/StoreBeat.h
+++ b/modules/wire/StoreBeat.h
@@ -18,6 +18,11 @@
   bool isLost = false;
   /** Whether the sender's host has capacity to work for all other hosts. */
   bool isStrong = false;
+  /**
+   * The sender receives no heartbeats and asks for them; the other members say
+   * nothing then.
+   */
+  bool isAsking = false;
 
   bool operator==(const StoreBeat&) const = default;
 };
--- a/modules/wire/messages_generated.h
+++ b/modules/wire/messages_generated.h
@@ -2422,7 +2422,8 @@
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_LAST_CHANGES = 4,
     VT_LOST = 6,
-    VT_STRONG = 8
+    VT_STRONG = 8,
+    VT_ASKS = 10
   };
   const flatbuffers::Vector<uint64_t> *last_changes() const {
     return GetPointer<const flatbuffers::Vector<uint64_t> *>(VT_LAST_CHANGES);
@@ -2433,12 +2434,16 @@
   bool strong() const {
     return GetField<uint8_t>(VT_STRONG, 0) != 0;
   }
+  bool asks() const {
+    return GetField<uint8_t>(VT_ASKS, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_LAST_CHANGES) &&
            verifier.VerifyVector(last_changes()) &&
            VerifyField<uint8_t>(verifier, VT_LOST, 1) &&
            VerifyField<uint8_t>(verifier, VT_STRONG, 1) &&
+           VerifyField<uint8_t>(verifier, VT_ASKS, 1) &&
            verifier.EndTable();
   }
 };
@@ -2456,6 +2461,9 @@
   void add_strong(bool strong) {
     fbb_.AddElement<uint8_t>(StoreBeat::VT_STRONG, static_cast<uint8_t>(strong), 0);
   }
+  void add_asks(bool asks) {
+    fbb_.AddElement<uint8_t>(StoreBeat::VT_ASKS, static_cast<uint8_t>(asks), 0);
+  }
   explicit StoreBeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2471,9 +2479,11 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> last_changes = 0,
     bool lost = false,
-    bool strong = false) {
+    bool strong = false,
+    bool asks = false) {
   StoreBeatBuilder builder_(_fbb);
   builder_.add_last_changes(last_changes);
+  builder_.add_asks(asks);
   builder_.add_strong(strong);
   builder_.add_lost(lost);
   return builder_.Finish();
@@ -2488,13 +2498,15 @@
     flatbuffers::FlatBufferBuilder &_fbb,
     const std::vector<uint64_t> *last_changes = nullptr,
     bool lost = false,
-    bool strong = false) {
+    bool strong = false,
+    bool asks = false) {
   auto last_changes__ = last_changes ? _fbb.CreateVector<uint64_t>(*last_changes) : 0;
   return fireflytrail::wire::fbs::CreateStoreBeat(
       _fbb,
       last_changes__,
       lost,
-      strong);
+      strong,
+      asks);
 }
 
 struct StoreNewsRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
