Let the soak's servers name limits, ask for pauses and say that they leave

The soak's servers now send the three headers at random, alone and beside stops and changes, and check both bounds from the requests that arrive.

--- a/scripts/bench_lib.sh
+++ b/scripts/bench_lib.sh
@@ -54,7 +54,7 @@
   jq -n --arg name "$1" --arg store "$platform" --argjson threads "$2" \
     '{name: $name, region: "north", failure_domain: "north-a", store: $store, listen: "127.0.0.1:0",
       peer_listen: "127.0.0.1:0", operator_listen: "127.0.0.1:0", traffic_threads: $threads}' >"$work/$1.json"
-  build/fireflytrail serve "$work/$1.json" 2>"$work/$1.log" & daemon_pid=$!
+  build/fireflytrail serve "$work/$1.json" >"$work/$1.log" & daemon_pid=$!
   pids+=($daemon_pid)
   local started
   started=$(first_line "$work/$1.log")
--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -39,7 +39,7 @@
 }
 # fail WHAT: saves the state dumps of the daemons and exits with an error.
 fail() {
-  echo "FAILED: $*"
+  echo "FAILED: $*" >&2
   local daemon
   for daemon in "${operators[@]}"; do
     $program dump --daemon "$daemon" >"$work/dump-$daemon.json" 2>/dev/null || true
@@ -70,13 +70,13 @@
 # and prints one of its fields.
 started_field() {
   for _ in $(seq 100); do
-    if grep -q '"event":"daemon_started"' "$work/$1.err"; then
-      grep '"event":"daemon_started"' "$work/$1.err" | head -n 1 | jq -r ".$2"
+    if grep -q '"event":"daemon_started"' "$work/$1.out"; then
+      grep '"event":"daemon_started"' "$work/$1.out" | head -n 1 | jq -r ".$2"
       return
     fi
     sleep 0.05
   done
-  fail "$1 does not start: $(cat "$work/$1.err")"
+  fail "$1 does not start: $(cat "$work/$1.out")"
 }
 post() { curl -sS -X POST -d "$2" "http://$1/control"; }
 
--- a/soak/Server.cpp
+++ b/soak/Server.cpp
@@ -24,6 +24,15 @@
 constexpr unsigned kMinWorkMs = 5;
 constexpr unsigned kWorkRangeMs = 30;
 
+// Bounds of the platform for servers that name a limit, and for those that
+// refuse with the time for which they want no requests.
+constexpr auto kLimitGrace = 3500ms;
+constexpr auto kLimitSpan = 4000ms;
+constexpr double kLimitFactor = 1.5;
+constexpr double kLimitSlack = 5;
+constexpr auto kPauseGrace = 500ms;
+constexpr std::size_t kAllowedPerDaemon = 2;
+
 } // namespace
 
 Server::Server(asio::io_context& aContext,
@@ -57,6 +66,8 @@
   this->running = 0;
   this->isDraining = false;
   this->drainDeadline.reset();
+  this->limit.reset();
+  this->pausedUntil = {};
   this->http->Open({ asio::ip::make_address("127.0.0.1"), 0 });
   this->link->SetTarget(this->http->Endpoint());
   this->isUp = true;
@@ -102,7 +113,7 @@
   if (aRequest.target() == "/health") {
     response.result(this->isDraining ? 503U : 200U);
     response.set("X-Instance-Id", this->id);
-    this->SetLoadHeader(response);
+    this->SetStateHeaders(response);
     co_return response;
   }
   const std::string requestId(aRequest["X-Request-Id"]);
@@ -119,10 +130,20 @@
                   requestId,
                   this->id));
   }
+  this->CheckNotices(requestId);
+  const auto pause = std::chrono::duration<double>(
+    this->pausedUntil - std::chrono::steady_clock::now());
+  if (pause.count() > 0) {
+    response.result(503U);
+    response.set("X-Not-Executed", "1");
+    response.set("Retry-After", fmt::format("{:.3f}", pause.count()));
+    this->SetStateHeaders(response);
+    co_return response;
+  }
   if (this->running >= kSlots + kQueueLimit) {
     response.result(503U);
     response.set("X-Not-Executed", "1");
-    this->SetLoadHeader(response);
+    this->SetStateHeaders(response);
     co_return response;
   }
   this->history.RecordRun(requestId);
@@ -136,7 +157,7 @@
   if (startGeneration != this->generation) {
     co_return std::nullopt;
   }
-  this->SetLoadHeader(response);
+  this->SetStateHeaders(response);
   --this->running;
   response.result(200U);
   response.set("X-Response-Signature", "of-" + requestId);
@@ -146,11 +167,78 @@
 }
 
 void
-Server::SetLoadHeader(HttpResponse& aResponse) const
+Server::SetLimit(double aRequestsPerSecond)
+{
+  this->limit = aRequestsPerSecond;
+  this->limitCheckedFrom = std::chrono::steady_clock::now() + kLimitGrace;
+  this->arrivals.clear();
+}
+
+void
+Server::ClearLimit()
+{
+  this->limit.reset();
+}
+
+void
+Server::Pause(std::chrono::milliseconds aTime, std::size_t aDaemons)
+{
+  const auto now = std::chrono::steady_clock::now();
+  this->pausedUntil = now + aTime;
+  this->pauseCheckedFrom = now + kPauseGrace;
+  this->allowedDuringPause = kAllowedPerDaemon * aDaemons;
+  this->arrivedDuringPause = 0;
+}
+
+void
+Server::WaiveNotices()
+{
+  this->limitCheckedFrom = std::chrono::steady_clock::time_point::max();
+  this->pauseCheckedFrom = std::chrono::steady_clock::time_point::max();
+}
+
+void
+Server::CheckNotices(const std::string& aRequestId)
+{
+  const auto now = std::chrono::steady_clock::now();
+  if (now < this->pausedUntil && now >= this->pauseCheckedFrom &&
+      ++this->arrivedDuringPause > this->allowedDuringPause) {
+    this->history.ReportViolation(fmt::format(
+      "request {} reached server {} during its pause", aRequestId, this->id));
+  }
+  if (!this->limit) {
+    return;
+  }
+  while (!this->arrivals.empty() && now - this->arrivals.front() > kLimitSpan) {
+    this->arrivals.pop_front();
+  }
+  if (now >= this->limitCheckedFrom) {
+    this->arrivals.push_back(now);
+  }
+  const double allowed = kLimitFactor * *this->limit *
+                           std::chrono::duration<double>(kLimitSpan).count() +
+                         kLimitSlack;
+  if (static_cast<double>(this->arrivals.size()) > allowed) {
+    this->history.ReportViolation(
+      fmt::format("request {} exceeded the limit of {} a second of server {}",
+                  aRequestId,
+                  *this->limit,
+                  this->id));
+  }
+}
+
+void
+Server::SetStateHeaders(HttpResponse& aResponse) const
 {
   aResponse.set(
     "X-Instance-Load",
     fmt::format("{},0,{},{}", this->running, kSlots, 100 * this->slowdown));
+  if (this->isDraining) {
+    aResponse.set("Server-Leaving", "1");
+  }
+  if (this->limit) {
+    aResponse.set("Server-Limit", fmt::format("{}", *this->limit));
+  }
 }
 
 } // namespace fireflytrail::soak
--- a/soak/Server.h
+++ b/soak/Server.h
@@ -6,8 +6,11 @@
 #include <boost/json/value.hpp>
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
+#include <deque>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 
@@ -51,6 +54,26 @@
   /** Removes the deadline of `Drain`; call if a fault may delay the daemons. */
   void WaiveDrainDeadline() { this->drainDeadline.reset(); }
 
+  /**
+   * Names a limit, in requests a second from all daemons together, in all
+   * responses until `ClearLimit`. More requests than the platform allows are a
+   * violation.
+   */
+  void SetLimit(double aRequestsPerSecond);
+
+  void ClearLimit();
+
+  /**
+   * Refuses all requests for a time and states that the server wants none until
+   * then. Further requests than the platform allows `aDaemons` daemons are a
+   * violation.
+   */
+  void Pause(std::chrono::milliseconds aTime, std::size_t aDaemons);
+
+  /** Checks neither the limit nor the pause that are in force now; call if a
+   * fault may delay the daemons or make them decide alone. */
+  void WaiveNotices();
+
   const std::string& Id() const { return this->id; }
   FaultLink& Link() { return *this->link; }
 
@@ -60,8 +83,10 @@
 private:
   boost::asio::awaitable<std::optional<HttpResponse>> Handle(
     HttpRequest aRequest);
-  /** Sets the load report of a response. */
-  void SetLoadHeader(HttpResponse& aResponse) const;
+  /** Sets the load report and the notices of a response. */
+  void SetStateHeaders(HttpResponse& aResponse) const;
+  /** Counts a request against the limit and the pause. */
+  void CheckNotices(const std::string& aRequestId);
 
   boost::asio::io_context& context;
   RequestHistory& history;
@@ -80,6 +105,16 @@
   unsigned generation = 0;
   std::optional<std::chrono::steady_clock::time_point> drainDeadline;
   bool isDraining = false;
+  std::optional<double> limit;
+  /** Time from which the limit and the pause are checked. */
+  std::chrono::steady_clock::time_point limitCheckedFrom;
+  std::chrono::steady_clock::time_point pauseCheckedFrom;
+  std::chrono::steady_clock::time_point pausedUntil;
+  /** Number of requests that the daemons may send during the pause. */
+  std::size_t allowedDuringPause = 0;
+  std::size_t arrivedDuringPause = 0;
+  /** Arrivals of the last seconds while a limit is in force. */
+  std::deque<std::chrono::steady_clock::time_point> arrivals;
 };
 
 } // namespace fireflytrail::soak
--- a/soak/Soak.cpp
+++ b/soak/Soak.cpp
@@ -251,10 +251,16 @@
   while (std::chrono::steady_clock::now() < end) {
     const auto elapsed = std::chrono::steady_clock::now() - begin;
     if (elapsed / kPhaseTime % 2 == 0) {
-      switch (this->RandomBelow(4)) {
+      switch (this->RandomBelow(6)) {
         case 0:
           this->StopGracefully(this->RandomHost());
           break;
+        case 4:
+          this->LimitServer(this->RandomServer());
+          break;
+        case 5:
+          this->PauseServer(this->RandomServer());
+          break;
         case 1:
           this->DrainServer(this->RandomServer());
           break;
@@ -420,6 +426,38 @@
   });
 }
 
+void
+Soak::LimitServer(Server& aServer)
+{
+  const auto limit = static_cast<double>(1 + this->RandomBelow(20));
+  const milliseconds duration(4000 + this->RandomBelow(8000));
+  this->log(fmt::format("server {} names a limit of {} a second for {} ms",
+                        aServer.Id(),
+                        limit,
+                        duration.count()));
+  aServer.SetLimit(limit);
+  if (std::chrono::steady_clock::now() < this->graceUntil) {
+    aServer.WaiveNotices();
+  }
+  this->RunAfter(duration, [&aServer, id = aServer.Id()] {
+    if (aServer.Id() == id) {
+      aServer.ClearLimit();
+    }
+  });
+}
+
+void
+Soak::PauseServer(Server& aServer)
+{
+  const milliseconds duration(1000 + this->RandomBelow(3000));
+  this->log(fmt::format(
+    "server {} wants a pause of {} ms", aServer.Id(), duration.count()));
+  aServer.Pause(duration, this->hosts.size());
+  if (std::chrono::steady_clock::now() < this->graceUntil) {
+    aServer.WaiveNotices();
+  }
+}
+
 void
 Soak::ChangeConfiguration()
 {
@@ -511,6 +549,7 @@
     this->graceUntil, std::chrono::steady_clock::now() + aTime + kGraceTime);
   for (const auto& server : this->servers) {
     server->WaiveDrainDeadline();
+    server->WaiveNotices();
   }
 }
 
--- a/soak/Soak.h
+++ b/soak/Soak.h
@@ -77,6 +77,8 @@
   void InjectDaemonFault();
   void StopGracefully(Host& aHost);
   void DrainServer(Server& aServer);
+  void LimitServer(Server& aServer);
+  void PauseServer(Server& aServer);
   /** Publishes a new configuration version and checks later that each daemon
    * has applied it. */
   void ChangeConfiguration();
