Share cold rates and limits when no daemon may dispatch

If none of the hosts that may dispatch is known, each daemon decides its requests itself.

Change: a daemon that may not dispatch decides with the shares of a fallback.

--- a/modules/proxy/SlotBroker.cpp
+++ b/modules/proxy/SlotBroker.cpp
@@ -102,7 +102,7 @@
   entry.onDecided = std::move(aOnDecided);
   entry.askedDaemon = this->DispatchingDaemonName(aService);
   if (entry.askedDaemon.empty()) {
-    this->DecideLocally(number, false);
+    this->DecideLocally(number, !this->hooks.mayDispatch());
   } else {
     this->SendSlotRequest(number, entry);
   }
--- a/modules/proxy/SlotBroker.h
+++ b/modules/proxy/SlotBroker.h
@@ -221,7 +221,8 @@
   void OnDecided(std::uint64_t aNumber, const routing::DispatchResult& aResult);
   /**
    * Decides a request of this daemon from its own data. `aIsFallback` is set if
-   * another daemon should have decided it.
+   * this daemon does not dispatch for all: another one should have decided the
+   * request, or no known daemon may.
    */
   void DecideLocally(std::uint64_t aNumber, bool aIsFallback);
   void SendQueuedReply(const std::string& aTo, std::uint64_t aNumber);
--- a/modules/proxy/SlotBrokerTest.cpp
+++ b/modules/proxy/SlotBrokerTest.cpp
@@ -23,6 +23,8 @@
   std::map<std::string, std::unique_ptr<SlotBroker>> brokers;
   /** Daemons whose incoming and outgoing messages are dropped. */
   std::set<std::string> unresponsive;
+  /** Whether the daemons run on hosts that may dispatch. */
+  bool mayDispatch = true;
   std::uint64_t randomState = 0;
 
   Fleet()
@@ -54,13 +56,13 @@
         [this, aName] {
           std::vector<std::string> names;
           for (const auto& [name, broker] : this->brokers) {
-            if (name != aName) {
+            if (name != aName && this->mayDispatch) {
               names.push_back(name);
             }
           }
           return names;
         },
-      .mayDispatch = [] { return true; },
+      .mayDispatch = [this] { return this->mayDispatch; },
       .hostCount = [] { return std::size_t{ 2 }; },
       .send =
         [this, aName](const std::string& aTo, wire::WireMessage aMessage) {
@@ -255,3 +257,23 @@
   this->Run(60ms);
   BOOST_TEST(afterwards->slot.has_value());
 }
+
+// Guards against a limit that each daemon uses as if it dispatched for all,
+// because none of the hosts that may dispatch is known.
+BOOST_FIXTURE_TEST_CASE(DaemonsWithoutADispatcherShareTheLimit, Fleet)
+{
+  this->mayDispatch = false;
+  for (const auto& [name, broker] : this->brokers) {
+    const auto first = this->Acquire(name);
+    BOOST_REQUIRE(first->slot.has_value());
+    broker->Release(*first->slot,
+                    routing::AttemptOutcome::Answered,
+                    1ms,
+                    std::nullopt,
+                    routing::ServerNotice{ .requestsPerSecond = 100 });
+    this->Run(100ms);
+    // All daemons together may use a twentieth of the limit.
+    const auto early = this->Acquire(name);
+    BOOST_TEST(!early->slot.has_value());
+  }
+}
