Let the share of a version grow only with evidence for it

The share grew from 0.45 of the order's time unless a test spoke against the version, and at 47 requests a second that test has too little to speak. Not finding a fault was taken for its absence.

Change: the share grows only while the requests of the last seconds speak for the version, 3,000 to 1 against one that fails one request in five or has three in ten slow. That evidence is limited, so that a version which turns bad loses it within a few requests. A share that was held catches up. A version with all the evidence is held only by clearer suspicion.

--- a/modules/moves/VersionTrial.cpp
+++ b/modules/moves/VersionTrial.cpp
@@ -20,6 +20,9 @@
 constexpr double kRampStartFraction = 0.45;
 constexpr double kRampEndFraction = 0.75;
 
+// Shortest time of the ramp from any share on, as a fraction of the duration.
+constexpr double kMinRampFraction = 0.1;
+
 // Minimum number of finished requests of the new version before the share may
 // grow. A version that fails one request in three fails about ten of these.
 constexpr std::uint64_t kMinNewRequests = 30;
@@ -43,6 +46,33 @@
 constexpr double kBadLikelihoodRatio = 500;
 constexpr double kSuspiciousLikelihoodRatio = 8;
 
+// The same if there is all the evidence for the version that is counted: over
+// the many requests of a large share, the maximum of the tests of ten kinds of
+// events exceeds the lower limit by chance.
+constexpr double kSuspiciousLikelihoodRatioIfGood = 50;
+
+// Log likelihood ratio of a good version to a bad one from which the share may
+// grow (3,000 to 1), and its limit. A version below 0 looks more like a bad
+// one.
+constexpr double kGoodEvidenceToGrow = 8;
+constexpr double kMaxGoodEvidence = 9;
+
+// Rates of events that a bad version has at least: one request in five fails,
+// or three in ten are slow. They are also this multiple of the old version's
+// rate, as far as that leaves room.
+constexpr double kMinBadFailureRate = 0.2;
+constexpr double kMinBadSlowRate = 0.3;
+constexpr double kBadRateRatio = 3;
+constexpr double kMaxBadRate = 0.9;
+
+// Part of the old version's requests of one second that still counts in the
+// next one for its rate, and how many always count.
+constexpr double kOldRateMemory = 0.8;
+constexpr double kMinOldRequestsForRate = 60;
+
+// Lowest rate of events that is assumed for the old version.
+constexpr double kMinOldRate = 0.01;
+
 // Maximum number of failures counted for one instance, since one broken
 // instance does not make the version bad.
 constexpr unsigned kMaxCountedFailuresPerInstance = 3;
@@ -109,20 +139,31 @@
     this->share = 0;
     return;
   }
+  this->goodEvidence = this->GoodEvidence();
   const bool canCarryAll =
     static_cast<double>(aCapacity.newInstances) >=
     kMinInstanceRatio * static_cast<double>(aCapacity.oldInstances);
   const bool mayGrow =
-    this->likelihoodRatio < kSuspiciousLikelihoodRatio && canCarryAll &&
+    !this->IsSuspicious() && canCarryAll &&
+    this->goodEvidence >= kGoodEvidenceToGrow &&
     this->newRequests >= kMinNewRequests &&
     time - this->begin >= this->duration * kRampStartFraction;
   if (mayGrow && this->share < 1) {
-    // Over the whole ramp the factors multiply to 1 / firstShare, so that the
-    // share grows from firstShare to 1.
-    const FloatSeconds rampTime =
+    // The share grows by the same factor in equal times, so that it reaches 1
+    // at the end of the ramp. A share that was held grows faster, up to a
+    // limit.
+    const FloatSeconds timeLeft =
+      this->duration * kRampEndFraction - FloatSeconds(time - this->begin);
+    const FloatSeconds usualRampTime =
       FloatSeconds(this->duration) * (kRampEndFraction - kRampStartFraction);
+    const FloatSeconds shortestRampTime =
+      FloatSeconds(this->duration) * kMinRampFraction;
+    const double usualGrowth =
+      elapsed / usualRampTime * std::log(1 / this->firstShare);
+    const double neededGrowth = elapsed / std::max(timeLeft, shortestRampTime) *
+                                std::log(1 / this->share);
     this->share = std::min(
-      1.0, this->share * std::pow(1 / this->firstShare, elapsed / rampTime));
+      1.0, this->share * std::exp(std::max(usualGrowth, neededGrowth)));
   }
   if (this->share < 1) {
     return;
@@ -160,10 +201,11 @@
       slow.oldEvents += window.slow.oldEvents;
     }
   }
-  return fmt::format("share {:.3g}, test {:.3g}; new: {} requests, {} failed, "
-                     "{} slow; old: {}, {}, {}",
+  return fmt::format("share {:.3g}, test {:.3g}, good {:.3g}; "
+                     "new: {} requests, {} failed, {} slow; old: {}, {}, {}",
                      this->share,
                      this->likelihoodRatio,
+                     this->goodEvidence,
                      failures.newCalls,
                      failures.newEvents,
                      slow.newEvents,
@@ -235,6 +277,58 @@
   return comparison.LikelihoodRatio(aRoute.windows.size());
 }
 
+double
+VersionTrial::GoodEvidence(RateComparison::Stratum Window::*aKind,
+                           double aMinBadRate) const
+{
+  const auto all = this->routes.find(kAllRoutes);
+  if (all == this->routes.end()) {
+    return 0;
+  }
+  double evidence = 0;
+  double oldCalls = 0;
+  double oldEvents = 0;
+  for (const Window& window : all->second.windows) {
+    const RateComparison::Stratum& stratum = window.*aKind;
+    // A single second has too few requests of the old version for its rate, and
+    // there are none once the new version gets all.
+    if (oldCalls > kMinOldRequestsForRate) {
+      oldCalls *= kOldRateMemory;
+      oldEvents *= kOldRateMemory;
+    }
+    oldCalls += stratum.oldCalls;
+    oldEvents += stratum.oldEvents;
+    const double oldRate =
+      std::clamp(oldEvents / std::max(oldCalls, 1.0), kMinOldRate, kMaxBadRate);
+    const double badRate =
+      std::clamp(kBadRateRatio * oldRate, aMinBadRate, kMaxBadRate);
+    if (oldRate >= badRate) {
+      continue;
+    }
+    const double change = stratum.newEvents * std::log(oldRate / badRate) +
+                          (stratum.newCalls - stratum.newEvents) *
+                            std::log((1 - oldRate) / (1 - badRate));
+    evidence =
+      std::clamp(evidence + change, -kMaxGoodEvidence, kMaxGoodEvidence);
+  }
+  return evidence;
+}
+
+double
+VersionTrial::GoodEvidence() const
+{
+  return std::min(this->GoodEvidence(&Window::failures, kMinBadFailureRate),
+                  this->GoodEvidence(&Window::slow, kMinBadSlowRate));
+}
+
+bool
+VersionTrial::IsSuspicious() const
+{
+  return this->likelihoodRatio >= (this->goodEvidence >= kMaxGoodEvidence
+                                     ? kSuspiciousLikelihoodRatioIfGood
+                                     : kSuspiciousLikelihoodRatio);
+}
+
 double
 VersionTrial::MaxLikelihoodRatio() const
 {
--- a/modules/moves/VersionTrial.h
+++ b/modules/moves/VersionTrial.h
@@ -19,12 +19,14 @@
  * dispatches all requests of the service; decides the share of requests that
  * the new version gets, and whether the new version is good or bad.
  *
- * The share stays small until there is sufficient evidence and then grows
- * exponentially; it stops growing while the version looks bad or has too few
- * instances. The new version is judged by failures and by slow requests, over
- * all routes together and for each route. It is compared with the old version's
- * requests of the same second, or with those of all seconds so far if that
- * second has too few.
+ * The share stays small until there is sufficient evidence that the version is
+ * good, and then grows exponentially: too little evidence to call a version bad
+ * is no reason to expose more callers to it. The share stops growing while the
+ * recent requests do not speak for the version, or while it looks bad or has
+ * too few instances. The new version is judged by failures and by slow
+ * requests, over all routes together and for each route. It is compared with
+ * the old version's requests of the same second, or with those of all seconds
+ * so far if that second has too few.
  *
  * The new version is good once it gets all requests and no request runs at the
  * old version any more; the wait for the latter is limited. Without sufficient
@@ -123,6 +125,17 @@
                     bool aIsFailureCounted);
   bool IsFailureCounted(const Observation& aObservation);
   double MaxLikelihoodRatio() const;
+  /** Whether the version looks bad, although too little for a verdict. */
+  bool IsSuspicious() const;
+  /**
+   * Returns the logarithm of the likelihood ratio of a good version to a bad
+   * one for one kind of event of the requests over all routes. It is limited,
+   * so that a version which turns bad loses it within a few requests.
+   */
+  double GoodEvidence(RateComparison::Stratum Window::*aKind,
+                      double aMinBadRate) const;
+  /** Returns the lower evidence of failures and of slow requests. */
+  double GoodEvidence() const;
 
   core::NowFunction now;
   core::TimePoint begin;
@@ -137,6 +150,7 @@
   core::TimePoint updatedAt;
   std::optional<core::TimePoint> fullShareSince;
   double likelihoodRatio = 0;
+  double goodEvidence = 0;
   Verdict verdict = Verdict::None;
 };
 
--- a/modules/moves/VersionTrialTest.cpp
+++ b/modules/moves/VersionTrialTest.cpp
@@ -34,8 +34,13 @@
   std::function<double(std::uint64_t aRoute)> failureProbability =
     [](std::uint64_t) { return 0.001; };
   double slowProbability = 0.05;
+  /** The same for a request of the old version. */
+  double oldSlowProbability = 0.05;
+  int requestsPerSecond = kRequestsPerSecond;
   std::size_t newInstances = 10;
   int newRequests = 0;
+  /** Those of them within the move's duration. */
+  int newRequestsInTime = 0;
   int allRequests = 0;
 
   explicit Simulation(std::uint64_t aSeed)
@@ -56,7 +61,7 @@
   {
     while (this->trial.Result() == Verdict::None &&
            this->time - this->begin < kDuration * 2) {
-      for (int index = 0; index < kRequestsPerSecond / 4; ++index) {
+      for (int index = 0; index < this->requestsPerSecond / 4; ++index) {
         this->RecordOne();
       }
       this->time += 250ms;
@@ -76,11 +81,14 @@
     observation.isFailure = this->Draw(
       observation.isNew ? this->failureProbability(observation.route) : 0.001);
     if (!observation.isFailure) {
-      observation.isSlow =
-        this->Draw(observation.isNew ? this->slowProbability : 0.05);
+      observation.isSlow = this->Draw(
+        observation.isNew ? this->slowProbability : this->oldSlowProbability);
     }
     ++this->allRequests;
     this->newRequests += observation.isNew ? 1 : 0;
+    if (observation.isNew && this->time - this->begin < kDuration) {
+      ++this->newRequestsInTime;
+    }
     this->trial.Record(observation);
   }
 };
@@ -124,6 +132,38 @@
   }
 }
 
+// Guards against a share that grows without evidence that the version is good.
+// The load is that of a small fleet whose servers are slowed by neighbours: of
+// 47 requests a second, 9.5 % are slow at the old version and 30 % at the new
+// one, too few to judge it bad before the share grows.
+BOOST_AUTO_TEST_CASE(AVersionThatCannotBeJudgedYetKeepsItsSmallShare)
+{
+  constexpr int kSlowFleetRequestsPerSecond = 47;
+  for (std::uint64_t seed = 1; seed <= 200; ++seed) {
+    Simulation simulation(seed);
+    simulation.requestsPerSecond = kSlowFleetRequestsPerSecond;
+    simulation.oldSlowProbability = 0.095;
+    simulation.slowProbability = 0.3;
+    simulation.Run();
+    BOOST_TEST(simulation.newRequestsInTime <=
+               kSlowFleetRequestsPerSecond * 15 / 10 + 50);
+    BOOST_TEST((simulation.trial.Result() != Verdict::Good));
+  }
+}
+
+// Guards against a good version that is not done in time because many requests
+// of both versions are slow.
+BOOST_AUTO_TEST_CASE(AGoodVersionIsDoneInTimeAmongSlowServers)
+{
+  for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+    Simulation simulation(seed);
+    simulation.oldSlowProbability = 0.25;
+    simulation.slowProbability = 0.25;
+    BOOST_TEST((simulation.Run() < kDuration));
+    BOOST_TEST((simulation.trial.Result() == Verdict::Good));
+  }
+}
+
 // Guards against a fault on one route that is hidden in the average over all
 // routes.
 BOOST_AUTO_TEST_CASE(AVersionThatFailsOnOneRouteIsTakenBack)
