Bound the work of a dispatcher while all instances are full

While requests waited, each request and each release looked at all 548 instances of drawer-index several times and at all waiting requests, with a look at the clock for each: 2,412 looks an event in the new test. The dispatching host was late, and hosts decided alone and filled the servers.

Change: a release is offered to the waiting requests at its own instance only.

Test: below 40 looks an event, 2,412 before.

--- a/modules/routing/ServiceDispatcher.cpp
+++ b/modules/routing/ServiceDispatcher.cpp
@@ -142,11 +142,13 @@
     if (isChanged && source.instance->remainingColdTime.count() > 0) {
       target.coldUntil = now + source.instance->remainingColdTime;
     }
+    target.key = key;
     target.source = source;
     target.isLeaving = this->leavingKeys.contains(key);
     next.emplace(key, std::move(target));
   }
   this->targets = std::move(next);
+  this->usableSlotsAt = {};
   this->DispatchWaiting();
 }
 
@@ -159,7 +161,10 @@
 void
 ServiceDispatcher::Submit(DispatchRequest aRequest)
 {
-  this->MeasureIfReserveIsLow(aRequest);
+  if (this->waiting.empty()) {
+    // While requests wait, no instance is idle.
+    this->MeasureIfReserveIsLow(aRequest);
+  }
   const Choice choice = this->waiting.empty()
                           ? this->ChooseByTrialShare(aRequest)
                           : Choice{ nullptr, true };
@@ -177,8 +182,14 @@
     this->Refuse(aRequest.id, ErrorKind::Overloaded, this->TimeUntilCapacity());
     return;
   }
+  const bool isInTime = this->IsInTime(aRequest, now);
   this->waiting.push_back({ std::move(aRequest), now });
-  this->DispatchWaiting();
+  if (isInTime) {
+    this->DispatchWaiting(nullptr);
+  } else {
+    // A slow instance that is left to late requests may have room.
+    this->DispatchWaiting();
+  }
 }
 
 void
@@ -231,7 +242,12 @@
       aOutcome, aDuration, this->typicalDuration, this->hooks.now());
   }
   this->UpdateTypicalDuration(aOutcome, aDuration);
-  this->DispatchWaiting();
+  if (aNotice.isLeaving || aNotice.pause) {
+    this->DispatchWaiting();
+  } else {
+    this->DispatchWaiting(target == this->targets.end() ? nullptr
+                                                        : &target->second);
+  }
 }
 
 void
@@ -278,7 +294,11 @@
     target->second.coldUntil =
       this->hooks.now() + aMeasurement->remainingColdTime;
   }
-  this->DispatchWaiting();
+  if (aMeasurement->notice.isLeaving || aMeasurement->notice.pause) {
+    this->DispatchWaiting();
+  } else {
+    this->DispatchWaiting(&target->second);
+  }
 }
 
 void
@@ -360,8 +380,7 @@
   Choice choice;
   double lowestCost = std::numeric_limits<double>::infinity();
   for (auto& [key, target] : this->targets) {
-    if (!this->IsUsable(target) || target.source.isOnTrial != aOnTrial ||
-        std::ranges::find(aRequest.avoid, key) != aRequest.avoid.end()) {
+    if (!this->MayRun(target, aRequest, aOnTrial)) {
       continue;
     }
     if (now < target.pausedUntil) {
@@ -374,7 +393,7 @@
     if (!this->HasCapacity(target, aRequest, now)) {
       continue;
     }
-    if (this->IsTooSlowFor(target, aRequest)) {
+    if (this->IsTooSlowFor(target, aRequest, now)) {
       continue;
     }
     const double cost = this->CostOf(target, aRequest, now);
@@ -419,6 +438,15 @@
   }
 }
 
+bool
+ServiceDispatcher::MayRun(const Target& aTarget,
+                          const DispatchRequest& aRequest,
+                          bool aOnTrial) const
+{
+  return this->IsUsable(aTarget) && aTarget.source.isOnTrial == aOnTrial &&
+         std::ranges::find(aRequest.avoid, aTarget.key) == aRequest.avoid.end();
+}
+
 bool
 ServiceDispatcher::IsUsable(const Target& aTarget) const
 {
@@ -430,7 +458,8 @@
                                const DispatchRequest& aRequest,
                                TimePoint aNow) const
 {
-  if (aTarget.load.IsEjected(aNow)) {
+  const double slots = this->UsableSlots(aTarget);
+  if (aTarget.load.InFlight() + 0.5 >= slots || aTarget.load.IsEjected(aNow)) {
     return false;
   }
   if (aTarget.limit && aNow - aTarget.lastLimitedSend <
@@ -443,8 +472,7 @@
   if (aNow < aTarget.coldUntil && aNow < aTarget.nextColdSend) {
     return false;
   }
-  return aTarget.load.EstimatedInFlight(aNow) + 0.5 <
-         this->UsableSlots(aTarget);
+  return aTarget.load.EstimatedInFlight(aNow) + 0.5 < slots;
 }
 
 double
@@ -612,23 +640,24 @@
 }
 
 bool
-ServiceDispatcher::IsInTime(const DispatchRequest& aRequest) const
+ServiceDispatcher::IsInTime(const DispatchRequest& aRequest,
+                            TimePoint aNow) const
 {
-  return this->hooks.now() + this->typicalDuration <= aRequest.goal;
+  return aNow + this->typicalDuration <= aRequest.goal;
 }
 
 bool
 ServiceDispatcher::IsTooSlowFor(const Target& aTarget,
-                                const DispatchRequest& aRequest) const
+                                const DispatchRequest& aRequest,
+                                TimePoint aNow) const
 {
-  const TimePoint now = this->hooks.now();
-  const double slowdown = aTarget.load.FreshSlowdown(now);
-  if (slowdown <= 1 || !this->IsInTime(aRequest)) {
+  const double slowdown = aTarget.load.FreshSlowdown(aNow);
+  if (slowdown <= 1 || !this->IsInTime(aRequest, aNow)) {
     return false;
   }
   const nanoseconds duration(static_cast<nanoseconds::rep>(
     static_cast<double>(this->typicalDuration.count()) * slowdown));
-  return now + duration > aRequest.goal;
+  return aNow + duration > aRequest.goal;
 }
 
 void
@@ -639,25 +668,67 @@
     kMeanSlowdownWeight * (aSample.slowdown - this->meanSlowdown);
 }
 
+void
+ServiceDispatcher::DispatchWaiting(Target* aFreed)
+{
+  if (this->waiting.empty()) {
+    return;
+  }
+  const TimePoint now = this->hooks.now();
+  this->RefuseUnservable(now);
+  if (this->settings.trialShare > 0 ||
+      now - this->allTriedAt >= kWaitingCheckInterval) {
+    this->DispatchWaiting();
+    return;
+  }
+  if (aFreed != nullptr) {
+    while (!this->waiting.empty() && this->TryDispatchTo(*aFreed, now)) {
+    }
+  }
+  this->RefuseExcess(now);
+}
+
+bool
+ServiceDispatcher::TryDispatchTo(Target& aTarget, TimePoint aNow)
+{
+  for (const auto entry :
+       { this->NextWaiting(aNow), this->NextLateWaiting(aNow) }) {
+    if (entry == this->waiting.end() ||
+        !this->MayRun(aTarget, entry->request, false) ||
+        aNow < aTarget.pausedUntil ||
+        !this->HasCapacity(aTarget, entry->request, aNow) ||
+        this->IsTooSlowFor(aTarget, entry->request, aNow)) {
+      continue;
+    }
+    const DispatchRequest request = std::move(entry->request);
+    this->waiting.erase(entry);
+    this->GrantInstance(request, aTarget);
+    return true;
+  }
+  return false;
+}
+
 void
 ServiceDispatcher::DispatchWaiting()
 {
-  this->RefuseUnservable();
+  const TimePoint now = this->hooks.now();
+  this->RefuseUnservable(now);
+  this->allTriedAt = now;
   bool isDispatched = true;
   while (!this->waiting.empty() && isDispatched) {
-    isDispatched = this->TryDispatch(this->NextWaiting());
+    isDispatched = this->TryDispatch(this->NextWaiting(now));
     if (!isDispatched) {
       // Slow instances are left to requests that can no longer meet their goal.
-      const auto lateEntry = this->NextLateWaiting();
+      const auto lateEntry = this->NextLateWaiting(now);
       isDispatched =
         lateEntry != this->waiting.end() && this->TryDispatch(lateEntry);
     }
   }
-  this->RefuseExcess();
+  this->RefuseExcess(now);
 }
 
 void
-ServiceDispatcher::RefuseExcess()
+ServiceDispatcher::RefuseExcess(TimePoint aNow)
 {
   if (this->waiting.empty()) {
     return;
@@ -673,8 +744,8 @@
     auto worst = this->waiting.begin();
     for (auto entry = this->waiting.begin(); entry != this->waiting.end();
          ++entry) {
-      const bool isWorstInTime = this->IsInTime(worst->request);
-      const bool isInTime = this->IsInTime(entry->request);
+      const bool isWorstInTime = this->IsInTime(worst->request, aNow);
+      const bool isInTime = this->IsInTime(entry->request, aNow);
       if (isInTime != isWorstInTime
             ? isWorstInTime
             : entry->request.priority > worst->request.priority) {
@@ -714,13 +785,13 @@
 }
 
 std::list<ServiceDispatcher::Waiting>::iterator
-ServiceDispatcher::NextWaiting()
+ServiceDispatcher::NextWaiting(TimePoint aNow)
 {
   auto best = this->waiting.begin();
   for (auto entry = this->waiting.begin(); entry != this->waiting.end();
        ++entry) {
-    const bool isBestInTime = this->IsInTime(best->request);
-    const bool isEntryInTime = this->IsInTime(entry->request);
+    const bool isBestInTime = this->IsInTime(best->request, aNow);
+    const bool isEntryInTime = this->IsInTime(entry->request, aNow);
     if (isEntryInTime != isBestInTime) {
       best = isEntryInTime ? entry : best;
     } else if (entry->request.priority != best->request.priority) {
@@ -735,12 +806,12 @@
 }
 
 std::list<ServiceDispatcher::Waiting>::iterator
-ServiceDispatcher::NextLateWaiting()
+ServiceDispatcher::NextLateWaiting(TimePoint aNow)
 {
   auto best = this->waiting.end();
   for (auto entry = this->waiting.begin(); entry != this->waiting.end();
        ++entry) {
-    if (!this->IsInTime(entry->request) &&
+    if (!this->IsInTime(entry->request, aNow) &&
         (best == this->waiting.end() ||
          entry->request.priority < best->request.priority)) {
       best = entry;
@@ -750,12 +821,11 @@
 }
 
 void
-ServiceDispatcher::RefuseUnservable()
+ServiceDispatcher::RefuseUnservable(TimePoint aNow)
 {
-  const TimePoint now = this->hooks.now();
   for (auto entry = this->waiting.begin(); entry != this->waiting.end();) {
     // A request that would end after its deadline uses a slot without benefit.
-    if (now + this->typicalDuration < entry->request.deadline) {
+    if (aNow + this->typicalDuration < entry->request.deadline) {
       ++entry;
       continue;
     }
@@ -769,14 +839,18 @@
 ServiceDispatcher::TotalUsableSlots() const
 {
   const TimePoint now = this->hooks.now();
-  double usableSlots = 0;
+  if (now - this->usableSlotsAt < kWaitingCheckInterval) {
+    return this->usableSlots;
+  }
+  this->usableSlotsAt = now;
+  this->usableSlots = 0;
   for (const auto& [key, target] : this->targets) {
     if (!this->IsUsable(target) || target.load.IsEjected(now) ||
         now < target.pausedUntil) {
       continue;
     }
     const double slots = this->UsableSlots(target);
-    usableSlots +=
+    this->usableSlots +=
       target.limit
         ? std::min(
             slots,
@@ -784,7 +858,7 @@
               std::chrono::duration<double>(this->typicalDuration).count())
         : slots;
   }
-  return usableSlots;
+  return this->usableSlots;
 }
 
 nanoseconds
@@ -799,13 +873,13 @@
 nanoseconds
 ServiceDispatcher::ExpectedWait(std::size_t aAhead) const
 {
-  const double usableSlots = this->TotalUsableSlots();
-  if (usableSlots == 0) {
+  const double slots = this->TotalUsableSlots();
+  if (slots == 0) {
     return kRetryAfterWithoutInstances;
   }
   return nanoseconds(static_cast<nanoseconds::rep>(
     static_cast<double>(this->typicalDuration.count()) *
-    static_cast<double>(aAhead + 1) / usableSlots));
+    static_cast<double>(aAhead + 1) / slots));
 }
 
 nanoseconds
--- a/modules/routing/ServiceDispatcher.h
+++ b/modules/routing/ServiceDispatcher.h
@@ -112,6 +112,9 @@
  * - lasting overload: the queue is limited to what can be done in a short time.
  *   The rest is refused with the estimated time until there is capacity, which
  *   allows for the retries of requests that were refused before;
+ * - a burst at hundreds of instances: the work for each request must not grow
+ *   with their number while all are full, or the dispatcher itself becomes the
+ *   bottleneck;
  * - instances that fail fast look idle: they are excluded after repeated
  *   failures;
  * - cold instances: their requests are paced to the rate that they can handle;
@@ -224,6 +227,8 @@
 private:
   struct Target
   {
+    /** See `KeyOf`. */
+    std::uint64_t key = 0;
     /** As passed to `SetInstances`. */
     DispatchTarget source;
     InstanceLoad load;
@@ -271,6 +276,10 @@
    * the others. */
   Choice Choose(const DispatchRequest& aRequest, bool aOnTrial);
   Choice ChooseByTrialShare(const DispatchRequest& aRequest);
+  /** Whether the instance may get the request, even if it is full now. */
+  bool MayRun(const Target& aTarget,
+              const DispatchRequest& aRequest,
+              bool aOnTrial) const;
   /** Whether the instance may get requests now. */
   bool IsUsable(const Target& aTarget) const;
   bool HasCapacity(const Target& aTarget,
@@ -299,28 +308,40 @@
               std::chrono::nanoseconds aRetryAfter,
               std::chrono::milliseconds aMaxRetryAfter);
   /** Whether the request can still meet its goal if it is sent now. */
-  bool IsInTime(const DispatchRequest& aRequest) const;
+  bool IsInTime(const DispatchRequest& aRequest, core::TimePoint aNow) const;
   /** Whether a recent report shows that the request would miss its goal at the
    * instance, while it can still meet it elsewhere. */
   bool IsTooSlowFor(const Target& aTarget,
-                    const DispatchRequest& aRequest) const;
+                    const DispatchRequest& aRequest,
+                    core::TimePoint aNow) const;
   /** Measures an instance in the failure domain of the request if too few free
    * slots there are known to be good. */
   void MeasureIfReserveIsLow(const DispatchRequest& aRequest);
   void ApplyReport(InstanceLoad& aLoad, const LoadSample& aSample);
+  /** Looks for instances for the waiting requests among all of them. */
   void DispatchWaiting();
+  /**
+   * Grants the instance to the waiting requests that are to be served first if
+   * it has room. Only from time to time, all instances are tried: with hundreds
+   * of full ones, a look at each for every request would be most of the work.
+   * Null means that no instance has more room than before.
+   */
+  void DispatchWaiting(Target* aFreed);
+  /** Grants the instance to a waiting request; returns false if it cannot. */
+  bool TryDispatchTo(Target& aTarget, core::TimePoint aNow);
   /** Grants an instance to a waiting request, or refuses it if none is usable.
    * Returns false if it must wait on. */
   bool TryDispatch(std::list<Waiting>::iterator aEntry);
   /** Returns the waiting request that is to be served first. */
-  std::list<Waiting>::iterator NextWaiting();
+  std::list<Waiting>::iterator NextWaiting(core::TimePoint aNow);
   /** Returns the most important of the waiting requests that can no longer meet
    * their goal, or the end. */
-  std::list<Waiting>::iterator NextLateWaiting();
+  std::list<Waiting>::iterator NextLateWaiting(core::TimePoint aNow);
   /** Refuses waiting requests that cannot be done by their deadline. */
-  void RefuseUnservable();
+  void RefuseUnservable(core::TimePoint aNow);
   /** Refuses waiting requests beyond the limit of queued work. */
-  void RefuseExcess();
+  void RefuseExcess(core::TimePoint aNow);
+  /** May be as old as the interval at which all instances are tried. */
   double TotalUsableSlots() const;
   /** Returns how many refused callers are expected to retry soon. */
   double ExpectedRetries() const;
@@ -342,6 +363,10 @@
   std::map<std::uint64_t, Grant> grants;
   /** In order of arrival. */
   std::list<Waiting> waiting;
+  /** When all instances were last tried for the waiting requests. */
+  core::TimePoint allTriedAt{};
+  mutable double usableSlots = 0;
+  mutable core::TimePoint usableSlotsAt{};
   std::uint64_t lastGrant = 0;
   std::chrono::nanoseconds typicalDuration;
   /** Number of refusals, decaying over the time in which callers retry. */
--- a/modules/routing/ServiceDispatcherTest.cpp
+++ b/modules/routing/ServiceDispatcherTest.cpp
@@ -832,3 +832,60 @@
   BOOST_TEST(granted >= 45);
   BOOST_TEST(granted <= 52);
 }
+
+// Guards against a dispatcher that becomes the bottleneck in a burst: the work
+// for each request, measured by the looks at the clock, must not grow with the
+// number of instances or of waiting requests while all are full.
+BOOST_AUTO_TEST_CASE(WorkForARequestIsSmallWhileAllInstancesAreFull)
+{
+  constexpr int kInstances = 548;
+  constexpr int kEvents = 1000;
+  core::TimePoint time{ 1h };
+  std::size_t looks = 0;
+  std::map<std::uint64_t, DispatchResult> results;
+  std::vector<std::uint64_t> granted;
+  ServiceDispatcher dispatcher(
+    { .now =
+        [&] {
+          ++looks;
+          return time;
+        },
+      .random = [&] { return ++looks; },
+      .decided =
+        [&](std::uint64_t aId, const DispatchResult& aResult) {
+          if (aResult.instance) {
+            granted.push_back(aResult.grant);
+          }
+        },
+      .measure = [](const std::shared_ptr<const BackendInstance>&) {} });
+  std::vector<DispatchTarget> targets;
+  for (int index = 0; index < kInstances; ++index) {
+    targets.push_back({ Instance("i" + std::to_string(index)) });
+  }
+  dispatcher.SetInstances(targets);
+  std::uint64_t lastId = 0;
+  const auto submit = [&] {
+    DispatchRequest request;
+    request.id = ++lastId;
+    request.failureDomain = "a";
+    request.goal = time + 1000ms;
+    request.deadline = time + 8s;
+    request.isCentrallyDispatched = true;
+    dispatcher.Submit(std::move(request));
+  };
+  for (int index = 0; index < 3 * kInstances + 300; ++index) {
+    submit();
+  }
+  BOOST_REQUIRE(dispatcher.WaitingCount() >= 300U);
+  looks = 0;
+  std::size_t next = 0;
+  for (int event = 0; event < kEvents; ++event) {
+    // 1,000 requests a second.
+    time += 1ms;
+    dispatcher.Release(
+      granted.at(next++), AttemptOutcome::Answered, 400ms, std::nullopt);
+    submit();
+  }
+  BOOST_TEST(granted.size() >= 3U * kInstances + kEvents);
+  BOOST_TEST(looks < 40U * kEvents);
+}
