Keep three watching daemons and requests in their domain at size

Change: a daemon asks for heartbeats as long as fewer than three watching ones are known that rank before it. Weak hosts request changes from strong hosts of their domain, every third time from the daemon that has them. Only strong hosts push their description and their stop; the others spread through exchanges, seven of eight of them within the domain, with more bytes for records. The list of strong hosts is kept for 0.2 s instead of made for each request.

Tests failed before: 5 watching hosts instead of 3, 36 requests to other domains instead of none.

--- a/modules/gossip/GossipExchanger.cpp
+++ b/modules/gossip/GossipExchanger.cpp
@@ -20,15 +20,17 @@
 constexpr int kPushRounds = 3;
 constexpr auto kPushRoundInterval = 250ms;
 
-// Bytes of records that one daemon may send in a burst and in one message. The
-// burst serves peers that have just joined.
-constexpr double kRecordBytesBurst = 16.0 * 1024;
+// Bytes of records that one daemon may send in one message.
 constexpr double kRecordBytesPerExchange = 8.0 * 1024;
 
 // Every fourth exchange is attempted with a host that is considered dead, so
 // that the two sides of a healed partition find each other within seconds.
 constexpr unsigned kExchangesPerDeadPeer = 4;
 
+// Every eighth exchange is with a far peer. With the hundred daemons of a
+// failure domain that is a dozen exchanges an interval between it and others.
+constexpr unsigned kExchangesPerFarPeer = 8;
+
 constexpr std::chrono::milliseconds kMinPacedInterval{ 1000 };
 
 // See `GossipExchanger::HasEnoughReplies`.
@@ -55,7 +57,7 @@
   , random(std::move(aRandom))
   , send(std::move(aSend))
   , settings(aSettings)
-  , byteTokens(kRecordBytesBurst)
+  , byteTokens(aSettings.recordBytesBurst)
 {
   assert(this->now);
   assert(this->random);
@@ -66,6 +68,18 @@
   this->tokensUpdated = this->started;
 }
 
+void
+GossipExchanger::SetNearness(std::function<bool(std::string_view)> aIsNear)
+{
+  this->isNear = std::move(aIsNear);
+}
+
+bool
+GossipExchanger::IsFarExchange() const
+{
+  return !this->isNear || this->selectionCount % kExchangesPerFarPeer == 0;
+}
+
 void
 GossipExchanger::Tick()
 {
@@ -132,6 +146,21 @@
                         this->selectionCount % kExchangesPerDeadPeer == 0)) {
     return dead[this->random() % dead.size()];
   }
+  if (this->isNear) {
+    std::vector<const Peer*> far;
+    for (const auto& [name, peer] : reachable) {
+      if (!this->isNear(name)) {
+        far.push_back(peer);
+      }
+    }
+    const bool hasNear = far.size() < reachable.size();
+    if (!far.empty() && (this->IsFarExchange() || !hasNear)) {
+      return *far[this->random() % far.size()];
+    }
+    for (const Peer* peer : far) {
+      reachable.erase(peer->name);
+    }
+  }
   // Each reachable peer is selected once before any is selected again.
   for (int attempt = 0; attempt < 2; ++attempt) {
     while (!this->shuffledPeers.empty()) {
@@ -170,7 +199,7 @@
   const std::chrono::duration<double> elapsed = current - this->tokensUpdated;
   this->tokensUpdated = current;
   this->byteTokens = std::min(
-    kRecordBytesBurst,
+    this->settings.recordBytesBurst,
     this->byteTokens + elapsed.count() * this->settings.recordBytesPerSecond);
   return static_cast<std::size_t>(
     std::clamp(this->byteTokens, 0.0, kRecordBytesPerExchange));
--- a/modules/gossip/GossipExchanger.h
+++ b/modules/gossip/GossipExchanger.h
@@ -9,6 +9,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -23,7 +24,8 @@
 
 /**
  * Schedules the exchange of records and selects the peers. There is one
- * exchange per interval, with one peer at a time in round-robin order. Urgent
+ * exchange per interval, with one peer at a time in round-robin order. If some
+ * peers are near (see `SetNearness`), most exchanges are with them. Urgent
  * records are pushed to a few peers, which forward them. Large records are
  * published at a rate that keeps the whole fleet within the byte budget.
  */
@@ -44,6 +46,13 @@
                   SendFunction aSend,
                   const GossipSettings& aSettings = {});
 
+  /**
+   * Sets a function that returns whether a peer, given its name, is near:
+   * exchanges with far ones are expensive and become rare. Far peers still
+   * receive their share of pushes. Call before the first `Tick`.
+   */
+  void SetNearness(std::function<bool(std::string_view)> aIsNear);
+
   /**
    * Runs all work that is due. Call every `kTickInterval`. Not thread-safe,
    * like every method of this class.
@@ -122,6 +131,8 @@
 
   void StartExchange();
   std::optional<Peer> NextPeer();
+  /** Whether the next exchange may be with a far peer. */
+  bool IsFarExchange() const;
   void StartPush(const std::string& aName, const std::string& aKey);
   void HandleDuplicatePush(const Delta& aDelta);
   void SendPushRound(Push& aPush);
@@ -139,6 +150,7 @@
   core::RandomFunction random;
   SendFunction send;
   GossipSettings settings;
+  std::function<bool(std::string_view)> isNear;
   core::TimePoint started;
   core::TimePoint lastActivity;
   core::TimePoint nextExchange;
--- a/modules/gossip/GossipExchangerTest.cpp
+++ b/modules/gossip/GossipExchangerTest.cpp
@@ -203,3 +203,30 @@
     BOOST_TEST(std::holds_alternative<Digest>(message));
   }
 }
+
+// Guards against the bytes of a fleet of hundreds of hosts in which most
+// exchanges leave the failure domain, and against far peers that are never
+// selected.
+BOOST_AUTO_TEST_CASE(MostExchangesAreWithNearPeers)
+{
+  constexpr std::size_t kPeers = 40;
+  Fixture fixture(kPeers);
+  const auto isNear = [](std::string_view aName) {
+    return std::stoul(std::string(aName.substr(5))) % 4 == 0;
+  };
+  fixture.exchanger.SetNearness(isNear);
+  fixture.Run(400s);
+  std::set<std::string> selected;
+  std::size_t farCount = 0;
+  std::size_t count = 0;
+  for (const auto& [name, message] : fixture.sent) {
+    if (std::holds_alternative<Digest>(message)) {
+      ++count;
+      farCount += isNear(name) ? 0 : 1;
+      selected.insert(name);
+    }
+  }
+  BOOST_TEST(farCount > 0U);
+  BOOST_TEST(farCount * 7 <= count);
+  BOOST_TEST(selected.size() > kPeers * 3 / 4);
+}
--- a/modules/gossip/GossipSettings.h
+++ b/modules/gossip/GossipSettings.h
@@ -43,6 +43,9 @@
   /** Whether documents are sent as patches where possible. */
   bool sendsPatches = true;
 
+  /** Bytes of records that a daemon may send in a burst. */
+  double recordBytesBurst = 16.0 * 1024;
+
   /** Returns the time between two exchanges of one daemon. */
   std::chrono::milliseconds IntervalFor(std::size_t aHostCount) const
   {
--- a/modules/proxy/PeerNetwork.cpp
+++ b/modules/proxy/PeerNetwork.cpp
@@ -26,6 +26,31 @@
 constexpr std::string_view kStrong = "strong";
 constexpr std::string_view kWeak = "weak";
 
+// Time for which the list of strong hosts is kept. Each request needs it, and
+// with hundreds of hosts it takes a fifth of a millisecond to find them.
+constexpr milliseconds kStrongPeersLifetime = 200ms;
+
+// With hundreds of hosts that start together, all but a few learn of each other
+// through a few hosts that everybody knows. These send a record of 170 bytes of
+// each host to each host within seconds.
+constexpr double kRecordBytesPerSecond = 64.0 * 1024;
+constexpr double kRecordBytesBurst = 256.0 * 1024;
+
+// Exchanges within a failure domain cost nothing, so they may be frequent: with
+// 470 hosts one of 11 KB every 5 s.
+constexpr milliseconds kExchangeIntervalPerHost = 10ms;
+
+/** Returns the settings of the gossip between entry hosts. */
+gossip::GossipSettings
+MakeGossipSettings()
+{
+  gossip::GossipSettings settings;
+  settings.recordBytesPerSecond = kRecordBytesPerSecond;
+  settings.recordBytesBurst = kRecordBytesBurst;
+  settings.exchangeIntervalPerHost = kExchangeIntervalPerHost;
+  return settings;
+}
+
 } // namespace
 
 PeerNetwork::PeerNetwork(boost::asio::io_context& aContext,
@@ -86,7 +111,10 @@
                            },
                          .recordChanged = {},
                          .desiredAccepted = {},
-                         .hostsAccepted = {} });
+                         .hostsAccepted = {} },
+    MakeGossipSettings());
+  this->node->Exchanger().SetNearness(
+    [this](std::string_view aName) { return this->IsNear(aName); });
   std::vector<gossip::ListedHost> seedPeers;
   for (const configuration::Endpoint& seed : this->settings.seedPeers) {
     configuration::Endpoint peer = seed;
@@ -107,16 +135,42 @@
   this->OnTick();
   this->announceTimer.expires_after(kAnnounceDelay);
   this->announceTimer.async_wait([this](boost::system::error_code aError) {
-    if (!aError) {
-      this->node->Exchanger().PublishUrgent(
-        kHostKey,
-        fmt::format("{} {}",
-                    this->settings.IsStrong() ? kStrong : kWeak,
-                    this->settings.failureDomain));
+    if (aError) {
+      return;
+    }
+    const bool isStrong = this->settings.IsStrong();
+    const std::string description = fmt::format(
+      "{} {}", isStrong ? kStrong : kWeak, this->settings.failureDomain);
+    // Every host must know the strong ones within a second, since these
+    // dispatch and read the store. A push of each host to each host would be
+    // most of the bytes that a large fleet sends.
+    if (isStrong) {
+      this->node->Exchanger().PublishUrgent(kHostKey, description);
+    } else {
+      this->node->State().SetRecord(kHostKey, description);
     }
   });
 }
 
+void
+PeerNetwork::AnnounceLeaving()
+{
+  if (this->settings.IsStrong()) {
+    this->node->AnnounceLeaving();
+  } else {
+    this->node->State().SetRecord(gossip::Membership::kLeavingKey, "1");
+  }
+}
+
+bool
+PeerNetwork::IsNear(std::string_view aName) const
+{
+  const PeerHost peer = this->DescriptionOf(std::string(aName));
+  // A host without a description has just started.
+  return peer.failureDomain.empty() ||
+         peer.failureDomain == this->settings.failureDomain;
+}
+
 void
 PeerNetwork::OnTick()
 {
@@ -149,14 +203,18 @@
   return names;
 }
 
-std::vector<std::string>
+const std::vector<std::string>&
 PeerNetwork::StrongPeerNames() const
 {
-  std::vector<std::string> names = this->LivePeerNames();
-  std::erase_if(names, [this](const std::string& aName) {
-    return !this->DescriptionOf(aName).isStrong;
-  });
-  return names;
+  const auto now = std::chrono::steady_clock::now();
+  if (now - this->strongPeerNamesAt >= kStrongPeersLifetime) {
+    this->strongPeerNamesAt = now;
+    this->strongPeerNames = this->LivePeerNames();
+    std::erase_if(this->strongPeerNames, [this](const std::string& aName) {
+      return !this->DescriptionOf(aName).isStrong;
+    });
+  }
+  return this->strongPeerNames;
 }
 
 PeerHost
--- a/modules/proxy/PeerNetwork.h
+++ b/modules/proxy/PeerNetwork.h
@@ -11,10 +11,12 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace fireflytrail::proxy {
@@ -50,7 +52,7 @@
   void Start();
 
   /** Announces to the other daemons that this daemon is stopping. */
-  void AnnounceLeaving() { this->node->AnnounceLeaving(); }
+  void AnnounceLeaving();
 
   /** Sends a message to the named daemon; the message may be lost. */
   void Send(const std::string& aName, wire::WireMessage aMessage);
@@ -60,9 +62,10 @@
 
   /**
    * Returns the names of the live daemons on strong hosts (see
-   * `PeerHost::isStrong`) except this one.
+   * `PeerHost::isStrong`) except this one. The list may be a fifth of a second
+   * old.
    */
-  std::vector<std::string> StrongPeerNames() const;
+  const std::vector<std::string>& StrongPeerNames() const;
 
   /**
    * Returns the description of a daemon's host; only the name is set if the
@@ -81,6 +84,8 @@
 
 private:
   void OnTick();
+  /** Whether a daemon is, as far as known here, in this failure domain. */
+  bool IsNear(std::string_view aName) const;
 
   boost::asio::io_context& context;
   const configuration::ProxySettings& settings;
@@ -91,6 +96,8 @@
   boost::asio::steady_timer tickTimer;
   std::shared_ptr<gateway::PeerHub> hub;
   std::unique_ptr<gossip::GossipNode> node;
+  mutable std::vector<std::string> strongPeerNames;
+  mutable std::chrono::steady_clock::time_point strongPeerNamesAt{};
 };
 
 } // namespace fireflytrail::proxy
--- a/modules/proxy/StoreRelay.cpp
+++ b/modules/proxy/StoreRelay.cpp
@@ -37,6 +37,11 @@
 // need seconds to send them to the thirty hosts of its domain.
 constexpr std::size_t kLargeUpdateBytes = std::size_t{ 16 } << 10;
 
+// Requests for the same missing change of which the last goes to the daemon
+// that is known to have it, if the strong hosts of the failure domain do not
+// deliver.
+constexpr unsigned kRequestsPerFarOne = 3;
+
 // Base of an update of which an object could not be read, so that it does not
 // count as complete.
 constexpr std::uint64_t kUnknownBase =
@@ -189,8 +194,14 @@
   this->hasReportedStoreAvailable = isStoreAvailable && this->ShouldWatch();
   if (this->hasReportedStoreAvailable || isNewlyLost) {
     this->SendHeartbeat(this->MakeHeartbeat());
-  } else if (this->watchers.empty() &&
-             now - this->startedAt >= kHeartbeatTimeout) {
+  }
+  // A daemon may be missing in the lists of some watching daemons for as long
+  // as it takes the fleet to learn of it. Without their heartbeats it would
+  // watch the store itself.
+  const bool missesWatchers =
+    this->CountWatchersAhead() < kWatcherCount &&
+    (this->CountCandidatesAhead() > 0 || this->watchers.empty());
+  if (missesWatchers && !isNewlyLost && now - this->startedAt >= kAskDelay) {
     this->AskForHeartbeats();
   }
 }
@@ -504,17 +515,43 @@
   // end the gap.
   Gap& gap = this->gaps[aKind];
   if (gap.missingRevision <= known) {
-    gap = { aPeerRevision, now };
+    gap = { aPeerRevision, now, 0 };
   }
   if (now - gap.since < kPushLagAllowance ||
       this->IsRequestPending(aKind, now)) {
     return;
   }
   this->requestedAt.insert_or_assign(aKind, now);
-  this->hooks.send(aFrom,
+  this->hooks.send(this->SourceFor(aFrom, ++gap.requests),
                    wire::StoreNewsRequest{ aKind, isListed ? known : 0 });
 }
 
+std::string
+StoreRelay::SourceFor(const std::string& aFrom, unsigned aRequest) const
+{
+  if (this->self.isStrong || aRequest % kRequestsPerFarOne == 0) {
+    return aFrom;
+  }
+  // The strong hosts of the failure domain share its requests.
+  const std::string key = this->self.name + std::to_string(aRequest);
+  std::string source;
+  std::uint64_t highestWeight = 0;
+  for (const PeerHost& peer : this->hooks.peers()) {
+    if (peer.failureDomain != this->self.failureDomain || !peer.isStrong) {
+      continue;
+    }
+    if (peer.name == aFrom) {
+      return aFrom;
+    }
+    const std::uint64_t weight = core::RendezvousWeight(key, peer.name);
+    if (source.empty() || weight > highestWeight) {
+      source = peer.name;
+      highestWeight = weight;
+    }
+  }
+  return source.empty() ? aFrom : source;
+}
+
 bool
 StoreRelay::IsRequestPending(const std::string& aKind,
                              core::TimePoint aNow) const
--- a/modules/proxy/StoreRelay.h
+++ b/modules/proxy/StoreRelay.h
@@ -70,11 +70,14 @@
  * of its failure domain and to two daemons of each other domain, which forward
  * it there, since bytes between domains are billed. Changes of large objects
  * are pushed as patches; see `UpdateContents`. A daemon that detects from a
- * heartbeat that it misses a change requests it and receives whole objects.
+ * heartbeat that it misses a change requests it and receives whole objects. It
+ * asks a strong host of its failure domain first, and the sender of the
+ * heartbeat if the change does not arrive.
  *
- * A daemon that receives no heartbeats asks the highest-ranked daemons for
- * them: it may be missing in their lists of live daemons, for example because
- * it has just been added. Daemons that ask are sent heartbeats like live ones.
+ * A daemon that does not receive the heartbeats of enough watching daemons asks
+ * the highest-ranked daemons for them: it may be missing in their lists of live
+ * daemons, for example because it has just been added. Daemons that ask are
+ * sent heartbeats like live ones.
  *
  * Heartbeats are sent as `wire::StoreBeat`, updates as `wire::StoreNews` and
  * update requests as `wire::StoreNewsRequest`. Performs no I/O. Not
@@ -115,6 +118,12 @@
    */
   static constexpr std::size_t kAskedDaemons = 8;
 
+  /**
+   * Time after its start from which a daemon asks for heartbeats. Daemons that
+   * start together know the strong hosts by then.
+   */
+  static constexpr std::chrono::milliseconds kAskDelay{ 800 };
+
   /** Time for which a daemon that has asked is sent heartbeats. Gossip tells
    * all daemons of a new one within this time. */
   static constexpr std::chrono::seconds kListenerTime{ 30 };
@@ -200,6 +209,8 @@
      */
     std::uint64_t missingRevision = 0;
     core::TimePoint since;
+    /** Requests for it so far. */
+    unsigned requests = 0;
   };
 
   /**
@@ -237,6 +248,11 @@
   void RequestIfBehind(const std::string& aFrom,
                        const std::string& aKind,
                        std::uint64_t aPeerRevision);
+  /**
+   * Returns the daemon to send the `aRequest`-th request for changes that
+   * `aFrom` has: most go to strong hosts of this failure domain.
+   */
+  std::string SourceFor(const std::string& aFrom, unsigned aRequest) const;
   /** Whether requested changes of a kind may still arrive. */
   bool IsRequestPending(const std::string& aKind, core::TimePoint aNow) const;
 
--- a/modules/proxy/StoreRelayTest.cpp
+++ b/modules/proxy/StoreRelayTest.cpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <set>
+#include <utility>
 
 using namespace fireflytrail;
 using namespace fireflytrail::proxy;
@@ -36,21 +37,27 @@
   std::set<std::string> disconnected;
   /** Hosts that the other hosts do not count as live. */
   std::set<std::string> unlisted;
+  /** Pairs of a host and another one that it does not count as live. */
+  std::set<std::pair<std::string, std::string>> unlistedAt;
+  /** Hosts below this number are strong. */
+  std::size_t strongCount;
   std::size_t messages = 0;
   /** Messages from one failure domain to another. */
   std::size_t crossDomainMessages = 0;
+  /** Requests for updates from one failure domain to another. */
+  std::size_t crossDomainRequests = 0;
 
-  explicit Fleet(std::size_t aCount)
+  explicit Fleet(std::size_t aCount, std::size_t aStrongCount = 1000)
+    : strongCount(aStrongCount)
   {
     for (std::size_t index = 0; index < aCount; ++index) {
       const std::string name = "host-" + std::to_string(index);
       this->hosts[name].lastAnswerTime = this->time;
     }
     for (auto& [name, host] : this->hosts) {
-      host.relay =
-        std::make_unique<StoreRelay>(PeerHost{ name, true, DomainOf(name) },
-                                     std::vector<std::string>{ "k" },
-                                     this->HooksOf(name));
+      host.relay = std::make_unique<StoreRelay>(this->DescriptionOf(name),
+                                                std::vector<std::string>{ "k" },
+                                                this->HooksOf(name));
     }
   }
 
@@ -60,6 +67,19 @@
     return std::to_string(std::stoul(aName.substr(5)) % kDomains);
   }
 
+  PeerHost DescriptionOf(const std::string& aName) const
+  {
+    return { aName,
+             std::stoul(aName.substr(5)) < this->strongCount,
+             DomainOf(aName) };
+  }
+
+  bool IsListed(const std::string& aBy, const std::string& aName) const
+  {
+    return !this->unlisted.contains(aName) &&
+           !this->unlistedAt.contains({ aBy, aName });
+  }
+
   StoreRelayHooks HooksOf(const std::string& aName)
   {
     Host& host = this->hosts[aName];
@@ -69,8 +89,8 @@
         [this, aName] {
           std::vector<PeerHost> peers;
           for (const auto& [name, other] : this->hosts) {
-            if (name != aName && !this->unlisted.contains(name)) {
-              peers.push_back({ name, true, DomainOf(name) });
+            if (name != aName && this->IsListed(aName, name)) {
+              peers.push_back(this->DescriptionOf(name));
             }
           }
           return peers;
@@ -78,7 +98,7 @@
       .broadcast =
         [this, aName](const wire::WireMessage& aMessage) {
           for (const auto& [name, other] : this->hosts) {
-            if (!this->unlisted.contains(name)) {
+            if (this->IsListed(aName, name)) {
               this->Deliver(aName, name, aMessage);
             }
           }
@@ -119,6 +139,7 @@
       relay.OnHeartbeat(aFrom, *heartbeat);
     } else if (const auto* updateRequest =
                  std::get_if<wire::StoreNewsRequest>(&aMessage)) {
+      this->crossDomainRequests += DomainOf(aFrom) != DomainOf(aTo) ? 1 : 0;
       relay.OnUpdateRequest(aFrom, *updateRequest);
     }
   }
@@ -197,6 +218,40 @@
   }
 }
 
+// Guards against weak hosts that watch the store themselves because a part of
+// the watching hosts does not know them yet, as after the start of hundreds of
+// hosts.
+BOOST_AUTO_TEST_CASE(HostsThatSomeWatchersDoNotKnowDoNotWatch)
+{
+  Fleet fleet(60, 6);
+  fleet.ListAll();
+  for (std::size_t weak = 6; weak < 60; ++weak) {
+    // Each weak host is known to four of the six strong ones.
+    const std::string name = "host-" + std::to_string(weak);
+    fleet.unlistedAt.insert({ "host-" + std::to_string(weak % 6), name });
+    fleet.unlistedAt.insert({ "host-" + std::to_string((weak + 1) % 6), name });
+  }
+  fleet.Run(5s);
+  BOOST_TEST(fleet.Watchers().size() == StoreRelay::kWatcherCount);
+}
+
+// Guards against requests of hundreds of hosts for missing changes, whose
+// answers are large, to the watching hosts in other failure domains.
+BOOST_AUTO_TEST_CASE(MissingChangesAreRequestedInTheFailureDomain)
+{
+  // The weak hosts have no list of their own.
+  Fleet fleet(60, 6);
+  for (std::size_t strong = 0; strong < 6; ++strong) {
+    fleet.hosts.at("host-" + std::to_string(strong))
+      .relay->OnListed("k", 10, { { "k", "a", 5, false, {} } });
+  }
+  fleet.Run(5s);
+  for (const auto& [name, host] : fleet.hosts) {
+    BOOST_TEST(host.objects.contains("a"));
+  }
+  BOOST_TEST(fleet.crossDomainRequests == 0U);
+}
+
 // Guards against changes that are still unknown 2 s after the host that pushes
 // them has stopped.
 BOOST_AUTO_TEST_CASE(OtherHostsTakeOverFromLostWatchers)
