Leave the first list of servers of a weak host to other daemons

Change: an inactive watcher does not list such a kind in its first 4 s. A strong host of its failure domain delivers it; if none does, the daemon lists it itself. Until then the daemon relies on the dispatching daemon's data.

The test failed before: two lists instead of one.

--- a/modules/store/ObjectWatcher.cpp
+++ b/modules/store/ObjectWatcher.cpp
@@ -63,7 +63,9 @@
   assert(this->hooks.after && this->hooks.onList && this->hooks.onChanges);
   assert(this->hooks.onAvailabilityChange && this->hooks.onRequestEnded);
   for (const WatchedKind& kind : this->kinds) {
-    this->progress[kind.name].wait = kind.wait;
+    Progress& state = this->progress[kind.name];
+    state.wait = kind.wait;
+    state.listAt = this->hooks.now() + kind.listDelay;
   }
 }
 
@@ -72,6 +74,12 @@
 {
   for (const WatchedKind& kind : this->kinds) {
     this->RequestNext(kind.name);
+    if (kind.listDelay.count() > 0) {
+      this->hooks.after(kind.listDelay, [this, name = kind.name] {
+        this->RequestNext(name);
+        this->SchedulePing(kPingInterval);
+      });
+    }
   }
   this->SchedulePing(kPingInterval);
 }
@@ -104,7 +112,7 @@
       (!this->isActive && state.revision != 0)) {
     return;
   }
-  if (this->isStoreUnavailable) {
+  if (this->isStoreUnavailable || this->IsListDeferred(state)) {
     return;
   }
   if (state.revision == 0) {
@@ -254,13 +262,20 @@
   this->hooks.after(kCoalesceTime, [this, aKind] { this->RequestNext(aKind); });
 }
 
+bool
+ObjectWatcher::IsListDeferred(const Progress& aProgress) const
+{
+  return !this->isActive && this->hooks.now() < aProgress.listAt;
+}
+
 bool
 ObjectWatcher::HasWork() const
 {
   return !this->isStopped &&
          (this->isActive ||
-          std::ranges::any_of(this->progress, [](const auto& aProgress) {
-            return aProgress.second.revision == 0;
+          std::ranges::any_of(this->progress, [this](const auto& aProgress) {
+            return aProgress.second.revision == 0 &&
+                   !this->IsListDeferred(aProgress.second);
           }));
 }
 
--- a/modules/store/ObjectWatcher.h
+++ b/modules/store/ObjectWatcher.h
@@ -22,6 +22,10 @@
   /** Longest time that a watch waits for changes. A watch can go silent without
    * a connection reset, so changes of the kind may be noticed this late. */
   std::chrono::milliseconds wait{ 0 };
+  /** Time from the creation of the watcher for which it does not list the kind
+   * while it is inactive: another source is expected to deliver it (see
+   * `ObjectWatcher::NoteRevision`). */
+  std::chrono::milliseconds listDelay{ 0 };
 };
 
 /** Clock, timers, I/O and event handlers of an `ObjectWatcher`. All functions
@@ -123,6 +127,8 @@
     std::uint64_t revision = 0;
     bool isRequestInFlight = false;
     std::chrono::milliseconds wait{ 0 };
+    /** Until then, the kind is not listed while the watcher is inactive. */
+    core::TimePoint listAt{};
   };
 
   /** Sends the next list or watch request of a kind. Does nothing if one is in
@@ -137,6 +143,8 @@
             std::string aTarget,
             std::chrono::milliseconds aTimeout,
             std::function<void(const StoreResponse&)> aOnAnswer);
+  /** Whether a kind is left to another source for now. */
+  bool IsListDeferred(const Progress& aProgress) const;
   /** Whether any kind is still to be listed or watched. */
   bool HasWork() const;
   void SchedulePing(std::chrono::milliseconds aDelay);
--- a/modules/store/ObjectWatcherTest.cpp
+++ b/modules/store/ObjectWatcherTest.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 #include <deque>
 #include <sstream>
+#include <utility>
 
 using namespace fireflytrail;
 using namespace fireflytrail::store;
@@ -19,18 +20,24 @@
  */
 struct Fixture
 {
+  explicit Fixture(milliseconds aListDelay = 0ms)
+    : listDelay(aListDelay)
+  {
+  }
+
   struct Call
   {
     StoreRequest request;
     std::function<void(StoreResponse)> done;
   };
 
+  milliseconds listDelay;
   core::TimePoint time{ 1h };
   std::deque<Call> calls;
   std::deque<std::pair<milliseconds, std::function<void()>>> timers;
   std::vector<std::string> events;
   ObjectWatcher watcher{
-    { { "k", 1500ms }, { "l", 3000ms } },
+    { { "k", 1500ms, this->listDelay }, { "l", 3000ms } },
     { .listTarget =
         [](std::string_view aKind, std::string_view aAfter, bool aAllowStale) {
           return fmt::format(
@@ -298,3 +305,33 @@
   BOOST_TEST(this->events == std::vector<std::string>({ "lost" }),
              boost::test_tools::per_element());
 }
+
+// Guards against hundreds of hosts that each read all pages of a long list when
+// they start together, and against a host that never gets the list if no other
+// daemon delivers it.
+BOOST_AUTO_TEST_CASE(InactiveWatcherLeavesALongListToOthers)
+{
+  Fixture delivered(4000ms);
+  delivered.watcher.SetActive(false);
+  delivered.watcher.Start();
+  BOOST_REQUIRE(delivered.calls.size() == 1U);
+  BOOST_TEST(delivered.Answer(200, "5 0 a") == "list l ");
+  delivered.watcher.NoteRevision("k", 7);
+  delivered.time += 4s;
+  for (const auto& [delay, function] : std::exchange(delivered.timers, {})) {
+    function();
+  }
+  BOOST_TEST(delivered.calls.empty());
+
+  Fixture alone(4000ms);
+  alone.watcher.SetActive(false);
+  alone.watcher.Start();
+  alone.Answer(200, "5 0 a");
+  alone.time += 4s;
+  for (const auto& [delay, function] : std::exchange(alone.timers, {})) {
+    function();
+  }
+  BOOST_TEST(std::ranges::any_of(alone.calls, [](const Fixture::Call& aCall) {
+    return aCall.request.target == "list k ";
+  }));
+}
