Start no request in a planned stop that the stop would cut

Cause: of the operators' reports, the late requests of a planned stop: until its end a stopping daemon passed requests on however little time was left, and cut them without an answer when the process ended. The deadline of a request was its own or its route's, also if the process ended before.

Change: StopSchedule, without I/O, holds the times of a stop. A request that cannot be expected to be answered in time is refused at once with 503, which says that it has not run. No request has a deadline after the end; those that run are given 504 then instead of a cut. Bytes of bodies to and from other failure domains are counted for the log and the metrics.

--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -38,14 +38,6 @@
 // there are open sessions.
 constexpr std::size_t kMinSessionsToSweep = 64;
 
-// The platform's balancer checks readiness once a second and removes a host
-// after two failed checks, so new connections can arrive for up to this long
-// after a stop has begun.
-constexpr milliseconds kBalancerDelay = 2500ms;
-
-// Part of the stop limit that is reserved for the transfer of the last answers.
-constexpr milliseconds kStopMargin = 300ms;
-
 constexpr milliseconds kStopCheckInterval = 100ms;
 
 // Maximum time that a watch waits for a change. If its connection goes silent
@@ -56,6 +48,11 @@
 constexpr milliseconds kUrgentWatchWait = 2200ms;
 constexpr milliseconds kWatchWait = 4000ms;
 
+// Time after its start for which a weak host leaves the list of servers to the
+// daemons that read the store. With a thousand servers it has twenty pages, and
+// hundreds of hosts may start together.
+constexpr milliseconds kInstanceListDelay = 4000ms;
+
 // A write that takes longer is retried; even a slow store answers in a quarter
 // of a second.
 constexpr milliseconds kWriteTimeout = 1500ms;
@@ -67,6 +64,9 @@
 // Retry delay sent to callers while the daemon has no configuration.
 constexpr milliseconds kRetryWithoutConfiguration = 500ms;
 
+// Retry delay sent to callers while the daemon stops: other daemons serve them.
+constexpr milliseconds kRetryAfterStopping = 50ms;
+
 std::uint64_t
 RandomNumber()
 {
@@ -143,7 +143,8 @@
   , storeView(this->platform,
               aLog,
               std::chrono::steady_clock::now,
-              aSettings.reportInterval)
+              aSettings.reportInterval,
+              aSettings.IsStrong())
   , sessionHooks(std::make_shared<gateway::CallerSessionHooks>())
 {
   assert(this->readSettings);
@@ -164,10 +165,13 @@
       kinds.configuration, kinds.instances, kinds.rollouts, kinds.domainsOut },
     this->MakeRelayHooks());
   this->watcher = std::make_unique<store::ObjectWatcher>(
-    std::vector<store::WatchedKind>{ { kinds.configuration, kUrgentWatchWait },
-                                     { kinds.instances, kUrgentWatchWait },
-                                     { kinds.rollouts, kWatchWait },
-                                     { kinds.domainsOut, kWatchWait } },
+    std::vector<store::WatchedKind>{
+      { kinds.configuration, kUrgentWatchWait },
+      { kinds.instances,
+        kUrgentWatchWait,
+        aSettings.IsStrong() ? 0ms : kInstanceListDelay },
+      { kinds.rollouts, kWatchWait },
+      { kinds.domainsOut, kWatchWait } },
     this->platform.objects,
     this->MakeWatcherHooks());
 }
@@ -301,7 +305,10 @@
              },
            .isUsable =
              [this](const routing::BackendInstance& aInstance) {
-               return this->storeView.Directory().IsUsable(aInstance);
+               // A daemon that has just started relies on the dispatching
+               // daemon's data until it has its own.
+               return this->storeView.Directory().InstanceCount() == 0 ||
+                      this->storeView.Directory().IsUsable(aInstance);
              },
            .guard = this->guard,
            .measure =
@@ -519,6 +526,7 @@
 ProxyDaemon::Run()
 {
   this->ListenForSignals();
+  this->watcher->SetActive(this->relay->ShouldWatch());
   this->watcher->Start();
   this->ScheduleSettingsCheck();
   this->OnHeartbeatTimer();
@@ -700,6 +708,11 @@
   if (aCall.deadline && aCall.deadline->count() <= 0) {
     return refuse(ErrorKind::DeadlineBeforeSend, std::nullopt);
   }
+  if (this->stop &&
+      !this->stop->MayStart(std::chrono::steady_clock::now(),
+                            std::min(route->latencyGoal, route->timeout))) {
+    return refuse(ErrorKind::Stopping, kRetryAfterStopping);
+  }
   ++this->requestCount;
   std::shared_ptr<void> countHolder(nullptr,
                                     [this](void*) { --this->requestCount; });
@@ -711,6 +724,15 @@
     this->storeView.Routes()->Configuration().version,
     std::move(countHolder),
     std::move(aOnAnswer));
+  if (this->runners.size() >= kMinSessionsToSweep &&
+      this->runners.size() >= 2 * this->requestCount) {
+    std::erase_if(this->runners,
+                  [](const auto& aWeak) { return aWeak.expired(); });
+  }
+  this->runners.push_back(runner);
+  if (this->stop) {
+    runner->LimitDeadline(this->stop->LastDeadline());
+  }
   runner->Begin();
   return [weak = std::weak_ptr(runner)] {
     if (const auto running = weak.lock()) {
@@ -803,7 +825,13 @@
   }
   this->isStopping = true;
   this->peers.AnnounceLeaving();
-  this->stopBegin = std::chrono::steady_clock::now();
+  this->stop.emplace(std::chrono::steady_clock::now(),
+                     this->settings.stopLimit);
+  for (const auto& weak : this->runners) {
+    if (const auto runner = weak.lock()) {
+      runner->LimitDeadline(this->stop->LastDeadline());
+    }
+  }
   this->log.Write(
     LogLevel::Info,
     "stop_requested",
@@ -815,15 +843,15 @@
 void
 ProxyDaemon::CheckStop()
 {
-  const auto elapsed = std::chrono::steady_clock::now() - this->stopBegin;
-  const bool isBalancerDelayOver = elapsed >= kBalancerDelay;
+  const core::TimePoint now = std::chrono::steady_clock::now();
+  const bool isBalancerDelayOver = now >= this->stop->ListenUntil();
   if (isBalancerDelayOver) {
     this->listener->Close();
     this->CloseIdleSessions();
   }
   const bool isDone =
     isBalancerDelayOver && this->requestCount == 0 && this->sessionCount == 0;
-  if (isDone || elapsed >= this->settings.stopLimit - kStopMargin) {
+  if (isDone || now >= this->stop->End()) {
     this->log.Write(
       LogLevel::Info,
       "stop_finished",
@@ -885,6 +913,8 @@
     LogLevel::Info,
     "peer_traffic",
     { { "bytes", static_cast<std::int64_t>(counts.bytes) },
+      { "cross_domain_body_bytes",
+        static_cast<std::int64_t>(this->shared.crossDomainBodyBytes) },
       { "dropped", static_cast<std::int64_t>(counts.dropped) },
       { "store_calls",
         static_cast<std::int64_t>(this->watcher->RequestCount()) },
@@ -921,6 +951,8 @@
   this->metrics.Set("measurements", static_cast<double>(this->prober.Count()));
   this->metrics.Set("peer_messages_dropped",
                     static_cast<double>(this->peers.Counts().dropped));
+  this->metrics.Set("cross_domain_body_bytes",
+                    static_cast<double>(this->shared.crossDomainBodyBytes));
   this->metrics.Set("requests_in_progress",
                     static_cast<double>(this->requestCount));
   this->metrics.Set("requests_waiting",
--- a/modules/proxy/ProxyDaemon.h
+++ b/modules/proxy/ProxyDaemon.h
@@ -16,6 +16,7 @@
 #include "proxy/ProxyShared.h"
 #include "proxy/RolloutDriver.h"
 #include "proxy/SlotBroker.h"
+#include "proxy/StopSchedule.h"
 #include "proxy/StoreRelay.h"
 #include "proxy/StoreView.h"
 #include "routing/TransferSizes.h"
@@ -42,6 +43,8 @@
 
 namespace fireflytrail::proxy {
 
+class RequestRunner;
+
 /**
  * The entry daemon for HTTP routes. All work runs on the thread that calls
  * `Run`: hosts have one core, and a second thread would cost them memory and
@@ -174,8 +177,11 @@
   std::map<std::string, std::map<std::string, double>> shareCredits;
   std::size_t sessionCount = 0;
   std::size_t requestCount = 0;
+  /** Requests in progress, and some that have ended. */
+  std::vector<std::weak_ptr<RequestRunner>> runners;
   bool isStopping = false;
-  core::TimePoint stopBegin{};
+  /** Set while this daemon stops. */
+  std::optional<StopSchedule> stop;
 };
 
 } // namespace fireflytrail::proxy
--- a/modules/proxy/ProxyShared.h
+++ b/modules/proxy/ProxyShared.h
@@ -45,6 +45,8 @@
   core::RandomFunction random;
   /** Failure domain of this daemon's host. */
   std::string failureDomain;
+  /** Bytes of bodies sent to and received from servers in other domains. */
+  std::uint64_t crossDomainBodyBytes = 0;
   /** Returns the retry budget of a service. */
   std::function<calls::RetryBudget&(const std::string&)> budgetOf;
   /**
--- a/modules/proxy/RequestRunner.cpp
+++ b/modules/proxy/RequestRunner.cpp
@@ -124,6 +124,13 @@
   this->routeKey =
     static_cast<std::uint32_t>(core::HashOf(this->route.name)) | 1U;
   this->shared.budgetOf(this->service).CountFirstAttempt();
+  this->StartDeadlineTimer();
+  this->RunStep(this->flow->Begin());
+}
+
+void
+RequestRunner::StartDeadlineTimer()
+{
   this->timer.expires_at(this->deadline);
   this->timer.async_wait(
     [self = this->shared_from_this()](boost::system::error_code aError) {
@@ -131,7 +138,18 @@
         self->RunStep(self->flow->DeadlineReached(self->Progress()));
       }
     });
-  this->RunStep(this->flow->Begin());
+}
+
+void
+RequestRunner::LimitDeadline(core::TimePoint aDeadline)
+{
+  if (aDeadline >= this->deadline) {
+    return;
+  }
+  this->deadline = aDeadline;
+  if (this->flow && !this->flow->HasEnded()) {
+    this->StartDeadlineTimer();
+  }
 }
 
 void
@@ -255,8 +273,12 @@
     return;
   }
   if (aExchange.answer) {
-    this->shared.transferSizes.Record(
-      this->route.name, this->call.body.size() + aExchange.answer->body.size());
+    const std::size_t bytes =
+      this->call.body.size() + aExchange.answer->body.size();
+    this->shared.transferSizes.Record(this->route.name, bytes);
+    if (used.instance->failureDomain != this->shared.failureDomain) {
+      this->shared.crossDomainBodyBytes += bytes;
+    }
   }
   calls::AttemptResult result{ .progress = aExchange.progress,
                                .answer = aExchange.answer };
--- a/modules/proxy/RequestRunner.h
+++ b/modules/proxy/RequestRunner.h
@@ -54,6 +54,12 @@
   /** Starts the request. Call once. */
   void Begin();
 
+  /**
+   * Ends the request at a time if its deadline is later. Call before `Begin`,
+   * or while the request runs; a server that already runs it is not told.
+   */
+  void LimitDeadline(core::TimePoint aDeadline);
+
   /**
    * Ends the request because its caller has closed the connection. A request
    * that is not idempotent and already has a slot runs to its end at the
@@ -62,6 +68,7 @@
   void CallerGone();
 
 private:
+  void StartDeadlineTimer();
   void RunStep(calls::CallStep aStep);
   void ChooseInstance(calls::ChooseStep aStep);
   void OnDecided(const routing::DispatchResult& aResult,
--- /dev/null
+++ b/modules/proxy/StopSchedule.cpp
@@ -0,0 +1,56 @@
+#include "proxy/StopSchedule.h"
+
+#include <algorithm>
+
+namespace fireflytrail::proxy {
+
+using namespace std::chrono_literals;
+using std::chrono::milliseconds;
+
+namespace {
+
+// The platform's balancer checks readiness once a second and removes a host
+// after two failed checks, so new connections can arrive for up to this long
+// after a stop has begun.
+constexpr milliseconds kBalancerDelay = 2500ms;
+
+// Part of the limit that is reserved for the end of the process.
+constexpr milliseconds kEndMargin = 300ms;
+
+// Time before the end for the transfer of the last answers.
+constexpr milliseconds kAnswerMargin = 200ms;
+
+} // namespace
+
+StopSchedule::StopSchedule(core::TimePoint aBegin, milliseconds aLimit)
+  : begin(aBegin)
+  , limit(aLimit)
+{
+}
+
+core::TimePoint
+StopSchedule::ListenUntil() const
+{
+  return std::min(this->begin + kBalancerDelay, this->End());
+}
+
+core::TimePoint
+StopSchedule::LastDeadline() const
+{
+  return this->End() - kAnswerMargin;
+}
+
+core::TimePoint
+StopSchedule::End() const
+{
+  return this->begin + this->limit - kEndMargin;
+}
+
+bool
+StopSchedule::MayStart(core::TimePoint aNow,
+                       milliseconds aExpectedDuration) const
+{
+  return aNow + aExpectedDuration <= this->LastDeadline();
+}
+
+} // namespace fireflytrail::proxy
