Log updates of many servers in one line on weak hosts

Cause: 842,505 of 867,895 lines of the first 13 s of 472 hosts were instance_changed and instance_removed: the log grew with hosts times servers.

Change: on a weak host, an update of more than eight servers is one line, instances_changed. Strong hosts still log each server.

--- a/modules/proxy/StoreView.cpp
+++ b/modules/proxy/StoreView.cpp
@@ -1,5 +1,6 @@
 #include "proxy/StoreView.h"
 
+#include <algorithm>
 #include <cassert>
 #include <utility>
 
@@ -7,12 +8,21 @@
 
 using core::LogLevel;
 
+namespace {
+
+// Changes of servers in one update that are logged one by one.
+constexpr std::size_t kMaxLoggedInstances = 8;
+
+} // namespace
+
 StoreView::StoreView(const PlatformAdapter& aPlatform,
                      const core::Log& aLog,
                      core::NowFunction aNow,
-                     std::chrono::milliseconds aReportInterval)
+                     std::chrono::milliseconds aReportInterval,
+                     bool aLogsEachInstance)
   : platform(aPlatform)
   , log(aLog)
+  , logsEachInstance(aLogsEachInstance)
   , directory(std::move(aNow), aReportInterval)
 {
 }
@@ -75,10 +85,23 @@
 void
 StoreView::ApplyInstances(const std::vector<store::ObjectRecord>& aObjects)
 {
+  // A line for each server on each host would make the log grow with their
+  // product, for instance when a fleet starts.
+  const bool isBulk =
+    !this->logsEachInstance && aObjects.size() > kMaxLoggedInstances;
+  const LogLevel changeLevel = isBulk ? LogLevel::Debug : LogLevel::Info;
+  if (isBulk) {
+    this->log.Write(LogLevel::Info,
+                    "instances_changed",
+                    { { "changes", static_cast<std::int64_t>(aObjects.size()) },
+                      { "removed",
+                        static_cast<std::int64_t>(std::ranges::count_if(
+                          aObjects, &store::ObjectRecord::isDeleted)) } });
+  }
   for (const store::ObjectRecord& object : aObjects) {
     if (object.isDeleted) {
       this->log.Write(
-        LogLevel::Info,
+        changeLevel,
         "instance_removed",
         { { "instance", object.name },
           { "revision", static_cast<std::int64_t>(object.revision) } });
@@ -97,7 +120,7 @@
     }
     const routing::BackendInstance& instance = parsed.value();
     this->log.Write(
-      LogLevel::Info,
+      changeLevel,
       "instance_changed",
       { { "instance", instance.id },
         { "service", instance.service },
--- a/modules/proxy/StoreView.h
+++ b/modules/proxy/StoreView.h
@@ -21,18 +21,21 @@
  * The state that a daemon derives from the store's objects: the current routes,
  * the instances, the failure domains that are out and the orders to move
  * services to versions. Objects come from the daemon's own reads or from other
- * daemons. Each change is logged in one line with the revision of its object.
+ * daemons. Each change is logged in one line with the revision of its
+ * object.
  * Not thread-safe.
  */
 class StoreView
 {
 public:
   /** The adapter and the log must outlive this object. `aReportInterval` is the
-   * time between two reports of an instance to the store. */
+   * time between two reports of an instance to the store. Unless
+   * `aLogsEachInstance` is set, an update with many instances is one line. */
   StoreView(const PlatformAdapter& aPlatform,
             const core::Log& aLog,
             core::NowFunction aNow,
-            std::chrono::milliseconds aReportInterval);
+            std::chrono::milliseconds aReportInterval,
+            bool aLogsEachInstance);
   StoreView(const StoreView&) = delete;
   StoreView& operator=(const StoreView&) = delete;
 
@@ -68,6 +71,7 @@
 
   const PlatformAdapter& platform;
   const core::Log& log;
+  bool logsEachInstance;
   routing::ServiceDirectory directory;
   std::shared_ptr<const routing::HttpRouteTable> routes;
   std::set<std::string, std::less<>> domainsOut;
