Test that a head cut at any byte is not an answer without a length

One of the operators' reports: an instance stops in the middle of its answer's head, and callers get an empty or short body that looks whole. It cannot happen here: for each length of an answer, with a length or in chunks, and with answers that end with their connection allowed, the attempt ends as truncated.

--- a/modules/gateway/ServerConnectionTest.cpp
+++ b/modules/gateway/ServerConnectionTest.cpp
@@ -8,7 +8,9 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
 #include <deque>
+#include <memory>
 #include <optional>
 #include <thread>
 
@@ -178,6 +180,31 @@
   BOOST_TEST(!exchange.answer);
 }
 
+// Guards against the same where answers may end with their connection: a head
+// that stops in the middle must not pass for that of an answer without a
+// length, with an empty or a short body.
+BOOST_DATA_TEST_CASE(HeadTruncatedAtAnyByteIsNotAnAnswerWithoutLength,
+                     boost::unit_test::data::xrange(std::size_t{ 1 },
+                                                    kAnswer.size()),
+                     sentSize)
+{
+  ServerDialect dialect = *ServerDialect::Native();
+  dialect.allowsUnframedAnswers = true;
+  const std::string chunked =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n"
+    "Server-Load: in_flight=1\r\n\r\n"
+    "5\r\nhello\r\n0\r\n\r\n";
+  for (const std::string& answer : { kAnswer, chunked }) {
+    ScriptedServer server(
+      { { answer.substr(0, std::min(sentSize, answer.size() - 1)), true } });
+    Client client(server.Endpoint(),
+                  std::make_shared<const ServerDialect>(dialect));
+    const ServerExchange exchange = client.Send();
+    BOOST_TEST((exchange.progress == AttemptProgress::AnswerTruncated));
+    BOOST_TEST(!exchange.answer);
+  }
+}
+
 // Guards against a duplicated answer being matched to the next request on the
 // same connection.
 BOOST_AUTO_TEST_CASE(DuplicateAnswerIsDiscarded)
