Account for bytes to other failure domains by cause

Change: messages to daemons of other domains are counted in bytes by type; peer_traffic and the metrics name gossip, slots, updates of the store's objects and heartbeats (far_*_kb), beside the bodies of requests that left their domain.

--- a/modules/gateway/PeerConnection.cpp
+++ b/modules/gateway/PeerConnection.cpp
@@ -43,21 +43,22 @@
   this->Read();
 }
 
-bool
+std::size_t
 PeerConnection::Send(const wire::WireMessage& aMessage)
 {
   std::optional<std::string> frame = wire::FrameCodec::Encode(aMessage);
   if (!frame || !this->onClosed ||
       this->queuedBytes + frame->size() > kMaxQueuedBytes) {
-    return false;
+    return 0;
   }
-  this->queuedBytes += frame->size();
-  this->onBytes(frame->size());
+  const std::size_t size = frame->size();
+  this->queuedBytes += size;
+  this->onBytes(size);
   this->queue.push_back(std::move(*frame));
   if (this->queue.size() == 1) {
     this->Write();
   }
-  return true;
+  return size;
 }
 
 void
--- a/modules/gateway/PeerConnection.h
+++ b/modules/gateway/PeerConnection.h
@@ -46,8 +46,8 @@
              ClosedFunction aOnClosed,
              BytesFunction aOnBytes);
 
-  /** Queues a message. Returns false if it was dropped. */
-  bool Send(const wire::WireMessage& aMessage);
+  /** Queues a message. Returns its size in bytes, or 0 if it was dropped. */
+  std::size_t Send(const wire::WireMessage& aMessage);
 
   /** Closes the connection and calls `aOnClosed`. */
   void Close();
--- a/modules/gateway/PeerHub.cpp
+++ b/modules/gateway/PeerHub.cpp
@@ -201,6 +201,21 @@
   }
 }
 
+void
+PeerHub::CountSent(const tcp::endpoint& aPeer,
+                   const wire::WireMessage& aMessage,
+                   std::size_t aBytes)
+{
+  if (aBytes == 0) {
+    ++this->counts.dropped;
+    return;
+  }
+  this->counts.sentBytes[aMessage.index()] += aBytes;
+  if (this->hooks.isFar && this->hooks.isFar(FormatSocketAddress(aPeer))) {
+    this->counts.sentFarBytes[aMessage.index()] += aBytes;
+  }
+}
+
 wire::Hello
 PeerHub::OwnHello() const
 {
--- a/modules/gateway/PeerHub.h
+++ b/modules/gateway/PeerHub.h
@@ -35,6 +35,11 @@
    * by their index in `wire::WireMessage`. Forwarded calls, their answers and
    * each `Hello` are not counted. */
   std::array<std::uint64_t, std::variant_size_v<wire::WireMessage>> sent{};
+  /** Bytes of these messages, and of those of them to far peers (see
+   * `PeerHubHooks::isFar`), in the same order. */
+  std::array<std::uint64_t, std::variant_size_v<wire::WireMessage>> sentBytes{};
+  std::array<std::uint64_t, std::variant_size_v<wire::WireMessage>>
+    sentFarBytes{};
   /** Messages dropped because the connection could not be opened or because too
    * much was queued for it. */
   std::uint64_t dropped = 0;
@@ -55,6 +60,9 @@
   /** Receives a call to run. Call the reply function only on the hub's thread.
    */
   std::function<void(wire::ForwardCall, ReplyFunction)> onForwardCall;
+  /** Optional: returns whether bytes to a peer, given its address, are billed.
+   */
+  std::function<bool(const std::string&)> isFar = nullptr;
 };
 
 /**
@@ -117,6 +125,10 @@
   void StartReading(boost::asio::ip::tcp::socket aSocket);
   void OnHello(const wire::Hello& aHello);
   void CountError(wire::FrameError aError);
+  /** Counts a message of a size that was sent, or dropped if it is 0. */
+  void CountSent(const boost::asio::ip::tcp::endpoint& aPeer,
+                 const wire::WireMessage& aMessage,
+                 std::size_t aBytes);
   wire::Hello OwnHello() const;
 
   boost::asio::io_context& context;
--- a/modules/gateway/PeerLink.cpp
+++ b/modules/gateway/PeerLink.cpp
@@ -23,9 +23,8 @@
 PeerLink::Send(wire::WireMessage aMessage)
 {
   if (this->connection) {
-    if (!this->connection->Send(aMessage)) {
-      ++this->hub.counts.dropped;
-    }
+    this->hub.CountSent(
+      this->endpoint, aMessage, this->connection->Send(aMessage));
     return;
   }
   if (this->isClosed || this->queuedMessages.size() >= kMaxQueuedMessages ||
@@ -57,7 +56,7 @@
     return;
   }
   const std::uint64_t id = aCall.requestId;
-  if (!this->connection->Send(std::move(aCall))) {
+  if (this->connection->Send(std::move(aCall)) == 0) {
     auto dropped = this->pendingForwards.extract(id);
     dropped.mapped()(ForwardProgress::NothingSent, std::nullopt);
   }
@@ -134,7 +133,8 @@
     if (!this->connection) {
       return;
     }
-    this->connection->Send(message);
+    this->hub.CountSent(
+      this->endpoint, message, this->connection->Send(message));
   }
 }
 
--- a/modules/proxy/PeerNetwork.cpp
+++ b/modules/proxy/PeerNetwork.cpp
@@ -97,6 +97,11 @@
                                 const gateway::PeerHubHooks::ReplyFunction&) {
                                // Calls are not forwarded, since requests carry
                                // no tickets here.
+                             },
+                           .isFar =
+                             [this](const std::string& aAddress) {
+                               // A daemon's name is its address.
+                               return !this->IsNear(aAddress);
                              } });
   this->node = std::make_unique<gossip::GossipNode>(
     this->self,
--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -76,6 +76,19 @@
   return engine();
 }
 
+/**
+ * Returns the kilobytes of sent messages of some types to other failure
+ * domains.
+ */
+template<typename... Message>
+std::int64_t
+FarKilobytes(const gateway::PeerCounts& aCounts)
+{
+  const std::uint64_t bytes =
+    (aCounts.sentFarBytes[wire::WireMessage(Message{}).index()] + ...);
+  return static_cast<std::int64_t>(bytes / 1000);
+}
+
 /** Returns the number of sent messages of a type. */
 template<typename Message>
 std::int64_t
@@ -320,6 +333,8 @@
              [this](const routing::EndedRequest& aRequest) {
                this->rollouts.OnRequestEnded(aRequest);
              },
+           .hasInstances =
+             [this] { return this->storeView.Directory().InstanceCount() > 0; },
            .onLimitChanged =
              [this](const routing::BackendInstance& aInstance,
                     std::optional<double> aLimit) {
@@ -926,7 +941,14 @@
       { "slot_releases", SentCount<wire::SlotRelease>(counts) },
       { "store_news", SentCount<wire::StoreNews>(counts) },
       { "store_beats", SentCount<wire::StoreBeat>(counts) },
-      { "store_requests", SentCount<wire::StoreNewsRequest>(counts) } });
+      { "store_requests", SentCount<wire::StoreNewsRequest>(counts) },
+      { "far_gossip_kb", FarKilobytes<gossip::Digest, gossip::Delta>(counts) },
+      { "far_slots_kb",
+        FarKilobytes<wire::SlotRequest, wire::SlotDecision, wire::SlotRelease>(
+          counts) },
+      { "far_news_kb",
+        FarKilobytes<wire::StoreNews, wire::StoreNewsRequest>(counts) },
+      { "far_beats_kb", FarKilobytes<wire::StoreBeat>(counts) } });
 }
 
 void
@@ -951,6 +973,21 @@
   this->metrics.Set("measurements", static_cast<double>(this->prober.Count()));
   this->metrics.Set("peer_messages_dropped",
                     static_cast<double>(this->peers.Counts().dropped));
+  const gateway::PeerCounts& counts = this->peers.Counts();
+  this->metrics.Set(
+    "far_gossip_kb",
+    static_cast<double>(FarKilobytes<gossip::Digest, gossip::Delta>(counts)));
+  this->metrics.Set(
+    "far_slots_kb",
+    static_cast<double>(
+      FarKilobytes<wire::SlotRequest, wire::SlotDecision, wire::SlotRelease>(
+        counts)));
+  this->metrics.Set(
+    "far_news_kb",
+    static_cast<double>(
+      FarKilobytes<wire::StoreNews, wire::StoreNewsRequest>(counts)));
+  this->metrics.Set("far_beats_kb",
+                    static_cast<double>(FarKilobytes<wire::StoreBeat>(counts)));
   this->metrics.Set("cross_domain_body_bytes",
                     static_cast<double>(this->shared.crossDomainBodyBytes));
   this->metrics.Set("requests_in_progress",
