Hold requests at the start of a fleet until they can be decided

Daemons that began to watch the store before they knew of each other each pushed all objects.

Change: a request is held for up to 1.5 s while this daemon has no instances and knows no dispatching daemon, and at the dispatching daemon until its instances have arrived. Strong hosts begin to watch 0.6 to 2.1 s after their start, weak ones 2.5 to 4 s.

The three tests failed before, since the requests were decided at once.

--- a/modules/proxy/SlotBroker.cpp
+++ b/modules/proxy/SlotBroker.cpp
@@ -32,6 +32,11 @@
 // makes them slower.
 constexpr milliseconds kRecheckTimeout = 150ms;
 
+// Longest time for which a request is held while there is no list of instances
+// and no daemon that dispatches, and the interval at which that is checked.
+constexpr milliseconds kMaxHoldTime = 1500ms;
+constexpr milliseconds kHoldCheckInterval = 50ms;
+
 // Shares of a cold server's rate for the daemon that dispatches its service, of
 // which there may briefly be two, and for all daemons together that decide
 // locally as a fallback. The platform allows one and a half times the rate.
@@ -75,6 +80,7 @@
   for (auto& [name, dispatcher] : this->dispatchers) {
     dispatcher->SetInstances(aDirectory.TargetsOf(name));
   }
+  this->SubmitHeldRequests();
   this->ScheduleTick();
 }
 
@@ -101,8 +107,14 @@
   entry.request = std::move(aRequest);
   entry.onDecided = std::move(aOnDecided);
   entry.askedDaemon = this->DispatchingDaemonName(aService);
+  entry.holdUntil =
+    std::min(this->hooks.now() + kMaxHoldTime, entry.request.deadline);
   if (entry.askedDaemon.empty()) {
-    this->DecideLocally(number, !this->hooks.mayDispatch());
+    if (this->LacksInstances()) {
+      this->Hold(number);
+    } else {
+      this->DecideLocally(number, !this->hooks.mayDispatch());
+    }
   } else {
     this->SendSlotRequest(number, entry);
   }
@@ -190,6 +202,14 @@
     this->SendQueuedReply(aFrom, aRequest.number);
     return;
   }
+  if (this->LacksInstances()) {
+    std::erase_if(this->heldRequests, [&](const HeldRequest& aHeld) {
+      return aHeld.from == aFrom && aHeld.request.number == aRequest.number;
+    });
+    this->heldRequests.push_back({ aFrom, aRequest, this->hooks.now() });
+    this->SendQueuedReply(aFrom, aRequest.number);
+    return;
+  }
   const core::TimePoint now = this->hooks.now();
   const std::uint64_t id = ++this->lastNumber;
   this->remoteRequests.emplace(
@@ -290,6 +310,9 @@
     this->ScheduleTick();
     return;
   }
+  std::erase_if(this->heldRequests, [&](const HeldRequest& aHeld) {
+    return aHeld.from == aFrom && aHeld.request.number == aRelease.number;
+  });
   const auto found = this->remoteRequestIds.find({ aFrom, aRelease.number });
   if (found == this->remoteRequestIds.end()) {
     return;
@@ -479,7 +502,62 @@
   withdrawal.service = aPending.service;
   this->hooks.send(aPending.askedDaemon, std::move(withdrawal));
   this->RecordTimeout(aPending.askedDaemon);
-  this->DecideLocally(aNumber, true);
+  if (this->LacksInstances()) {
+    this->Hold(aNumber);
+  } else {
+    this->DecideLocally(aNumber, true);
+  }
+}
+
+bool
+SlotBroker::LacksInstances() const
+{
+  return this->hooks.hasInstances && !this->hooks.hasInstances();
+}
+
+void
+SlotBroker::Hold(std::uint64_t aNumber)
+{
+  PendingRequest& entry = this->pending.at(aNumber);
+  entry.askedDaemon.clear();
+  if (!entry.timer) {
+    entry.timer = std::make_shared<boost::asio::steady_timer>(this->context);
+  }
+  entry.timer->expires_after(kHoldCheckInterval);
+  entry.timer->async_wait([this, aNumber](boost::system::error_code aError) {
+    if (!aError && this->pending.contains(aNumber)) {
+      this->RetryHeld(aNumber);
+    }
+  });
+}
+
+void
+SlotBroker::RetryHeld(std::uint64_t aNumber)
+{
+  PendingRequest& entry = this->pending.at(aNumber);
+  entry.askedDaemon = this->DispatchingDaemonName(entry.service);
+  if (!entry.askedDaemon.empty()) {
+    this->SendSlotRequest(aNumber, entry);
+  } else if (this->LacksInstances() && this->hooks.now() < entry.holdUntil) {
+    this->Hold(aNumber);
+  } else {
+    this->DecideLocally(aNumber, !this->hooks.mayDispatch());
+  }
+}
+
+void
+SlotBroker::SubmitHeldRequests()
+{
+  if (this->LacksInstances()) {
+    return;
+  }
+  const core::TimePoint now = this->hooks.now();
+  for (HeldRequest& held : std::exchange(this->heldRequests, {})) {
+    const auto age = std::chrono::ceil<milliseconds>(now - held.arrivedAt);
+    held.request.goal = std::max(held.request.goal - age, 0ms);
+    held.request.deadline = std::max(held.request.deadline - age, 0ms);
+    this->OnMessage(held.from, held.request);
+  }
 }
 
 void
--- a/modules/proxy/SlotBroker.h
+++ b/modules/proxy/SlotBroker.h
@@ -71,12 +71,17 @@
     measure;
   /** Called when a request whose slot was granted by this daemon has ended. */
   std::function<void(const routing::EndedRequest&)> onRequestEnded;
+  /**
+   * Optional: returns whether the list of instances has arrived. Until then
+   * this daemon's own data say nothing.
+   */
+  std::function<bool()> hasInstances = nullptr;
   /** Optional: called when an instance names another limit, or none any more.
    */
   std::function<void(const routing::BackendInstance&, std::optional<double>)>
-    onLimitChanged;
+    onLimitChanged = nullptr;
   /** Optional: called when an instance first states that it is leaving. */
-  std::function<void(const routing::BackendInstance&)> onLeaving;
+  std::function<void(const routing::BackendInstance&)> onLeaving = nullptr;
   /**
    * Called when a dispatching daemon stops answering and when it answers again.
    */
@@ -97,6 +102,10 @@
  * its own data; after repeated timeouts it uses the next daemon in the order
  * for a while.
  *
+ * After the start of a whole fleet, daemons have requests before they know the
+ * instances or each other. Such requests are held for a short time instead of
+ * refused: all hosts are ready within about a second.
+ *
  * For use on the daemon's thread only.
  */
 class SlotBroker
@@ -197,6 +206,8 @@
      */
     bool isQueued = false;
     std::shared_ptr<boost::asio::steady_timer> timer;
+    /** Until then, it is held if it cannot be decided. */
+    core::TimePoint holdUntil{};
   };
 
   /** A request of another daemon that has not been decided. */
@@ -207,6 +218,14 @@
     std::string service;
   };
 
+  /** A slot request that arrived before the list of instances. */
+  struct HeldRequest
+  {
+    std::string from;
+    wire::SlotRequest request;
+    core::TimePoint arrivedAt;
+  };
+
   /** How reliably a daemon answers slot requests. */
   struct PeerState
   {
@@ -225,6 +244,16 @@
    * request, or no known daemon may.
    */
   void DecideLocally(std::uint64_t aNumber, bool aIsFallback);
+  /** Whether requests cannot be decided from this daemon's own data yet. */
+  bool LacksInstances() const;
+  /**
+   * Holds a request of this daemon until another daemon can be asked, the
+   * instances are known, or it has been held long enough.
+   */
+  void Hold(std::uint64_t aNumber);
+  void RetryHeld(std::uint64_t aNumber);
+  /** Handles the held requests of other daemons. */
+  void SubmitHeldRequests();
   void SendQueuedReply(const std::string& aTo, std::uint64_t aNumber);
   void SendSlotRequest(std::uint64_t aNumber, PendingRequest& aPending);
   /** Handles a slot request that was not answered in time. */
@@ -251,6 +280,7 @@
   std::map<std::uint64_t, RemoteRequest> remoteRequests;
   std::map<std::pair<std::string, std::uint64_t>, std::uint64_t>
     remoteRequestIds;
+  std::vector<HeldRequest> heldRequests;
   std::map<std::string, PeerState, std::less<>> peerStates;
   std::uint64_t lastNumber = 0;
 };
--- a/modules/proxy/SlotBrokerTest.cpp
+++ b/modules/proxy/SlotBrokerTest.cpp
@@ -25,6 +25,8 @@
   std::set<std::string> unresponsive;
   /** Whether the daemons run on hosts that may dispatch. */
   bool mayDispatch = true;
+  /** Daemons to which the list of instances has not arrived. */
+  std::set<std::string> withoutInstances;
   std::uint64_t randomState = 0;
 
   Fleet()
@@ -33,6 +35,11 @@
       this->brokers[name] =
         std::make_unique<SlotBroker>(this->context, name, this->HooksOf(name));
     }
+    this->Update();
+  }
+
+  void Update()
+  {
     configuration::RouteConfiguration routes;
     routes.services["s"].name = "s";
     routing::ServiceDirectory directory(std::chrono::steady_clock::now);
@@ -82,6 +89,8 @@
           const std::function<void(const std::optional<routing::Measurement>&)>&
             aOnMeasured) { aOnMeasured(std::nullopt); },
       .onRequestEnded = [](const routing::EndedRequest&) {},
+      .hasInstances =
+        [this, aName] { return !this->withoutInstances.contains(aName); },
       .onPeerAvailabilityChange = [](const std::string&, bool) {}
     };
   }
@@ -277,3 +286,47 @@
     BOOST_TEST(!early->slot.has_value());
   }
 }
+
+// Guards against refusals after a loss of power of all hosts, when the daemons
+// do not know each other or the instances yet.
+BOOST_FIXTURE_TEST_CASE(RequestIsHeldUntilADispatcherIsKnown, Fleet)
+{
+  const std::string other = this->NameOf(false);
+  this->mayDispatch = false;
+  this->withoutInstances = { other };
+  const auto outcome = this->Acquire(other);
+  this->Run(200ms);
+  BOOST_TEST(!outcome->isDecided);
+  this->mayDispatch = true;
+  this->Run(200ms);
+  BOOST_REQUIRE(outcome->slot.has_value());
+  BOOST_TEST(outcome->slot->grantedBy == this->NameOf(true));
+}
+
+// Guards against the same at the daemon that dispatches, and against requests
+// that it has forgotten when the list of instances arrives.
+BOOST_FIXTURE_TEST_CASE(DispatcherHoldsRequestsUntilInstancesAreKnown, Fleet)
+{
+  this->withoutInstances = { "x", "y" };
+  const auto outcome = this->Acquire(this->NameOf(false));
+  const auto own = this->Acquire(this->NameOf(true));
+  this->Run(200ms);
+  BOOST_TEST(!outcome->isDecided);
+  BOOST_TEST(!own->isDecided);
+  this->withoutInstances.clear();
+  this->Update();
+  this->Run(100ms);
+  BOOST_REQUIRE(outcome->slot.has_value());
+  BOOST_TEST(outcome->slot->grantedBy == this->NameOf(true));
+  BOOST_TEST(own->slot.has_value());
+}
+
+// Guards against a request that waits although no daemon appears.
+BOOST_FIXTURE_TEST_CASE(RequestIsNotHeldForever, Fleet)
+{
+  this->mayDispatch = false;
+  this->withoutInstances = { "x" };
+  const auto outcome = this->Acquire("x");
+  this->Run(1700ms);
+  BOOST_TEST(outcome->isDecided);
+}
--- a/modules/proxy/StoreRelay.cpp
+++ b/modules/proxy/StoreRelay.cpp
@@ -42,6 +42,12 @@
 // deliver.
 constexpr unsigned kRequestsPerFarOne = 3;
 
+// Time after its start before which a daemon does not begin to watch. Strong
+// hosts know of each other by then, and the first of them have begun before
+// weak ones, which learn of them later.
+constexpr std::chrono::milliseconds kStrongStartDelay{ 600 };
+constexpr std::chrono::milliseconds kWeakStartDelay{ 2500 };
+
 // Base of an update of which an object could not be read, so that it does not
 // count as complete.
 constexpr std::uint64_t kUnknownBase =
@@ -262,10 +268,12 @@
   constexpr double kRange =
     static_cast<double>(std::numeric_limits<std::uint64_t>::max());
   const auto rank = RankOf(this->self.name, this->self.isStrong);
-  // Strong hosts begin in the first half of the spread.
+  // The first of the order begin first.
   const double position = static_cast<double>(std::get<1>(rank)) / kRange;
-  const auto startDelay = std::chrono::duration<double>(kStartSpread) *
-                          ((this->self.isStrong ? 0.5 : 1) - position / 2);
+  const std::chrono::duration<double> firstDelay =
+    this->self.isStrong ? kStrongStartDelay : kWeakStartDelay;
+  const auto startDelay =
+    firstDelay + std::chrono::duration<double>(kStartSpread) * (1 - position);
   if (this->hooks.now() - this->startedAt < startDelay) {
     return false;
   }
--- a/modules/proxy/StoreRelay.h
+++ b/modules/proxy/StoreRelay.h
@@ -133,7 +133,7 @@
    * rank, so that heartbeats of the first arrive before the others begin. The
    * platform's time limits do not apply to a host in its first three seconds.
    */
-  static constexpr std::chrono::milliseconds kStartSpread{ 3000 };
+  static constexpr std::chrono::milliseconds kStartSpread{ 1500 };
 
   /**
    * `aSelf` describes this daemon; `aKinds` must have the same order on all
