--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -48,11 +48,6 @@
 constexpr milliseconds kUrgentWatchWait = 2200ms;
 constexpr milliseconds kWatchWait = 4000ms;
 
-// Time after its start for which a weak host leaves the list of servers to the
-// daemons that read the store. With a thousand servers it has twenty pages, and
-// hundreds of hosts may start together.
-constexpr milliseconds kInstanceListDelay = 4000ms;
-
 // A write that takes longer is retried; even a slow store answers in a quarter
 // of a second.
 constexpr milliseconds kWriteTimeout = 1500ms;
@@ -178,13 +173,10 @@
       kinds.configuration, kinds.instances, kinds.rollouts, kinds.domainsOut },
     this->MakeRelayHooks());
   this->watcher = std::make_unique<store::ObjectWatcher>(
-    std::vector<store::WatchedKind>{
-      { kinds.configuration, kUrgentWatchWait },
-      { kinds.instances,
-        kUrgentWatchWait,
-        aSettings.IsStrong() ? 0ms : kInstanceListDelay },
-      { kinds.rollouts, kWatchWait },
-      { kinds.domainsOut, kWatchWait } },
+    std::vector<store::WatchedKind>{ { kinds.configuration, kUrgentWatchWait },
+                                     { kinds.instances, kUrgentWatchWait },
+                                     { kinds.rollouts, kWatchWait },
+                                     { kinds.domainsOut, kWatchWait } },
     this->platform.objects,
     this->MakeWatcherHooks());
 }
