Tell slot requests and grants of a daemon's processes apart

Cause: slot requests were numbered from 1 in each process, and the dispatching daemon kept them by the daemon's name and the number. It took the new process's request for a repetition of the old one's, decided that, and the new process overwrote the service of the instance with its own. Grants were numbered the same way: after a restart of the dispatching daemon, the release of an old grant ended a new one.

Change: numbers carry the process (core::ProcessNumbers), the dispatching daemon knows the process that sent a request, withdraws the requests of a replaced one and ignores its late ones, releases of earlier grants are ignored, and an instance of another service is not usable.

Tests of the broker now pass messages through the codec, as daemons do.

--- a/modules/core/core.h
+++ b/modules/core/core.h
@@ -15,4 +15,5 @@
 #include "core/Hash.h"
 #include "core/Hooks.h"
 #include "core/Log.h"
+#include "core/ProcessNumbers.h"
 #include "core/Result.h"
--- a/modules/gateway/PeerHub.cpp
+++ b/modules/gateway/PeerHub.cpp
@@ -123,19 +123,19 @@
   connection->Start(
     [weak = this->weak_from_this(),
      weakConnection = std::weak_ptr(connection),
-     sender = std::string()](wire::WireMessage aMessage) mutable {
+     sender = core::DaemonId()](wire::WireMessage aMessage) mutable {
       const auto hub = weak.lock();
       const auto current = weakConnection.lock();
       if (!hub || !current) {
         return;
       }
       if (const auto* hello = std::get_if<wire::Hello>(&aMessage)) {
-        sender = hello->id.name;
+        sender = hello->id;
         hub->OnHello(*hello);
         return;
       }
       // The first message must be a `Hello`, which identifies the sender.
-      if (sender.empty()) {
+      if (sender.name.empty()) {
         current->Close();
         return;
       }
@@ -154,7 +154,7 @@
         [&](const auto& aValue) {
           if constexpr (std::is_constructible_v<gossip::GossipMessage,
                                                 decltype(aValue)>) {
-            hub->hooks.onGossip(sender, gossip::GossipMessage(aValue));
+            hub->hooks.onGossip(sender.name, gossip::GossipMessage(aValue));
           } else if (hub->hooks.onMessage) {
             hub->hooks.onMessage(sender, wire::WireMessage(aValue));
           }
--- a/modules/gateway/PeerHub.h
+++ b/modules/gateway/PeerHub.h
@@ -55,8 +55,9 @@
   /** Receives a gossip message and the name of its sender. */
   std::function<void(const std::string&, const gossip::GossipMessage&)>
     onGossip;
-  /** Optional: receives any other message and the name of its sender. */
-  std::function<void(const std::string&, const wire::WireMessage&)> onMessage;
+  /** Optional: receives any other message and the process that sent it. */
+  std::function<void(const core::DaemonId&, const wire::WireMessage&)>
+    onMessage;
   /** Receives a call to run. Call the reply function only on the hub's thread.
    */
   std::function<void(wire::ForwardCall, ReplyFunction)> onForwardCall;
--- a/modules/proxy/PeerNetwork.cpp
+++ b/modules/proxy/PeerNetwork.cpp
@@ -89,7 +89,7 @@
           this->node->Receive(aFrom, aPeerMessage);
         },
       .onMessage =
-        [this](const std::string& aFrom,
+        [this](const core::DaemonId& aFrom,
                const wire::WireMessage& aPeerMessage) {
           this->onMessage(aFrom, aPeerMessage);
         },
--- a/modules/proxy/PeerNetwork.h
+++ b/modules/proxy/PeerNetwork.h
@@ -29,7 +29,7 @@
 {
 public:
   using MessageFunction =
-    std::function<void(const std::string& aFrom, const wire::WireMessage&)>;
+    std::function<void(const core::DaemonId& aFrom, const wire::WireMessage&)>;
 
   /**
    * The settings must outlive this object. `aOnMessage` receives all messages
--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -116,20 +116,20 @@
   , heartbeatTimer(this->context)
   , rolloutTimer(this->context)
   , self{ aSettings.peerListen.ToString(), RandomNumber() }
-  , peers(
-      this->context,
-      this->settings,
-      this->self,
-      RandomNumber,
-      [this](const std::string& aFrom, const wire::WireMessage& aPeerMessage) {
-        this->OnPeerMessage(aFrom, aPeerMessage);
-      })
+  , peers(this->context,
+          this->settings,
+          this->self,
+          RandomNumber,
+          [this](const core::DaemonId& aFrom,
+                 const wire::WireMessage& aPeerMessage) {
+            this->OnPeerMessage(aFrom, aPeerMessage);
+          })
   , callMetrics(this->metrics)
   , ledger(this->self, RandomNumber(), std::chrono::steady_clock::now)
   , guard(std::chrono::steady_clock::now)
   , prober(this->context, this->platform.loadMeasurement)
   , rollouts(this->MakeRolloutHooks(), aSettings.trialShare)
-  , broker(this->context, this->self.name, this->MakeBrokerHooks())
+  , broker(this->context, this->self, this->MakeBrokerHooks())
   , shared{ .context = this->context,
             .broker = this->broker,
             .ledger = this->ledger,
@@ -591,7 +591,7 @@
 }
 
 void
-ProxyDaemon::OnPeerMessage(const std::string& aFrom,
+ProxyDaemon::OnPeerMessage(const core::DaemonId& aFrom,
                            const wire::WireMessage& aPeerMessage)
 {
   if (const auto* request = std::get_if<wire::SlotRequest>(&aPeerMessage)) {
@@ -603,14 +603,14 @@
                std::get_if<wire::SlotRelease>(&aPeerMessage)) {
     this->broker.OnMessage(aFrom, *release);
   } else if (const auto* update = std::get_if<wire::StoreNews>(&aPeerMessage)) {
-    this->LogUpdate(aFrom, *update);
-    this->relay->OnUpdate(aFrom, *update);
+    this->LogUpdate(aFrom.name, *update);
+    this->relay->OnUpdate(aFrom.name, *update);
   } else if (const auto* heartbeat =
                std::get_if<wire::StoreBeat>(&aPeerMessage)) {
-    this->relay->OnHeartbeat(aFrom, *heartbeat);
+    this->relay->OnHeartbeat(aFrom.name, *heartbeat);
   } else if (const auto* updateRequest =
                std::get_if<wire::StoreNewsRequest>(&aPeerMessage)) {
-    this->relay->OnUpdateRequest(aFrom, *updateRequest);
+    this->relay->OnUpdateRequest(aFrom.name, *updateRequest);
   }
 }
 
--- a/modules/proxy/ProxyDaemon.h
+++ b/modules/proxy/ProxyDaemon.h
@@ -88,7 +88,7 @@
   void ListenForSignals();
   void OnObjects(const std::string& aKind,
                  const std::vector<store::ObjectRecord>& aObjects);
-  void OnPeerMessage(const std::string& aFrom,
+  void OnPeerMessage(const core::DaemonId& aFrom,
                      const wire::WireMessage& aPeerMessage);
   /** Logs the sizes of received configurations, to explain late ones. */
   void LogUpdate(const std::string& aFrom,
--- a/modules/proxy/SlotBroker.cpp
+++ b/modules/proxy/SlotBroker.cpp
@@ -57,12 +57,13 @@
 } // namespace
 
 SlotBroker::SlotBroker(boost::asio::io_context& aContext,
-                       std::string aSelf,
+                       core::DaemonId aSelf,
                        SlotBrokerHooks aHooks)
   : context(aContext)
   , self(std::move(aSelf))
   , hooks(std::move(aHooks))
   , timer(aContext)
+  , numbers(this->self.start)
 {
   assert(this->hooks.now && this->hooks.random && this->hooks.peers);
   assert(this->hooks.mayDispatch && this->hooks.send && this->hooks.isUsable);
@@ -99,7 +100,7 @@
                     DecidedFunction aOnDecided)
 {
   assert(aOnDecided);
-  const std::uint64_t number = ++this->lastNumber;
+  const std::uint64_t number = this->numbers.Next();
   aRequest.id = number;
   PendingRequest& entry = this->pending[number];
   entry.service = aService;
@@ -188,18 +189,21 @@
 
 //==============================================================================
 void
-SlotBroker::OnMessage(const std::string& aFrom,
+SlotBroker::OnMessage(const core::DaemonId& aFrom,
                       const wire::SlotRequest& aRequest)
 {
+  if (!this->NoteProcess(aFrom)) {
+    return;
+  }
   if (aRequest.digest != 0 && this->hooks.guard.IsBlocked(aRequest.digest)) {
     wire::SlotDecision blocked;
     blocked.number = aRequest.number;
     blocked.kind = ErrorKind::RequestCrashesServers;
-    this->hooks.send(aFrom, std::move(blocked));
+    this->hooks.send(aFrom.name, std::move(blocked));
     return;
   }
   if (this->remoteRequestIds.contains({ aFrom, aRequest.number })) {
-    this->SendQueuedReply(aFrom, aRequest.number);
+    this->SendQueuedReply(aFrom.name, aRequest.number);
     return;
   }
   if (this->LacksInstances()) {
@@ -207,11 +211,11 @@
       return aHeld.from == aFrom && aHeld.request.number == aRequest.number;
     });
     this->heldRequests.push_back({ aFrom, aRequest, this->hooks.now() });
-    this->SendQueuedReply(aFrom, aRequest.number);
+    this->SendQueuedReply(aFrom.name, aRequest.number);
     return;
   }
   const core::TimePoint now = this->hooks.now();
-  const std::uint64_t id = ++this->lastNumber;
+  const std::uint64_t id = this->numbers.Next();
   this->remoteRequests.emplace(
     id, RemoteRequest{ aFrom, aRequest.number, aRequest.service });
   this->remoteRequestIds[{ aFrom, aRequest.number }] = id;
@@ -229,28 +233,26 @@
   request.isCentrallyDispatched = true;
   this->GetOrCreateDispatcher(aRequest.service).Submit(std::move(request));
   if (this->remoteRequests.contains(id)) {
-    this->SendQueuedReply(aFrom, aRequest.number);
+    this->SendQueuedReply(aFrom.name, aRequest.number);
   }
   this->ScheduleTick();
 }
 
 void
-SlotBroker::OnMessage(const std::string& aFrom,
+SlotBroker::OnMessage(const core::DaemonId& aFrom,
                       const wire::SlotDecision& aDecision)
 {
-  this->RecordAnswer(aFrom);
+  this->RecordAnswer(aFrom.name);
   const auto found = this->pending.find(aDecision.number);
   const bool isExpected =
-    found != this->pending.end() && found->second.askedDaemon == aFrom;
+    found != this->pending.end() && found->second.askedDaemon == aFrom.name;
   const bool isGranted =
     aDecision.kind == ErrorKind::None && aDecision.grant != 0;
   if (!isExpected) {
     if (isGranted) {
       // The decision arrived too late; the instance was not used.
-      wire::SlotRelease release;
-      release.service = aDecision.instance.service;
-      release.grant = aDecision.grant;
-      this->hooks.send(aFrom, std::move(release));
+      this->ReturnGrant(
+        aFrom.name, aDecision.instance.service, aDecision.grant);
     }
     return;
   }
@@ -274,23 +276,21 @@
     const nanoseconds pause = dispatcher.RemainingPause(*result.instance);
     if (isLeaving || pause > 0ns || !this->hooks.isUsable(*result.instance)) {
       // This daemon has newer data, for example that the instance is leaving.
-      wire::SlotRelease release;
-      release.service = found->second.service;
-      release.grant = aDecision.grant;
-      release.notice.isLeaving = isLeaving;
+      routing::ServerNotice notice{ .isLeaving = isLeaving };
       if (pause > 0ns) {
-        release.notice.pause = std::chrono::ceil<milliseconds>(pause);
+        notice.pause = std::chrono::ceil<milliseconds>(pause);
       }
-      this->hooks.send(aFrom, std::move(release));
+      this->ReturnGrant(
+        aFrom.name, found->second.service, aDecision.grant, notice);
       this->DecideLocally(aDecision.number, true);
       return;
     }
   }
-  this->CompleteRequest(aDecision.number, result, aFrom);
+  this->CompleteRequest(aDecision.number, result, aFrom.name);
 }
 
 void
-SlotBroker::OnMessage(const std::string& aFrom,
+SlotBroker::OnMessage(const core::DaemonId& aFrom,
                       const wire::SlotRelease& aRelease)
 {
   if (aRelease.death != 0) {
@@ -302,6 +302,10 @@
     if (aRelease.outcome == routing::AttemptOutcome::Answered) {
       this->hooks.guard.RecordCompletion(aRelease.digest);
     }
+    if (!this->numbers.IsOwn(aRelease.grant)) {
+      // An earlier process of this daemon gave out the grant.
+      return;
+    }
     dispatcher.Release(aRelease.grant,
                        aRelease.outcome,
                        aRelease.duration,
@@ -323,6 +327,45 @@
   dispatcher.Withdraw(id);
 }
 
+bool
+SlotBroker::NoteProcess(const core::DaemonId& aFrom)
+{
+  const auto [known, isNew] =
+    this->peerProcesses.try_emplace(aFrom.name, PeerProcess{ aFrom.start, {} });
+  PeerProcess& process = known->second;
+  if (isNew || process.currentStart == aFrom.start) {
+    return true;
+  }
+  if (process.replacedStart == aFrom.start) {
+    return false;
+  }
+  process.replacedStart = std::exchange(process.currentStart, aFrom.start);
+  this->WithdrawRequestsOfReplaced(aFrom);
+  return true;
+}
+
+void
+SlotBroker::WithdrawRequestsOfReplaced(const core::DaemonId& aCurrent)
+{
+  const auto isReplaced = [&aCurrent](const core::DaemonId& aFrom) {
+    return aFrom.name == aCurrent.name && aFrom.start != aCurrent.start;
+  };
+  std::erase_if(this->heldRequests, [&](const HeldRequest& aHeld) {
+    return isReplaced(aHeld.from);
+  });
+  for (auto entry = this->remoteRequests.begin();
+       entry != this->remoteRequests.end();) {
+    const auto& [id, request] = *entry;
+    if (!isReplaced(request.from)) {
+      ++entry;
+      continue;
+    }
+    this->GetOrCreateDispatcher(request.service).Withdraw(id);
+    this->remoteRequestIds.erase({ request.from, request.number });
+    entry = this->remoteRequests.erase(entry);
+  }
+}
+
 //==============================================================================
 std::string
 SlotBroker::DispatchingDaemonName(std::string_view aService) const
@@ -332,7 +375,8 @@
   const auto rankOf = [&key](const std::string& aName) {
     return std::pair(core::RendezvousWeight(key, aName), aName);
   };
-  std::string best = this->hooks.mayDispatch() ? this->self : std::string();
+  std::string best =
+    this->hooks.mayDispatch() ? this->self.name : std::string();
   for (const std::string& name : this->hooks.peers()) {
     const auto state = this->peerStates.find(name);
     if (state != this->peerStates.end() && now < state->second.avoidedUntil) {
@@ -342,7 +386,7 @@
       best = name;
     }
   }
-  return best == this->self ? std::string() : best;
+  return best == this->self.name ? std::string() : best;
 }
 
 std::size_t
@@ -379,7 +423,8 @@
                             aInstance) { this->Measure(aInstance); },
         .onRequestEnded = this->hooks.onRequestEnded,
         .onLimitChanged = this->hooks.onLimitChanged,
-        .onLeaving = this->hooks.onLeaving },
+        .onLeaving = this->hooks.onLeaving,
+        .nextGrant = [this] { return this->numbers.Next(); } },
       this->settings);
   }
   return *dispatcher;
@@ -414,7 +459,7 @@
   if (aResult.instance) {
     decision.instance = *aResult.instance;
   }
-  this->hooks.send(remote->second.from, std::move(decision));
+  this->hooks.send(remote->second.from.name, std::move(decision));
   this->remoteRequestIds.erase({ remote->second.from, remote->second.number });
   this->remoteRequests.erase(remote);
 }
@@ -440,6 +485,19 @@
   this->ScheduleTick();
 }
 
+void
+SlotBroker::ReturnGrant(const std::string& aTo,
+                        const std::string& aService,
+                        std::uint64_t aGrant,
+                        routing::ServerNotice aNotice)
+{
+  wire::SlotRelease release;
+  release.service = aService;
+  release.grant = aGrant;
+  release.notice = aNotice;
+  this->hooks.send(aTo, std::move(release));
+}
+
 void
 SlotBroker::SendQueuedReply(const std::string& aTo, std::uint64_t aNumber)
 {
@@ -480,9 +538,11 @@
   }
   entry.timer->expires_after(aTime);
   entry.timer->async_wait([this, aNumber](boost::system::error_code aError) {
+    if (aError) {
+      return;
+    }
     const auto found = this->pending.find(aNumber);
-    if (aError || found == this->pending.end() ||
-        found->second.askedDaemon.empty()) {
+    if (found == this->pending.end() || found->second.askedDaemon.empty()) {
       return;
     }
     this->OnDecisionTimeout(aNumber, found->second);
--- a/modules/proxy/SlotBroker.h
+++ b/modules/proxy/SlotBroker.h
@@ -2,7 +2,9 @@
 
 #include "calls/CrashGuard.h"
 #include "configuration/RouteConfiguration.h"
+#include "core/DaemonId.h"
 #include "core/Hooks.h"
+#include "core/ProcessNumbers.h"
 #include "routing/DispatchRequest.h"
 #include "routing/ServiceDirectory.h"
 #include "routing/ServiceDispatcher.h"
@@ -114,9 +116,9 @@
   using DecidedFunction =
     std::function<void(const routing::DispatchResult&, std::optional<Slot>)>;
 
-  /** `aSelf` is the name of this daemon. */
+  /** `aSelf` is the identity of this process. */
   SlotBroker(boost::asio::io_context& aContext,
-             std::string aSelf,
+             core::DaemonId aSelf,
              SlotBrokerHooks aHooks);
   SlotBroker(const SlotBroker&) = delete;
   SlotBroker& operator=(const SlotBroker&) = delete;
@@ -161,17 +163,28 @@
   void ReportDeath(const Slot& aSlot, std::uint64_t aDeath);
 
   //============================================================================
-  /** Handles a slot request of another daemon. */
-  void OnMessage(const std::string& aFrom, const wire::SlotRequest& aRequest);
+  /**
+   * Handles a slot request of another daemon. One of a process that has been
+   * replaced is ignored. The first one of a new process withdraws the requests
+   * of the process that it replaces.
+   */
+  void OnMessage(const core::DaemonId& aFrom,
+                 const wire::SlotRequest& aRequest);
 
-  /** Handles the decision on a slot request of this daemon. */
-  void OnMessage(const std::string& aFrom, const wire::SlotDecision& aDecision);
+  /**
+   * Handles the decision on a slot request of this daemon. A grant that was not
+   * requested by this process, or that is for another service, is returned.
+   */
+  void OnMessage(const core::DaemonId& aFrom,
+                 const wire::SlotDecision& aDecision);
 
   /**
    * Handles another daemon's release of a slot, withdrawal of a request or
-   * report of a server's death.
+   * report of a server's death. The release of a grant of an earlier process of
+   * this daemon is ignored.
    */
-  void OnMessage(const std::string& aFrom, const wire::SlotRelease& aRelease);
+  void OnMessage(const core::DaemonId& aFrom,
+                 const wire::SlotRelease& aRelease);
 
   //============================================================================
   /**
@@ -213,7 +226,7 @@
   /** A request of another daemon that has not been decided. */
   struct RemoteRequest
   {
-    std::string from;
+    core::DaemonId from;
     std::uint64_t number = 0;
     std::string service;
   };
@@ -221,11 +234,18 @@
   /** A slot request that arrived before the list of instances. */
   struct HeldRequest
   {
-    std::string from;
+    core::DaemonId from;
     wire::SlotRequest request;
     core::TimePoint arrivedAt;
   };
 
+  /** The processes of another daemon that have sent slot requests. */
+  struct PeerProcess
+  {
+    std::uint64_t currentStart = 0;
+    std::optional<std::uint64_t> replacedStart;
+  };
+
   /** How reliably a daemon answers slot requests. */
   struct PeerState
   {
@@ -254,6 +274,21 @@
   void RetryHeld(std::uint64_t aNumber);
   /** Handles the held requests of other daemons. */
   void SubmitHeldRequests();
+  /**
+   * Records which process of a daemon is current. Returns false if the sender
+   * has been replaced.
+   */
+  bool NoteProcess(const core::DaemonId& aFrom);
+  /**
+   * Withdraws the undecided requests of all processes of a daemon but the
+   * current one.
+   */
+  void WithdrawRequestsOfReplaced(const core::DaemonId& aCurrent);
+  /** Releases a grant of another daemon that was not used. */
+  void ReturnGrant(const std::string& aTo,
+                   const std::string& aService,
+                   std::uint64_t aGrant,
+                   routing::ServerNotice aNotice = {});
   void SendQueuedReply(const std::string& aTo, std::uint64_t aNumber);
   void SendSlotRequest(std::uint64_t aNumber, PendingRequest& aPending);
   /** Handles a slot request that was not answered in time. */
@@ -268,7 +303,7 @@
   void ScheduleTick();
 
   boost::asio::io_context& context;
-  std::string self;
+  core::DaemonId self;
   SlotBrokerHooks hooks;
   boost::asio::steady_timer timer;
   std::optional<core::TimePoint> timerDue;
@@ -278,11 +313,12 @@
       dispatchers;
   std::map<std::uint64_t, PendingRequest> pending;
   std::map<std::uint64_t, RemoteRequest> remoteRequests;
-  std::map<std::pair<std::string, std::uint64_t>, std::uint64_t>
+  std::map<std::pair<core::DaemonId, std::uint64_t>, std::uint64_t>
     remoteRequestIds;
   std::vector<HeldRequest> heldRequests;
   std::map<std::string, PeerState, std::less<>> peerStates;
-  std::uint64_t lastNumber = 0;
+  std::map<std::string, PeerProcess, std::less<>> peerProcesses;
+  core::ProcessNumbers numbers;
 };
 
 } // namespace fireflytrail::proxy
--- a/modules/proxy/SlotBrokerTest.cpp
+++ b/modules/proxy/SlotBrokerTest.cpp
@@ -1,5 +1,7 @@
 #include "proxy/SlotBroker.h"
 
+#include "wire/FrameCodec.h"
+
 #include <boost/asio/post.hpp>
 #include <boost/test/unit_test.hpp>
 
@@ -15,6 +17,13 @@
 
 namespace {
 
+std::vector<std::uint8_t>
+FrameOf(const wire::WireMessage& aMessage)
+{
+  const std::string frame = wire::FrameCodec::Encode(aMessage).value();
+  return { frame.begin(), frame.end() };
+}
+
 /** Daemons that exchange messages through an event loop. */
 struct Fleet
 {
@@ -27,28 +36,43 @@
   bool mayDispatch = true;
   /** Daemons to which the list of instances has not arrived. */
   std::set<std::string> withoutInstances;
+  /** Service of each instance. */
+  std::map<std::string, std::string> instances{ { "i", "s" } };
+  /** The processes of the daemons. */
+  std::map<std::string, std::uint64_t> starts;
   std::uint64_t randomState = 0;
 
   Fleet()
   {
     for (const char* name : { "x", "y" }) {
-      this->brokers[name] =
-        std::make_unique<SlotBroker>(this->context, name, this->HooksOf(name));
+      this->Start(name);
     }
     this->Update();
   }
 
+  /** Starts a daemon, or replaces its process. */
+  void Start(const std::string& aName)
+  {
+    this->starts[aName] = this->randomState += 0x9e3779b97f4a7c15ULL;
+    this->brokers[aName] =
+      std::make_unique<SlotBroker>(this->context,
+                                   core::DaemonId{ aName, this->starts[aName] },
+                                   this->HooksOf(aName));
+  }
+
   void Update()
   {
     configuration::RouteConfiguration routes;
-    routes.services["s"].name = "s";
     routing::ServiceDirectory directory(std::chrono::steady_clock::now);
-    routing::BackendInstance instance;
-    instance.id = "i";
-    instance.service = "s";
-    instance.address = "127.0.0.1:1";
-    instance.slots = 4;
-    directory.Put(std::move(instance));
+    for (const auto& [id, service] : this->instances) {
+      routes.services[service].name = service;
+      routing::BackendInstance instance;
+      instance.id = id;
+      instance.service = service;
+      instance.address = "127.0.0.1:1";
+      instance.slots = 4;
+      directory.Put(std::move(instance));
+    }
     for (const auto& [name, broker] : this->brokers) {
       broker->Update(routes, directory);
     }
@@ -72,12 +96,15 @@
       .mayDispatch = [this] { return this->mayDispatch; },
       .hostCount = [] { return std::size_t{ 2 }; },
       .send =
-        [this, aName](const std::string& aTo, wire::WireMessage aMessage) {
+        [this, from = core::DaemonId{ aName, this->starts.at(aName) }](
+          const std::string& aTo, const wire::WireMessage& aMessage) {
           boost::asio::post(this->context,
-                            [this, aName, aTo, message = std::move(aMessage)] {
-                              if (!this->unresponsive.contains(aName) &&
+                            [this, from, aTo, frame = FrameOf(aMessage)] {
+                              if (!this->unresponsive.contains(from.name) &&
                                   !this->unresponsive.contains(aTo)) {
-                                this->Deliver(aName, aTo, message);
+                                wire::FrameCodec codec;
+                                codec.Feed(frame);
+                                this->Deliver(from, aTo, *codec.Next());
                               }
                             });
         },
@@ -95,7 +122,7 @@
     };
   }
 
-  void Deliver(const std::string& aFrom,
+  void Deliver(const core::DaemonId& aFrom,
                const std::string& aTo,
                const wire::WireMessage& aMessage)
   {
@@ -122,6 +149,21 @@
     return isXDispatching == aIsDispatching ? "x" : "y";
   }
 
+  /**
+   * Adds a service with one instance of the same name that a daemon dispatches.
+   */
+  std::string AddServiceOf(const std::string& aDispatching)
+  {
+    std::string service = "t";
+    while (
+      !this->brokers.at(aDispatching)->DispatchingDaemonName(service).empty()) {
+      service += "t";
+    }
+    this->instances[service] = service;
+    this->Update();
+    return service;
+  }
+
   struct Outcome
   {
     bool isDecided = false;
@@ -129,14 +171,15 @@
     std::optional<Slot> slot;
   };
 
-  std::shared_ptr<Outcome> Acquire(const std::string& aName)
+  std::shared_ptr<Outcome> Acquire(const std::string& aName,
+                                   const std::string& aService = "s")
   {
     const auto outcome = std::make_shared<Outcome>();
     routing::DispatchRequest request;
     request.goal = std::chrono::steady_clock::now() + 600ms;
     request.deadline = std::chrono::steady_clock::now() + 4s;
     this->brokers.at(aName)->Acquire(
-      "s",
+      aService,
       0,
       std::move(request),
       [outcome](const routing::DispatchResult& aResult,
@@ -330,3 +373,115 @@
   this->Run(1700ms);
   BOOST_TEST(outcome->isDecided);
 }
+
+// Guards against a decision that is sent for a request of a process that has
+// ended, and that its replacement takes for the decision on a request of its
+// own. The request then runs at an instance of another service.
+BOOST_FIXTURE_TEST_CASE(NewProcessNeverGetsAnInstanceForItsPredecessor, Fleet)
+{
+  const std::string dispatching = this->NameOf(true);
+  const std::string other = this->NameOf(false);
+  const std::string second = this->AddServiceOf(dispatching);
+  std::vector<std::shared_ptr<Outcome>> running;
+  running.reserve(3);
+  for (int index = 0; index < 3; ++index) {
+    running.push_back(this->Acquire(dispatching));
+  }
+  // Three requests of the old process wait; the new process asks for as many
+  // instances of the other service, so that any number of a request is used by
+  // both.
+  for (int index = 0; index < 3; ++index) {
+    this->Acquire(other);
+  }
+  this->Run(20ms);
+  this->Start(other);
+  this->Update();
+  std::vector<std::shared_ptr<Outcome>> outcomes;
+  outcomes.reserve(3);
+  for (int index = 0; index < 3; ++index) {
+    outcomes.push_back(this->Acquire(other, second));
+  }
+  this->Run(10ms);
+  for (const auto& outcome : running) {
+    this->brokers.at(dispatching)
+      ->Release(*outcome->slot, routing::AttemptOutcome::Answered, 20ms, {});
+  }
+  this->Run(60ms);
+  for (const auto& outcome : outcomes) {
+    BOOST_REQUIRE(outcome->slot.has_value());
+    BOOST_TEST(outcome->slot->instance->id == second);
+  }
+}
+
+// Guards against requests of a process that has ended, which hold back those of
+// running processes and get slots that nobody uses.
+BOOST_FIXTURE_TEST_CASE(RequestsOfAReplacedProcessAreWithdrawn, Fleet)
+{
+  const std::string dispatching = this->NameOf(true);
+  const std::string other = this->NameOf(false);
+  for (int index = 0; index < 3; ++index) {
+    this->Acquire(dispatching);
+  }
+  this->Acquire(other);
+  this->Run(20ms);
+  BOOST_TEST(this->brokers.at(dispatching)->WaitingCount() == 1U);
+  this->Start(other);
+  this->Update();
+  const auto outcome = this->Acquire(other);
+  this->Run(20ms);
+  BOOST_TEST(!outcome->isDecided);
+  BOOST_TEST(this->brokers.at(dispatching)->WaitingCount() == 1U);
+}
+
+// Guards against a slot request of a process that has ended, read late from its
+// connection, which would withdraw the requests of the new process.
+BOOST_FIXTURE_TEST_CASE(LateRequestOfAReplacedProcessIsIgnored, Fleet)
+{
+  const std::string dispatching = this->NameOf(true);
+  const std::string other = this->NameOf(false);
+  for (int index = 0; index < 3; ++index) {
+    this->Acquire(dispatching);
+  }
+  this->Acquire(other);
+  this->Run(20ms);
+  const core::DaemonId replaced{ other, this->starts.at(other) };
+  this->Start(other);
+  this->Update();
+  this->Acquire(other);
+  this->Run(20ms);
+  wire::SlotRequest late;
+  late.number = 7;
+  late.service = "s";
+  late.goal = 600ms;
+  late.deadline = 4s;
+  this->Deliver(replaced, dispatching, late);
+  this->Run(20ms);
+  BOOST_TEST(this->brokers.at(dispatching)->WaitingCount() == 1U);
+}
+
+// Guards against the release of a grant of a process that has ended, which
+// would end a grant of its replacement: the instance gets more requests than it
+// has slots, and what was stated about one instance is applied to another.
+BOOST_FIXTURE_TEST_CASE(NewProcessIgnoresReleasesOfItsPredecessorsGrants, Fleet)
+{
+  const std::string dispatching = this->NameOf(true);
+  const std::string other = this->NameOf(false);
+  const auto old = this->Acquire(other);
+  this->Run(20ms);
+  BOOST_REQUIRE(old->slot.has_value());
+  this->Start(dispatching);
+  this->Update();
+  const auto current = this->Acquire(other);
+  this->Run(20ms);
+  BOOST_REQUIRE(current->slot.has_value());
+  this->brokers.at(other)->Release(*old->slot,
+                                   routing::AttemptOutcome::Answered,
+                                   20ms,
+                                   std::nullopt,
+                                   routing::ServerNotice{ .isLeaving = true });
+  this->Run(20ms);
+  const auto* dispatcher = this->brokers.at(dispatching)->FindDispatcher("s");
+  BOOST_REQUIRE(dispatcher != nullptr);
+  BOOST_TEST(dispatcher->GrantCount() == 1U);
+  BOOST_TEST(!dispatcher->IsLeaving(*current->slot->instance));
+}
--- a/modules/routing/ServiceDirectory.cpp
+++ b/modules/routing/ServiceDirectory.cpp
@@ -125,6 +125,7 @@
 {
   const auto found = this->entries.find(aInstance.id);
   return found != this->entries.end() &&
+         found->second.instance->service == aInstance.service &&
          found->second.instance->address == aInstance.address &&
          this->TargetOf(found->second.instance).isUsable;
 }
--- a/modules/routing/ServiceDirectory.h
+++ b/modules/routing/ServiceDirectory.h
@@ -86,8 +86,8 @@
   /** Returns the instances of a service and whether they may get requests. */
   std::vector<DispatchTarget> TargetsOf(std::string_view aService) const;
 
-  /** Whether an instance is known at its address and may get requests, on trial
-   * or not. */
+  /** Whether an instance of its service is known at its address and may get
+   * requests, on trial or not. */
   bool IsUsable(const BackendInstance& aInstance) const;
 
   /** Returns the number of instances. */
--- a/modules/routing/ServiceDirectoryTest.cpp
+++ b/modules/routing/ServiceDirectoryTest.cpp
@@ -102,6 +102,15 @@
   BOOST_TEST(!this->directory.IsUsable(old));
 }
 
+// Guards against a grant that names a server of another service.
+BOOST_FIXTURE_TEST_CASE(AnInstanceOfAnotherServiceIsNotUsable, Fixture)
+{
+  this->directory.Put(this->Instance("x"));
+  BackendInstance other = this->Instance("x");
+  other.service = "t";
+  BOOST_TEST(!this->directory.IsUsable(other));
+}
+
 // Guards against regular traffic for a version before its verdict, and for the
 // old version after the rollout is completed.
 BOOST_FIXTURE_TEST_CASE(RolloutStateDecidesWhichVersionsAreUsed, Fixture)
--- a/modules/routing/ServiceDispatcher.cpp
+++ b/modules/routing/ServiceDispatcher.cpp
@@ -588,7 +588,8 @@
       now, std::max(aTarget.lastLimitedSend + interval, now - interval));
   }
   aTarget.load.Begin();
-  const std::uint64_t id = ++this->lastGrant;
+  const std::uint64_t id =
+    this->hooks.nextGrant ? this->hooks.nextGrant() : ++this->lastGrant;
   this->grants.emplace(id,
                        Grant{ KeyOf(*aTarget.source.instance),
                               aRequest.deadline + kGrantGracePeriod,
--- a/modules/routing/ServiceDispatcher.h
+++ b/modules/routing/ServiceDispatcher.h
@@ -57,6 +57,9 @@
     onLimitChanged;
   /** Optional: called when an instance first states that it is leaving. */
   std::function<void(const BackendInstance&)> onLeaving;
+  /** Optional: returns the id of the next grant, which must not be 0 or in use.
+   * Without it, grants are counted from 1. */
+  std::function<std::uint64_t()> nextGrant = nullptr;
 };
 
 /** Parameters of a dispatcher's decisions. */
