Keep the state of an instance whose entry lapsed

Cause: SetInstances dropped the target with its count of requests and kept the grants. When the entry was back, the end of the old request was subtracted from a new count of 0, which wrapped: full for good. The assertion is not in the shipped build. The pause, limit and cold time of the instance were forgotten as well.

Change: the target of a removed entry is kept for a minute and as long as it has grants; the same process finds its state again, a restarted one does not. The count cannot wrap in any build. The end of a request at a removed instance is reported.

--- a/modules/routing/InstanceLoad.cpp
+++ b/modules/routing/InstanceLoad.cpp
@@ -66,7 +66,10 @@
                   core::TimePoint aNow)
 {
   assert(this->inFlight > 0 && aTypicalDuration.count() > 0);
-  --this->inFlight;
+  if (this->inFlight > 0) {
+    // A count that wraps would make the instance full for good.
+    --this->inFlight;
+  }
   switch (aOutcome) {
     case AttemptOutcome::Answered: {
       this->failures = 0;
--- a/modules/routing/ServiceDispatcher.cpp
+++ b/modules/routing/ServiceDispatcher.cpp
@@ -73,6 +73,10 @@
 // time, without an event that would cause a check.
 constexpr milliseconds kWaitingCheckInterval = 10ms;
 
+// Time for which the state of a removed instance is kept. An instance that was
+// cut off from the store is listed again with its first report after that.
+constexpr milliseconds kRemovedRetention = 60'000ms;
+
 // Maximum of the random part of a cost, so that idle instances of equal cost
 // are used evenly.
 constexpr double kCostJitterMs = 2;
@@ -138,9 +142,11 @@
     assert(source.instance);
     const std::uint64_t key = KeyOf(*source.instance);
     Target target;
-    if (const auto known = this->targets.find(key);
-        known != this->targets.end()) {
-      target = std::move(known->second);
+    if (auto known = this->targets.extract(key); !known.empty()) {
+      target = std::move(known.mapped());
+    } else if (auto removed = this->removedTargets.extract(key);
+               !removed.empty()) {
+      target = std::move(removed.mapped().target);
     }
     const bool isChanged =
       !target.source.instance || *target.source.instance != *source.instance;
@@ -152,7 +158,12 @@
     target.isLeaving = this->leavingKeys.contains(key);
     next.emplace(key, std::move(target));
   }
+  for (auto& [key, target] : this->targets) {
+    this->removedTargets.insert_or_assign(
+      key, RemovedTarget{ std::move(target), now });
+  }
   this->targets = std::move(next);
+  this->DropRemovedTargets();
   this->usableSlotsAt = {};
   this->DispatchWaiting();
 }
@@ -217,18 +228,18 @@
   if (grant == this->grants.end()) {
     return;
   }
-  const auto target = this->targets.find(grant->second.key);
+  Target* const target = this->FindTarget(grant->second.key);
   const std::uint64_t route = grant->second.route;
   const TimePoint begin = grant->second.begin;
   if (aNotice.isLeaving) {
     this->MarkLeaving(grant->second.key);
   }
   this->grants.erase(grant);
-  if (target != this->targets.end()) {
+  if (target != nullptr) {
     if (this->hooks.onRequestEnded) {
-      this->hooks.onRequestEnded({ target->second.source.instance,
-                                   target->second.source.isOnTrial,
-                                   this->hooks.now() < target->second.coldUntil,
+      this->hooks.onRequestEnded({ target->source.instance,
+                                   target->source.isOnTrial,
+                                   this->hooks.now() < target->coldUntil,
                                    route,
                                    aOutcome,
                                    aDuration,
@@ -237,22 +248,21 @@
     // The report counts the request with whose answer it came, so it is applied
     // before the request ends.
     if (aSample) {
-      this->ApplyReport(target->second.load, *aSample);
+      this->ApplyReport(target->load, *aSample);
     }
     if (HasAnswer(aOutcome)) {
-      this->ApplyNotice(target->second, aNotice, begin);
+      this->ApplyNotice(*target, aNotice, begin);
     } else {
-      this->ApplyPause(target->second, aNotice);
+      this->ApplyPause(*target, aNotice);
     }
-    target->second.load.End(
+    target->load.End(
       aOutcome, aDuration, this->typicalDuration, this->hooks.now());
   }
   this->UpdateTypicalDuration(aOutcome, aDuration);
   if (aNotice.isLeaving || aNotice.pause) {
     this->DispatchWaiting();
   } else {
-    this->DispatchWaiting(target == this->targets.end() ? nullptr
-                                                        : &target->second);
+    this->DispatchWaiting(this->IfListed(target));
   }
 }
 
@@ -266,17 +276,17 @@
   if (aNotice.isLeaving) {
     this->MarkLeaving(KeyOf(aInstance));
   }
-  const auto target = this->targets.find(KeyOf(aInstance));
-  if (target == this->targets.end()) {
+  Target* const target = this->FindTarget(KeyOf(aInstance));
+  if (target == nullptr) {
     return;
   }
-  InstanceLoad& load = target->second.load;
+  InstanceLoad& load = target->load;
   load.Begin();
   if (aSample) {
     this->ApplyReport(load, *aSample);
   }
   if (HasAnswer(aOutcome)) {
-    this->ApplyNotice(target->second, aNotice, this->hooks.now() - aDuration);
+    this->ApplyNotice(*target, aNotice, this->hooks.now() - aDuration);
   }
   load.End(aOutcome, aDuration, this->typicalDuration, this->hooks.now());
   this->UpdateTypicalDuration(aOutcome, aDuration);
@@ -286,24 +296,22 @@
 ServiceDispatcher::OnMeasured(const BackendInstance& aInstance,
                               const std::optional<Measurement>& aMeasurement)
 {
-  const auto target = this->targets.find(KeyOf(aInstance));
-  if (target == this->targets.end() || !aMeasurement) {
+  Target* const target = this->FindTarget(KeyOf(aInstance));
+  if (target == nullptr || !aMeasurement) {
     return;
   }
-  this->ApplyReport(target->second.load, aMeasurement->load);
+  this->ApplyReport(target->load, aMeasurement->load);
   if (aMeasurement->notice.isLeaving) {
-    this->MarkLeaving(target->first);
+    this->MarkLeaving(target->key);
   }
-  this->ApplyNotice(
-    target->second, aMeasurement->notice, target->second.measuredAt);
+  this->ApplyNotice(*target, aMeasurement->notice, target->measuredAt);
   if (aMeasurement->remainingColdTime.count() > 0) {
-    target->second.coldUntil =
-      this->hooks.now() + aMeasurement->remainingColdTime;
+    target->coldUntil = this->hooks.now() + aMeasurement->remainingColdTime;
   }
   if (aMeasurement->notice.isLeaving || aMeasurement->notice.pause) {
     this->DispatchWaiting();
   } else {
-    this->DispatchWaiting(&target->second);
+    this->DispatchWaiting(this->IfListed(target));
   }
 }
 
@@ -316,13 +324,13 @@
       ++grant;
       continue;
     }
-    const auto target = this->targets.find(grant->second.key);
-    if (target != this->targets.end()) {
-      target->second.load.End(
+    if (Target* const target = this->FindTarget(grant->second.key)) {
+      target->load.End(
         AttemptOutcome::Cancelled, nanoseconds(0), this->typicalDuration, now);
     }
     grant = this->grants.erase(grant);
   }
+  this->DropRemovedTargets();
   this->DispatchWaiting();
 }
 
@@ -363,6 +371,41 @@
     }));
 }
 
+ServiceDispatcher::Target*
+ServiceDispatcher::FindTarget(std::uint64_t aKey)
+{
+  return const_cast<Target*>(std::as_const(*this).FindTarget(aKey));
+}
+
+const ServiceDispatcher::Target*
+ServiceDispatcher::FindTarget(std::uint64_t aKey) const
+{
+  if (const auto listed = this->targets.find(aKey);
+      listed != this->targets.end()) {
+    return &listed->second;
+  }
+  const auto removed = this->removedTargets.find(aKey);
+  return removed == this->removedTargets.end() ? nullptr
+                                               : &removed->second.target;
+}
+
+ServiceDispatcher::Target*
+ServiceDispatcher::IfListed(Target* aTarget)
+{
+  return aTarget != nullptr && this->targets.contains(aTarget->key) ? aTarget
+                                                                    : nullptr;
+}
+
+void
+ServiceDispatcher::DropRemovedTargets()
+{
+  const TimePoint now = this->hooks.now();
+  std::erase_if(this->removedTargets, [now](const auto& aEntry) {
+    return aEntry.second.target.load.InFlight() == 0 &&
+           now - aEntry.second.removedAt >= kRemovedRetention;
+  });
+}
+
 ServiceDispatcher::Choice
 ServiceDispatcher::ChooseByTrialShare(const DispatchRequest& aRequest)
 {
@@ -873,10 +916,9 @@
 nanoseconds
 ServiceDispatcher::RemainingPause(const BackendInstance& aInstance) const
 {
-  const auto target = this->targets.find(KeyOf(aInstance));
-  return target == this->targets.end()
-           ? nanoseconds(0)
-           : target->second.pausedUntil - this->hooks.now();
+  const Target* const target = this->FindTarget(KeyOf(aInstance));
+  return target == nullptr ? nanoseconds(0)
+                           : target->pausedUntil - this->hooks.now();
 }
 
 nanoseconds
--- a/modules/routing/ServiceDispatcher.h
+++ b/modules/routing/ServiceDispatcher.h
@@ -142,7 +142,11 @@
    */
   static std::uint64_t KeyOf(const BackendInstance& aInstance);
 
-  /** Replaces the instances. The load and health of those that stay are kept.
+  /**
+   * Replaces the instances. The load and health of those that stay are kept,
+   * and for some time those of the removed ones: an entry that lapsed while its
+   * instance was cut off from the store appears again, and requests may still
+   * run there.
    */
   void SetInstances(const std::vector<DispatchTarget>& aTargets);
 
@@ -251,6 +255,12 @@
     /** Time from which the interval to its next request counts. */
     core::TimePoint lastLimitedSend{};
   };
+  /** An instance that is not listed any more. It gets no requests. */
+  struct RemovedTarget
+  {
+    Target target;
+    core::TimePoint removedAt{};
+  };
   struct Grant
   {
     std::uint64_t key = 0;
@@ -276,6 +286,15 @@
     std::optional<core::TimePoint> firstReturn;
   };
 
+  /** Returns the listed or removed instance with a key; null if there is none.
+   * One that has grants always exists. */
+  Target* FindTarget(std::uint64_t aKey);
+  const Target* FindTarget(std::uint64_t aKey) const;
+  /** Returns the instance if it is listed, so that it may get requests;
+   * otherwise null. */
+  Target* IfListed(Target* aTarget);
+  /** Drops removed instances that have no grants and are not expected back. */
+  void DropRemovedTargets();
   /** Returns the instance with the lowest cost among those on trial or among
    * the others. */
   Choice Choose(const DispatchRequest& aRequest, bool aOnTrial);
@@ -361,6 +380,7 @@
   DispatcherSettings settings;
   configuration::BackendService service;
   std::map<std::uint64_t, Target> targets;
+  std::map<std::uint64_t, RemovedTarget> removedTargets;
   /** Keys of the instances that are leaving. They are kept when an instance is
    * removed, since its entry may appear again. */
   std::set<std::uint64_t> leavingKeys;
--- a/modules/routing/ServiceDispatcherTest.cpp
+++ b/modules/routing/ServiceDispatcherTest.cpp
@@ -913,3 +913,166 @@
   BOOST_TEST(granted.size() >= 3U * kInstances + kEvents);
   BOOST_TEST(looks < 40U * kEvents);
 }
+
+// Guards against an instance that is never used again after its entry lapsed
+// while a request ran there: the end of the request was subtracted from a new
+// count, which wrapped.
+BOOST_FIXTURE_TEST_CASE(LapsedInstanceIsUsedAgainAfterItsRequestHasEnded,
+                        Fixture)
+{
+  this->dispatcher.SetInstances({ { Instance("x") } });
+  const std::uint64_t running = this->Submit();
+  this->dispatcher.SetInstances({});
+  this->time += 250ms;
+  this->dispatcher.SetInstances({ { Instance("x") } });
+  this->Release(running);
+  BOOST_TEST(this->dispatcher.GrantCount(false) == 0U);
+  for (int index = 0; index < 3; ++index) {
+    BOOST_TEST(this->InstanceOf(this->Submit()) == "x");
+  }
+  BOOST_TEST(this->dispatcher.GrantCount(false) == 3U);
+}
+
+// Guards against the same when the grant expires instead.
+BOOST_FIXTURE_TEST_CASE(LapsedInstanceIsUsedAgainAfterItsGrantExpired, Fixture)
+{
+  this->dispatcher.SetInstances({ { Instance("x") } });
+  this->Submit(600ms, 2s);
+  this->dispatcher.SetInstances({});
+  this->dispatcher.SetInstances({ { Instance("x") } });
+  this->time += 4s;
+  this->dispatcher.Tick();
+  BOOST_TEST(this->dispatcher.GrantCount(false) == 0U);
+  BOOST_TEST(this->InstanceOf(this->Submit()) == "x");
+}
+
+// Guards against more requests at an instance than it has slots, because those
+// that it ran while its entry was missing are not counted.
+BOOST_FIXTURE_TEST_CASE(RequestsAtALapsedInstanceStillCount, Fixture)
+{
+  this->dispatcher.SetInstances({ { Instance("x") } });
+  for (int index = 0; index < 3; ++index) {
+    this->Submit();
+  }
+  this->dispatcher.SetInstances({});
+  this->dispatcher.SetInstances({ { Instance("x") } });
+  const std::uint64_t waiting = this->Submit();
+  BOOST_TEST(!this->results.contains(waiting));
+  this->Release(1);
+  BOOST_TEST(this->InstanceOf(waiting) == "x");
+}
+
+// Guards against requests to an instance that pauses, because its pause was
+// forgotten when its entry lapsed.
+BOOST_FIXTURE_TEST_CASE(PauseOfALapsedInstanceIsKept, Fixture)
+{
+  this->dispatcher.SetInstances({ { Instance("x") } });
+  const std::uint64_t running = this->Submit();
+  this->dispatcher.Release(this->results.at(running).grant,
+                           AttemptOutcome::Refused,
+                           1ms,
+                           std::nullopt,
+                           ServerNotice{ .pause = 1s });
+  this->dispatcher.SetInstances({});
+  this->dispatcher.SetInstances({ { Instance("x") } });
+  const std::uint64_t refused = this->Submit();
+  BOOST_TEST(this->InstanceOf(refused).empty());
+}
+
+// Guards against a process that inherits what is known of an earlier process
+// with the same id.
+BOOST_FIXTURE_TEST_CASE(RestartedInstanceStartsWithoutRequests, Fixture)
+{
+  this->dispatcher.SetInstances({ { Instance("x") } });
+  for (int index = 0; index < 3; ++index) {
+    this->Submit();
+  }
+  BackendInstance restarted = *Instance("x");
+  restarted.startedAt = 5;
+  this->dispatcher.SetInstances(
+    { { std::make_shared<const BackendInstance>(restarted) } });
+  for (int index = 0; index < 3; ++index) {
+    BOOST_TEST(this->InstanceOf(this->Submit()) == "x");
+  }
+  for (std::uint64_t id = 1; id <= 3; ++id) {
+    this->Release(id);
+  }
+  BOOST_TEST(this->dispatcher.GrantCount(false) == 3U);
+}
+
+// Guards against counts that differ from what they count after any order of
+// grants, ends, expiries and changes of the list.
+BOOST_FIXTURE_TEST_CASE(CountsMatchTheGrantsAfterAnyOrderOfChanges, Fixture)
+{
+  std::mt19937_64 random(32);
+  const std::vector<std::string> names{ "x", "y", "z" };
+  std::map<std::string, std::uint64_t> starts;
+  std::set<std::string> listed;
+  const auto update = [&] {
+    std::vector<DispatchTarget> targets;
+    for (const std::string& name : listed) {
+      BackendInstance instance = *Instance(name);
+      instance.startedAt = starts[name];
+      targets.push_back({ std::make_shared<const BackendInstance>(instance) });
+    }
+    this->dispatcher.SetInstances(targets);
+  };
+  std::vector<std::uint64_t> running;
+  for (int step = 0; step < 20'000; ++step) {
+    const std::string& name = names[random() % names.size()];
+    switch (random() % 8) {
+      case 0:
+        listed.insert(name);
+        update();
+        break;
+      case 1:
+        listed.erase(name);
+        update();
+        break;
+      case 2:
+        ++starts[name];
+        update();
+        break;
+      case 3:
+        this->time += std::chrono::milliseconds(random() % 900);
+        this->dispatcher.Tick();
+        break;
+      case 4:
+      case 5:
+        if (!running.empty()) {
+          this->Release(running.back());
+          running.pop_back();
+        }
+        break;
+      default:
+        this->Submit(600ms, 2s);
+        break;
+    }
+    for (const std::uint64_t id : std::exchange(this->decidedIds, {})) {
+      if (this->results.at(id).grant != 0) {
+        running.push_back(id);
+      }
+    }
+    std::shuffle(running.begin(), running.end(), random);
+    BOOST_REQUIRE(this->dispatcher.GrantCount(false) <=
+                  this->dispatcher.GrantCount());
+    BOOST_REQUIRE(this->dispatcher.GrantCount(false) <= 3 * names.size());
+  }
+  // All requests end; every listed instance is idle and gets requests.
+  listed = { names.begin(), names.end() };
+  update();
+  for (const std::uint64_t id : running) {
+    this->Release(id);
+  }
+  this->time += 20s;
+  this->dispatcher.Tick();
+  BOOST_TEST(this->dispatcher.GrantCount() == 0U);
+  BOOST_TEST(this->dispatcher.GrantCount(false) == 0U);
+  std::map<std::string, int> counts;
+  for (int index = 0; index < 9; ++index) {
+    ++counts[this->InstanceOf(this->Submit())];
+  }
+  for (const std::string& name : names) {
+    BOOST_TEST(counts[name] == 3);
+  }
+}
