Bound the bytes held before a parser takes them

A server, or a caller, that sends the line of a chunk's size, its extensions or the trailers without end filled the memory of the host: all requests of other callers there end with the process. Reported by operators of a similar system.

Cause: the parser takes these only as a whole and has no limit for them, and neither had the buffer in front of it. Heads and bodies were bounded.

Change: the buffers of callers', servers' and the store's connections hold 64 KB (and a caller's longest header); beyond that the attempt is invalid or the request refused.

The store's connection has the same limit by reading, without a test.

--- a/modules/gateway/CallerSession.cpp
+++ b/modules/gateway/CallerSession.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <cassert>
 #include <chrono>
 #include <utility>
@@ -26,6 +27,10 @@
 // is in transit.
 constexpr std::size_t kMaxDrainedBytes = 1024 * 1024;
 constexpr std::size_t kReadChunkBytes = 16 * 1024;
+// Received bytes that are held, beyond the longest header, until the parser
+// takes them. It takes a body as it arrives, but the line of a chunk's size
+// with its extensions, and the trailers, only as a whole.
+constexpr std::size_t kMaxBufferedBytes = std::size_t{ 64 } * 1024;
 
 } // namespace
 
@@ -66,6 +71,10 @@
   this->parser->header_limit(
     static_cast<std::uint32_t>(this->hooks->limits.maxHeaderBytes));
   this->parser->body_limit(this->hooks->limits.maxBodyBytes);
+  // A new configuration may have lowered the limit of headers.
+  this->buffer.max_size(
+    std::max(this->buffer.size(),
+             this->hooks->limits.maxHeaderBytes + kMaxBufferedBytes));
   this->isIdle = this->buffer.size() == 0;
   if (!this->isIdle) {
     this->stream.expires_after(this->hooks->limits.requestTimeout);
--- a/modules/gateway/CallerSessionTest.cpp
+++ b/modules/gateway/CallerSessionTest.cpp
@@ -108,6 +108,16 @@
   "POST /a/b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
   "Content-Length: 3\r\n\r\n0\r\n\r\n";
 
+// The last byte of each may be repeated without end.
+const std::string kChunkedStart =
+  "POST /a/b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
+const std::vector<std::string> kEndlessStarts{
+  "GET /a/b HTTP/1.1\r\nX: x",
+  kChunkedStart + "5;name=x",
+  kChunkedStart + "0",
+  kChunkedStart + "0\r\nX: x",
+};
+
 const std::vector<std::string> kMalformedRequests{
   kTwoLengths,
   kLengthAndChunked,
@@ -182,6 +192,29 @@
   {
     boost::asio::io_context clientContext;
     tcp::socket socket(clientContext);
+// Guards against memory that grows while a caller sends bytes without end in
+// the framing of a body.
+BOOST_DATA_TEST_CASE(BytesWithoutEndEndTheSession,
+                     boost::unit_test::data::make(kEndlessStarts),
+                     start)
+{
+  EchoGateway gateway;
+  boost::asio::io_context clientContext;
+  tcp::socket socket(clientContext);
+  socket.connect(gateway.Endpoint());
+  boost::system::error_code error;
+  boost::asio::write(socket, boost::asio::buffer(start), error);
+  const std::string block(64 * 1024, start.back());
+  // Socket buffers hold a few megabytes.
+  constexpr std::size_t kMaxBytes = 32 * 1024 * 1024;
+  std::size_t sent = 0;
+  while (!error && sent < kMaxBytes) {
+    sent += boost::asio::write(socket, boost::asio::buffer(block), error);
+  }
+  BOOST_TEST(error.failed());
+  BOOST_TEST(gateway.calls.empty());
+}
+
     socket.connect(gateway.Endpoint());
     const std::string request = "GET /a/hang HTTP/1.1\r\n\r\n";
     boost::asio::write(socket, boost::asio::buffer(request));
--- a/modules/gateway/ServerConnection.cpp
+++ b/modules/gateway/ServerConnection.cpp
@@ -37,6 +37,11 @@
 // server that sends more of them is faulty.
 constexpr unsigned kMaxMismatchedAnswers = 16;
 
+// Received bytes that are held until the parser takes them. It takes a body as
+// it arrives, but the line of a chunk's size with its extensions, and the
+// trailers, only as a whole.
+constexpr std::size_t kMaxBufferedBytes = std::size_t{ 64 } * 1024;
+
 std::shared_ptr<const calls::Answer>
 AnswerOf(http::response<http::string_body>& aMessage)
 {
@@ -57,6 +62,7 @@
   std::shared_ptr<const ServerDialect> aDialect)
   : stream(aContext)
   , dialect(std::move(aDialect))
+  , buffer(kMaxBufferedBytes)
   , idleLimit(kDefaultIdleLimit)
 {
   assert(this->dialect);
--- a/modules/gateway/ServerConnectionTest.cpp
+++ b/modules/gateway/ServerConnectionTest.cpp
@@ -25,6 +25,9 @@
 const std::string kAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
                             "Server-Load: in_flight=1, slots=4\r\n\r\nhello";
 
+const std::string kChunkedHead =
+  "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
 constexpr auto kUnsolicitedDelay = 20ms;
 
 /**
@@ -320,7 +323,8 @@
 }
 
 // Guards against a request that waits, or memory that grows, while a faulty
-// server sends bytes without end in a head, in a body or in other answers.
+// server sends bytes without end in a head, in a body, in the framing of a body
+// or in other answers.
 BOOST_AUTO_TEST_CASE(BytesWithoutEndEndTheAttempt)
 {
   constexpr std::size_t kSize = 4 * ServerConnection::kMaxAnswerBytes;
@@ -342,6 +346,24 @@
         return chunks;
       }(),
     std::string(kSize, 'x'),
+    "HTTP/1.1 200 OK\r\n" +
+      [] {
+        std::string fields;
+        while (fields.size() < kSize) {
+          fields += "Field: x\r\n";
+        }
+        return fields;
+      }(),
+    kChunkedHead + "5;name=" + std::string(kSize, 'x'),
+    kChunkedHead + std::string(kSize, '0'),
+    kChunkedHead + "0\r\nField: " + std::string(kSize, 'x'),
+    [] {
+      std::string interim;
+      while (interim.size() < kSize) {
+        interim += "HTTP/1.1 100 Continue\r\n\r\n";
+      }
+      return interim;
+    }(),
   };
   for (const std::string& bytes : endless) {
     ScriptedServer server({ { bytes } });
--- a/modules/store/StoreConnection.cpp
+++ b/modules/store/StoreConnection.cpp
@@ -22,6 +22,10 @@
 // are far smaller.
 constexpr std::uint64_t kBodyLimitBytes = 4U << 20U;
 
+// Received bytes that are held until the parser takes them: the head, or the
+// line of a chunk's size.
+constexpr std::size_t kMaxBufferedBytes = 64U << 10U;
+
 // A connection on which not even acknowledgements arrive, such as that of a
 // watch, fails after this time. The platform requires a host to react to
 // changes within that time after a connection loss.
@@ -162,6 +166,7 @@
 {
   this->parser.emplace();
   this->parser->body_limit(kBodyLimitBytes);
+  this->buffer.max_size(kMaxBufferedBytes);
   http::async_read(this->socket,
                    this->buffer,
                    *this->parser,
