Refuse messages with a transfer coding that is not decoded

An answer in such a coding was passed on as the body.

Cause: the parser takes a message as one without a body if its last transfer coding is not `chunked`; the daemon dropped the field and read on.

Change: anything but one `chunked`, and any coding in HTTP/1.0, gets one 400 and the end of the connection; from a server it is an invalid answer.

--- a/modules/gateway/CallerSession.cpp
+++ b/modules/gateway/CallerSession.cpp
@@ -136,6 +136,15 @@
   const auto& request = this->parser->get();
   this->httpVersion = request.version();
   this->isHeadRequest = request.method() == http::verb::head;
+  const bool hasCoding = request.count(http::field::transfer_encoding) > 0;
+  if (!HasKnownTransferCoding(request) ||
+      (hasCoding && request.version() < 11)) {
+    // Where the body ends is not known, so what follows is no request.
+    this->WriteAnswer(CallAnswer::OfError(core::ErrorKind::BadRequest,
+                                          "unknown transfer coding"),
+                      false);
+    return;
+  }
   if (beast::iequals(request[http::field::expect], "100-continue")) {
     auto interim = std::make_shared<http::response<http::empty_body>>(
       http::status::continue_, this->httpVersion);
--- a/modules/gateway/CallerSessionTest.cpp
+++ b/modules/gateway/CallerSessionTest.cpp
@@ -108,6 +108,10 @@
   "POST /a/b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
   "Content-Length: 3\r\n\r\n0\r\n\r\n";
 
+// A body whose end is not known, which would be read as the next request.
+const std::string kUnknownCoding = "POST /a/b HTTP/1.1\r\nTransfer-Encoding: ";
+const std::string kSmuggledRequest = "\r\n\r\nGET /a/c HTTP/1.1\r\n\r\n";
+
 // The last byte of each may be repeated without end.
 const std::string kChunkedStart =
   "POST /a/b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n";
@@ -122,6 +126,12 @@
   kTwoLengths,
   kLengthAndChunked,
   kChunkedAndLength,
+  kUnknownCoding + "gzip" + kSmuggledRequest,
+  kUnknownCoding + "chunked, identity" + kSmuggledRequest,
+  kUnknownCoding + "gzip, chunked\r\n\r\n0\r\n\r\n",
+  kUnknownCoding + "chunked;a=b\r\n\r\n0\r\n\r\n",
+  kUnknownCoding + "gzip\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+  kUnknownCoding + "\r\n\r\n",
   "POST /a/b HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
   "GET /a/b HTTP/1.1\r\nBad Name: x\r\n\r\n",
   "garbage\r\n\r\n",
@@ -160,6 +170,16 @@
   BOOST_TEST(gateway.calls.empty());
 }
 
+// Guards against the same where the sender's version has no transfer codings.
+BOOST_AUTO_TEST_CASE(ChunkedRequestOfVersionOneZeroIsRefused)
+{
+  EchoGateway gateway;
+  const std::string answer = gateway.Exchange(
+    "POST /a/b HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n");
+  BOOST_TEST(StatusLineOf(answer) == "HTTP/1.0 400 Bad Request");
+  BOOST_TEST(gateway.calls.empty());
+}
+
 // Guards against unbounded memory for headers and bodies.
 BOOST_AUTO_TEST_CASE(OversizedRequestsAreRefused)
 {
@@ -175,23 +195,6 @@
   BOOST_TEST(gateway.calls.empty());
 }
 
-// Guards against an incomplete request being run.
-BOOST_AUTO_TEST_CASE(IncompleteRequestsAreNotRun)
-{
-  EchoGateway gateway;
-  gateway.Exchange("POST /a/b HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc");
-  gateway.Exchange("GET /a/b HTTP/1.1\r\nHos");
-  BOOST_TEST(gateway.calls.empty());
-}
-
-// Guards against a call that continues after its caller has closed the
-// connection.
-BOOST_AUTO_TEST_CASE(ClosedConnectionCancelsItsCall)
-{
-  EchoGateway gateway;
-  {
-    boost::asio::io_context clientContext;
-    tcp::socket socket(clientContext);
 // Guards against memory that grows while a caller sends bytes without end in
 // the framing of a body.
 BOOST_DATA_TEST_CASE(BytesWithoutEndEndTheSession,
@@ -215,6 +218,23 @@
   BOOST_TEST(gateway.calls.empty());
 }
 
+// Guards against an incomplete request being run.
+BOOST_AUTO_TEST_CASE(IncompleteRequestsAreNotRun)
+{
+  EchoGateway gateway;
+  gateway.Exchange("POST /a/b HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc");
+  gateway.Exchange("GET /a/b HTTP/1.1\r\nHos");
+  BOOST_TEST(gateway.calls.empty());
+}
+
+// Guards against a call that continues after its caller has closed the
+// connection.
+BOOST_AUTO_TEST_CASE(ClosedConnectionCancelsItsCall)
+{
+  EchoGateway gateway;
+  {
+    boost::asio::io_context clientContext;
+    tcp::socket socket(clientContext);
     socket.connect(gateway.Endpoint());
     const std::string request = "GET /a/hang HTTP/1.1\r\n\r\n";
     boost::asio::write(socket, boost::asio::buffer(request));
--- a/modules/gateway/HttpFields.cpp
+++ b/modules/gateway/HttpFields.cpp
@@ -4,6 +4,7 @@
 #include <boost/beast/http/rfc7230.hpp>
 
 #include <charconv>
+#include <iterator>
 #include <string>
 #include <vector>
 
@@ -39,6 +40,15 @@
 }
 
 std::optional<unsigned>
+bool
+HasKnownTransferCoding(const http::fields& aFields)
+{
+  const auto codings = aFields.equal_range(http::field::transfer_encoding);
+  return codings.first == codings.second ||
+         (std::next(codings.first) == codings.second &&
+          boost::beast::iequals(codings.first->value(), "chunked"));
+}
+
 ParseNumberField(const http::fields& aFields,
                  std::string_view aName,
                  bool& aValid)
--- a/modules/gateway/HttpFields.h
+++ b/modules/gateway/HttpFields.h
@@ -24,6 +24,14 @@
 void
 RemoveHopByHopFields(boost::beast::http::fields& aFields);
 
+/**
+ * Returns whether the message has no transfer coding, or only the chunked one.
+ * The end of a body with another coding, or the body itself, is not known. Not
+ * thread-safe.
+ */
+bool
+HasKnownTransferCoding(const boost::beast::http::fields& aFields);
+
 /**
  * Returns the value of a field as a non-negative integer, or nothing if the
  * field is absent. Sets `aValid` to false if the field is present but not a
--- a/modules/gateway/ServerConnection.cpp
+++ b/modules/gateway/ServerConnection.cpp
@@ -232,8 +232,9 @@
   // An answer without a length ends when the server closes the connection. The
   // read has checked that the close was orderly.
   const bool isFramed = hasKnownEnd || this->dialect->allowsUnframedAnswers;
-  if (!isFramed || http::to_status_class(message.result()) ==
-                     http::status_class::informational) {
+  if (!isFramed || !HasKnownTransferCoding(message) ||
+      http::to_status_class(message.result()) ==
+        http::status_class::informational) {
     this->Fail(AttemptProgress::AnswerInvalid);
     return;
   }
--- a/modules/gateway/ServerConnectionTest.cpp
+++ b/modules/gateway/ServerConnectionTest.cpp
@@ -379,3 +379,17 @@
   BOOST_TEST((client.Send().progress == AttemptProgress::AnswerInvalid));
   BOOST_TEST(client.pool->ConnectionCount() == 0U);
 }
+
+// Guards against a body in a coding that is not decoded, passed on as if it
+// were the server's body.
+BOOST_AUTO_TEST_CASE(AnswerInAnUnknownTransferCodingIsInvalid)
+{
+  for (const char* coding : { "gzip", "gzip, chunked", "chunked, gzip" }) {
+    ScriptedServer server(
+      { { "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + std::string(coding) +
+            "\r\n\r\n3\r\nabc\r\n0\r\n\r\n",
+          true } });
+    Client client(server.Endpoint(), DialectWithIds());
+    BOOST_TEST((client.Send().progress == AttemptProgress::AnswerInvalid));
+  }
+}
