Refuse TRACE requests with a body

A TRACE request with a body ended the daemon with signal 6, and with it the requests of all other callers of the host.

Cause: the library throws when it prepares such a message to be sent to a server. RFC 9110 forbids callers to send one.

Change: 400 when the request has been read. The case is one of MalformedRequestsAreRefused, which failed without it.

--- a/modules/gateway/CallerSession.cpp
+++ b/modules/gateway/CallerSession.cpp
@@ -182,6 +182,13 @@
     this->RefuseRequest(aError);
     return;
   }
+  const auto& request = this->parser->get();
+  if (request.method() == http::verb::trace && !request.body().empty()) {
+    this->WriteAnswer(
+      CallAnswer::OfError(core::ErrorKind::BadRequest, "TRACE with a body"),
+      false);
+    return;
+  }
   this->StartCall();
 }
 
--- a/modules/gateway/CallerSessionTest.cpp
+++ b/modules/gateway/CallerSessionTest.cpp
@@ -132,6 +132,7 @@
   kUnknownCoding + "chunked;a=b\r\n\r\n0\r\n\r\n",
   kUnknownCoding + "gzip\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
   kUnknownCoding + "\r\n\r\n",
+  "TRACE /a/b HTTP/1.1\r\nContent-Length: 1\r\n\r\nx",
   "POST /a/b HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
   "GET /a/b HTTP/1.1\r\nBad Name: x\r\n\r\n",
   "garbage\r\n\r\n",
