Hold no bodies in idle connections and copy none

Hosts exceeded their memory after servers were added, and all their callers' requests ended with the process: each idle connection kept the body of its last request, each attempt and each answer copied the body once more.

Cause: ServerConnection::request and CallerSession::response lived until the next message on the connection.

Change: calls are shared with their attempts, requests and answers are written from the one copy that exists, and both are let go of when the exchange has ended.

--- a/modules/gateway/CallerSession.cpp
+++ b/modules/gateway/CallerSession.cpp
@@ -284,20 +284,21 @@
 void
 CallerSession::WriteAnswer(const CallAnswer& aAnswer, bool aKeepAlive)
 {
-  const calls::Answer& answer = *aAnswer.answer;
+  this->answer = aAnswer.answer;
   this->response = Response{};
   this->response.version(this->httpVersion);
-  this->response.result(answer.status);
-  for (const auto& [name, value] : answer.headers) {
+  this->response.result(this->answer->status);
+  for (const auto& [name, value] : this->answer->headers) {
     this->response.insert(name, value);
   }
   this->hooks->dialect->writeAnswer(this->response.base(), aAnswer);
-  this->response.body() = answer.body;
+  this->response.body() = { this->answer->body.data(),
+                            this->answer->body.size() };
   this->isKeptAlive = aKeepAlive && !this->hooks->isStopping();
   this->response.keep_alive(this->isKeptAlive);
   this->response.prepare_payload();
   if (this->isHeadRequest) {
-    this->response.body().clear();
+    this->response.body() = {};
   }
   this->stream.expires_after(kWriteTimeout);
   http::async_write(
@@ -311,6 +312,9 @@
 void
 CallerSession::OnWritten(beast::error_code aError)
 {
+  // An idle connection holds no body.
+  this->response = Response{};
+  this->answer = nullptr;
   if (aError) {
     this->Close();
     return;
--- a/modules/gateway/CallerSession.h
+++ b/modules/gateway/CallerSession.h
@@ -10,6 +10,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include <cstddef>
@@ -79,7 +80,7 @@
   using Parser =
     boost::beast::http::request_parser<boost::beast::http::string_body>;
   using Response =
-    boost::beast::http::response<boost::beast::http::string_body>;
+    boost::beast::http::response<boost::beast::http::span_body<const char>>;
 
   void ReadHeader();
   void OnIdleWaitEnded();
@@ -101,6 +102,8 @@
   boost::beast::flat_buffer buffer;
   std::optional<Parser> parser;
   Response response;
+  /** Holds the body of the response until it is written. */
+  std::shared_ptr<const calls::Answer> answer;
   CallerSessionHooks::CancelFunction cancelCall;
   bool isIdle = true;
   bool isCallRunning = false;
--- a/modules/gateway/HttpFields.cpp
+++ b/modules/gateway/HttpFields.cpp
@@ -39,7 +39,6 @@
   }
 }
 
-std::optional<unsigned>
 bool
 HasKnownTransferCoding(const http::fields& aFields)
 {
@@ -49,6 +48,7 @@
           boost::beast::iequals(codings.first->value(), "chunked"));
 }
 
+std::optional<unsigned>
 ParseNumberField(const http::fields& aFields,
                  std::string_view aName,
                  bool& aValid)
--- a/modules/gateway/ServerConnection.cpp
+++ b/modules/gateway/ServerConnection.cpp
@@ -42,6 +42,9 @@
 // trailers, only as a whole.
 constexpr std::size_t kMaxBufferedBytes = std::size_t{ 64 } * 1024;
 
+// Buffer that an idle connection keeps, enough for most answers.
+constexpr std::size_t kMaxIdleBufferBytes = std::size_t{ 8 } * 1024;
+
 std::shared_ptr<const calls::Answer>
 AnswerOf(http::response<http::string_body>& aMessage)
 {
@@ -72,11 +75,11 @@
 
 void
 ServerConnection::Send(const tcp::endpoint& aServer,
-                       const CallRequest& aCall,
+                       std::shared_ptr<const CallRequest> aCall,
                        ServerRequestInfo aInfo,
                        ExchangeFunction aOnEnd)
 {
-  assert(!this->onEnd && aOnEnd);
+  assert(!this->onEnd && aOnEnd && aCall);
   assert(aInfo.timeLeft.count() > 0);
   ++this->generation;
   this->onClosed = nullptr;
@@ -84,14 +87,14 @@
   this->progress = AttemptProgress::NothingSent;
   this->sendStart = std::chrono::steady_clock::now();
   this->request = Request{};
-  this->request.base() = http::request_header<>(aCall.fields);
+  this->call = std::move(aCall);
+  this->request.base() = http::request_header<>(this->call->fields);
   this->request.version(11);
-  this->request.method(aCall.method);
-  this->request.target(aCall.target);
+  this->request.method(this->call->method);
+  this->request.target(this->call->target);
   aInfo.address = aServer.address().to_string();
-  this->dialect->writeRequest(this->request.base(), aCall, aInfo);
-  this->request.body() = aCall.body;
-  this->call.id = aCall.id;
+  this->dialect->writeRequest(this->request.base(), *this->call, aInfo);
+  this->request.body() = { this->call->body.data(), this->call->body.size() };
   this->request.prepare_payload();
   this->isNewConnection = !this->isOpen;
   if (this->isOpen) {
@@ -183,8 +186,8 @@
   this->progress = AttemptProgress::SentNoAnswer;
   http::async_write(this->stream,
                     this->request,
-                    [self = this->shared_from_this()](beast::error_code aError,
-                                                      std::size_t aCount) {
+                    [self = this->shared_from_this(), held = this->call](
+                      beast::error_code aError, std::size_t aCount) {
                       if (!self->onEnd) {
                         return;
                       }
@@ -239,7 +242,7 @@
     return;
   }
   const ServerReplyInfo info =
-    this->dialect->readAnswer(message.base(), this->call);
+    this->dialect->readAnswer(message.base(), *this->call);
   // On a connection that has carried other requests, a refusal without the id
   // of its request may belong to an earlier one. This request may be running.
   const bool isUnprovenRefusal = (info.reply == ServerReply::Refusal ||
@@ -327,6 +330,14 @@
   this->idleSince = std::chrono::steady_clock::now();
   aExchange.duration = this->idleSince - this->sendStart;
   aExchange.isNewConnection = this->isNewConnection;
+  // An idle connection holds no body.
+  this->request = Request{};
+  this->call = nullptr;
+  this->parser.reset();
+  if (this->buffer.size() == 0 &&
+      this->buffer.capacity() > kMaxIdleBufferBytes) {
+    this->buffer.shrink_to_fit();
+  }
   const auto endFunction = std::exchange(this->onEnd, nullptr);
   endFunction(std::move(aExchange));
 }
--- a/modules/gateway/ServerConnection.h
+++ b/modules/gateway/ServerConnection.h
@@ -10,6 +10,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
 #include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include <chrono>
@@ -43,12 +44,14 @@
   /**
    * Opens the connection if needed, sends the request and reads the complete
    * answer. Calls `aOnEnd` once, unless `Cancel` is called first. No other
-   * request may be pending. `aInfo.timeLeft` is positive and is sent to the
-   * server as its deadline; the owner ends the request with `Cancel` when its
-   * own deadline has passed. Call on the context's thread.
+   * request may be pending. `aCall` is not null; its body is not copied, and
+   * the connection holds it until the request ends. `aInfo.timeLeft` is
+   * positive and is sent to the server as its deadline; the owner ends the
+   * request with `Cancel` when its own deadline has passed. Call on the
+   * context's thread.
    */
   void Send(const boost::asio::ip::tcp::endpoint& aServer,
-            const CallRequest& aCall,
+            std::shared_ptr<const CallRequest> aCall,
             ServerRequestInfo aInfo,
             ExchangeFunction aOnEnd);
 
@@ -92,7 +95,8 @@
   void WatchWhileIdle(ClosedFunction aOnClosed);
 
 private:
-  using Request = boost::beast::http::request<boost::beast::http::string_body>;
+  using Request =
+    boost::beast::http::request<boost::beast::http::span_body<const char>>;
   using Parser =
     boost::beast::http::response_parser<boost::beast::http::string_body>;
 
@@ -108,7 +112,8 @@
   boost::beast::tcp_stream stream;
   std::shared_ptr<const ServerDialect> dialect;
   boost::beast::flat_buffer buffer;
-  CallRequest call;
+  /** The call of the pending request. */
+  std::shared_ptr<const CallRequest> call;
   Request request;
   std::optional<Parser> parser;
   ExchangeFunction onEnd;
--- a/modules/gateway/ServerConnectionTest.cpp
+++ b/modules/gateway/ServerConnectionTest.cpp
@@ -126,8 +126,8 @@
   ServerExchange Send(std::chrono::milliseconds aTimeLeft = 10'000ms)
   {
     std::optional<ServerExchange> result;
-    CallRequest call;
-    call.target = "/lookup";
+    const auto call = std::make_shared<CallRequest>();
+    call->target = "/lookup";
     const auto connection =
       this->pool->Send(call, aTimeLeft, 0, [&](ServerExchange aExchange) {
         result = std::move(aExchange);
@@ -144,10 +144,7 @@
     return *result;
   }
 
-private:
   boost::asio::io_context context;
-
-public:
   std::shared_ptr<ServerPool> pool;
 };
 
@@ -393,3 +390,27 @@
     BOOST_TEST((client.Send().progress == AttemptProgress::AnswerInvalid));
   }
 }
+
+// Guards against bodies that idle connections hold, which together exceed the
+// memory of a host.
+BOOST_AUTO_TEST_CASE(IdleConnectionHoldsNoCall)
+{
+  ScriptedServer server({ { kAnswer }, { kAnswer } });
+  Client client(server.Endpoint());
+  auto call = std::make_shared<CallRequest>();
+  call->target = "/lookup";
+  call->body = "body";
+  const std::weak_ptr<CallRequest> held = call;
+  bool hasEnded = false;
+  client.pool->Send(
+    std::move(call), 10'000ms, 0, [&](const ServerExchange& aExchange) {
+      BOOST_TEST((aExchange.progress == AttemptProgress::Answered));
+      hasEnded = true;
+    });
+  while (!hasEnded) {
+    client.context.run_one();
+  }
+  client.context.poll();
+  BOOST_TEST(client.pool->ConnectionCount() == 1U);
+  BOOST_TEST(held.expired());
+}
--- a/modules/gateway/ServerPool.cpp
+++ b/modules/gateway/ServerPool.cpp
@@ -23,7 +23,7 @@
 ServerPool::~ServerPool() = default;
 
 std::shared_ptr<ServerConnection>
-ServerPool::Send(const CallRequest& aCall,
+ServerPool::Send(std::shared_ptr<const CallRequest> aCall,
                  std::chrono::milliseconds aTimeLeft,
                  unsigned aAttempt,
                  ExchangeFunction aOnEnd)
@@ -35,7 +35,7 @@
   }
   ++this->inUse;
   connection->Send(this->server,
-                   aCall,
+                   std::move(aCall),
                    { .serverId = this->serverId,
                      .address = {},
                      .timeLeft = aTimeLeft,
--- a/modules/gateway/ServerPool.h
+++ b/modules/gateway/ServerPool.h
@@ -43,13 +43,15 @@
 
   /**
    * Sends a call on an idle or a new connection and calls `aOnEnd` exactly
-   * once. The returned connection can be used to cancel the call. `aTimeLeft`
-   * is positive. Call on the context's thread.
+   * once. The returned connection can be used to cancel the call. `aCall` is
+   * not null and is held until the call ends. `aTimeLeft` is positive. Call on
+   * the context's thread.
    */
-  std::shared_ptr<ServerConnection> Send(const CallRequest& aCall,
-                                         std::chrono::milliseconds aTimeLeft,
-                                         unsigned aAttempt,
-                                         ExchangeFunction aOnEnd);
+  std::shared_ptr<ServerConnection> Send(
+    std::shared_ptr<const CallRequest> aCall,
+    std::chrono::milliseconds aTimeLeft,
+    unsigned aAttempt,
+    ExchangeFunction aOnEnd);
 
   /**
    * Cancels a pending call at the server by closing its connection. `Send` must
--- a/modules/proxy/LoadProber.cpp
+++ b/modules/proxy/LoadProber.cpp
@@ -50,9 +50,9 @@
       this->context, *endpoint, 1, aInstance.id, this->dialect);
   }
   ++this->count;
-  gateway::CallRequest call;
-  call.id = aInstance.id;
-  call.target = aPath;
+  const auto call = std::make_shared<gateway::CallRequest>();
+  call->id = aInstance.id;
+  call->target = aPath;
   const auto timer =
     std::make_shared<boost::asio::steady_timer>(this->context, kTimeout);
   const auto onMeasured =
--- a/modules/proxy/RequestRunner.cpp
+++ b/modules/proxy/RequestRunner.cpp
@@ -243,7 +243,8 @@
     return;
   }
   this->connection =
-    this->pool->Send(this->call,
+    this->pool->Send(std::shared_ptr<const gateway::CallRequest>(
+                       this->shared_from_this(), &this->call),
                      aStep.timeLeft,
                      aStep.attempt,
                      [self = this->shared_from_this(),
