State the service of a granted instance

A slot whose decision came later than its asking daemon waits (25 ms) stayed taken until a second after the request's deadline, so servers looked full while the dispatching daemon was busy, and requests for them were refused.

Cause: the release of such a grant named no service, since the decision did not, and the dispatching daemon ignored it. The same gap let a daemon use an instance of any service as one of the service that it had asked for.

Change: decisions state the service (about 20 bytes); a grant of another service is returned. Without the field (daemons of an earlier release) decisions are used as before.

Evidence: with the field left empty, GrantThatCameTooLateIsReturned failed, and without the check, GrantOfAnotherServiceIsReturned; they pass now.

--- a/modules/proxy/SlotBroker.cpp
+++ b/modules/proxy/SlotBroker.cpp
@@ -266,7 +266,15 @@
   result.retryAfter = aDecision.retryAfter;
   if (isGranted) {
     routing::BackendInstance instance = aDecision.instance;
-    instance.service = found->second.service;
+    if (instance.service.empty()) {
+      // A daemon of an earlier release does not state it.
+      instance.service = found->second.service;
+    }
+    if (instance.service != found->second.service) {
+      this->ReturnGrant(aFrom.name, instance.service, aDecision.grant);
+      this->DecideLocally(aDecision.number, true);
+      return;
+    }
     result.grant = aDecision.grant;
     result.instance =
       std::make_shared<const routing::BackendInstance>(std::move(instance));
--- a/modules/proxy/SlotBrokerTest.cpp
+++ b/modules/proxy/SlotBrokerTest.cpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <set>
 #include <variant>
+#include <vector>
 
 using namespace fireflytrail;
 using namespace fireflytrail::proxy;
@@ -36,6 +37,8 @@
   bool mayDispatch = true;
   /** Daemons to which the list of instances has not arrived. */
   std::set<std::string> withoutInstances;
+  /** The slot requests of all daemons. */
+  std::vector<wire::SlotRequest> sent;
   /** Service of each instance. */
   std::map<std::string, std::string> instances{ { "i", "s" } };
   /** The processes of the daemons. */
@@ -98,6 +101,9 @@
       .send =
         [this, from = core::DaemonId{ aName, this->starts.at(aName) }](
           const std::string& aTo, const wire::WireMessage& aMessage) {
+          if (const auto* request = std::get_if<wire::SlotRequest>(&aMessage)) {
+            this->sent.push_back(*request);
+          }
           boost::asio::post(this->context,
                             [this, from, aTo, frame = FrameOf(aMessage)] {
                               if (!this->unresponsive.contains(from.name) &&
@@ -191,6 +197,13 @@
     return outcome;
   }
 
+  /** Returns the number of a request whose outcome does not matter. */
+  std::uint64_t AcquireNumber(const std::string& aName)
+  {
+    this->Acquire(aName);
+    return this->sent.back().number;
+  }
+
   void Run(std::chrono::milliseconds aTime)
   {
     this->context.restart();
@@ -459,6 +472,38 @@
   BOOST_TEST(this->brokers.at(dispatching)->WaitingCount() == 1U);
 }
 
+// Guards against a decision whose instance is taken for one of the service that
+// was asked for.
+BOOST_FIXTURE_TEST_CASE(GrantOfAnotherServiceIsReturned, Fleet)
+{
+  const std::string dispatching = this->NameOf(true);
+  const std::string other = this->NameOf(false);
+  const auto outcome = this->Acquire(other);
+  wire::SlotDecision decision;
+  decision.number = this->sent.back().number;
+  decision.grant = 5;
+  decision.instance.id = "j";
+  decision.instance.service = "t";
+  this->Deliver({ dispatching, 1 }, other, decision);
+  BOOST_REQUIRE(outcome->slot.has_value());
+  BOOST_TEST(outcome->slot->instance->id == "i");
+  BOOST_TEST(outcome->slot->grantedBy.empty());
+}
+
+// Guards against slots that stay taken until the deadline of a request that no
+// longer needs them, because its decision came too late and the grant was
+// returned without its service.
+BOOST_FIXTURE_TEST_CASE(GrantThatCameTooLateIsReturned, Fleet)
+{
+  const std::string dispatching = this->NameOf(true);
+  const std::string other = this->NameOf(false);
+  this->brokers.at(other)->Withdraw(this->AcquireNumber(other));
+  this->Run(20ms);
+  const auto* dispatcher = this->brokers.at(dispatching)->FindDispatcher("s");
+  BOOST_REQUIRE(dispatcher != nullptr);
+  BOOST_TEST(dispatcher->GrantCount() == 0U);
+}
+
 // Guards against the release of a grant of a process that has ended, which
 // would end a grant of its replacement: the instance gets more requests than it
 // has slots, and what was stated about one instance is applied to another.
--- a/modules/wire/EntryConversion.cpp
+++ b/modules/wire/EntryConversion.cpp
@@ -53,6 +53,7 @@
   const auto address = WriteOptionalString(aBuilder, instance.address);
   const auto domain = WriteOptionalString(aBuilder, instance.failureDomain);
   const auto version = WriteOptionalString(aBuilder, instance.version);
+  const auto service = WriteOptionalString(aBuilder, instance.service);
   return { fbs::Message::SlotDecision,
            fbs::CreateSlotDecision(
              aBuilder,
@@ -65,7 +66,8 @@
              version,
              instance.slots,
              instance.startedAt,
-             SaturateToUint32(aDecision.retryAfter.count())) };
+             SaturateToUint32(aDecision.retryAfter.count()),
+             service) };
 }
 
 EncodedMessage<fbs::SlotRelease>
@@ -192,6 +194,7 @@
   decision.instance.slots = aDecision.slots();
   decision.instance.startedAt = aDecision.started_at();
   decision.retryAfter = std::chrono::milliseconds(aDecision.retry_after_ms());
+  decision.instance.service = TextOf(aDecision.service());
   aMessage = std::move(decision);
   return FrameError::None;
 }
--- a/modules/wire/FrameCodecTest.cpp
+++ b/modules/wire/FrameCodecTest.cpp
@@ -69,6 +69,7 @@
                   core::ErrorKind::Overloaded,
                   5,
                   { .id = "i-1",
+                    .service = "till-sales",
                     .version = "v2",
                     .address = "10.0.0.9:8080",
                     .failureDomain = "akl-b",
--- a/modules/wire/SlotDecision.h
+++ b/modules/wire/SlotDecision.h
@@ -17,7 +17,8 @@
   core::ErrorKind kind = core::ErrorKind::None;
   /** Identifies the granted slot in its `SlotRelease`. */
   std::uint64_t grant = 0;
-  /** The granted instance; its `service` is not transmitted. */
+  /** The granted instance. Daemons of earlier releases do not state its
+   * `service`. */
   routing::BackendInstance instance;
   std::chrono::milliseconds retryAfter{ 0 };
 
--- a/modules/wire/messages_generated.h
+++ b/modules/wire/messages_generated.h
@@ -1718,7 +1718,8 @@
     VT_VERSION = 16,
     VT_SLOTS = 18,
     VT_STARTED_AT = 20,
-    VT_RETRY_AFTER_MS = 22
+    VT_RETRY_AFTER_MS = 22,
+    VT_SERVICE = 24
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -1750,6 +1751,9 @@
   uint32_t retry_after_ms() const {
     return GetField<uint32_t>(VT_RETRY_AFTER_MS, 0);
   }
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -1766,6 +1770,8 @@
            VerifyField<uint32_t>(verifier, VT_SLOTS, 4) &&
            VerifyField<uint64_t>(verifier, VT_STARTED_AT, 8) &&
            VerifyField<uint32_t>(verifier, VT_RETRY_AFTER_MS, 4) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
            verifier.EndTable();
   }
 };
@@ -1804,6 +1810,9 @@
   void add_retry_after_ms(uint32_t retry_after_ms) {
     fbb_.AddElement<uint32_t>(SlotDecision::VT_RETRY_AFTER_MS, retry_after_ms, 0);
   }
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(SlotDecision::VT_SERVICE, service);
+  }
   explicit SlotDecisionBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1826,11 +1835,13 @@
     flatbuffers::Offset<flatbuffers::String> version = 0,
     uint32_t slots = 0,
     uint64_t started_at = 0,
-    uint32_t retry_after_ms = 0) {
+    uint32_t retry_after_ms = 0,
+    flatbuffers::Offset<flatbuffers::String> service = 0) {
   SlotDecisionBuilder builder_(_fbb);
   builder_.add_started_at(started_at);
   builder_.add_grant(grant);
   builder_.add_number(number);
+  builder_.add_service(service);
   builder_.add_retry_after_ms(retry_after_ms);
   builder_.add_slots(slots);
   builder_.add_version(version);
@@ -1857,11 +1868,13 @@
     const char *version = nullptr,
     uint32_t slots = 0,
     uint64_t started_at = 0,
-    uint32_t retry_after_ms = 0) {
+    uint32_t retry_after_ms = 0,
+    const char *service = nullptr) {
   auto instance__ = instance ? _fbb.CreateString(instance) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto failure_domain__ = failure_domain ? _fbb.CreateString(failure_domain) : 0;
   auto version__ = version ? _fbb.CreateString(version) : 0;
+  auto service__ = service ? _fbb.CreateString(service) : 0;
   return fireflytrail::wire::fbs::CreateSlotDecision(
       _fbb,
       number,
@@ -1873,7 +1886,8 @@
       version__,
       slots,
       started_at,
-      retry_after_ms);
+      retry_after_ms,
+      service__);
 }
 
 struct SlotRelease FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
