Bound the bodies that a process holds in all

Each connection was bounded, their sum was not: a host of 160 MB took bodies of 64 MB from each of its callers, and answers of 4 MB from each server. Out of memory, all its callers' requests end with the process.

Change: bodies of requests and answers take bytes from one budget, 0.4 of the platform's memory limit (new setting memory_mb). A request that does not fit is refused at once, 503, not run, with Retry-After; an answer that does not fit is read later, which slows its server. Only received bytes of a request count. Blocks of 512 KB and more are mapped on their own, so that memory of bodies goes back to the system.

No run with processes of 160 MB was made for this commit.

--- a/app/main.cpp
+++ b/app/main.cpp
@@ -28,6 +28,7 @@
 #include <thread>
 #include <vector>
 
+#include <malloc.h>
 #include <unistd.h>
 
 DEFINE_string(store, "", "store's address, IP:PORT");
@@ -59,6 +60,9 @@
 // log files for each daemon because of restarts.
 constexpr std::size_t kMaxLogFiles = 4096;
 
+// Size from which a block of memory is mapped on its own.
+constexpr int kMmapThresholdBytes = 512 * 1024;
+
 struct Subcommand
 {
   std::string_view name;
@@ -198,6 +202,9 @@
   // Ignores SIGPIPE, so that the daemon keeps running if the process that reads
   // its log exits.
   std::signal(SIGPIPE, SIG_IGN);
+  // Returns the memory of large bodies to the system when they are freed. By
+  // default, the threshold grows with the bodies that have been freed.
+  mallopt(M_MMAP_THRESHOLD, kMmapThresholdBytes);
   core::OutputSink output(STDOUT_FILENO, settings->logBytesPerSecond);
   const core::Log log(settings->logLevel, [&output](std::string_view aLine) {
     output.Write(aLine);
--- a/modules/configuration/ProxySettings.cpp
+++ b/modules/configuration/ProxySettings.cpp
@@ -16,6 +16,13 @@
 constexpr double kMaxFreeRetries = 1e6;
 constexpr double kMaxProcessorShare = 1024;
 constexpr double kMaxLinkMegabitsPerSecond = 1e6;
+constexpr double kMinMemoryMegabytes = 32;
+constexpr double kMaxMemoryMegabytes = 1e6;
+
+// Share of the memory for bodies. The daemon itself takes up to 50 MB, and a
+// body of unknown length up to twice its size while it grows.
+constexpr double kBodyMemoryShare = 0.4;
+constexpr double kBytesPerMegabyte = 1024.0 * 1024.0;
 
 // Minimum bandwidth and processor share of a host that works for the others.
 // The link must transfer 1.5 MB in a quarter of a second, and 1,000 short
@@ -71,6 +78,8 @@
   settings.trialShare = reader.Number("trial_share", 0, 1, 0.1);
   settings.processorShare =
     reader.Number("processor_share", 0, kMaxProcessorShare, 1);
+  settings.memoryMegabytes =
+    reader.Number("memory_mb", kMinMemoryMegabytes, kMaxMemoryMegabytes, 256);
   settings.linkMegabitsPerSecond =
     reader.Number("link_mbps", 0, kMaxLinkMegabitsPerSecond, 1000);
   settings.expectedHosts =
@@ -83,6 +92,13 @@
   return settings;
 }
 
+std::size_t
+ProxySettings::BodyMemoryBytes() const
+{
+  return static_cast<std::size_t>(this->memoryMegabytes * kBytesPerMegabyte *
+                                  kBodyMemoryShare);
+}
+
 bool
 ProxySettings::IsStrong() const
 {
--- a/modules/configuration/ProxySettings.h
+++ b/modules/configuration/ProxySettings.h
@@ -47,6 +47,8 @@
   double trialShare = 0.1;
   /** Processor cores that the host grants the daemon; may be a fraction. */
   double processorShare = 1;
+  /** Memory that the host grants the daemon, in megabytes of 2^20 bytes. */
+  double memoryMegabytes = 256;
   /** Bandwidth of the host's link, in Mbit/s. */
   double linkMegabitsPerSecond = 1000;
   /** Minimum number of entry hosts among which budgets of the whole fleet are
@@ -66,6 +68,13 @@
    * second on a link of 10 Mbit/s. Thread-safe.
    */
   bool IsStrong() const;
+
+  /**
+   * Returns the bytes that bodies of requests and answers may take together.
+   * The rest is for the daemon itself and for copies while a body of unknown
+   * length grows. Thread-safe.
+   */
+  std::size_t BodyMemoryBytes() const;
 };
 
 } // namespace fireflytrail::configuration
--- /dev/null
+++ b/modules/core/MemoryBudget.h
@@ -0,0 +1,45 @@
+#pragma once
+
+#include <atomic>
+#include <cstddef>
+#include <cstdint>
+
+namespace fireflytrail::core {
+
+/**
+ * Bounds the bytes that all connections of a process hold together for bodies
+ * of requests and answers. `MemoryLease` takes bytes of it. Thread-safe.
+ */
+class MemoryBudget
+{
+public:
+  /** `aLimit` is in bytes. */
+  explicit MemoryBudget(std::size_t aLimit)
+    : limit(aLimit)
+  {
+  }
+  MemoryBudget(const MemoryBudget&) = delete;
+  MemoryBudget& operator=(const MemoryBudget&) = delete;
+
+  /** Returns the limit in bytes. */
+  std::size_t Limit() const { return this->limit; }
+
+  /** Returns the bytes that are taken. */
+  std::size_t Used() const { return this->used.load(); }
+
+  /** Returns how often bytes were refused. */
+  std::uint64_t RefusedCount() const { return this->refusedCount.load(); }
+
+private:
+  friend class MemoryLease;
+
+  /** Takes bytes; returns false, and takes none, if they do not fit. */
+  bool TryTake(std::size_t aBytes);
+  void Return(std::size_t aBytes);
+
+  const std::size_t limit;
+  std::atomic<std::size_t> used{ 0 };
+  std::atomic<std::uint64_t> refusedCount{ 0 };
+};
+
+} // namespace fireflytrail::core
--- a/modules/core/core.h
+++ b/modules/core/core.h
@@ -3,8 +3,8 @@
 /**
  * Basic types that every other module uses: the error kinds and the table that
  * maps each kind to an answer, the result type, function types for clocks and
- * random numbers, daemon identities, hashing, detection of silent connections
- * and a log of JSON lines. Depends on no other module.
+ * random numbers, daemon identities, hashing, detection of silent connections,
+ * a budget for memory and a log of JSON lines. Depends on no other module.
  */
 
 #include "core/DaemonId.h"
@@ -15,5 +15,7 @@
 #include "core/Hash.h"
 #include "core/Hooks.h"
 #include "core/Log.h"
+#include "core/MemoryBudget.h"
+#include "core/MemoryLease.h"
 #include "core/ProcessNumbers.h"
 #include "core/Result.h"
--- a/modules/gateway/CallRequest.h
+++ b/modules/gateway/CallRequest.h
@@ -4,9 +4,14 @@
 #include <boost/beast/http/verb.hpp>
 
 #include <chrono>
+#include <memory>
 #include <optional>
 #include <string>
 
+namespace fireflytrail::core {
+class MemoryLease;
+} // namespace fireflytrail::core
+
 namespace fireflytrail::gateway {
 
 /** One call of a caller, after the HTTP request has been read completely. */
@@ -24,6 +29,8 @@
   /** End-to-end header fields; hop-by-hop fields are removed. */
   boost::beast::http::fields fields;
   std::string body;
+  /** Counts the body in the memory budget of the process; may be null. */
+  std::shared_ptr<const core::MemoryLease> bodyLease;
   /** Time that the caller allows for the call. */
   std::optional<std::chrono::milliseconds> deadline;
   std::optional<std::string> ticket;
--- a/modules/gateway/CallerSession.cpp
+++ b/modules/gateway/CallerSession.cpp
@@ -1,5 +1,6 @@
 #include "gateway/CallerSession.h"
 
+#include "core/MemoryLease.h"
 #include "gateway/HttpFields.h"
 
 #include <boost/beast/http/empty_body.hpp>
@@ -23,6 +24,9 @@
 
 constexpr auto kWriteTimeout = 30s;
 constexpr auto kDrainTimeout = 2s;
+// Time after which a caller whose body did not fit may retry: bodies are held
+// for as long as requests take.
+constexpr auto kRetryWithoutMemory = 500ms;
 // Bytes that a caller whose request was refused may still send while the answer
 // is in transit.
 constexpr std::size_t kMaxDrainedBytes = 1024 * 1024;
@@ -145,6 +149,15 @@
                       false);
     return;
   }
+  this->bodyLease = std::make_shared<core::MemoryLease>(this->hooks->memory);
+  if (!this->bodyLease->TryResize(
+        static_cast<std::size_t>(this->parser->content_length().value_or(0)))) {
+    this->RefuseForMemory();
+    return;
+  }
+  // Only received bytes are held: a caller that stalls must not take memory
+  // from others.
+  this->bodyLease->TryResize(0);
   if (beast::iequals(request[http::field::expect], "100-continue")) {
     auto interim = std::make_shared<http::response<http::empty_body>>(
       http::status::continue_, this->httpVersion);
@@ -166,13 +179,32 @@
 void
 CallerSession::ReadBody()
 {
-  http::async_read(this->stream,
-                   this->buffer,
-                   *this->parser,
-                   [self = this->shared_from_this()](
-                     beast::error_code aReadError, std::size_t) {
-                     self->OnRequest(aReadError);
-                   });
+  if (this->parser->is_done()) {
+    this->OnRequest({});
+    return;
+  }
+  this->parser->eager(true);
+  http::async_read_some(this->stream,
+                        this->buffer,
+                        *this->parser,
+                        [self = this->shared_from_this()](
+                          beast::error_code aReadError, std::size_t) {
+                          self->OnBodyPart(aReadError);
+                        });
+}
+
+void
+CallerSession::OnBodyPart(beast::error_code aError)
+{
+  if (aError) {
+    this->RefuseRequest(aError);
+    return;
+  }
+  if (!this->bodyLease->TryResize(this->parser->get().body().size())) {
+    this->RefuseForMemory();
+    return;
+  }
+  this->ReadBody();
 }
 
 void
@@ -220,6 +252,16 @@
   this->Close();
 }
 
+void
+CallerSession::RefuseForMemory()
+{
+  this->parser.reset();
+  this->bodyLease = nullptr;
+  CallAnswer answer = CallAnswer::OfError(core::ErrorKind::Overloaded);
+  answer.retryAfter = kRetryWithoutMemory;
+  this->WriteAnswer(answer, false);
+}
+
 std::optional<CallRequest>
 CallerSession::ExtractCall()
 {
@@ -232,6 +274,7 @@
   }
   RemoveHopByHopFields(message);
   call->body = std::move(message.body());
+  call->bodyLease = std::exchange(this->bodyLease, nullptr);
   call->fields = std::move(message.base());
   return call;
 }
--- a/modules/gateway/CallerSession.h
+++ b/modules/gateway/CallerSession.h
@@ -18,6 +18,11 @@
 #include <memory>
 #include <optional>
 
+namespace fireflytrail::core {
+class MemoryBudget;
+class MemoryLease;
+} // namespace fireflytrail::core
+
 namespace fireflytrail::gateway {
 
 /** Hooks that the sessions of one traffic thread share. */
@@ -44,6 +49,9 @@
 
   /** Size limits of requests, and timeouts of requests and idle connections. */
   configuration::CallerLimits limits;
+
+  /** Bounds the bodies that all connections hold together; may be null. */
+  std::shared_ptr<core::MemoryBudget> memory;
 };
 
 /**
@@ -86,8 +94,11 @@
   void OnIdleWaitEnded();
   void OnHeader(boost::beast::error_code aError);
   void ReadBody();
+  void OnBodyPart(boost::beast::error_code aError);
   void OnRequest(boost::beast::error_code aError);
   void RefuseRequest(boost::beast::error_code aError);
+  /** Refuses a request whose body exceeds the memory that is left. */
+  void RefuseForMemory();
   void StartCall();
   std::optional<CallRequest> ExtractCall();
   void WatchForClose();
@@ -101,6 +112,8 @@
   std::shared_ptr<const CallerSessionHooks> hooks;
   boost::beast::flat_buffer buffer;
   std::optional<Parser> parser;
+  /** Counts the body that is being read. */
+  std::shared_ptr<core::MemoryLease> bodyLease;
   Response response;
   /** Holds the body of the response until it is written. */
   std::shared_ptr<const calls::Answer> answer;
--- a/modules/gateway/CallerSessionTest.cpp
+++ b/modules/gateway/CallerSessionTest.cpp
@@ -1,4 +1,7 @@
 #include "gateway/CallerSession.h"
+
+#include "core/MemoryBudget.h"
+#include "core/MemoryLease.h"
 #include "gateway/TcpListener.h"
 
 #include <boost/asio/read.hpp>
@@ -79,6 +82,9 @@
 
   tcp::endpoint Endpoint() const { return this->listener->LocalEndpoint(); }
 
+  /** To be changed only while there is no session. */
+  CallerSessionHooks& Hooks() { return *this->hooks; }
+
   std::vector<CallRequest> calls;
   std::promise<void> hangingCall;
   std::promise<void> cancelled;
@@ -219,6 +225,37 @@
   BOOST_TEST(gateway.calls.empty());
 }
 
+// Guards against bodies of many callers that together exceed the memory of a
+// host, each of them being within the limit of one.
+BOOST_AUTO_TEST_CASE(BodiesBeyondTheMemoryAreRefused)
+{
+  const std::string head = "POST /s/a HTTP/1.1\r\nConnection: close\r\n";
+  const std::string body(2000, 'x');
+  const std::string stated = head + "Content-Length: 2000\r\n\r\n" + body;
+  const std::string chunked =
+    head + "Transfer-Encoding: chunked\r\n\r\n7d0\r\n" + body + "\r\n0\r\n\r\n";
+  EchoGateway gateway;
+  const auto memory = std::make_shared<core::MemoryBudget>(3000);
+  gateway.Hooks().memory = memory;
+  {
+    core::MemoryLease other(memory);
+    BOOST_REQUIRE(other.TryResize(1500));
+    for (const std::string& request : { stated, chunked }) {
+      const std::string answer = gateway.Exchange(request, false);
+      BOOST_TEST(StatusLineOf(answer) == "HTTP/1.1 503 Service Unavailable");
+      BOOST_TEST(answer.find("Call-Outcome: not-run") != std::string::npos);
+    }
+    BOOST_TEST(gateway.calls.empty());
+    BOOST_TEST(memory->Used() == 1500U);
+  }
+  for (const std::string& request : { stated, chunked }) {
+    BOOST_TEST(StatusLineOf(gateway.Exchange(request, false)) ==
+               "HTTP/1.1 200 OK");
+    gateway.calls.clear();
+  }
+  BOOST_TEST(memory->Used() == 0U);
+}
+
 // Guards against an incomplete request being run.
 BOOST_AUTO_TEST_CASE(IncompleteRequestsAreNotRun)
 {
--- a/modules/gateway/ServerConnection.cpp
+++ b/modules/gateway/ServerConnection.cpp
@@ -1,5 +1,6 @@
 #include "gateway/ServerConnection.h"
 
+#include "core/MemoryLease.h"
 #include "gateway/HttpFields.h"
 
 #include <boost/beast/http/error.hpp>
@@ -42,29 +43,46 @@
 // trailers, only as a whole.
 constexpr std::size_t kMaxBufferedBytes = std::size_t{ 64 } * 1024;
 
+// Interval at which an answer that does not fit in the memory that is left is
+// tried again. Its server is slowed meanwhile, since nothing is read.
+constexpr auto kMemoryCheckInterval = 5ms;
+
 // Buffer that an idle connection keeps, enough for most answers.
 constexpr std::size_t kMaxIdleBufferBytes = std::size_t{ 8 } * 1024;
 
+/** An answer and the memory that it takes. */
+struct LeasedAnswer
+{
+  calls::Answer answer;
+  std::shared_ptr<core::MemoryLease> lease;
+};
+
 std::shared_ptr<const calls::Answer>
-AnswerOf(http::response<http::string_body>& aMessage)
+AnswerOf(http::response<http::string_body>& aMessage,
+         std::shared_ptr<core::MemoryLease> aLease)
 {
   RemoveHopByHopFields(aMessage);
-  auto answer = std::make_shared<calls::Answer>();
-  answer->status = aMessage.result_int();
+  const auto leased = std::make_shared<LeasedAnswer>();
+  leased->lease = std::move(aLease);
+  calls::Answer& answer = leased->answer;
+  answer.status = aMessage.result_int();
   for (const auto& field : aMessage) {
-    answer->headers.emplace_back(field.name_string(), field.value());
+    answer.headers.emplace_back(field.name_string(), field.value());
   }
-  answer->body = std::move(aMessage.body());
-  return answer;
+  answer.body = std::move(aMessage.body());
+  return { leased, &answer };
 }
 
 } // namespace
 
 ServerConnection::ServerConnection(
   boost::asio::io_context& aContext,
-  std::shared_ptr<const ServerDialect> aDialect)
+  std::shared_ptr<const ServerDialect> aDialect,
+  std::shared_ptr<core::MemoryBudget> aMemory)
   : stream(aContext)
   , dialect(std::move(aDialect))
+  , memory(std::move(aMemory))
+  , memoryTimer(aContext)
   , buffer(kMaxBufferedBytes)
   , idleLimit(kDefaultIdleLimit)
 {
@@ -208,23 +226,58 @@
   this->parser.emplace();
   this->parser->body_limit(kMaxAnswerBytes);
   this->parser->skip(this->request.method() == http::verb::head);
-  http::async_read(this->stream,
-                   this->buffer,
-                   *this->parser,
-                   [self = this->shared_from_this()](beast::error_code aError,
-                                                     std::size_t aCount) {
-                     if (!self->onEnd) {
-                       return;
-                     }
-                     if (aCount > 0 || self->buffer.size() > 0) {
-                       self->progress = AttemptProgress::AnswerTruncated;
-                     }
-                     if (aError) {
-                       self->FailOnError(aError);
-                       return;
-                     }
-                     self->OnAnswer();
-                   });
+  this->parser->eager(true);
+  this->answerLease = std::make_shared<core::MemoryLease>(this->memory);
+  this->ReadPart();
+}
+
+void
+ServerConnection::ReadPart()
+{
+  http::async_read_some(this->stream,
+                        this->buffer,
+                        *this->parser,
+                        [self = this->shared_from_this()](
+                          beast::error_code aError, std::size_t aCount) {
+                          if (!self->onEnd) {
+                            return;
+                          }
+                          if (aCount > 0 || self->buffer.size() > 0) {
+                            self->progress = AttemptProgress::AnswerTruncated;
+                          }
+                          if (aError) {
+                            self->FailOnError(aError);
+                            return;
+                          }
+                          self->ContinueReading();
+                        });
+}
+
+void
+ServerConnection::ContinueReading()
+{
+  // A stated length is taken at once, so that answers that are read in parts do
+  // not keep each other from ever being complete.
+  const std::size_t size = this->parser->get().body().size();
+  const std::size_t statedSize =
+    static_cast<std::size_t>(std::min<std::uint64_t>(
+      this->parser->content_length().value_or(0), kMaxAnswerBytes));
+  if (!this->answerLease->TryResize(std::max(size, statedSize))) {
+    this->memoryTimer.expires_after(kMemoryCheckInterval);
+    this->memoryTimer.async_wait(
+      [self = this->shared_from_this(),
+       waitGeneration = this->generation](beast::error_code aError) {
+        if (!aError && self->onEnd && waitGeneration == self->generation) {
+          self->ContinueReading();
+        }
+      });
+    return;
+  }
+  if (this->parser->is_done()) {
+    this->OnAnswer();
+    return;
+  }
+  this->ReadPart();
 }
 
 void
@@ -280,7 +333,8 @@
     this->CloseSocket();
   }
   if (exchange.progress == AttemptProgress::Answered) {
-    exchange.answer = AnswerOf(message);
+    exchange.answer =
+      AnswerOf(message, std::exchange(this->answerLease, nullptr));
   }
   this->End(std::move(exchange));
 }
@@ -334,6 +388,7 @@
   this->request = Request{};
   this->call = nullptr;
   this->parser.reset();
+  this->answerLease = nullptr;
   if (this->buffer.size() == 0 &&
       this->buffer.capacity() > kMaxIdleBufferBytes) {
     this->buffer.shrink_to_fit();
--- a/modules/gateway/ServerConnection.h
+++ b/modules/gateway/ServerConnection.h
@@ -6,6 +6,7 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
@@ -18,6 +19,11 @@
 #include <memory>
 #include <optional>
 
+namespace fireflytrail::core {
+class MemoryBudget;
+class MemoryLease;
+} // namespace fireflytrail::core
+
 namespace fireflytrail::gateway {
 
 /**
@@ -33,10 +39,12 @@
 
   static constexpr std::size_t kMaxAnswerBytes = 4 * 1024 * 1024;
 
-  /** Creates a connection without opening it. `aDialect` is not null. */
+  /** Creates a connection without opening it. `aDialect` is not null; `aMemory`
+   * bounds the answers that all connections hold together and may be null. */
   explicit ServerConnection(
     boost::asio::io_context& aContext,
-    std::shared_ptr<const ServerDialect> aDialect = ServerDialect::Native());
+    std::shared_ptr<const ServerDialect> aDialect = ServerDialect::Native(),
+    std::shared_ptr<core::MemoryBudget> aMemory = nullptr);
   ~ServerConnection();
   ServerConnection(const ServerConnection&) = delete;
   ServerConnection& operator=(const ServerConnection&) = delete;
@@ -102,6 +110,9 @@
 
   void Write();
   void Read();
+  void ReadPart();
+  /** Reads on, or waits if the answer exceeds the memory that is left. */
+  void ContinueReading();
   void OnAnswer();
   void UpdateIdleLimit(const ServerReplyInfo& aInfo);
   void Fail(calls::AttemptProgress aProgress);
@@ -111,6 +122,10 @@
 
   boost::beast::tcp_stream stream;
   std::shared_ptr<const ServerDialect> dialect;
+  std::shared_ptr<core::MemoryBudget> memory;
+  boost::asio::steady_timer memoryTimer;
+  /** Counts the answer that is being read. */
+  std::shared_ptr<core::MemoryLease> answerLease;
   boost::beast::flat_buffer buffer;
   /** The call of the pending request. */
   std::shared_ptr<const CallRequest> call;
--- a/modules/gateway/ServerConnectionTest.cpp
+++ b/modules/gateway/ServerConnectionTest.cpp
@@ -1,7 +1,11 @@
 #include "gateway/ServerConnection.h"
+
+#include "core/MemoryBudget.h"
+#include "core/MemoryLease.h"
 #include "gateway/ServerPool.h"
 
 #include <boost/asio/read_until.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/data/monomorphic.hpp>
@@ -112,12 +116,14 @@
 public:
   explicit Client(
     const tcp::endpoint& aServer,
-    std::shared_ptr<const ServerDialect> aDialect = ServerDialect::Native())
+    std::shared_ptr<const ServerDialect> aDialect = ServerDialect::Native(),
+    std::shared_ptr<core::MemoryBudget> aMemory = nullptr)
     : pool(std::make_shared<ServerPool>(this->context,
                                         aServer,
                                         4,
                                         std::string(),
-                                        std::move(aDialect)))
+                                        std::move(aDialect),
+                                        std::move(aMemory)))
   {
   }
 
@@ -414,3 +420,26 @@
   BOOST_TEST(client.pool->ConnectionCount() == 1U);
   BOOST_TEST(held.expired());
 }
+
+// Guards against answers that together exceed the memory of a host. An answer
+// that does not fit is delivered when others have been.
+BOOST_AUTO_TEST_CASE(AnswerWaitsForMemory)
+{
+  const std::string chunkedAnswer =
+    kChunkedHead + "5\r\nhello\r\n5\r\nhello\r\n0\r\n\r\n";
+  for (const std::string& bytes : { kAnswer, chunkedAnswer }) {
+    const auto memory = std::make_shared<core::MemoryBudget>(12);
+    auto other = std::make_unique<core::MemoryLease>(memory);
+    BOOST_REQUIRE(other->TryResize(10));
+    ScriptedServer server({ { bytes }, { bytes } });
+    Client client(server.Endpoint(), ServerDialect::Native(), memory);
+    BOOST_TEST((client.Send(100ms).progress != AttemptProgress::Answered));
+    boost::asio::steady_timer timer(client.context, 50ms);
+    timer.async_wait([&other](boost::system::error_code) { other.reset(); });
+    ServerExchange exchange = client.Send(2000ms);
+    BOOST_REQUIRE((exchange.progress == AttemptProgress::Answered));
+    BOOST_TEST(memory->Used() == exchange.answer->body.size());
+    exchange.answer = nullptr;
+    BOOST_TEST(memory->Used() == 0U);
+  }
+}
--- a/modules/gateway/ServerPool.cpp
+++ b/modules/gateway/ServerPool.cpp
@@ -11,12 +11,14 @@
                        boost::asio::ip::tcp::endpoint aServer,
                        std::size_t aMaxIdle,
                        std::string aServerId,
-                       std::shared_ptr<const ServerDialect> aDialect)
+                       std::shared_ptr<const ServerDialect> aDialect,
+                       std::shared_ptr<core::MemoryBudget> aMemory)
   : context(aContext)
   , server(std::move(aServer))
   , maxIdle(aMaxIdle)
   , serverId(std::move(aServerId))
   , dialect(std::move(aDialect))
+  , memory(std::move(aMemory))
 {
 }
 
@@ -30,8 +32,8 @@
 {
   std::shared_ptr<ServerConnection> connection = this->AcquireIdle();
   if (!connection) {
-    connection =
-      std::make_shared<ServerConnection>(this->context, this->dialect);
+    connection = std::make_shared<ServerConnection>(
+      this->context, this->dialect, this->memory);
   }
   ++this->inUse;
   connection->Send(this->server,
@@ -85,8 +87,8 @@
 void
 ServerPool::CheckConnectRefused(std::function<void(bool)> aOnChecked)
 {
-  const auto connection =
-    std::make_shared<ServerConnection>(this->context, this->dialect);
+  const auto connection = std::make_shared<ServerConnection>(
+    this->context, this->dialect, this->memory);
   ++this->inUse;
   connection->Open(
     this->server,
--- a/modules/gateway/ServerPool.h
+++ b/modules/gateway/ServerPool.h
@@ -13,6 +13,10 @@
 #include <string>
 #include <vector>
 
+namespace fireflytrail::core {
+class MemoryBudget;
+} // namespace fireflytrail::core
+
 namespace fireflytrail::gateway {
 
 class ServerConnection;
@@ -29,14 +33,16 @@
   /**
    * Creates an empty pool that keeps at most `aMaxIdle` idle connections.
    * `aServerId` is the expected identity of the server, or empty if the dialect
-   * does not state it.
+   * does not state it. `aMemory` bounds the answers that all connections hold
+   * together; it may be null.
    */
   ServerPool(
     boost::asio::io_context& aContext,
     boost::asio::ip::tcp::endpoint aServer,
     std::size_t aMaxIdle,
     std::string aServerId = {},
-    std::shared_ptr<const ServerDialect> aDialect = ServerDialect::Native());
+    std::shared_ptr<const ServerDialect> aDialect = ServerDialect::Native(),
+    std::shared_ptr<core::MemoryBudget> aMemory = nullptr);
   ~ServerPool();
   ServerPool(const ServerPool&) = delete;
   ServerPool& operator=(const ServerPool&) = delete;
@@ -82,6 +88,7 @@
   std::size_t maxIdle;
   std::string serverId;
   std::shared_ptr<const ServerDialect> dialect;
+  std::shared_ptr<core::MemoryBudget> memory;
   std::size_t inUse = 0;
   std::vector<std::shared_ptr<ServerConnection>> idle;
 };
--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -1,6 +1,7 @@
 #include "proxy/ProxyDaemon.h"
 
 #include "core/ErrorTable.h"
+#include "core/MemoryBudget.h"
 #include "gateway/ServerPool.h"
 #include "gateway/SocketAddress.h"
 #include "gateway/TcpListener.h"
@@ -147,6 +148,8 @@
               [this](const routing::BackendInstance& aInstance) {
                 return this->PoolOf(aInstance);
               } }
+  , bodyMemory(
+      std::make_shared<core::MemoryBudget>(aSettings.BodyMemoryBytes()))
   , transport(this->context, SocketEndpoint(aSettings.store))
   , storeView(this->platform,
               aLog,
@@ -166,6 +169,7 @@
     this->sessionCount += static_cast<std::size_t>(aChange);
   };
   this->sessionHooks->dialect = this->platform.callers;
+  this->sessionHooks->memory = this->bodyMemory;
   const ObjectKinds& kinds = this->platform.kinds;
   this->relay = std::make_unique<StoreRelay>(
     PeerHost{ this->self.name, aSettings.IsStrong(), aSettings.failureDomain },
@@ -797,7 +801,8 @@
                                                *endpoint,
                                                kMaxIdleConnections,
                                                aInstance.id,
-                                               this->platform.servers);
+                                               this->platform.servers,
+                                               this->bodyMemory);
   return pool;
 }
 
@@ -990,6 +995,12 @@
   this->metrics.Set("requests_waiting",
                     static_cast<double>(this->broker.WaitingCount()));
   this->metrics.Set("sessions", static_cast<double>(this->sessionCount));
+  this->metrics.Set("body_memory_bytes",
+                    static_cast<double>(this->bodyMemory->Used()));
+  this->metrics.Set("body_memory_limit_bytes",
+                    static_cast<double>(this->bodyMemory->Limit()));
+  this->metrics.Set("body_memory_refusals",
+                    static_cast<double>(this->bodyMemory->RefusedCount()));
   this->metrics.Set(
     "instances",
     static_cast<double>(this->storeView.Directory().InstanceCount()));
--- a/modules/proxy/ProxyDaemon.h
+++ b/modules/proxy/ProxyDaemon.h
@@ -36,6 +36,10 @@
 #include <utility>
 #include <vector>
 
+namespace fireflytrail::core {
+class MemoryBudget;
+} // namespace fireflytrail::core
+
 namespace fireflytrail::gateway {
 class TcpListener;
 class ServerPool;
@@ -152,6 +156,8 @@
   RolloutDriver rollouts;
   SlotBroker broker;
   ProxyShared shared;
+  /** Bounds the bodies of requests and answers. */
+  std::shared_ptr<core::MemoryBudget> bodyMemory;
   store::StoreTransport transport;
   std::unique_ptr<store::ObjectWatcher> watcher;
   std::unique_ptr<StoreRelay> relay;
