Let a connect to a peer end after its hub

Cause of the fault shown here: PeerLink kept a reference to its hub, which is gone when a pending connect ends.

Change: a link knows its hub weakly.

Evidence: PendingConnectMayEndAfterItsHub failed with the reference (the storage of the hub was written after its end) and passes now.

--- a/modules/gateway/PeerHub.cpp
+++ b/modules/gateway/PeerHub.cpp
@@ -110,7 +110,7 @@
   if (!endpoint) {
     return nullptr;
   }
-  auto link = std::make_shared<PeerLink>(*this, *endpoint);
+  auto link = std::make_shared<PeerLink>(this->shared_from_this(), *endpoint);
   this->links.emplace(aPeer.address, link);
   return link;
 }
--- a/modules/gateway/PeerHubTest.cpp
+++ b/modules/gateway/PeerHubTest.cpp
@@ -7,7 +7,11 @@
 #include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <algorithm>
+#include <array>
+#include <cstdint>
 #include <memory>
+#include <new>
 #include <string>
 #include <vector>
 
@@ -100,3 +104,35 @@
   this->SendToPeer();
   BOOST_TEST(this->accepted.size() == 2U);
 }
+
+// Guards against a daemon that is stopped while a connect to a peer is pending,
+// and crashes when the connect ends: its link used the hub, which was gone.
+BOOST_AUTO_TEST_CASE(PendingConnectMayEndAfterItsHub)
+{
+  // The storage of the hub stays valid, so that a late use of it shows.
+  alignas(PeerHub) std::array<std::uint8_t, sizeof(PeerHub)> storage{};
+  boost::asio::io_context context;
+  tcp::acceptor peer(context, { tcp::v4(), 0 });
+  std::shared_ptr<PeerHub> hub(
+    new (storage.data()) PeerHub(
+      context,
+      core::DaemonId{ "hub", 1 },
+      PeerHubHooks{
+        .onGossip = [](const std::string&, const gossip::GossipMessage&) {},
+        .onMessage = {},
+        .onForwardCall = [](const wire::ForwardCall&,
+                            const PeerHubHooks::ReplyFunction&) {} }),
+    [&storage](PeerHub* aHub) {
+      aHub->~PeerHub();
+      storage.fill(0);
+    });
+  BOOST_REQUIRE(!hub->Open({ boost::asio::ip::make_address("127.0.0.1"), 0 }));
+  hub->Send(
+    { "peer", "127.0.0.1:" + std::to_string(peer.local_endpoint().port()) },
+    wire::StoreNewsRequest{ "servers", 1 });
+  hub->Close();
+  hub.reset();
+  context.run_for(50ms);
+  BOOST_TEST(std::ranges::all_of(
+    storage, [](std::uint8_t aByte) { return aByte == 0; }));
+}
--- a/modules/gateway/PeerLink.cpp
+++ b/modules/gateway/PeerLink.cpp
@@ -10,10 +10,11 @@
 using boost::asio::ip::tcp;
 using ForwardProgress = PeerHub::ForwardProgress;
 
-PeerLink::PeerLink(PeerHub& aHub, tcp::endpoint aEndpoint)
+PeerLink::PeerLink(const std::shared_ptr<PeerHub>& aHub,
+                   tcp::endpoint aEndpoint)
   : hub(aHub)
   , endpoint(std::move(aEndpoint))
-  , stream(aHub.context)
+  , stream(aHub->context)
 {
 }
 
@@ -23,14 +24,13 @@
 PeerLink::Send(wire::WireMessage aMessage)
 {
   if (this->connection) {
-    this->hub.CountSent(
-      this->endpoint, aMessage, this->connection->Send(aMessage));
+    this->SendAndCount(aMessage);
     return;
   }
   if (this->isClosed || this->queuedMessages.size() >= kMaxQueuedMessages ||
       (!this->isConnecting &&
        std::chrono::steady_clock::now() < this->retryAllowedAt)) {
-    ++this->hub.counts.dropped;
+    this->CountDropped(1);
     return;
   }
   this->queuedMessages.push_back(std::move(aMessage));
@@ -100,8 +100,9 @@
 {
   this->isConnecting = false;
   const auto messages = std::exchange(this->queuedMessages, {});
-  if (aError || this->isClosed) {
-    this->hub.counts.dropped += messages.size();
+  const auto openHub = this->hub.lock();
+  if (aError || this->isClosed || !openHub) {
+    this->CountDropped(messages.size());
     this->retryAllowedAt = std::chrono::steady_clock::now() + kRetryInterval;
     this->stream.close();
     this->EndPendingForwards(ForwardProgress::NothingSent);
@@ -118,23 +119,25 @@
     },
     [weak = this->weak_from_this()](wire::FrameError aFrameError) {
       if (const auto self = weak.lock()) {
-        self->hub.CountError(aFrameError);
+        if (const auto current = self->hub.lock()) {
+          current->CountError(aFrameError);
+        }
         self->connection = nullptr;
         self->EndPendingForwards(ForwardProgress::Sent);
       }
     },
     [weak = this->weak_from_this()](std::size_t aBytes) {
-      if (const auto self = weak.lock()) {
-        self->hub.counts.bytes += aBytes;
+      const auto self = weak.lock();
+      if (const auto current = self ? self->hub.lock() : nullptr) {
+        current->counts.bytes += aBytes;
       }
     });
-  this->connection->Send(this->hub.OwnHello());
+  this->connection->Send(openHub->OwnHello());
   for (const wire::WireMessage& message : messages) {
     if (!this->connection) {
       return;
     }
-    this->hub.CountSent(
-      this->endpoint, message, this->connection->Send(message));
+    this->SendAndCount(message);
   }
 }
 
@@ -151,6 +154,23 @@
   }
 }
 
+void
+PeerLink::CountDropped(std::size_t aMessages)
+{
+  if (const auto current = this->hub.lock()) {
+    current->counts.dropped += aMessages;
+  }
+}
+
+void
+PeerLink::SendAndCount(const wire::WireMessage& aMessage)
+{
+  const std::size_t bytes = this->connection->Send(aMessage);
+  if (const auto current = this->hub.lock()) {
+    current->CountSent(this->endpoint, aMessage, bytes);
+  }
+}
+
 void
 PeerLink::EndPendingForwards(ForwardProgress aProgress)
 {
--- a/modules/gateway/PeerLink.h
+++ b/modules/gateway/PeerLink.h
@@ -16,8 +16,8 @@
 
 /**
  * The outgoing connection to one peer. It connects on first use. After a failed
- * connect, it connects again only when the retry interval has passed. Belongs
- * to the thread of its hub.
+ * connect, it connects again only when the retry interval has passed. It may
+ * outlive its hub while a connect is pending. Belongs to the thread of its hub.
  */
 class PeerLink : public std::enable_shared_from_this<PeerLink>
 {
@@ -28,7 +28,8 @@
   /** Maximum number of messages queued while the connection is being opened. */
   static constexpr std::size_t kMaxQueuedMessages = 256;
 
-  PeerLink(PeerHub& aHub, boost::asio::ip::tcp::endpoint aEndpoint);
+  PeerLink(const std::shared_ptr<PeerHub>& aHub,
+           boost::asio::ip::tcp::endpoint aEndpoint);
   ~PeerLink();
   PeerLink(const PeerLink&) = delete;
   PeerLink& operator=(const PeerLink&) = delete;
@@ -53,8 +54,11 @@
   void OnConnected(boost::system::error_code aError);
   void OnMessage(wire::WireMessage aMessage);
   void EndPendingForwards(PeerHub::ForwardProgress aProgress);
+  void CountDropped(std::size_t aMessages);
+  /** Sends a message on the open connection and counts it. */
+  void SendAndCount(const wire::WireMessage& aMessage);
 
-  PeerHub& hub;
+  std::weak_ptr<PeerHub> hub;
   boost::asio::ip::tcp::endpoint endpoint;
   boost::beast::tcp_stream stream;
   std::shared_ptr<PeerConnection> connection;
