Do not restore objects that were deleted before the first list

A server that had left could be in use again after a restart of a daemon.

Cause: a replica has no tombstone of what was deleted before its first list.

Change: what a replica lacks, although it is complete up to that revision, is gone; only a list as new as the replica says otherwise.

No run of daemons has shown the fault.

--- a/modules/store/ObjectReplica.cpp
+++ b/modules/store/ObjectReplica.cpp
@@ -14,8 +14,12 @@
   KindState& kind = this->kinds[std::string(aKind)];
   std::vector<ObjectRecord> changed;
   std::set<std::string, std::less<>> listed;
+  const bool isStale = aRevision < kind.completeRevision;
   for (ObjectRecord& object : aObjects) {
     listed.insert(object.name);
+    if (isStale && IsKnownToBeGone(kind, object)) {
+      continue;
+    }
     if (ApplyIfNewer(kind, object)) {
       changed.push_back(std::move(object));
     }
@@ -56,6 +60,9 @@
   KindState& kind = this->kinds[std::string(aKind)];
   const bool isComplete = kind.isListed && aBase <= kind.completeRevision;
   std::vector<ObjectRecord> changed;
+  std::erase_if(aObjects, [&kind](const ObjectRecord& aObject) {
+    return IsKnownToBeGone(kind, aObject);
+  });
   for (ObjectRecord& object : aObjects) {
     if (isComplete) {
       kind.completeRevision = std::max(kind.completeRevision, object.revision);
@@ -133,6 +140,15 @@
   return changes;
 }
 
+bool
+ObjectReplica::IsKnownToBeGone(const KindState& aKind,
+                               const ObjectRecord& aObject)
+{
+  return aKind.isListed && !aObject.isDeleted &&
+         aObject.revision <= aKind.completeRevision &&
+         !aKind.objects.contains(aObject.name);
+}
+
 bool
 ObjectReplica::ApplyIfNewer(KindState& aKind, const ObjectRecord& aObject)
 {
--- a/modules/store/ObjectReplica.h
+++ b/modules/store/ObjectReplica.h
@@ -13,7 +13,8 @@
 /**
  * A local copy of the objects of some kinds. It merges this daemon's own reads
  * of the store with updates from other daemons, which arrive in any order. An
- * object is never replaced by an older revision of it.
+ * object is never replaced by an older revision of it, and one that was deleted
+ * before the first list is not restored by older data.
  *
  * Performs no I/O. Not thread-safe.
  */
@@ -73,6 +74,12 @@
     std::map<std::string, ObjectRecord, std::less<>> objects;
   };
 
+  /**
+   * Whether an object was deleted before this replica got its first list: no
+   * change up to the object's revision is missing, and still it is not known.
+   */
+  static bool IsKnownToBeGone(const KindState& aKind,
+                              const ObjectRecord& aObject);
   static bool ApplyIfNewer(KindState& aKind, const ObjectRecord& aObject);
 
   std::map<std::string, KindState, std::less<>> kinds;
--- a/modules/store/ObjectReplicaTest.cpp
+++ b/modules/store/ObjectReplicaTest.cpp
@@ -81,3 +81,30 @@
   replica.Apply("k", 85, { Object("a", 95), Object("c", 100) });
   BOOST_TEST(replica.CompleteRevision("k") == 100U);
 }
+
+// Guards against a server that had left and is in use again after a restart: a
+// list that was read stale arrives after a newer snapshot of another daemon.
+BOOST_AUTO_TEST_CASE(StaleListDoesNotRestoreObjectsDeletedBeforeASnapshot)
+{
+  ObjectReplica replica;
+  replica.ReplaceAll("k", 20, { Object("b", 15) });
+  replica.NoteComplete("k", 20);
+  BOOST_TEST(
+    replica.ReplaceAll("k", 10, { Object("a", 5), Object("b", 7) }).empty());
+  BOOST_REQUIRE(replica.Objects("k").size() == 1U);
+  BOOST_TEST(replica.Objects("k").front().revision == 15U);
+  // A list that is not stale is right.
+  BOOST_TEST(replica.ReplaceAll("k", 25, { Object("a", 5) }).size() == 2U);
+}
+
+// Guards against the same by the late update of a daemon that has not heard of
+// the deletion.
+BOOST_AUTO_TEST_CASE(LateUpdateDoesNotRestoreObjectsDeletedBeforeASnapshot)
+{
+  ObjectReplica replica;
+  replica.ReplaceAll("k", 20, { Object("b", 15) });
+  replica.NoteComplete("k", 20);
+  BOOST_TEST(replica.Apply("k", 4, { Object("a", 5) }).empty());
+  BOOST_TEST(replica.Objects("k").size() == 1U);
+  BOOST_TEST(replica.Apply("k", 20, { Object("a", 21) }).size() == 1U);
+}
