Let the first stored verdict of a roll-out stand

A verdict that could not be written was later written over that of another daemon, so that a service could lose both versions; and a verdict whose write met a changed order was taken for written and lost.

Cause: the driver took over the revision of any change, and the directory kept its own state together with the mark that the store has a status.

Change: a stored verdict ends an unwritten one; a verdict kept against a running order is not stored.

Evidence: VerdictOfAnotherDaemonIsNotOverwritten, StoredVerdictStands and UnwrittenVerdictHasNoStoredStatus failed on the code before and pass now.

--- a/modules/proxy/RolloutDriver.cpp
+++ b/modules/proxy/RolloutDriver.cpp
@@ -61,6 +61,11 @@
     if (known != this->trials.end()) {
       RolloutOrder& trialOrder = known->second.order;
       trialOrder.revision = order.revision;
+      if (order.hasStoredStatus && order.state != RolloutState::Running) {
+        // The first verdict in the store stands: the platform acts on it. The
+        // write of another one would be accepted under the new revision.
+        trialOrder.state = order.state;
+      }
       // A verdict stays marked as unwritten until the store shows it.
       trialOrder.hasStoredStatus =
         trialOrder.hasStoredStatus ||
--- a/modules/proxy/RolloutDriverTest.cpp
+++ b/modules/proxy/RolloutDriverTest.cpp
@@ -178,3 +178,22 @@
   BOOST_TEST(this->writes.empty());
   BOOST_TEST(this->share == -1);
 }
+
+// Guards against a verdict that is written over that of another daemon: the
+// platform has stopped the instances of one version by then.
+BOOST_FIXTURE_TEST_CASE(VerdictOfAnotherDaemonIsNotOverwritten, Fixture)
+{
+  this->newFailureShare = 0.5;
+  this->driver.Update(this->orders);
+  this->AnswerWrite(200);
+  this->Run(5s);
+  BOOST_REQUIRE(this->decided.size() == 1U);
+  this->AnswerWrite(409);
+  RolloutOrder& order = this->orders.at("s");
+  order.state = RolloutState::Completed;
+  order.hasStoredStatus = true;
+  order.revision = 9;
+  this->isDispatching = false;
+  this->Run(5s);
+  BOOST_TEST(this->writes.empty());
+}
--- a/modules/routing/ServiceDirectory.cpp
+++ b/modules/routing/ServiceDirectory.cpp
@@ -92,6 +92,11 @@
     order.firstSeenAt = this->now();
     return;
   }
+  const bool hasStoredVerdict = known->second.hasStoredStatus &&
+                                known->second.state != RolloutState::Running;
+  if (hasStoredVerdict && !aOrder.hasStoredStatus) {
+    return;
+  }
   const RolloutState state = known->second.state;
   const core::TimePoint firstSeenAt = known->second.firstSeenAt;
   known->second = aOrder;
@@ -99,6 +104,8 @@
   if (aOrder.state == RolloutState::Running) {
     // This daemon's verdict has not reached the store yet.
     known->second.state = state;
+    known->second.hasStoredStatus =
+      aOrder.hasStoredStatus && state == RolloutState::Running;
   }
 }
 
--- a/modules/routing/ServiceDirectory.h
+++ b/modules/routing/ServiceDirectory.h
@@ -70,7 +70,8 @@
   void SetDomainsOut(std::set<std::string, std::less<>> aDomains);
 
   /** Adds or replaces the order of its service. An order that has ended does
-   * not become running again. */
+   * not become running again, and a verdict that is stored is not replaced by
+   * one that is not. */
   void PutRollout(const RolloutOrder& aOrder);
 
   /** Removes the order of a service. */
--- a/modules/routing/ServiceDirectoryTest.cpp
+++ b/modules/routing/ServiceDirectoryTest.cpp
@@ -133,3 +133,37 @@
   BOOST_TEST(this->directory.IsUsable(this->Instance("new", "v2")));
   BOOST_TEST(!this->directory.IsUsable(this->Instance("old", "v1")));
 }
+
+// Guards against a verdict that is never written, because the stored status of
+// the running order is taken for that of the verdict.
+BOOST_FIXTURE_TEST_CASE(UnwrittenVerdictHasNoStoredStatus, Fixture)
+{
+  RolloutOrder order{ .service = "s", .targetVersion = "v2", .duration = 12s };
+  order.hasStoredStatus = true;
+  this->directory.PutRollout(order);
+  RolloutOrder verdict = order;
+  verdict.state = RolloutState::RolledBack;
+  verdict.hasStoredStatus = false;
+  this->directory.PutRollout(verdict);
+  order.revision = 9;
+  this->directory.PutRollout(order);
+  const RolloutOrder& known = this->directory.Rollouts().at("s");
+  BOOST_TEST((known.state == RolloutState::RolledBack));
+  BOOST_TEST(!known.hasStoredStatus);
+}
+
+// Guards against two verdicts in force: the store has that of another daemon,
+// and this daemon's own arrives later.
+BOOST_FIXTURE_TEST_CASE(StoredVerdictStands, Fixture)
+{
+  RolloutOrder order{ .service = "s", .targetVersion = "v2", .duration = 12s };
+  this->directory.PutRollout(order);
+  order.state = RolloutState::Completed;
+  order.hasStoredStatus = true;
+  this->directory.PutRollout(order);
+  order.state = RolloutState::RolledBack;
+  order.hasStoredStatus = false;
+  this->directory.PutRollout(order);
+  BOOST_TEST(
+    (this->directory.Rollouts().at("s").state == RolloutState::Completed));
+}
