Keep charged retries when the settings change

Changes of the settings file allowed the whole retry budget again each time.

Cause: ReloadSettings dropped the budgets of all services.

Change: proxy::RetryBudgets changes the allowance of the budgets it has.

Evidence: read; ANewAllowanceKeepsWhatWasCharged tests the new class and passes. The code before had no place at which a test could fail.

--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -143,7 +143,7 @@
             .random = RandomNumber,
             .failureDomain = aSettings.failureDomain,
             .budgetOf = [this](const std::string& aService)
-              -> calls::RetryBudget& { return this->BudgetOf(aService); },
+              -> calls::RetryBudget& { return this->budgets.Of(aService); },
             .poolOf =
               [this](const routing::BackendInstance& aInstance) {
                 return this->PoolOf(aInstance);
@@ -157,6 +157,10 @@
               aSettings.reportInterval,
               aSettings.IsStrong())
   , sessionHooks(std::make_shared<gateway::CallerSessionHooks>())
+  , budgets(std::chrono::steady_clock::now,
+            calls::RetryBudget::Allowance::OfFleet(aSettings.retryRatio,
+                                                   aSettings.freeRetries,
+                                                   aSettings.expectedHosts))
 {
   assert(this->readSettings);
   this->sessionHooks->handleCall =
@@ -581,9 +585,7 @@
 void
 ProxyDaemon::OnHeartbeatTimer()
 {
-  for (const auto& [service, budget] : this->budgets) {
-    budget->SetAllowance(this->RetryAllowance());
-  }
+  this->budgets.SetAllowance(this->RetryAllowance());
   this->watcher->SetActive(this->relay->ShouldWatch());
   this->relay->Tick();
   this->heartbeatTimer.expires_after(StoreRelay::kHeartbeatInterval);
@@ -820,17 +822,6 @@
     this->settings.retryRatio, this->settings.freeRetries, this->HostCount());
 }
 
-calls::RetryBudget&
-ProxyDaemon::BudgetOf(const std::string& aService)
-{
-  auto& budget = this->budgets[aService];
-  if (!budget) {
-    budget = std::make_unique<calls::RetryBudget>(
-      std::chrono::steady_clock::now, this->RetryAllowance());
-  }
-  return *budget;
-}
-
 //==============================================================================
 void
 ProxyDaemon::BeginStop()
@@ -915,7 +906,7 @@
   this->settings.trialShare = newSettings->trialShare;
   this->settings.stopLimit = newSettings->stopLimit;
   this->settings.expectedHosts = newSettings->expectedHosts;
-  this->budgets.clear();
+  this->budgets.SetAllowance(this->RetryAllowance());
   this->UpdateBroker();
   this->log.Write(LogLevel::Info, "settings_reloaded");
 }
--- a/modules/proxy/ProxyDaemon.h
+++ b/modules/proxy/ProxyDaemon.h
@@ -14,6 +14,7 @@
 #include "proxy/PeerNetwork.h"
 #include "proxy/PlatformAdapter.h"
 #include "proxy/ProxyShared.h"
+#include "proxy/RetryBudgets.h"
 #include "proxy/RolloutDriver.h"
 #include "proxy/SlotBroker.h"
 #include "proxy/StopSchedule.h"
@@ -122,7 +123,6 @@
   /** Returns the largest plausible number of hosts. */
   std::size_t HostCount() const;
   calls::RetryBudget::Allowance RetryAllowance() const;
-  calls::RetryBudget& BudgetOf(const std::string& aService);
 
   void BeginStop();
   void CheckStop();
@@ -167,8 +167,7 @@
   std::vector<std::weak_ptr<gateway::CallerSession>> sessions;
   std::unique_ptr<daemon::OperatorEndpoint> readyEndpoint;
   std::unique_ptr<daemon::OperatorEndpoint> operatorEndpoint;
-  std::map<std::string, std::unique_ptr<calls::RetryBudget>, std::less<>>
-    budgets;
+  RetryBudgets budgets;
   /**
    * By instance id. A changed address shows that another process has replaced
    * the instance's process.
