Accept a stop limit of a fraction of a second

A grace of 2.5 s became a stop limit of 2.5000 ms, and requests in progress at a planned stop were cut.

Cause: the template wrote the seconds of the platform with three zeros.

Evidence: StopLimitMayBeAFractionOfSeconds; the setting did not exist.

--- a/modules/configuration/ProxySettings.cpp
+++ b/modules/configuration/ProxySettings.cpp
@@ -71,6 +71,12 @@
     "log_bytes_per_second", 1024, kMaxLogBytesPerSecond, 65'536));
   settings.stopLimit = std::chrono::milliseconds(
     reader.Integer("stop_limit_ms", 1, kMaxStopMilliseconds, 6000));
+  const double stopSeconds = reader.Number(
+    "stop_limit_s", 0, static_cast<double>(kMaxStopMilliseconds) / 1000, 0);
+  if (stopSeconds > 0) {
+    settings.stopLimit = std::chrono::round<std::chrono::milliseconds>(
+      std::chrono::duration<double>(stopSeconds));
+  }
   settings.reportInterval = std::chrono::milliseconds(
     reader.Integer("report_interval_ms", 1, kMaxReportMilliseconds, 1500));
   settings.retryRatio = reader.Number("retry_ratio", 0, 1, 0.2);
--- a/modules/configuration/ProxySettings.h
+++ b/modules/configuration/ProxySettings.h
@@ -32,7 +32,8 @@
   /** Maximum bytes of log lines per second; lines above this are counted and
    * dropped. */
   std::size_t logBytesPerSecond = 65'536;
-  /** Maximum duration of a graceful stop. */
+  /** Maximum duration of a graceful stop; `stop_limit_s`, which may be a
+   * fraction, or `stop_limit_ms` in the text. */
   std::chrono::milliseconds stopLimit{ 6000 };
   /** Time between two reports of a server to the store. */
   std::chrono::milliseconds reportInterval{ 1500 };
--- a/modules/configuration/ProxySettingsTest.cpp
+++ b/modules/configuration/ProxySettingsTest.cpp
@@ -53,3 +53,16 @@
   BOOST_REQUIRE(!result.has_value());
   BOOST_TEST(result.error().size() >= 4U);
 }
+
+// Guards against a stop that is cut short because the platform states its grace
+// as a fraction of seconds.
+BOOST_AUTO_TEST_CASE(StopLimitMayBeAFractionOfSeconds)
+{
+  std::string text = kSettings;
+  const std::string milliseconds = "\"stop_limit_ms\": 5000";
+  text.replace(
+    text.find(milliseconds), milliseconds.size(), "\"stop_limit_s\": 2.5");
+  const auto result = ProxySettings::Parse(text);
+  BOOST_REQUIRE(result.has_value());
+  BOOST_TEST((result.value().stopLimit == 2500ms));
+}
