Let the soak draw lapsing entries and a second service

The soak drew neither order of events that the review showed: one service only, and no entry that is missing while its server runs on. It now has two services, checks that each request runs at its own, lets entries lapse for 30 to 180 ms, and checks that each server gets work in the 10 s after the last fault (longer than the longest exclusion), so a run takes 4 s longer.

--- a/soak/Caller.cpp
+++ b/soak/Caller.cpp
@@ -1,6 +1,7 @@
 #include "soak/Caller.h"
 
 #include "soak/HttpService.h"
+#include "soak/Server.h"
 
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -11,6 +12,7 @@
 #include <fmt/format.h>
 
 #include <chrono>
+#include <string_view>
 #include <utility>
 
 namespace fireflytrail::soak {
@@ -86,7 +88,11 @@
     const bool isAtMostOnce = this->random() % 2 == 0;
     HttpRequest request;
     request.method(isAtMostOnce ? http::verb::post : http::verb::get);
-    request.target(fmt::format("{}{}", isAtMostOnce ? "/once/" : "/any/", id));
+    const bool isForSecond = isAtMostOnce && this->random() % 3 == 0;
+    const std::string_view prefix = isForSecond    ? kSecondServicePrefix
+                                    : isAtMostOnce ? "/once/"
+                                                   : "/any/";
+    request.target(fmt::format("{}{}", prefix, id));
     request.set(http::field::host, "soak.example");
     request.set("X-Request-Id", id);
     request.set("X-Request-Timeout-Ms",
--- a/soak/Server.cpp
+++ b/soak/Server.cpp
@@ -147,6 +147,15 @@
     co_return response;
   }
   this->history.RecordRun(requestId);
+  ++this->runCount;
+  if (aRequest.target().starts_with(kSecondServicePrefix) !=
+      (this->service == kSecondService)) {
+    this->history.ReportViolation(
+      fmt::format("request {} for {} was run by service {}",
+                  requestId,
+                  std::string(aRequest.target()),
+                  this->service));
+  }
   const unsigned startGeneration = this->generation;
   ++this->running;
   asio::steady_timer workTimer(
@@ -166,6 +175,13 @@
   co_return response;
 }
 
+bool
+Server::IsUnrestricted() const
+{
+  return this->isUp && !this->isDraining && !this->limit &&
+         std::chrono::steady_clock::now() >= this->pausedUntil;
+}
+
 void
 Server::SetLimit(double aRequestsPerSecond)
 {
--- a/soak/Server.h
+++ b/soak/Server.h
@@ -13,12 +13,17 @@
 #include <optional>
 #include <random>
 #include <string>
+#include <string_view>
 
 namespace fireflytrail::soak {
 
 class FaultLink;
 class RequestHistory;
 
+/** Prefix of the paths of the second service; its servers run no others. */
+inline constexpr std::string_view kSecondServicePrefix = "/second/";
+inline constexpr std::string_view kSecondService = "second";
+
 /**
  * A stand-in for a backend server behind a `FaultLink`: runs requests up to a
  * limit, refuses more, and can crash, slow down and drain. Use it only on
@@ -75,6 +80,14 @@
   void WaiveNotices();
 
   const std::string& Id() const { return this->id; }
+  const std::string& Service() const { return this->service; }
+
+  /** Returns the number of requests that this object has started to run. */
+  std::size_t RunCount() const { return this->runCount; }
+
+  /** Whether it takes requests without a limit of its own, now. */
+  bool IsUnrestricted() const;
+
   FaultLink& Link() { return *this->link; }
 
   /** Returns the `Spec` of the server's object in the store. */
@@ -100,6 +113,7 @@
   bool isUp = false;
   unsigned slowdown = 1;
   unsigned running = 0;
+  std::size_t runCount = 0;
   /** Incremented by each start and crash, so that a request that began before
    * gets no response. */
   unsigned generation = 0;
--- a/soak/Soak.cpp
+++ b/soak/Soak.cpp
@@ -40,9 +40,10 @@
 // start, as on the platform.
 constexpr auto kStartupTime = 4s;
 // Time without faults at the end of a run, in which the daemons must recover.
-// In its last part, `kRecoveryCheckTime`, the share of served requests must
-// reach `kMinServedRatio`.
-constexpr auto kRecoveryTime = 6s;
+// It is longer than the longest exclusion of a server that has failed: in it,
+// each server must get a request. In its last part, `kRecoveryCheckTime`, the
+// share of served requests must reach `kMinServedRatio`.
+constexpr auto kRecoveryTime = 10s;
 constexpr auto kRecoveryCheckTime = 2s;
 constexpr double kMinServedRatio = 0.9;
 
@@ -100,7 +101,8 @@
 json::object
 MakeRoute(const std::string& aName,
           const std::string& aPrefix,
-          bool aIsAtMostOnce)
+          bool aIsAtMostOnce,
+          std::string_view aService = kService)
 {
   return { { "EntryType", "Routes" },
            { "Metadata", json::object{ { "Name", aName } } },
@@ -112,7 +114,7 @@
                { "TimeoutMs", 2000 },
                { "TargetLatencyMs", 300 },
                { "Priority", 0 },
-               { "Service", kService },
+               { "Service", aService },
                { "MaxAttempts", 3 } } } };
 }
 
@@ -147,11 +149,12 @@
   this->storeEndpoint = this->store.Open();
   this->ChangeConfiguration();
   for (unsigned index = 0; index < this->plan.servers; ++index) {
-    this->servers.push_back(std::make_unique<Server>(this->context,
-                                                     this->history,
-                                                     kService,
-                                                     index % 2 == 0 ? "a" : "b",
-                                                     this->random()));
+    this->servers.push_back(std::make_unique<Server>(
+      this->context,
+      this->history,
+      index % 3 == 2 ? std::string(kSecondService) : kService,
+      index % 2 == 0 ? "a" : "b",
+      this->random()));
     this->servers.back()->Start();
     this->RegisterServer(*this->servers.back());
   }
@@ -213,6 +216,10 @@
       asio::detached);
   }
   co_await this->InjectFaults();
+  std::vector<std::size_t> runsBefore;
+  for (const auto& server : this->servers) {
+    runsBefore.push_back(server->RunCount());
+  }
   co_await this->Wait(kRecoveryTime - kRecoveryCheckTime);
   const std::size_t servedBefore =
     this->history.Count(RequestHistory::Outcome::Success);
@@ -233,6 +240,13 @@
       served,
       unserved));
   }
+  for (std::size_t index = 0; index < this->servers.size(); ++index) {
+    const Server& server = *this->servers[index];
+    if (server.IsUnrestricted() && server.RunCount() == runsBefore[index]) {
+      this->history.ReportViolation(
+        fmt::format("server {} got no request after the faults", server.Id()));
+    }
+  }
   this->isOver = true;
   // The longest time that a caller may still wait for its last response.
   co_await this->Wait(3500ms);
@@ -338,7 +352,7 @@
 {
   const milliseconds duration(300 + this->RandomBelow(1500));
   Server& server = this->RandomServer();
-  const std::uint64_t kind = this->RandomBelow(5);
+  const std::uint64_t kind = this->RandomBelow(6);
   this->log(fmt::format(
     "server {} fault {} for {} ms", server.Id(), kind, duration.count()));
   this->ExtendGracePeriod(duration);
@@ -360,6 +374,18 @@
     case 2:
       server.Link().Reset();
       break;
+    case 5:
+      // The server runs on, cut off from the store until its entry has expired.
+      // Short gaps matter: requests then run across them.
+      if (server.IsUp()) {
+        this->store.Remove("servers", server.Id());
+        this->RunAfter(duration / 10, [this, &server, id = server.Id()] {
+          if (server.IsUp() && server.Id() == id) {
+            this->RegisterServer(server);
+          }
+        });
+      }
+      break;
     default:
       server.Link().SetFaults(
         { .delay = kind == 3 ? 50ms : 0ms,
@@ -403,9 +429,11 @@
 void
 Soak::DrainServer(Server& aServer)
 {
-  const auto upCount = std::ranges::count_if(
-    this->servers, [](const auto& aCandidate) { return aCandidate->IsUp(); });
-  if (!aServer.IsUp() || upCount <= 2) {
+  const auto upCount =
+    std::ranges::count_if(this->servers, [&](const auto& aCandidate) {
+      return aCandidate->IsUp() && aCandidate->Service() == aServer.Service();
+    });
+  if (!aServer.IsUp() || upCount <= 1) {
     return;
   }
   this->log(fmt::format("server {} starts draining", aServer.Id()));
@@ -465,16 +493,21 @@
   json::array entries;
   entries.push_back(MakeRoute("r-once", "/once/", true));
   entries.push_back(MakeRoute("r-any", "/any/", false));
+  entries.push_back(MakeRoute(
+    "r-second", std::string(kSecondServicePrefix), true, kSecondService));
   const std::string prefix = fmt::format("/v{}/", this->configurationVersion);
   entries.push_back(MakeRoute("r-new", prefix, false));
-  entries.push_back(
-    json::object{ { "EntryType", "Services" },
-                  { "Metadata", json::object{ { "Name", kService } } },
-                  { "Spec",
-                    json::object{ { "HealthCheckPath", "/health" },
-                                  { "MaxConnections", 260 },
-                                  { "SlowStartS", 1.0 },
-                                  { "WarmupPerS", 50.0 } } } });
+  for (const std::string_view service :
+       { std::string_view(kService), kSecondService }) {
+    entries.push_back(
+      json::object{ { "EntryType", "Services" },
+                    { "Metadata", json::object{ { "Name", service } } },
+                    { "Spec",
+                      json::object{ { "HealthCheckPath", "/health" },
+                                    { "MaxConnections", 260 },
+                                    { "SlowStartS", 1.0 },
+                                    { "WarmupPerS", 50.0 } } } });
+  }
   entries.push_back(
     json::object{ { "EntryType", "Limits" },
                   { "Metadata", json::object() },
