End the store's requests silently with their transport

Cause: ~StoreTransport reported the end of running requests to functions whose objects, the watcher and the relay, are destroyed before it.

Change: requests end silently with the transport.

RequestsEndSilentlyWithTheTransport failed before and passes now.

--- a/modules/store/StoreTransport.cpp
+++ b/modules/store/StoreTransport.cpp
@@ -78,7 +78,8 @@
       StoreResponse aResponse) mutable {
       aPool->running.erase(connection);
       if (aPool->isClosed) {
-        done(std::move(aResponse));
+        // The owner of the transport is being destroyed, and the objects that
+        // the function uses may be gone.
         return;
       }
       if (connection->IsReusable() &&
