Accept established connections before a listener closes

Callers of a daemon in a planned stop saw new connections end without a byte, 2.5 s after SIGTERM. Cause: closing the listener resets the connections that the kernel has established and nobody has accepted, and a socket whose accept handler ran after the close was dropped.

The listener accepts what is established before it closes, and a socket that was accepted is always handed on. Both tests of TcpListenerTest failed before (0 of 5 and 1 of 2 connections accepted).

--- a/modules/gateway/TcpListener.cpp
+++ b/modules/gateway/TcpListener.cpp
@@ -55,6 +55,10 @@
 void
 TcpListener::Close()
 {
+  if (!this->acceptor.is_open()) {
+    return;
+  }
+  this->AcceptEstablished();
   boost::system::error_code ignored;
   this->acceptor.close(ignored);
 }
@@ -66,16 +70,37 @@
     this->context,
     [self = this->shared_from_this()](boost::system::error_code aError,
                                       tcp::socket aSocket) {
-      if (!self->acceptor.is_open()) {
-        return;
-      }
+      // The socket may have been accepted just before the listener was closed.
       if (!aError) {
-        boost::system::error_code ignored;
-        aSocket.set_option(tcp::no_delay(true), ignored);
-        self->onAccept(std::move(aSocket));
+        self->TakeSocket(std::move(aSocket));
+      }
+      if (self->acceptor.is_open()) {
+        self->Accept();
       }
-      self->Accept();
     });
 }
 
+void
+TcpListener::AcceptEstablished()
+{
+  boost::system::error_code error;
+  this->acceptor.non_blocking(true, error);
+  for (int count = 0; !error && count < tcp::acceptor::max_listen_connections;
+       ++count) {
+    tcp::socket socket(this->context);
+    this->acceptor.accept(socket, error);
+    if (!error) {
+      this->TakeSocket(std::move(socket));
+    }
+  }
+}
+
+void
+TcpListener::TakeSocket(tcp::socket aSocket)
+{
+  boost::system::error_code ignored;
+  aSocket.set_option(tcp::no_delay(true), ignored);
+  this->onAccept(std::move(aSocket));
+}
+
 } // namespace fireflytrail::gateway
--- a/modules/gateway/TcpListener.h
+++ b/modules/gateway/TcpListener.h
@@ -31,11 +31,17 @@
    * succeeded. */
   boost::asio::ip::tcp::endpoint LocalEndpoint() const;
 
-  /** Stops accepting. Call on the context's thread. */
+  /**
+   * Stops accepting. Connections that callers have already established are
+   * accepted first, since closing would reset them. Call on the context's
+   * thread.
+   */
   void Close();
 
 private:
   void Accept();
+  void AcceptEstablished();
+  void TakeSocket(boost::asio::ip::tcp::socket aSocket);
 
   boost::asio::io_context& context;
   boost::asio::ip::tcp::acceptor acceptor;
