Close unused connections in a stop only when no request is expected

Answers now state a Keep-Alive time that ends before the stop starts to refuse requests. A stop closes a kept connection when that time is over, and a new one when its first request is a second overdue. What arrives before is answered, with Connection: close.

FirstRequestOfANewConnectionIsAnsweredInAPlannedStop and KeptConnectionIsNotClosedBeforeTheStatedTime fail without the condition in CloseIfIdle.

--- a/modules/daemon/TrafficThread.cpp
+++ b/modules/daemon/TrafficThread.cpp
@@ -142,7 +142,7 @@
   boost::asio::post(this->context, [this] {
     for (const auto& weak : this->sessions) {
       if (const auto session = weak.lock()) {
-        session->CloseIfIdle();
+        session->CloseIfIdle(std::chrono::steady_clock::now());
       }
     }
   });
--- a/modules/gateway/CallerSession.cpp
+++ b/modules/gateway/CallerSession.cpp
@@ -7,6 +7,7 @@
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <cassert>
@@ -24,6 +25,10 @@
 
 constexpr auto kWriteTimeout = 30s;
 constexpr auto kDrainTimeout = 2s;
+// Time from the establishment of a connection until its first request, which
+// callers send at once, and for the transfer of any request.
+constexpr auto kFirstRequestTime = 1s;
+constexpr auto kTransferMargin = 500ms;
 // Time after which a caller whose body did not fit may retry: bodies are held
 // for as long as requests take.
 constexpr auto kRetryWithoutMemory = 500ms;
@@ -42,6 +47,7 @@
                              std::shared_ptr<const CallerSessionHooks> aHooks)
   : stream(std::move(aSocket))
   , hooks(std::move(aHooks))
+  , requestExpectedUntil(std::chrono::steady_clock::now() + kFirstRequestTime)
 {
   assert(this->hooks && this->hooks->handleCall && this->hooks->isStopping);
   this->hooks->sessionCountChanged(1);
@@ -59,11 +65,11 @@
 }
 
 void
-CallerSession::CloseIfIdle()
+CallerSession::CloseIfIdle(std::chrono::steady_clock::time_point aNow)
 {
   // Only the wait is cancelled. A request that has just been read is served,
   // and its answer closes the connection.
-  if (this->isIdle) {
+  if (this->isIdle && aNow >= this->requestExpectedUntil) {
     this->stream.cancel();
   }
 }
@@ -339,6 +345,15 @@
                             this->answer->body.size() };
   this->isKeptAlive = aKeepAlive && !this->hooks->isStopping();
   this->response.keep_alive(this->isKeptAlive);
+  const bool isTimeStated =
+    this->isKeptAlive && this->hooks->keepAliveTime.count() > 0;
+  if (isTimeStated) {
+    this->response.set(
+      http::field::keep_alive,
+      fmt::format("timeout={}", this->hooks->keepAliveTime.count()));
+  }
+  this->statedIdleTime =
+    isTimeStated ? this->hooks->keepAliveTime + kTransferMargin : 0ms;
   this->response.prepare_payload();
   if (this->isHeadRequest) {
     this->response.body() = {};
@@ -366,6 +381,8 @@
     this->CloseAfterDrain();
     return;
   }
+  this->requestExpectedUntil =
+    std::chrono::steady_clock::now() + this->statedIdleTime;
   this->ReadHeader();
 }
 
--- a/modules/gateway/CallerSession.h
+++ b/modules/gateway/CallerSession.h
@@ -13,6 +13,7 @@
 #include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/string_body.hpp>
 
+#include <chrono>
 #include <cstddef>
 #include <functional>
 #include <memory>
@@ -47,6 +48,12 @@
   /** The header fields that callers use; never null. */
   std::shared_ptr<const CallerDialect> dialect = CallerDialect::Native();
 
+  /**
+   * How long a caller may leave a connection unused before it sends its next
+   * request, in whole seconds; answers state it. 0 states nothing.
+   */
+  std::chrono::seconds keepAliveTime{ 0 };
+
   /** Size limits of requests, and timeouts of requests and idle connections. */
   configuration::CallerLimits limits;
 
@@ -77,12 +84,14 @@
   void Start();
 
   /**
-   * Closes the connection unless a request has arrived or is being answered.
-   * Call on the socket's thread, and only while the daemon is stopping: a
-   * request that arrives at the same moment is served, and its answer then
-   * closes the connection.
+   * Closes the connection if no request has arrived or is being answered and
+   * none is expected any more at `aNow`: the time that the last answer stated
+   * for the next request is over, or, on a new connection, the first request is
+   * overdue. Call on the socket's thread, and only while the daemon is
+   * stopping: a request that arrives at the same moment is served, and its
+   * answer then closes the connection.
    */
-  void CloseIfIdle();
+  void CloseIfIdle(std::chrono::steady_clock::time_point aNow);
 
 private:
   using Parser =
@@ -119,6 +128,10 @@
   std::shared_ptr<const calls::Answer> answer;
   CallerSessionHooks::CancelFunction cancelCall;
   bool isIdle = true;
+  /** While idle: time from which no request is expected any more. */
+  std::chrono::steady_clock::time_point requestExpectedUntil;
+  /** Time for which the last answer allowed the connection to be unused. */
+  std::chrono::milliseconds statedIdleTime{ 0 };
   bool isCallRunning = false;
   bool isKeptAlive = false;
   bool isHeadRequest = false;
--- a/modules/gateway/CallerSessionTest.cpp
+++ b/modules/gateway/CallerSessionTest.cpp
@@ -4,12 +4,16 @@
 #include "core/MemoryLease.h"
 #include "gateway/TcpListener.h"
 
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
+#include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include <atomic>
+#include <chrono>
 #include <future>
 #include <thread>
 #include <vector>
@@ -17,6 +21,7 @@
 using namespace fireflytrail;
 using namespace fireflytrail::gateway;
 using boost::asio::ip::tcp;
+using namespace std::chrono_literals;
 
 namespace {
 
@@ -44,11 +49,15 @@
       return {};
     };
     this->hooks->isStopping = [] { return false; };
-    this->hooks->sessionCountChanged = [](int) {};
+    this->hooks->sessionCountChanged = [this](int aChange) {
+      this->openSessions += aChange;
+    };
     this->listener =
       std::make_shared<TcpListener>(this->context, [this](tcp::socket aSocket) {
-        std::make_shared<CallerSession>(std::move(aSocket), this->hooks)
-          ->Start();
+        const auto session =
+          std::make_shared<CallerSession>(std::move(aSocket), this->hooks);
+        this->sessions.push_back(session);
+        session->Start();
       });
     const auto error =
       this->listener->Open({ boost::asio::ip::address_v4::loopback(), 0 });
@@ -80,6 +89,23 @@
     return answer;
   }
 
+  /** Closes the sessions that are idle at a time, as a planned stop does. */
+  void CloseIdleSessions(std::chrono::steady_clock::time_point aNow)
+  {
+    std::promise<void> done;
+    boost::asio::post(this->context, [&] {
+      for (const auto& weak : this->sessions) {
+        if (const auto session = weak.lock()) {
+          session->CloseIfIdle(aNow);
+        }
+      }
+      done.set_value();
+    });
+    done.get_future().wait();
+  }
+
+  int OpenSessions() const { return this->openSessions; }
+
   tcp::endpoint Endpoint() const { return this->listener->LocalEndpoint(); }
 
   /** To be changed only while there is no session. */
@@ -90,9 +116,11 @@
   std::promise<void> cancelled;
 
 private:
+  std::atomic<int> openSessions{ 0 };
   boost::asio::io_context context;
   std::shared_ptr<CallerSessionHooks> hooks;
   std::shared_ptr<TcpListener> listener;
+  std::vector<std::weak_ptr<CallerSession>> sessions;
   std::vector<CallerSessionHooks::AnswerFunction> pending;
   std::thread thread;
 };
@@ -281,3 +309,73 @@
   gateway.cancelled.get_future().wait();
   BOOST_TEST(gateway.calls.size() == 1U);
 }
+
+// Guards against a planned stop that closes a connection whose first request is
+// on its way.
+BOOST_AUTO_TEST_CASE(FirstRequestOfANewConnectionIsAnsweredInAPlannedStop)
+{
+  EchoGateway gateway;
+  gateway.Hooks().isStopping = [] { return true; };
+  boost::asio::io_context clientContext;
+  tcp::socket socket(clientContext);
+  socket.connect(gateway.Endpoint());
+  while (gateway.OpenSessions() == 0) {
+    std::this_thread::sleep_for(1ms);
+  }
+  gateway.CloseIdleSessions(std::chrono::steady_clock::now());
+  boost::system::error_code error;
+  const std::string request = "GET /s/a HTTP/1.1\r\n\r\n";
+  boost::asio::write(socket, boost::asio::buffer(request), error);
+  std::string answer;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
+  BOOST_TEST(StatusLineOf(answer) == "HTTP/1.1 200 OK");
+}
+
+// Guards against the same where no request ever comes.
+BOOST_AUTO_TEST_CASE(NewConnectionWithoutARequestIsClosedInAPlannedStop)
+{
+  EchoGateway gateway;
+  boost::asio::io_context clientContext;
+  tcp::socket socket(clientContext);
+  socket.connect(gateway.Endpoint());
+  while (gateway.OpenSessions() == 0) {
+    std::this_thread::sleep_for(1ms);
+  }
+  gateway.CloseIdleSessions(std::chrono::steady_clock::now() + 2s);
+  std::string answer;
+  boost::system::error_code error;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
+  BOOST_TEST(error == boost::asio::error::eof);
+}
+
+// Guards against a planned stop that closes a connection before the time that
+// its last answer stated for the next request.
+BOOST_AUTO_TEST_CASE(KeptConnectionIsNotClosedBeforeTheStatedTime)
+{
+  EchoGateway gateway;
+  gateway.Hooks().keepAliveTime = 3s;
+  boost::asio::io_context clientContext;
+  tcp::socket socket(clientContext);
+  socket.connect(gateway.Endpoint());
+  const std::string request = "GET /s/a HTTP/1.1\r\n\r\n";
+  boost::asio::write(socket, boost::asio::buffer(request));
+  std::string answer;
+  boost::asio::read_until(socket, boost::asio::dynamic_buffer(answer), "s /a ");
+  BOOST_TEST(answer.find("Keep-Alive: timeout=3\r\n") != std::string::npos);
+  const auto answered = std::chrono::steady_clock::now();
+  // The second call returns after the effects of the first.
+  gateway.CloseIdleSessions(answered + 3s);
+  gateway.CloseIdleSessions(answered + 3s);
+  BOOST_TEST(gateway.OpenSessions() == 1);
+  boost::system::error_code error;
+  boost::asio::write(socket, boost::asio::buffer(request), error);
+  answer.clear();
+  boost::asio::read_until(
+    socket, boost::asio::dynamic_buffer(answer), "s /a ", error);
+  BOOST_TEST(!error);
+  while (gateway.OpenSessions() > 0) {
+    gateway.CloseIdleSessions(answered + 10s);
+  }
+  boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
+  BOOST_TEST(error == boost::asio::error::eof);
+}
--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -174,6 +174,7 @@
   };
   this->sessionHooks->dialect = this->platform.callers;
   this->sessionHooks->memory = this->bodyMemory;
+  this->UpdateKeepAliveTime();
   const ObjectKinds& kinds = this->platform.kinds;
   this->relay = std::make_unique<StoreRelay>(
     PeerHost{ this->self.name, aSettings.IsStrong(), aSettings.failureDomain },
@@ -652,6 +653,7 @@
   if (this->storeView.ConfigurationVersion() != previousVersion) {
     const auto& inForce = this->storeView.Routes()->Configuration();
     this->sessionHooks->limits = inForce.limits;
+    this->UpdateKeepAliveTime();
     this->transferSizes.Keep([&inForce](const std::string& aRoute) {
       return std::ranges::any_of(inForce.routes, [&](const auto& aKnown) {
         return aKnown.name == aRoute;
@@ -878,13 +880,21 @@
 void
 ProxyDaemon::CloseIdleSessions()
 {
+  const core::TimePoint now = std::chrono::steady_clock::now();
   for (const auto& weak : this->sessions) {
     if (const auto session = weak.lock()) {
-      session->CloseIfIdle();
+      session->CloseIfIdle(now);
     }
   }
 }
 
+void
+ProxyDaemon::UpdateKeepAliveTime()
+{
+  this->sessionHooks->keepAliveTime = StopSchedule::KeepAliveTime(
+    this->settings.stopLimit, this->sessionHooks->limits.idleTimeout);
+}
+
 void
 ProxyDaemon::ReloadSettings()
 {
@@ -907,6 +917,7 @@
   this->settings.stopLimit = newSettings->stopLimit;
   this->settings.expectedHosts = newSettings->expectedHosts;
   this->budgets.SetAllowance(this->RetryAllowance());
+  this->UpdateKeepAliveTime();
   this->UpdateBroker();
   this->log.Write(LogLevel::Info, "settings_reloaded");
 }
--- a/modules/proxy/ProxyDaemon.h
+++ b/modules/proxy/ProxyDaemon.h
@@ -127,6 +127,7 @@
   void BeginStop();
   void CheckStop();
   void CloseIdleSessions();
+  void UpdateKeepAliveTime();
   void ReloadSettings();
   void ScheduleSettingsCheck();
   void LogPeerTraffic() const;
--- a/modules/proxy/StopSchedule.cpp
+++ b/modules/proxy/StopSchedule.cpp
@@ -20,6 +20,13 @@
 // Time before the end for the transfer of the last answers.
 constexpr milliseconds kAnswerMargin = 200ms;
 
+// Time before the end of a stop at which connections that were unused at its
+// begin are closed: later requests would be refused.
+constexpr milliseconds kUnusedMargin = 2000ms;
+
+// Time that a request may be in transit before its connection is closed.
+constexpr milliseconds kTransferMargin = 1000ms;
+
 } // namespace
 
 StopSchedule::StopSchedule(core::TimePoint aBegin, milliseconds aLimit)
@@ -28,6 +35,15 @@
 {
 }
 
+std::chrono::seconds
+StopSchedule::KeepAliveTime(milliseconds aLimit, milliseconds aIdleTimeout)
+{
+  return std::max<std::chrono::seconds>(
+    1s,
+    std::chrono::floor<std::chrono::seconds>(
+      std::min(aLimit - kUnusedMargin, aIdleTimeout - kTransferMargin)));
+}
+
 core::TimePoint
 StopSchedule::ListenUntil() const
 {
--- a/modules/proxy/StopSchedule.h
+++ b/modules/proxy/StopSchedule.h
@@ -29,6 +29,17 @@
    */
   StopSchedule(core::TimePoint aBegin, std::chrono::milliseconds aLimit);
 
+  /**
+   * Returns the time that answers state for the next request on a connection.
+   * Connections that are unused when a stop begins then reach this time while
+   * the stop still serves requests, and none is closed while a request is in
+   * transit. `aLimit` is as above, `aIdleTimeout` the time after which unused
+   * connections are closed. At least 1 s. Thread-safe.
+   */
+  static std::chrono::seconds KeepAliveTime(
+    std::chrono::milliseconds aLimit,
+    std::chrono::milliseconds aIdleTimeout);
+
   /** Returns when to stop listening for new connections. */
   core::TimePoint ListenUntil() const;
 
--- a/modules/proxy/StopScheduleTest.cpp
+++ b/modules/proxy/StopScheduleTest.cpp
@@ -31,3 +31,16 @@
     BOOST_TEST((stop.ListenUntil() > begin));
   }
 }
+
+// Guards against connections that are closed in a planned stop while a request
+// is on its way on them.
+BOOST_AUTO_TEST_CASE(UnusedConnectionsMayBeClosedBeforeTheStopRefusesRequests)
+{
+  const core::TimePoint begin(1h);
+  const StopSchedule stop(begin, 6s);
+  const auto time = StopSchedule::KeepAliveTime(6s, 15s);
+  BOOST_TEST((time == 4s));
+  BOOST_TEST(stop.MayStart(begin + time, 800ms));
+  BOOST_TEST((StopSchedule::KeepAliveTime(6s, 3500ms) == 2s));
+  BOOST_TEST((StopSchedule::KeepAliveTime(500ms, 100ms) == 1s));
+}
