Log why a process ends: signal, exception, refused start, crash

Operators saw processes that ended or did not start and could not tell why: an exit by a signal left no line, a crash left no stack, a refused start left its reason only on standard error, and an address that the host does not have was reported as "already in use" for the peer port, because the error of PeerHub::Open was thrown away.

stop_requested now names the signal and a reload has its own line. start_refused has each error of the settings, daemon_failed the exception that reached the top.

process_test runs the program as a process of its own.

--- a/app/main.cpp
+++ b/app/main.cpp
@@ -1,5 +1,6 @@
 #include "configuration/DaemonSettings.h"
 #include "configuration/Endpoint.h"
+#include "core/CrashReport.h"
 #include "core/Log.h"
 #include "core/OutputSink.h"
 #include "daemon/Serve.h"
@@ -18,6 +19,7 @@
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
+#include <exception>
 #include <functional>
 #include <iterator>
 #include <memory>
@@ -154,17 +156,46 @@
   };
 }
 
+/** Logs why a daemon does not start, and prints it for a person. */
+void
+RefuseStart(const std::string& aReason)
+{
+  UsageError(aReason);
+  core::Log().Write(
+    core::LogLevel::Error, "start_refused", { { "why", aReason } });
+}
+
+/** Runs a daemon. An exception that ends it is logged. */
+ExitCode
+RunLogged(const std::function<ExitCode()>& aDaemon)
+{
+  core::CrashReport::Install();
+  const auto fail = [](std::string_view aReason) {
+    core::Log().Write(
+      core::LogLevel::Error, "daemon_failed", { { "why", aReason } });
+    return ExitCode::Refused;
+  };
+  try {
+    return aDaemon();
+  } catch (const std::exception& error) {
+    return fail(error.what());
+  } catch (...) {
+    return fail("unknown exception");
+  }
+}
+
 ExitCode
 RunServe(const std::vector<std::string>& aArguments)
 {
   const auto file = ReadTextFile(aArguments[0]);
   if (!file) {
-    return UsageError(file.error().detail);
+    RefuseStart(file.error().detail);
+    return ExitCode::Usage;
   }
   const auto settings = configuration::DaemonSettings::Parse(file.value().text);
   if (!settings) {
     for (const auto& error : settings.error()) {
-      UsageError(fmt::format("{}: {}", aArguments[0], error.ToString()));
+      RefuseStart(fmt::format("{}: {}", aArguments[0], error.ToString()));
     }
     return ExitCode::Refused;
   }
@@ -172,20 +203,21 @@
   return static_cast<ExitCode>(daemon::Serve(settings.value(), log));
 }
 
-/** Reads proxy settings from a file. On failure, prints one line for each error
- * and returns nothing. */
+/** Reads proxy settings from a file. On failure, passes each error to
+ * `aOnError` and returns nothing. */
 std::optional<configuration::ProxySettings>
-ReadProxySettings(const std::string& aPath)
+ReadProxySettings(const std::string& aPath,
+                  const std::function<void(const std::string&)>& aOnError)
 {
   const auto file = ReadTextFile(aPath);
   if (!file) {
-    UsageError(file.error().detail);
+    aOnError(file.error().detail);
     return std::nullopt;
   }
   auto settings = configuration::ProxySettings::Parse(file.value().text);
   if (!settings) {
     for (const auto& error : settings.error()) {
-      UsageError(fmt::format("{}: {}", aPath, error.ToString()));
+      aOnError(fmt::format("{}: {}", aPath, error.ToString()));
     }
     return std::nullopt;
   }
@@ -195,7 +227,7 @@
 ExitCode
 RunProxy(const std::vector<std::string>& aArguments)
 {
-  const auto settings = ReadProxySettings(aArguments[0]);
+  const auto settings = ReadProxySettings(aArguments[0], RefuseStart);
   if (!settings) {
     return ExitCode::Refused;
   }
@@ -210,8 +242,13 @@
     output.Write(aLine);
   });
   proxy::ProxyDaemon daemon(
-    *settings, platform::MakeAdapter(), log, [path = aArguments[0]] {
-      return ReadProxySettings(path);
+    *settings, platform::MakeAdapter(), log, [&log, path = aArguments[0]] {
+      return ReadProxySettings(path, [&log](const std::string& aError) {
+        UsageError(aError);
+        log.Write(core::LogLevel::Warning,
+                  "settings_unreadable",
+                  { { "why", aError } });
+      });
     });
   if (!daemon.Open()) {
     return ExitCode::Refused;
@@ -372,7 +409,9 @@
       {},
       1,
       1,
-      RunServe },
+      [](const std::vector<std::string>& aArguments) {
+        return RunLogged([&] { return RunServe(aArguments); });
+      } },
     { "proxy",
       "proxy SETTINGS_FILE",
       "Runs the entry daemon for HTTP routes.\n"
@@ -383,7 +422,9 @@
       {},
       1,
       1,
-      RunProxy },
+      [](const std::vector<std::string>& aArguments) {
+        return RunLogged([&] { return RunProxy(aArguments); });
+      } },
     { "check",
       "check FILE [--settings SETTINGS_FILE]",
       "Checks the operators' text without a network.\n"
--- a/modules/core/core.h
+++ b/modules/core/core.h
@@ -4,9 +4,11 @@
  * Basic types that every other module uses: the error kinds and the table that
  * maps each kind to an answer, the result type, function types for clocks and
  * random numbers, daemon identities, hashing, detection of silent connections,
- * a budget for memory and a log of JSON lines. Depends on no other module.
+ * a budget for memory, a log of JSON lines and a report of fatal signals.
+ * Depends on no other module.
  */
 
+#include "core/CrashReport.h"
 #include "core/DaemonId.h"
 #include "core/DeadPeerDetection.h"
 #include "core/Error.h"
@@ -19,3 +21,4 @@
 #include "core/MemoryLease.h"
 #include "core/ProcessNumbers.h"
 #include "core/Result.h"
+#include "core/SignalName.h"
--- a/modules/daemon/Controller.cpp
+++ b/modules/daemon/Controller.cpp
@@ -1,6 +1,7 @@
 #include "daemon/Controller.h"
 
 #include "core/ErrorTable.h"
+#include "core/SignalName.h"
 #include "daemon/ProcessUsage.h"
 #include "daemon/StatusReport.h"
 #include "daemon/TrafficState.h"
@@ -152,11 +153,15 @@
 {
   this->signals.add(SIGTERM);
   this->signals.add(SIGINT);
-  this->signals.async_wait([this](boost::system::error_code aError, int) {
-    if (!aError) {
-      this->machine.Handle("stop_requested");
-    }
-  });
+  this->signals.async_wait(
+    [this](boost::system::error_code aError, int aSignal) {
+      if (!aError) {
+        this->log.Write(LogLevel::Info,
+                        "stop_requested",
+                        { { "signal", core::SignalName(aSignal) } });
+        this->machine.Handle("stop_requested");
+      }
+    });
 }
 
 void
--- a/modules/proxy/PeerNetwork.cpp
+++ b/modules/proxy/PeerNetwork.cpp
@@ -76,7 +76,7 @@
   }
 }
 
-bool
+boost::system::error_code
 PeerNetwork::Open()
 {
   this->hub = std::make_shared<gateway::PeerHub>(
@@ -135,7 +135,7 @@
     }
   }
   this->node->Members().SetHostList(std::move(seedPeers));
-  return !this->hub->Open(
+  return this->hub->Open(
     { boost::asio::ip::make_address(this->settings.peerListen.address),
       this->settings.peerListen.port });
 }
--- a/modules/proxy/PeerNetwork.h
+++ b/modules/proxy/PeerNetwork.h
@@ -44,9 +44,9 @@
   PeerNetwork(const PeerNetwork&) = delete;
   PeerNetwork& operator=(const PeerNetwork&) = delete;
 
-  /** Starts to listen; returns false if the address is not available. Call
+  /** Starts to listen. Returns an error if the address is not available. Call
    * once, before anything else. */
-  bool Open();
+  boost::system::error_code Open();
 
   /** Starts the gossip exchange. Call once, after `Open`. */
   void Start();
--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -2,6 +2,7 @@
 
 #include "core/ErrorTable.h"
 #include "core/MemoryBudget.h"
+#include "core/SignalName.h"
 #include "gateway/ServerPool.h"
 #include "gateway/SocketAddress.h"
 #include "gateway/TcpListener.h"
@@ -498,8 +499,8 @@
                     { { "port", aPort }, { "error", aError.message() } });
     return false;
   };
-  if (!this->peers.Open()) {
-    return report("peer_listen", boost::asio::error::address_in_use);
+  if (const auto error = this->peers.Open()) {
+    return report("peer_listen", error);
   }
   this->listener = std::make_shared<gateway::TcpListener>(
     this->context, [this](tcp::socket aSocket) {
@@ -574,9 +575,12 @@
         return;
       }
       if (aSignal == SIGHUP) {
+        this->log.Write(LogLevel::Info,
+                        "reload_requested",
+                        { { "signal", core::SignalName(aSignal) } });
         this->ReloadSettings();
       } else {
-        this->BeginStop();
+        this->BeginStop(aSignal);
       }
       this->ListenForSignals();
     });
@@ -826,7 +830,7 @@
 
 //==============================================================================
 void
-ProxyDaemon::BeginStop()
+ProxyDaemon::BeginStop(int aSignal)
 {
   if (this->isStopping) {
     return;
@@ -843,7 +847,8 @@
   this->log.Write(
     LogLevel::Info,
     "stop_requested",
-    { { "requests", static_cast<std::int64_t>(this->requestCount) },
+    { { "signal", core::SignalName(aSignal) },
+      { "requests", static_cast<std::int64_t>(this->requestCount) },
       { "sessions", static_cast<std::int64_t>(this->sessionCount) } });
   this->CheckStop();
 }
--- a/modules/proxy/ProxyDaemon.h
+++ b/modules/proxy/ProxyDaemon.h
@@ -124,7 +124,7 @@
   std::size_t HostCount() const;
   calls::RetryBudget::Allowance RetryAllowance() const;
 
-  void BeginStop();
+  void BeginStop(int aSignal);
   void CheckStop();
   void CloseIdleSessions();
   void UpdateKeepAliveTime();
--- a/soak/DaemonProcess.cpp
+++ b/soak/DaemonProcess.cpp
@@ -6,7 +6,9 @@
 #include <cassert>
 #include <csignal>
 #include <fstream>
+#include <iterator>
 #include <stdexcept>
+#include <thread>
 #include <utility>
 
 #include <fcntl.h>
@@ -21,7 +23,7 @@
 DaemonProcess::DaemonProcess(Options aOptions)
   : options(std::move(aOptions))
 {
-  this->WriteSettings();
+  std::ofstream(this->SettingsPath()) << this->SettingsText();
 }
 
 DaemonProcess::~DaemonProcess()
@@ -37,15 +39,20 @@
 DaemonProcess::Start()
 {
   assert(this->pid == 0);
-  std::string settings =
-    fmt::format("{}/{}.json", this->options.folder, this->options.address);
-  const std::string log =
-    fmt::format("{}/{}.log", this->options.folder, this->options.address);
+  std::string settings = this->SettingsPath();
+  const std::string log = this->LogPath();
   std::string subcommand = "proxy";
-  std::array<char*, 4> arguments{
-    this->options.program.data(), subcommand.data(), settings.data(), nullptr
-  };
-  std::array<char*, 1> environment{ nullptr };
+  std::array<char*, 4> arguments{ this->options.program.data(),
+                                  subcommand.data(),
+                                  this->options.isFileAnArgument
+                                    ? settings.data()
+                                    : nullptr,
+                                  nullptr };
+  std::vector<char*> environment;
+  for (std::string& variable : this->options.environment) {
+    environment.push_back(variable.data());
+  }
+  environment.push_back(nullptr);
   posix_spawn_file_actions_t actions{};
   posix_spawn_file_actions_init(&actions);
   constexpr mode_t kLogFileMode = 0644;
@@ -92,6 +99,20 @@
   return false;
 }
 
+bool
+DaemonProcess::WaitUntilExit(std::chrono::milliseconds aTime)
+{
+  constexpr std::chrono::milliseconds kPause{ 2 };
+  const auto end = std::chrono::steady_clock::now() + aTime;
+  while (this->IsRunning()) {
+    if (std::chrono::steady_clock::now() >= end) {
+      return false;
+    }
+    std::this_thread::sleep_for(kPause);
+  }
+  return true;
+}
+
 tcp::endpoint
 DaemonProcess::CallerEndpoint() const
 {
@@ -106,32 +127,51 @@
            static_cast<std::uint16_t>(this->options.basePort + 1) };
 }
 
-void
-DaemonProcess::WriteSettings() const
+std::string
+DaemonProcess::SettingsPath() const
+{
+  return fmt::format("{}/{}.json", this->options.folder, this->options.address);
+}
+
+std::string
+DaemonProcess::LogPath() const
+{
+  return fmt::format("{}/{}.log", this->options.folder, this->options.address);
+}
+
+std::string
+DaemonProcess::LogText() const
+{
+  std::ifstream file(this->LogPath());
+  return { std::istreambuf_iterator<char>(file),
+           std::istreambuf_iterator<char>() };
+}
+
+std::string
+DaemonProcess::SettingsText() const
 {
   const auto endpointText = [this](int aOffset) {
     return fmt::format(
       "{}:{}", this->options.address, this->options.basePort + aOffset);
   };
-  std::ofstream file(
-    fmt::format("{}/{}.json", this->options.folder, this->options.address));
-  file << fmt::format(R"({{
+  return fmt::format(R"({{
   "name": "{}", "failure_domain": "{}", "store": "127.0.0.1:{}",
   "listen": "{}", "ready_listen": "{}", "operator_listen": "{}",
   "peer_listen": "{}", "first_peers": ["{}:{}"],
-  "stop_limit_ms": 6000, "retry_ratio": 0.2, "free_retries": 64,
+  "stop_limit_ms": {}, "retry_ratio": 0.2, "free_retries": 64,
   "trial_share": 0.1
 }}
 )",
-                      this->options.address,
-                      this->options.domain,
-                      this->options.storePort,
-                      endpointText(0),
-                      endpointText(1),
-                      endpointText(2),
-                      endpointText(3),
-                      this->options.firstPeer,
-                      this->options.basePort + 3);
+                     this->options.address,
+                     this->options.domain,
+                     this->options.storePort,
+                     endpointText(0),
+                     endpointText(1),
+                     endpointText(2),
+                     endpointText(3),
+                     this->options.firstPeer,
+                     this->options.basePort + 3,
+                     this->options.stopLimit.count());
 }
 
 } // namespace fireflytrail::soak
--- a/soak/DaemonProcess.h
+++ b/soak/DaemonProcess.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <string>
+#include <vector>
 
 #include <sys/types.h>
 
@@ -33,6 +34,11 @@
      * operators and for peers. */
     std::uint16_t basePort = 0;
     unsigned hosts = 1;
+    std::chrono::milliseconds stopLimit{ 6000 };
+    /** Environment of the process, as texts `NAME=value`. */
+    std::vector<std::string> environment;
+    /** Whether the settings file is an argument of the program. */
+    bool isFileAnArgument = true;
   };
 
   explicit DaemonProcess(Options aOptions);
@@ -52,15 +58,29 @@
    */
   bool IsRunning();
 
+  /** Waits until the process has exited; returns false if it still runs after
+   * this time. */
+  bool WaitUntilExit(std::chrono::milliseconds aTime);
+
   /** Returns the exit code, or the negated signal number, of the last process
    * that has exited. */
   int ExitStatus() const { return this->exitStatus; }
 
+  /** Returns the path of the settings file, which the constructor writes. */
+  std::string SettingsPath() const;
+
+  /** Returns the text of valid settings for these options. */
+  std::string SettingsText() const;
+
+  /** Returns what the processes have written so far to standard output and
+   * standard error. */
+  std::string LogText() const;
+
   boost::asio::ip::tcp::endpoint CallerEndpoint() const;
   boost::asio::ip::tcp::endpoint ReadyEndpoint() const;
 
 private:
-  void WriteSettings() const;
+  std::string LogPath() const;
 
   Options options;
   pid_t pid = 0;
--- /dev/null
+++ b/tests/ProcessTest.cpp
@@ -0,0 +1,157 @@
+#include "soak/DaemonProcess.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <string>
+#include <string_view>
+#include <thread>
+
+using namespace fireflytrail;
+using namespace std::chrono_literals;
+
+namespace {
+
+constexpr std::uint16_t kBasePort = 18'640;
+
+/** A folder for the files of one test; removed at its end. */
+struct ProcessFixture
+{
+  ProcessFixture()
+  {
+    std::string pattern =
+      (std::filesystem::temp_directory_path() / "process-test-XXXXXX").string();
+    this->folder = mkdtemp(pattern.data());
+    // The environment may name another program, to try the tests on it.
+    const char* other = std::getenv("PROCESS_TEST_PROGRAM");
+    this->program = other == nullptr ? FIREFLYTRAIL_PROGRAM : other;
+  }
+
+  ~ProcessFixture()
+  {
+    std::error_code ignored;
+    std::filesystem::remove_all(this->folder, ignored);
+  }
+
+  ProcessFixture(const ProcessFixture&) = delete;
+  ProcessFixture& operator=(const ProcessFixture&) = delete;
+
+  soak::DaemonProcess::Options MakeOptions(const std::string& aAddress) const
+  {
+    soak::DaemonProcess::Options options;
+    options.program = this->program;
+    options.folder = this->folder;
+    options.address = aAddress;
+    options.domain = "a";
+    options.firstPeer = aAddress;
+    options.storePort = 1;
+    options.basePort = kBasePort;
+    options.stopLimit = 500ms;
+    return options;
+  }
+
+  std::string program;
+  std::string folder;
+};
+
+/** Waits until a log has a text; returns false after a time limit. */
+bool
+WaitForLog(const soak::DaemonProcess& aProcess, std::string_view aText)
+{
+  const auto end = std::chrono::steady_clock::now() + 10s;
+  while (aProcess.LogText().find(aText) == std::string::npos) {
+    if (std::chrono::steady_clock::now() >= end) {
+      return false;
+    }
+    std::this_thread::sleep_for(2ms);
+  }
+  return true;
+}
+
+bool
+HasLine(const soak::DaemonProcess& aProcess,
+        std::string_view aEvent,
+        std::string_view aText)
+{
+  const std::string log = aProcess.LogText();
+  const std::string event = "\"event\":\"" + std::string(aEvent) + "\"";
+  for (std::size_t at = log.find(event); at != std::string::npos;
+       at = log.find(event, at + 1)) {
+    if (log.substr(at, log.find('\n', at) - at).find(aText) !=
+        std::string::npos) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void
+WriteFile(const std::string& aPath, std::string_view aText)
+{
+  std::ofstream(aPath) << aText;
+}
+
+} // namespace
+
+// Guards against a stop or a reload whose origin the log does not tell.
+BOOST_FIXTURE_TEST_CASE(LogNamesTheSignalOfAStopAndOfAReload, ProcessFixture)
+{
+  soak::DaemonProcess daemon(this->MakeOptions("127.0.10.1"));
+  daemon.Start();
+  BOOST_REQUIRE(WaitForLog(daemon, "daemon_started"));
+  daemon.SendSignal(SIGHUP);
+  BOOST_TEST(WaitForLog(daemon, "reload_requested"));
+  daemon.SendSignal(SIGTERM);
+  BOOST_REQUIRE(daemon.WaitUntilExit(10s));
+  BOOST_TEST(daemon.ExitStatus() == 0);
+  BOOST_TEST(HasLine(daemon, "reload_requested", "SIGHUP"));
+  BOOST_TEST(HasLine(daemon, "stop_requested", "SIGTERM"));
+}
+
+// Guards against a crash that leaves neither a line nor a stack.
+BOOST_FIXTURE_TEST_CASE(FatalSignalLeavesALineAndAStack, ProcessFixture)
+{
+  for (const int signal : { SIGSEGV, SIGABRT, SIGBUS, SIGILL, SIGFPE }) {
+    soak::DaemonProcess daemon(this->MakeOptions("127.0.10.2"));
+    daemon.Start();
+    BOOST_REQUIRE(WaitForLog(daemon, "daemon_started"));
+    daemon.SendSignal(signal);
+    BOOST_REQUIRE(daemon.WaitUntilExit(10s));
+    BOOST_TEST(daemon.ExitStatus() == -signal);
+    BOOST_TEST(HasLine(daemon, "fatal_signal", "SIG"));
+    BOOST_TEST(daemon.LogText().find("fireflytrail(") != std::string::npos);
+    std::filesystem::remove_all(this->folder);
+    std::filesystem::create_directory(this->folder);
+  }
+}
+
+// Guards against a refused start whose reason is not in the log.
+BOOST_FIXTURE_TEST_CASE(LogTellsWhyAStartIsRefused, ProcessFixture)
+{
+  soak::DaemonProcess daemon(this->MakeOptions("127.0.10.3"));
+  WriteFile(daemon.SettingsPath(), R"({ "name": 1 })");
+  daemon.Start();
+  BOOST_REQUIRE(daemon.WaitUntilExit(10s));
+  BOOST_TEST(daemon.ExitStatus() == 1);
+  BOOST_TEST(HasLine(daemon, "start_refused", "name: must be a string"));
+  BOOST_TEST(HasLine(daemon, "start_refused", "listen: is required"));
+}
+
+// Guards against the wrong reason when the peer port cannot be opened.
+BOOST_FIXTURE_TEST_CASE(LogNamesTheErrorOfThePeerPort, ProcessFixture)
+{
+  soak::DaemonProcess daemon(this->MakeOptions("127.0.10.4"));
+  std::string text = daemon.SettingsText();
+  const std::string peerListen = R"("peer_listen": "127.0.10.4)";
+  text.replace(
+    text.find(peerListen), peerListen.size(), R"("peer_listen": "192.0.2.1)");
+  WriteFile(daemon.SettingsPath(), text);
+  daemon.Start();
+  BOOST_REQUIRE(daemon.WaitUntilExit(10s));
+  BOOST_TEST(daemon.ExitStatus() == 1);
+  BOOST_TEST(HasLine(daemon, "bind_failed", "Cannot assign requested address"));
+}
