Hold back SIGHUP, SIGTERM and SIGINT until the daemon handles them

Operators saw processes that ended right after their start, by signal 1 or 15 and without a line in the log: settings that change during a start, or a stop soon after it, met the default action of the signal, since the signal set of the event loop stands only after the settings have been read and the addresses have been bound.

The signals are now held back from the program's first initializer on, which runs before the constructors of the libraries, and are delivered once the signal set stands, in proxy and in serve. Other subcommands release them at once.

What remains is the time in which the dynamic loader maps and relocates the libraries; a process cannot act on it, but whoever starts it can hold the signals back.

--- a/app/main.cpp
+++ b/app/main.cpp
@@ -3,6 +3,7 @@
 #include "core/CrashReport.h"
 #include "core/Log.h"
 #include "core/OutputSink.h"
+#include "core/StopSignals.h"
 #include "daemon/Serve.h"
 #include "operator_client/operator_client.h"
 #include "platform/platform.h"
@@ -75,6 +76,9 @@
   std::size_t minArguments;
   std::size_t maxArguments;
   std::function<ExitCode(const std::vector<std::string>&)> run;
+  /** Whether it handles SIGHUP, SIGTERM and SIGINT, which are held back until
+   * it releases them. */
+  bool isDaemon = false;
 };
 
 CommandOutput
@@ -411,7 +415,8 @@
       1,
       [](const std::vector<std::string>& aArguments) {
         return RunLogged([&] { return RunServe(aArguments); });
-      } },
+      },
+      true },
     { "proxy",
       "proxy SETTINGS_FILE",
       "Runs the entry daemon for HTTP routes.\n"
@@ -424,7 +429,8 @@
       1,
       [](const std::vector<std::string>& aArguments) {
         return RunLogged([&] { return RunProxy(aArguments); });
-      } },
+      },
+      true },
     { "check",
       "check FILE [--settings SETTINGS_FILE]",
       "Checks the operators' text without a network.\n"
@@ -561,12 +567,20 @@
                     name,
                     commandLine.arguments[subcommand.maxArguments]));
     }
+    if (!subcommand.isDaemon) {
+      core::StopSignals::Release();
+    }
     return subcommand.run(commandLine.arguments);
   }
   return UsageError(
     fmt::format("unknown subcommand \"{}\"; see fireflytrail --help", name));
 }
 
+// Runs before the constructors of the libraries, which take most of the time
+// before `main`. A signal that arrives earlier ends the process.
+[[gnu::section(".preinit_array"),
+  gnu::used]] void (*const kHoldSignals)() = core::StopSignals::Hold;
+
 } // namespace
 
 int
--- a/modules/daemon/Controller.cpp
+++ b/modules/daemon/Controller.cpp
@@ -2,6 +2,7 @@
 
 #include "core/ErrorTable.h"
 #include "core/SignalName.h"
+#include "core/StopSignals.h"
 #include "daemon/ProcessUsage.h"
 #include "daemon/StatusReport.h"
 #include "daemon/TrafficState.h"
@@ -162,6 +163,7 @@
         this->machine.Handle("stop_requested");
       }
     });
+  core::StopSignals::Release();
 }
 
 void
--- a/modules/daemon/Controller.h
+++ b/modules/daemon/Controller.h
@@ -58,7 +58,8 @@
    * available. Call once. */
   bool Open();
 
-  /** Makes SIGTERM and SIGINT request a graceful stop. Call before `Run`. */
+  /** Makes SIGTERM and SIGINT request a graceful stop, also if they have
+   * arrived while held back (see `core::StopSignals`). Call before `Run`. */
   void StopOnSignals();
 
   /**
--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -3,6 +3,7 @@
 #include "core/ErrorTable.h"
 #include "core/MemoryBudget.h"
 #include "core/SignalName.h"
+#include "core/StopSignals.h"
 #include "gateway/ServerPool.h"
 #include "gateway/SocketAddress.h"
 #include "gateway/TcpListener.h"
@@ -545,7 +546,11 @@
 void
 ProxyDaemon::Run()
 {
+  this->signals.add(SIGTERM);
+  this->signals.add(SIGINT);
+  this->signals.add(SIGHUP);
   this->ListenForSignals();
+  core::StopSignals::Release();
   this->watcher->SetActive(this->relay->ShouldWatch());
   this->watcher->Start();
   this->ScheduleSettingsCheck();
@@ -566,9 +571,6 @@
 void
 ProxyDaemon::ListenForSignals()
 {
-  this->signals.add(SIGTERM);
-  this->signals.add(SIGINT);
-  this->signals.add(SIGHUP);
   this->signals.async_wait(
     [this](boost::system::error_code aError, int aSignal) {
       if (aError) {
--- a/tests/ProcessTest.cpp
+++ b/tests/ProcessTest.cpp
@@ -11,6 +11,8 @@
 #include <string_view>
 #include <thread>
 
+#include <sys/stat.h>
+
 using namespace fireflytrail;
 using namespace std::chrono_literals;
 
@@ -23,6 +25,8 @@
 {
   ProcessFixture()
   {
+    // A daemon that has ended no longer reads its settings from a pipe.
+    std::signal(SIGPIPE, SIG_IGN);
     std::string pattern =
       (std::filesystem::temp_directory_path() / "process-test-XXXXXX").string();
     this->folder = mkdtemp(pattern.data());
@@ -155,3 +159,34 @@
   BOOST_TEST(daemon.ExitStatus() == 1);
   BOOST_TEST(HasLine(daemon, "bind_failed", "Cannot assign requested address"));
 }
+
+// Guards against a signal in the first milliseconds that ends the process by
+// its default action. The settings are a pipe, so that the process is at the
+// same point of its start each time.
+BOOST_FIXTURE_TEST_CASE(SignalsBeforeTheEventLoopAreDeliveredLater,
+                        ProcessFixture)
+{
+  for (const int signal : { SIGHUP, SIGTERM, SIGINT }) {
+    soak::DaemonProcess daemon(this->MakeOptions("127.0.10.5"));
+    const std::string text = daemon.SettingsText();
+    std::filesystem::remove(daemon.SettingsPath());
+    BOOST_REQUIRE(mkfifo(daemon.SettingsPath().c_str(), 0600) == 0);
+    daemon.Start();
+    // Opens as soon as the process reads its settings.
+    std::ofstream pipe(daemon.SettingsPath());
+    daemon.SendSignal(signal);
+    const std::string file = daemon.SettingsPath() + ".new";
+    WriteFile(file, text);
+    std::filesystem::rename(file, daemon.SettingsPath());
+    pipe << text;
+    pipe.close();
+    const bool isReload = signal == SIGHUP;
+    BOOST_TEST(
+      WaitForLog(daemon, isReload ? "reload_requested" : "stop_requested"));
+    if (isReload) {
+      daemon.SendSignal(SIGTERM);
+    }
+    BOOST_REQUIRE(daemon.WaitUntilExit(10s));
+    BOOST_TEST(daemon.ExitStatus() == 0);
+  }
+}
