--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -2,6 +2,8 @@
 
 #include "core/ErrorTable.h"
 #include "core/MemoryBudget.h"
+#include "core/SignalName.h"
+#include "core/StopSignals.h"
 #include "gateway/ServerPool.h"
 #include "gateway/SocketAddress.h"
 #include "gateway/TcpListener.h"
@@ -498,8 +500,8 @@
                     { { "port", aPort }, { "error", aError.message() } });
     return false;
   };
-  if (!this->peers.Open()) {
-    return report("peer_listen", boost::asio::error::address_in_use);
+  if (const auto error = this->peers.Open()) {
+    return report("peer_listen", error);
   }
   this->listener = std::make_shared<gateway::TcpListener>(
     this->context, [this](tcp::socket aSocket) {
@@ -544,7 +546,11 @@
 void
 ProxyDaemon::Run()
 {
+  this->signals.add(SIGTERM);
+  this->signals.add(SIGINT);
+  this->signals.add(SIGHUP);
   this->ListenForSignals();
+  core::StopSignals::Release();
   this->watcher->SetActive(this->relay->ShouldWatch());
   this->watcher->Start();
   this->ScheduleSettingsCheck();
@@ -565,18 +571,18 @@
 void
 ProxyDaemon::ListenForSignals()
 {
-  this->signals.add(SIGTERM);
-  this->signals.add(SIGINT);
-  this->signals.add(SIGHUP);
   this->signals.async_wait(
     [this](boost::system::error_code aError, int aSignal) {
       if (aError) {
         return;
       }
       if (aSignal == SIGHUP) {
+        this->log.Write(LogLevel::Info,
+                        "reload_requested",
+                        { { "signal", core::SignalName(aSignal) } });
         this->ReloadSettings();
       } else {
-        this->BeginStop();
+        this->BeginStop(aSignal);
       }
       this->ListenForSignals();
     });
@@ -826,7 +832,7 @@
 
 //==============================================================================
 void
-ProxyDaemon::BeginStop()
+ProxyDaemon::BeginStop(int aSignal)
 {
   if (this->isStopping) {
     return;
@@ -843,7 +849,8 @@
   this->log.Write(
     LogLevel::Info,
     "stop_requested",
-    { { "requests", static_cast<std::int64_t>(this->requestCount) },
+    { { "signal", core::SignalName(aSignal) },
+      { "requests", static_cast<std::int64_t>(this->requestCount) },
       { "sessions", static_cast<std::int64_t>(this->sessionCount) } });
   this->CheckStop();
 }
