Log each caller connection that ends without a complete answer

Callers saw requests that ended without an answer, and nothing in the logs told which request it was, how far it had come and who had ended it.

A session reports a connection that ends with a request that had begun to arrive and is not answered completely (event `caller_connection_ended`, in `proxy` and `serve`). If the process ends first, `request_cut` says of each request whether it had been sent to a server. `explain` prints both with their meaning. Idle connections and complete answers write nothing.

The tests are of the new lines and cannot be built without them.

--- a/modules/daemon/TrafficThread.cpp
+++ b/modules/daemon/TrafficThread.cpp
@@ -69,6 +69,10 @@
   this->sessionHooks->sessionCountChanged = [this](int aChange) {
     this->sessionCount += static_cast<std::size_t>(aChange);
   };
+  this->sessionHooks->requestCut =
+    [&log = aHooks.log](const gateway::CallerConnectionEnd& aEnd) {
+      aEnd.WriteTo(log);
+    };
 }
 
 TrafficThread::~TrafficThread()
@@ -78,6 +82,11 @@
   if (this->thread.joinable()) {
     this->thread.join();
   }
+  for (const auto& weak : this->sessions) {
+    if (const auto session = weak.lock()) {
+      session->ReportStop();
+    }
+  }
 }
 
 boost::system::error_code
--- a/modules/gateway/CallerSession.cpp
+++ b/modules/gateway/CallerSession.cpp
@@ -87,37 +87,38 @@
              this->hooks->limits.maxHeaderBytes + kMaxBufferedBytes));
   this->isIdle = this->buffer.size() == 0;
   if (!this->isIdle) {
-    this->stream.expires_after(this->hooks->limits.requestTimeout);
-    http::async_read_header(
-      this->stream,
-      this->buffer,
-      *this->parser,
-      [self = this->shared_from_this()](beast::error_code aError, std::size_t) {
-        self->OnHeader(aError);
-      });
+    this->ReadRestOfHeader();
     return;
   }
   // The idle timeout applies until the first byte arrives; the request timeout
   // starts at that byte.
   this->stream.expires_after(this->hooks->limits.idleTimeout);
-  this->stream.async_read_some(
-    this->buffer.prepare(kReadChunkBytes),
-    [self = this->shared_from_this()](beast::error_code aError,
-                                      std::size_t aCount) {
-      if (aError) {
-        self->OnIdleWaitEnded();
-        return;
-      }
-      self->buffer.commit(aCount);
-      self->isIdle = false;
-      self->stream.expires_after(self->hooks->limits.requestTimeout);
-      http::async_read_header(
-        self->stream,
-        self->buffer,
-        *self->parser,
-        [self](beast::error_code aReadError, std::size_t) {
-          self->OnHeader(aReadError);
-        });
+  this->stream.async_read_some(this->buffer.prepare(kReadChunkBytes),
+                               [self = this->shared_from_this()](
+                                 beast::error_code aError, std::size_t aCount) {
+                                 if (aError) {
+                                   self->OnIdleWaitEnded();
+                                   return;
+                                 }
+                                 self->buffer.commit(aCount);
+                                 self->isIdle = false;
+                                 self->ReadRestOfHeader();
+                               });
+}
+
+void
+CallerSession::ReadRestOfHeader()
+{
+  this->stage = Stage::Head;
+  this->requestBegin = std::chrono::steady_clock::now();
+  this->requestId.clear();
+  this->stream.expires_after(this->hooks->limits.requestTimeout);
+  http::async_read_header(
+    this->stream,
+    this->buffer,
+    *this->parser,
+    [self = this->shared_from_this()](beast::error_code aError, std::size_t) {
+      self->OnHeader(aError);
     });
 }
 
@@ -143,6 +144,7 @@
     this->RefuseRequest(aError);
     return;
   }
+  this->stage = Stage::Body;
   const auto& request = this->parser->get();
   this->httpVersion = request.version();
   this->isHeadRequest = request.method() == http::verb::head;
@@ -172,7 +174,7 @@
                       [self = this->shared_from_this(),
                        interim](beast::error_code aWriteError, std::size_t) {
                         if (aWriteError) {
-                          self->Close();
+                          self->CloseOnError(aWriteError);
                           return;
                         }
                         self->ReadBody();
@@ -255,7 +257,7 @@
       false);
     return;
   }
-  this->Close();
+  this->CloseOnError(aError);
 }
 
 void
@@ -294,6 +296,8 @@
     return;
   }
   this->stream.expires_never();
+  this->stage = Stage::Running;
+  this->requestId.assign(call->id);
   this->isCallRunning = true;
   auto cancel = this->hooks->handleCall(
     std::move(*call), [self = this->shared_from_this()](CallAnswer aAnswer) {
@@ -326,6 +330,7 @@
       if (isClosed && self->cancelCall) {
         const auto cancel = std::exchange(self->cancelCall, nullptr);
         cancel();
+        self->ReportCut(Closer::Caller);
       }
     });
 }
@@ -358,6 +363,7 @@
   if (this->isHeadRequest) {
     this->response.body() = {};
   }
+  this->stage = Stage::Answer;
   this->stream.expires_after(kWriteTimeout);
   http::async_write(
     this->stream,
@@ -374,9 +380,10 @@
   this->response = Response{};
   this->answer = nullptr;
   if (aError) {
-    this->Close();
+    this->CloseOnError(aError);
     return;
   }
+  this->stage.reset();
   if (!this->isKeptAlive) {
     this->CloseAfterDrain();
     return;
@@ -416,6 +423,54 @@
                                });
 }
 
+void
+CallerSession::ReportStop()
+{
+  this->ReportCut(Closer::Stop);
+}
+
+void
+CallerSession::ReportCut(Closer aCloser)
+{
+  const std::optional<Stage> reached = std::exchange(this->stage, std::nullopt);
+  if (!reached || !this->hooks->requestCut) {
+    return;
+  }
+  CallerConnectionEnd end;
+  end.stage = *reached;
+  end.closer = aCloser;
+  end.elapsed = std::chrono::steady_clock::now() - this->requestBegin;
+  end.id = this->requestId;
+  if (reached == Stage::Body && this->parser) {
+    if (auto call =
+          this->hooks->dialect->readRequest(this->parser->get().base())) {
+      end.id = std::move(call->id);
+    }
+  }
+  this->hooks->requestCut(end);
+}
+
+void
+CallerSession::CloseOnError(beast::error_code aError)
+{
+  if (aError == beast::error::timeout) {
+    this->ReportCut(Closer::TimeLimit);
+  } else if (aError == http::error::end_of_stream &&
+             this->stage == Stage::Head && this->buffer.size() == 0) {
+    // The caller closed after its last request.
+    this->stage.reset();
+  } else if (aError == http::error::end_of_stream ||
+             aError == http::error::partial_message ||
+             aError == boost::asio::error::eof ||
+             aError == boost::asio::error::connection_reset ||
+             aError == boost::asio::error::broken_pipe) {
+    this->ReportCut(Closer::Caller);
+  } else {
+    this->ReportCut(Closer::Error);
+  }
+  this->Close();
+}
+
 void
 CallerSession::Close()
 {
--- a/modules/gateway/CallerSession.h
+++ b/modules/gateway/CallerSession.h
@@ -3,6 +3,7 @@
 #include "configuration/CallerLimits.h"
 #include "gateway/CallAnswer.h"
 #include "gateway/CallRequest.h"
+#include "gateway/CallerConnectionEnd.h"
 #include "gateway/CallerDialect.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -18,6 +19,7 @@
 #include <functional>
 #include <memory>
 #include <optional>
+#include <string>
 
 namespace fireflytrail::core {
 class MemoryBudget;
@@ -45,6 +47,10 @@
   /** Called with +1 when a session begins and with -1 when it ends. */
   std::function<void(int)> sessionCountChanged;
 
+  /** Called when a connection ends with a request that has no complete answer;
+   * may be empty. */
+  std::function<void(const CallerConnectionEnd&)> requestCut;
+
   /** The header fields that callers use; never null. */
   std::shared_ptr<const CallerDialect> dialect = CallerDialect::Native();
 
@@ -93,13 +99,20 @@
    */
   void CloseIfIdle(std::chrono::steady_clock::time_point aNow);
 
+  /** Reports the request that is unanswered because the process ends, if there
+   * is one. Call on the socket's thread. */
+  void ReportStop();
+
 private:
+  using Stage = CallerConnectionEnd::Stage;
+  using Closer = CallerConnectionEnd::Closer;
   using Parser =
     boost::beast::http::request_parser<boost::beast::http::string_body>;
   using Response =
     boost::beast::http::response<boost::beast::http::span_body<const char>>;
 
   void ReadHeader();
+  void ReadRestOfHeader();
   void OnIdleWaitEnded();
   void OnHeader(boost::beast::error_code aError);
   void ReadBody();
@@ -115,6 +128,10 @@
   void OnWritten(boost::beast::error_code aError);
   void CloseAfterDrain();
   void DrainInput(std::size_t aDrainedBytes);
+  /** Reports the unanswered request, if there is one. */
+  void ReportCut(Closer aCloser);
+  /** Reports the unanswered request, if there is one, and closes. */
+  void CloseOnError(boost::beast::error_code aError);
   void Close();
 
   boost::beast::tcp_stream stream;
@@ -128,6 +145,10 @@
   std::shared_ptr<const calls::Answer> answer;
   CallerSessionHooks::CancelFunction cancelCall;
   bool isIdle = true;
+  /** How far the current request has come; empty once it is answered. */
+  std::optional<Stage> stage;
+  std::chrono::steady_clock::time_point requestBegin;
+  std::string requestId;
   /** While idle: time from which no request is expected any more. */
   std::chrono::steady_clock::time_point requestExpectedUntil;
   /** Time for which the last answer allowed the connection to be unused. */
--- a/modules/gateway/CallerSessionTest.cpp
+++ b/modules/gateway/CallerSessionTest.cpp
@@ -15,6 +15,7 @@
 #include <atomic>
 #include <chrono>
 #include <future>
+#include <mutex>
 #include <thread>
 #include <vector>
 
@@ -52,6 +53,10 @@
     this->hooks->sessionCountChanged = [this](int aChange) {
       this->openSessions += aChange;
     };
+    this->hooks->requestCut = [this](const CallerConnectionEnd& aEnd) {
+      std::lock_guard lock(this->cutMutex);
+      this->cuts.push_back(aEnd);
+    };
     this->listener =
       std::make_shared<TcpListener>(this->context, [this](tcp::socket aSocket) {
         const auto session =
@@ -106,6 +111,18 @@
 
   int OpenSessions() const { return this->openSessions; }
 
+  /** Returns the reports of unanswered requests once all sessions have ended,
+   * or after two seconds. */
+  std::vector<CallerConnectionEnd> WaitForCuts()
+  {
+    const auto limit = std::chrono::steady_clock::now() + 2s;
+    while (this->openSessions > 0 && std::chrono::steady_clock::now() < limit) {
+      std::this_thread::sleep_for(1ms);
+    }
+    std::lock_guard lock(this->cutMutex);
+    return this->cuts;
+  }
+
   tcp::endpoint Endpoint() const { return this->listener->LocalEndpoint(); }
 
   /** To be changed only while there is no session. */
@@ -116,6 +133,8 @@
   std::promise<void> cancelled;
 
 private:
+  std::mutex cutMutex;
+  std::vector<CallerConnectionEnd> cuts;
   std::atomic<int> openSessions{ 0 };
   boost::asio::io_context context;
   std::shared_ptr<CallerSessionHooks> hooks;
@@ -310,6 +329,31 @@
   BOOST_TEST(gateway.calls.size() == 1U);
 }
 
+// Guards against a connection that ends with an unanswered request and leaves
+// no trace of it.
+BOOST_AUTO_TEST_CASE(IncompleteRequestsAreReported)
+{
+  using Stage = CallerConnectionEnd::Stage;
+  EchoGateway gateway;
+  gateway.Exchange("POST /a/b HTTP/1.1\r\nContent-Length: 10\r\n\r\nabc");
+  gateway.Exchange("GET /a/b HTTP/1.1\r\nHos");
+  const auto cuts = gateway.WaitForCuts();
+  BOOST_REQUIRE(cuts.size() == 2U);
+  BOOST_TEST((cuts[0].stage == Stage::Body));
+  BOOST_TEST((cuts[1].stage == Stage::Head));
+  BOOST_TEST((cuts[0].closer == CallerConnectionEnd::Closer::Caller));
+}
+
+// Guards against reports of connections without an unanswered request.
+BOOST_AUTO_TEST_CASE(AnsweredRequestsAreNotReported)
+{
+  EchoGateway gateway;
+  gateway.Exchange("");
+  gateway.Exchange("GET /s/a HTTP/1.1\r\n\r\n");
+  gateway.Exchange("GET /s/a HTTP/1.1\r\n\r\nGET /s/b HTTP/1.1\r\n\r\n");
+  BOOST_TEST(gateway.WaitForCuts().empty());
+}
+
 // Guards against a planned stop that closes a connection whose first request is
 // on its way.
 BOOST_AUTO_TEST_CASE(FirstRequestOfANewConnectionIsAnsweredInAPlannedStop)
--- a/modules/gateway/gateway.h
+++ b/modules/gateway/gateway.h
@@ -9,6 +9,7 @@
 
 #include "gateway/CallAnswer.h"
 #include "gateway/CallRequest.h"
+#include "gateway/CallerConnectionEnd.h"
 #include "gateway/CallerSession.h"
 #include "gateway/HttpFields.h"
 #include "gateway/ServerConnection.h"
--- a/modules/operator_client/RequestTrace.cpp
+++ b/modules/operator_client/RequestTrace.cpp
@@ -73,6 +73,44 @@
   Explanation{ "none", "answered by the instance" },
 };
 
+/** What a value of a field of `caller_connection_ended` or `request_cut` means.
+ */
+struct CutMeaning
+{
+  std::string_view field;
+  std::string_view value;
+  std::string_view text;
+};
+
+constexpr std::array kCutMeanings = {
+  CutMeaning{ "stage", "head", "while its head arrived, so it did not run" },
+  CutMeaning{ "stage", "body", "while its body arrived, so it did not run" },
+  CutMeaning{ "stage", "running", "while it was handled" },
+  CutMeaning{ "stage", "answer", "while its answer was written" },
+  CutMeaning{ "stage",
+              "waiting_for_server",
+              "before it was sent to an instance, so it did not run" },
+  CutMeaning{ "stage",
+              "sent_to_server",
+              "after it was sent to an instance; the outcome is unknown" },
+  CutMeaning{ "closed_by", "caller", "the caller closed" },
+  CutMeaning{ "closed_by", "daemon", "the daemon closed" },
+  CutMeaning{ "closed_by", "time_limit", "a time limit ended the connection" },
+  CutMeaning{ "closed_by", "stop", "the process ended" },
+  CutMeaning{ "closed_by", "error", "an error ended the connection" },
+};
+
+std::string_view
+FindCutMeaning(std::string_view aField, std::string_view aValue)
+{
+  const auto found =
+    std::ranges::find_if(kCutMeanings, [&](const CutMeaning& aMeaning) {
+      return aMeaning.field == aField && aMeaning.value == aValue;
+    });
+  return found == kCutMeanings.end() ? std::string_view("unknown")
+                                     : found->text;
+}
+
 std::string
 FieldText(const json::object& aFields, std::string_view aName)
 {
@@ -156,6 +194,7 @@
   std::ranges::stable_sort(lines, {}, &Line::time);
   std::vector<std::string> trace;
   const Line* end = nullptr;
+  bool isCut = false;
   for (const Line* line : lines) {
     const bool isRequest = FieldText(line->fields, "id") == this->id;
     trace.push_back(fmt::format("{} {} {}{}{}",
@@ -170,7 +209,15 @@
   }
   if (end != nullptr) {
     trace.push_back(this->DescribeResult(*end));
-  } else if (this->IsFound()) {
+  }
+  for (const Line* line : lines) {
+    if (line->event == "caller_connection_ended" ||
+        line->event == "request_cut") {
+      isCut = true;
+      trace.push_back(this->DescribeCut(*line));
+    }
+  }
+  if (end == nullptr && !isCut && this->IsFound()) {
     trace.emplace_back("the end of the request was not logged: the daemon "
                        "stopped, or the line was dropped (see "
                        "log_lines_dropped)");
@@ -233,4 +280,18 @@
                        : known->text);
 }
 
+std::string
+RequestTrace::DescribeCut(const Line& aLine) const
+{
+  const std::string_view stage =
+    FindCutMeaning("stage", FieldText(aLine.fields, "stage"));
+  if (aLine.event == "request_cut") {
+    return fmt::format("=> cut: the process ended {}", stage);
+  }
+  return fmt::format(
+    "=> no complete answer: {} {}",
+    FindCutMeaning("closed_by", FieldText(aLine.fields, "closed_by")),
+    stage);
+}
+
 } // namespace fireflytrail::operator_client
--- a/modules/operator_client/RequestTrace.h
+++ b/modules/operator_client/RequestTrace.h
@@ -52,6 +52,8 @@
   std::vector<const Line*> FindDaemonState(const std::string& aSource) const;
   bool IsRelevant(const Line& aStateLine) const;
   std::string DescribeResult(const Line& aEnd) const;
+  /** Describes a connection or request that ended without an answer. */
+  std::string DescribeCut(const Line& aLine) const;
 
   std::string id;
   std::vector<Line> requestLines;
--- a/modules/operator_client/RequestTraceTest.cpp
+++ b/modules/operator_client/RequestTraceTest.cpp
@@ -94,6 +94,24 @@
   BOOST_TEST(lines.back().find("no route") != std::string::npos);
 }
 
+// Guards against a request whose connection ended without an answer and whose
+// trace does not say how far it had come and who ended it.
+BOOST_AUTO_TEST_CASE(ReportsWhoEndedTheConnection)
+{
+  RequestTrace trace("9c41");
+  trace.AddLine("a",
+                R"({"time":"T02","event":"request_cut","id":"9c41",)"
+                R"("stage":"sent_to_server","instance":"i-1"})");
+  trace.AddLine("a",
+                R"({"time":"T03","event":"caller_connection_ended",)"
+                R"("id":"9c41","stage":"running","closed_by":"stop"})");
+  const auto lines = trace.Format();
+  BOOST_REQUIRE(lines.size() == 4U);
+  BOOST_TEST(lines[2].find("the outcome is unknown") != std::string::npos);
+  BOOST_TEST(lines[3] == "=> no complete answer: the process ended while it "
+                         "was handled");
+}
+
 // Guards against failing on lines of other programs and truncated lines, and
 // against a trace for a request that no line has.
 BOOST_AUTO_TEST_CASE(CountsUnreadableLines)
--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -172,6 +172,8 @@
   this->sessionHooks->sessionCountChanged = [this](int aChange) {
     this->sessionCount += static_cast<std::size_t>(aChange);
   };
+  this->sessionHooks->requestCut =
+    [&aLog](const gateway::CallerConnectionEnd& aEnd) { aEnd.WriteTo(aLog); };
   this->sessionHooks->dialect = this->platform.callers;
   this->sessionHooks->memory = this->bodyMemory;
   this->UpdateKeepAliveTime();
@@ -865,6 +867,7 @@
       "stop_finished",
       { { "is_complete", isDone },
         { "requests", static_cast<std::int64_t>(this->requestCount) } });
+    this->ReportCutRequests();
     this->watcher->Stop();
     this->context.stop();
     return;
@@ -877,6 +880,21 @@
   });
 }
 
+void
+ProxyDaemon::ReportCutRequests()
+{
+  for (const auto& weak : this->runners) {
+    if (const auto runner = weak.lock()) {
+      runner->ReportCut();
+    }
+  }
+  for (const auto& weak : this->sessions) {
+    if (const auto session = weak.lock()) {
+      session->ReportStop();
+    }
+  }
+}
+
 void
 ProxyDaemon::CloseIdleSessions()
 {
--- a/modules/proxy/ProxyDaemon.h
+++ b/modules/proxy/ProxyDaemon.h
@@ -127,6 +127,8 @@
   void BeginStop();
   void CheckStop();
   void CloseIdleSessions();
+  /** Logs the requests and connections that the end of the process cuts. */
+  void ReportCutRequests();
   void UpdateKeepAliveTime();
   void ReloadSettings();
   void ScheduleSettingsCheck();
--- a/modules/proxy/RequestRunner.cpp
+++ b/modules/proxy/RequestRunner.cpp
@@ -166,6 +166,25 @@
   this->RunStep(this->flow->CallerGone(this->Progress()));
 }
 
+void
+RequestRunner::ReportCut() const
+{
+  if (!this->flow || this->flow->HasEnded()) {
+    return;
+  }
+  this->shared.log.Write(
+    core::LogLevel::Warning,
+    "request_cut",
+    { { "id", this->call.id },
+      { "route", this->route.name },
+      { "service", this->service },
+      { "stage", this->attempts > 0 ? "sent_to_server" : "waiting_for_server" },
+      { "instance", this->lastInstance },
+      { "attempts", static_cast<std::int64_t>(this->attempts) },
+      { "limit_ms", MillisecondsOf(this->deadline - this->begin) },
+      { "elapsed_ms", MillisecondsOf(this->shared.now() - this->begin) } });
+}
+
 void
 RequestRunner::RunStep(calls::CallStep aStep)
 {
--- a/modules/proxy/RequestRunner.h
+++ b/modules/proxy/RequestRunner.h
@@ -67,6 +67,9 @@
    */
   void CallerGone();
 
+  /** Logs that the end of the process cuts the request, unless it has ended. */
+  void ReportCut() const;
+
 private:
   void StartDeadlineTimer();
   void RunStep(calls::CallStep aStep);
