Notice a caller's close behind pipelined bytes

Cause: the watch looked at the socket once, when it became readable, and never again.

The watch asks the socket for the close itself (POLLRDHUP), again each 100 ms while received bytes wait, and keeps one wait at a time over all calls of a connection.

--- a/modules/gateway/CallerSession.cpp
+++ b/modules/gateway/CallerSession.cpp
@@ -14,6 +14,8 @@
 #include <chrono>
 #include <utility>
 
+#include <poll.h>
+
 namespace fireflytrail::gateway {
 
 namespace beast = boost::beast;
@@ -25,6 +27,7 @@
 
 constexpr auto kWriteTimeout = 30s;
 constexpr auto kDrainTimeout = 2s;
+constexpr auto kClosePollInterval = 100ms;
 // Time from the establishment of a connection until its first request, which
 // callers send at once, and for the transfer of any request.
 constexpr auto kFirstRequestTime = 1s;
@@ -48,6 +51,7 @@
   : stream(std::move(aSocket))
   , hooks(std::move(aHooks))
   , requestExpectedUntil(std::chrono::steady_clock::now() + kFirstRequestTime)
+  , closeTimer(this->stream.get_executor())
 {
   assert(this->hooks && this->hooks->handleCall && this->hooks->isStopping);
   this->hooks->sessionCountChanged(1);
@@ -315,26 +319,69 @@
 void
 CallerSession::WatchForClose()
 {
-  // The socket also becomes readable when a pipelined request arrives. Only a
-  // closed connection cancels the call.
+  if (this->isWatchingForClose) {
+    return;
+  }
+  this->isWatchingForClose = true;
   this->stream.socket().async_wait(
     tcp::socket::wait_read,
     [weak = this->weak_from_this()](beast::error_code aError) {
       const auto self = weak.lock();
-      if (aError || !self || !self->isCallRunning) {
+      if (!self) {
+        return;
+      }
+      self->isWatchingForClose = false;
+      if (aError || !self->isCallRunning) {
         return;
       }
       beast::error_code availableError;
-      const bool isClosed =
-        self->stream.socket().available(availableError) == 0;
-      if (isClosed && self->cancelCall) {
-        const auto cancel = std::exchange(self->cancelCall, nullptr);
-        cancel();
-        self->ReportCut(Closer::Caller);
+      if (self->HasCallerClosed()) {
+        self->OnCallerClosed();
+      } else if (self->stream.socket().available(availableError) > 0) {
+        self->PollForClose();
+      } else {
+        self->WatchForClose();
+      }
+    });
+}
+
+void
+CallerSession::PollForClose()
+{
+  this->closeTimer.expires_after(kClosePollInterval);
+  this->closeTimer.async_wait(
+    [weak = this->weak_from_this()](beast::error_code aError) {
+      const auto self = weak.lock();
+      if (aError || !self || !self->isCallRunning) {
+        return;
+      }
+      if (self->HasCallerClosed()) {
+        self->OnCallerClosed();
+      } else {
+        self->PollForClose();
       }
     });
 }
 
+bool
+CallerSession::HasCallerClosed()
+{
+  pollfd descriptor{ .fd = this->stream.socket().native_handle(),
+                     .events = POLLRDHUP,
+                     .revents = 0 };
+  constexpr int kClosed = POLLRDHUP | POLLHUP | POLLERR | POLLNVAL;
+  return poll(&descriptor, 1, 0) > 0 && (descriptor.revents & kClosed) != 0;
+}
+
+void
+CallerSession::OnCallerClosed()
+{
+  if (const auto cancel = std::exchange(this->cancelCall, nullptr)) {
+    cancel();
+    this->ReportCut(Closer::Caller);
+  }
+}
+
 void
 CallerSession::WriteAnswer(const CallAnswer& aAnswer, bool aKeepAlive)
 {
--- a/modules/gateway/CallerSession.h
+++ b/modules/gateway/CallerSession.h
@@ -7,6 +7,7 @@
 #include "gateway/CallerDialect.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
@@ -123,7 +124,14 @@
   void RefuseForMemory();
   void StartCall();
   std::optional<CallRequest> ExtractCall();
+  /** Watches for the caller's close while a call runs. */
   void WatchForClose();
+  /** Checks for the caller's close repeatedly: while received bytes wait, the
+   * socket does not become readable again. */
+  void PollForClose();
+  /** Returns whether the caller has closed at least its sending side. */
+  bool HasCallerClosed();
+  void OnCallerClosed();
   void WriteAnswer(const CallAnswer& aAnswer, bool aKeepAlive);
   void OnWritten(boost::beast::error_code aError);
   void CloseAfterDrain();
@@ -153,7 +161,9 @@
   std::chrono::steady_clock::time_point requestExpectedUntil;
   /** Time for which the last answer allowed the connection to be unused. */
   std::chrono::milliseconds statedIdleTime{ 0 };
+  boost::asio::steady_timer closeTimer;
   bool isCallRunning = false;
+  bool isWatchingForClose = false;
   bool isKeptAlive = false;
   bool isHeadRequest = false;
   unsigned httpVersion = 11;
--- a/modules/gateway/CallerSessionTest.cpp
+++ b/modules/gateway/CallerSessionTest.cpp
@@ -354,6 +354,25 @@
   BOOST_TEST(gateway.WaitForCuts().empty());
 }
 
+// Guards against a call that continues after its caller has closed a connection
+// on which the bytes of another request wait.
+BOOST_AUTO_TEST_CASE(ClosedConnectionWithUnreadBytesCancelsItsCall)
+{
+  EchoGateway gateway;
+  {
+    boost::asio::io_context clientContext;
+    tcp::socket socket(clientContext);
+    socket.connect(gateway.Endpoint());
+    const std::string request = "GET /a/hang HTTP/1.1\r\n\r\n";
+    boost::asio::write(socket, boost::asio::buffer(request));
+    gateway.hangingCall.get_future().wait();
+    boost::asio::write(socket, boost::asio::buffer(request));
+    std::this_thread::sleep_for(50ms);
+  }
+  BOOST_TEST(
+    (gateway.cancelled.get_future().wait_for(1s) == std::future_status::ready));
+}
+
 // Guards against a planned stop that closes a connection whose first request is
 // on its way.
 BOOST_AUTO_TEST_CASE(FirstRequestOfANewConnectionIsAnsweredInAPlannedStop)
