Refuse a second process on an address, and wait for a predecessor's

Users saw starts that depended on the moment. A second proxy on the same addresses started without an error and shared them: the kernel gave each some of the callers, of the peers' messages and of the readiness checks. Every listener set SO_REUSEPORT, although only serve's traffic threads share an address.

Sharing is now a choice of the caller of TcpListener::Open, and only these threads make it. An address in use is tried again for the stop limit and 5 s, which covers a predecessor in a planned stop; the first failure is logged as bind_delayed, the last as bind_failed with port, address and error. A stop that is requested meanwhile ends the start with status 0.

--- a/app/main.cpp
+++ b/app/main.cpp
@@ -255,7 +255,8 @@
       });
     });
   if (!daemon.Open()) {
-    return ExitCode::Refused;
+    const bool isStopped = core::StopSignals::PendingStop() != 0;
+    return isStopped ? ExitCode::Ok : ExitCode::Refused;
   }
   daemon.Run();
   return ExitCode::Ok;
--- a/modules/daemon/Controller.cpp
+++ b/modules/daemon/Controller.cpp
@@ -3,6 +3,7 @@
 #include "core/ErrorTable.h"
 #include "core/SignalName.h"
 #include "core/StopSignals.h"
+#include "daemon/AddressBinder.h"
 #include "daemon/ProcessUsage.h"
 #include "daemon/StatusReport.h"
 #include "daemon/TrafficState.h"
@@ -39,6 +40,10 @@
 // back. It refuses calls until then, but serves without a peer after this time.
 constexpr auto kInitialSyncLimit = 3s;
 
+// An address that is in use is tried for the drain limit, in case a predecessor
+// is stopping, and for this time in addition.
+constexpr auto kBindReserve = 5s;
+
 std::uint64_t
 RandomNumber()
 {
@@ -194,13 +199,7 @@
 bool
 Controller::Open()
 {
-  const auto report = [this](std::string_view aPort,
-                             const boost::system::error_code& aError) {
-    this->log.Write(LogLevel::Error,
-                    "bind_failed",
-                    { { "port", aPort }, { "error", aError.message() } });
-    return false;
-  };
+  AddressBinder binder(this->log, this->settings.drainLimit + kBindReserve);
   this->hub = std::make_shared<gateway::PeerHub>(
     this->context,
     this->self,
@@ -215,9 +214,10 @@
                gateway::PeerHubHooks::ReplyFunction aReply) {
           this->OnForwardedCall(std::move(aCall), std::move(aReply));
         } });
-  if (const auto error =
-        this->hub->Open(SocketEndpoint(this->settings.peerListen))) {
-    return report("peer_listen", error);
+  if (!binder.Bind("peer_listen", this->settings.peerListen.ToString(), [this] {
+        return this->hub->Open(SocketEndpoint(this->settings.peerListen));
+      })) {
+    return false;
   }
   this->node = std::make_unique<gossip::GossipNode>(
     this->self,
@@ -303,16 +303,21 @@
     OperatorPages{ .metrics = [this] { return this->MetricsText(); },
                    .dump = [this] { return this->DumpText(); },
                    .status = [this] { return this->StatusText(); } });
-  if (const auto error =
-        this->endpoint->Open(SocketEndpoint(this->settings.operatorListen))) {
-    return report("operator_listen", error);
+  if (!binder.Bind(
+        "operator_listen", this->settings.operatorListen.ToString(), [this] {
+          return this->endpoint->Open(
+            SocketEndpoint(this->settings.operatorListen));
+        })) {
+    return false;
   }
   tcp::endpoint listen = SocketEndpoint(this->settings.listen);
   for (unsigned index = 0; index < this->settings.trafficThreads; ++index) {
     auto thread = std::make_unique<TrafficThread>(
       this->trafficHooks, routing::ServerSelector::kDefaultPolicy);
-    if (const auto error = thread->Open(listen)) {
-      return report("listen", error);
+    if (!binder.Bind("listen", this->settings.listen.ToString(), [&] {
+          return thread->Open(listen);
+        })) {
+      return false;
     }
     // All threads listen on the port that was assigned to the first one.
     listen = thread->LocalEndpoint();
--- a/modules/daemon/OperatorEndpoint.h
+++ b/modules/daemon/OperatorEndpoint.h
@@ -37,7 +37,8 @@
 public:
   OperatorEndpoint(boost::asio::io_context& aContext, OperatorPages aPages);
 
-  /** Binds the address. Returns an error if it cannot be bound. */
+  /** Binds the address. Returns an error if it cannot be bound; only then it
+   * may be called again. */
   boost::system::error_code Open(
     const boost::asio::ip::tcp::endpoint& aEndpoint);
 
--- a/modules/daemon/Serve.cpp
+++ b/modules/daemon/Serve.cpp
@@ -1,5 +1,6 @@
 #include "daemon/Serve.h"
 
+#include "core/StopSignals.h"
 #include "daemon/Controller.h"
 
 namespace fireflytrail::daemon {
@@ -9,7 +10,7 @@
 {
   Controller controller(aSettings, aLog);
   if (!controller.Open()) {
-    return 1;
+    return core::StopSignals::PendingStop() == 0 ? 1 : 0;
   }
   controller.StopOnSignals();
   controller.Run();
--- a/modules/daemon/TrafficThread.cpp
+++ b/modules/daemon/TrafficThread.cpp
@@ -95,7 +95,8 @@
       this->sessions.push_back(session);
       session->Start();
     });
-  return this->listener->Open(aEndpoint);
+  // All traffic threads listen on one address.
+  return this->listener->Open(aEndpoint, gateway::AddressSharing::Shared);
 }
 
 tcp::endpoint
--- a/modules/daemon/TrafficThread.h
+++ b/modules/daemon/TrafficThread.h
@@ -51,7 +51,8 @@
   TrafficThread(const TrafficThread&) = delete;
   TrafficThread& operator=(const TrafficThread&) = delete;
 
-  /** Binds the address that callers connect to. Call before `Start`. */
+  /** Binds the address that callers connect to; may be called again after an
+   * error. Call before `Start`. */
   boost::system::error_code Open(
     const boost::asio::ip::tcp::endpoint& aEndpoint);
 
--- a/modules/gateway/TcpListener.cpp
+++ b/modules/gateway/TcpListener.cpp
@@ -21,14 +21,14 @@
 }
 
 boost::system::error_code
-TcpListener::Open(const tcp::endpoint& aEndpoint)
+TcpListener::Open(const tcp::endpoint& aEndpoint, AddressSharing aSharing)
 {
   boost::system::error_code error;
   this->acceptor.open(aEndpoint.protocol(), error);
   if (!error) {
     this->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
   }
-  if (!error) {
+  if (!error && aSharing == AddressSharing::Shared) {
     this->acceptor.set_option(ReusePort(true), error);
   }
   if (!error) {
@@ -42,6 +42,9 @@
   }
   if (!error) {
     this->Accept();
+  } else {
+    boost::system::error_code ignored;
+    this->acceptor.close(ignored);
   }
   return error;
 }
--- a/modules/gateway/TcpListener.h
+++ b/modules/gateway/TcpListener.h
@@ -3,15 +3,23 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <cstdint>
 #include <functional>
 #include <memory>
 
 namespace fireflytrail::gateway {
 
-/**
- * Accepts TCP connections on one address for one thread. Several listeners may
- * share an address; the kernel distributes connections among them.
- */
+/** Whether several listeners may share an address. */
+enum class AddressSharing : std::uint8_t
+{
+  /** A second listener on the address is refused. */
+  None,
+  /** The kernel distributes connections among all listeners of the user on the
+   * address that allow this, also among those of different processes. */
+  Shared,
+};
+
+/** Accepts TCP connections on one address for one thread. */
 class TcpListener : public std::enable_shared_from_this<TcpListener>
 {
 public:
@@ -22,10 +30,12 @@
 
   /**
    * Binds and starts accepting. Returns an error if the address cannot be
-   * bound. Call once, on the context's thread or before it runs.
+   * bound; only then it may be called again. Call on the context's thread or
+   * before it runs.
    */
   boost::system::error_code Open(
-    const boost::asio::ip::tcp::endpoint& aEndpoint);
+    const boost::asio::ip::tcp::endpoint& aEndpoint,
+    AddressSharing aSharing = AddressSharing::None);
 
   /** Returns the bound endpoint, also after `Close`; `Open` must have
    * succeeded. */
--- a/modules/proxy/PeerNetwork.cpp
+++ b/modules/proxy/PeerNetwork.cpp
@@ -78,6 +78,17 @@
 
 boost::system::error_code
 PeerNetwork::Open()
+{
+  if (!this->hub) {
+    this->CreateNode();
+  }
+  return this->hub->Open(
+    { boost::asio::ip::make_address(this->settings.peerListen.address),
+      this->settings.peerListen.port });
+}
+
+void
+PeerNetwork::CreateNode()
 {
   this->hub = std::make_shared<gateway::PeerHub>(
     this->context,
@@ -135,9 +146,6 @@
     }
   }
   this->node->Members().SetHostList(std::move(seedPeers));
-  return this->hub->Open(
-    { boost::asio::ip::make_address(this->settings.peerListen.address),
-      this->settings.peerListen.port });
 }
 
 void
--- a/modules/proxy/PeerNetwork.h
+++ b/modules/proxy/PeerNetwork.h
@@ -44,8 +44,8 @@
   PeerNetwork(const PeerNetwork&) = delete;
   PeerNetwork& operator=(const PeerNetwork&) = delete;
 
-  /** Starts to listen. Returns an error if the address is not available. Call
-   * once, before anything else. */
+  /** Starts to listen. Returns an error if the address is not available; only
+   * then it may be called again. Call before anything else. */
   boost::system::error_code Open();
 
   /** Starts the gossip exchange. Call once, after `Open`. */
@@ -83,6 +83,7 @@
   const gateway::PeerCounts& Counts() const { return this->hub->Counts(); }
 
 private:
+  void CreateNode();
   void OnTick();
   /** Whether a daemon is, as far as known here, in this failure domain. */
   bool IsNear(std::string_view aName) const;
--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -4,6 +4,7 @@
 #include "core/MemoryBudget.h"
 #include "core/SignalName.h"
 #include "core/StopSignals.h"
+#include "daemon/AddressBinder.h"
 #include "gateway/ServerPool.h"
 #include "gateway/SocketAddress.h"
 #include "gateway/TcpListener.h"
@@ -59,6 +60,10 @@
 // signal. A read costs 0.1 ms.
 constexpr milliseconds kSettingsInterval = 5000ms;
 
+// An address that is in use is tried for the stop limit, in case a predecessor
+// is stopping, and for this time in addition.
+constexpr milliseconds kBindReserve = 5000ms;
+
 // Retry delay sent to callers while the daemon has no configuration.
 constexpr milliseconds kRetryWithoutConfiguration = 500ms;
 
@@ -493,16 +498,6 @@
 bool
 ProxyDaemon::Open()
 {
-  const auto report = [this](std::string_view aPort,
-                             const boost::system::error_code& aError) {
-    this->log.Write(LogLevel::Error,
-                    "bind_failed",
-                    { { "port", aPort }, { "error", aError.message() } });
-    return false;
-  };
-  if (const auto error = this->peers.Open()) {
-    return report("peer_listen", error);
-  }
   this->listener = std::make_shared<gateway::TcpListener>(
     this->context, [this](tcp::socket aSocket) {
       const auto session = std::make_shared<gateway::CallerSession>(
@@ -515,10 +510,6 @@
       this->sessions.push_back(session);
       session->Start();
     });
-  if (const auto error =
-        this->listener->Open(SocketEndpoint(this->settings.listen))) {
-    return report("listen", error);
-  }
   daemon::OperatorPages pages{
     .metrics = [this] { return this->MetricsText(); },
     .dump = [this] { return this->DumpText(); },
@@ -532,15 +523,33 @@
     std::make_unique<daemon::OperatorEndpoint>(this->context, pages);
   this->operatorEndpoint =
     std::make_unique<daemon::OperatorEndpoint>(this->context, pages);
-  if (const auto error =
-        this->readyEndpoint->Open(SocketEndpoint(this->settings.readyListen))) {
-    return report("ready_listen", error);
-  }
-  if (const auto error = this->operatorEndpoint->Open(
-        SocketEndpoint(this->settings.operatorListen))) {
-    return report("operator_listen", error);
-  }
-  return true;
+  daemon::AddressBinder binder(this->log,
+                               this->settings.stopLimit + kBindReserve);
+  const auto bind = [&](std::string_view aPort,
+                        const configuration::Endpoint& aEndpoint,
+                        const auto& aOpen) {
+    return binder.Bind(aPort, aEndpoint.ToString(), [&] {
+      return aOpen(SocketEndpoint(aEndpoint));
+    });
+  };
+  return bind("peer_listen",
+              this->settings.peerListen,
+              [this](const tcp::endpoint&) { return this->peers.Open(); }) &&
+         bind("listen",
+              this->settings.listen,
+              [this](const tcp::endpoint& aEndpoint) {
+                return this->listener->Open(aEndpoint);
+              }) &&
+         bind("ready_listen",
+              this->settings.readyListen,
+              [this](const tcp::endpoint& aEndpoint) {
+                return this->readyEndpoint->Open(aEndpoint);
+              }) &&
+         bind("operator_listen",
+              this->settings.operatorListen,
+              [this](const tcp::endpoint& aEndpoint) {
+                return this->operatorEndpoint->Open(aEndpoint);
+              });
 }
 
 void
--- a/modules/proxy/ProxyDaemon.h
+++ b/modules/proxy/ProxyDaemon.h
@@ -77,8 +77,9 @@
   ProxyDaemon& operator=(const ProxyDaemon&) = delete;
 
   /**
-   * Binds the addresses. Returns false and logs the reason if one is not
-   * available. Call once.
+   * Binds the addresses. Waits for an address that is in use, in case a
+   * predecessor is stopping. Returns false and logs the reason if one is not
+   * available, or if a stop is requested meanwhile. Call once.
    */
   bool Open();
 
--- a/tests/ProcessTest.cpp
+++ b/tests/ProcessTest.cpp
@@ -190,3 +190,62 @@
     BOOST_TEST(daemon.ExitStatus() == 0);
   }
 }
+
+// Guards against two processes that share the addresses, so that each receives
+// some of the callers and the checks of readiness of the other.
+BOOST_FIXTURE_TEST_CASE(SecondProcessOnTheSameAddressesIsRefused,
+                        ProcessFixture)
+{
+  soak::DaemonProcess first(this->MakeOptions("127.0.10.6"));
+  first.Start();
+  BOOST_REQUIRE(WaitForLog(first, "daemon_started"));
+  soak::DaemonProcess::Options options = this->MakeOptions("127.0.10.6");
+  options.folder += "/second";
+  options.stopLimit = 1ms;
+  std::filesystem::create_directory(options.folder);
+  soak::DaemonProcess second(options);
+  second.Start();
+  BOOST_REQUIRE(WaitForLog(second, "bind_delayed"));
+  BOOST_REQUIRE(second.WaitUntilExit(15s));
+  BOOST_TEST(second.ExitStatus() == 1);
+  BOOST_TEST(HasLine(second, "bind_failed", "Address already in use"));
+  BOOST_TEST(first.IsRunning());
+}
+
+// Guards against a start that fails because its predecessor is still stopping.
+BOOST_FIXTURE_TEST_CASE(StartWaitsForThePredecessorsAddresses, ProcessFixture)
+{
+  soak::DaemonProcess first(this->MakeOptions("127.0.10.7"));
+  first.Start();
+  BOOST_REQUIRE(WaitForLog(first, "daemon_started"));
+  soak::DaemonProcess::Options options = this->MakeOptions("127.0.10.7");
+  options.folder += "/second";
+  std::filesystem::create_directory(options.folder);
+  soak::DaemonProcess second(options);
+  second.Start();
+  BOOST_REQUIRE(WaitForLog(second, "bind_delayed"));
+  first.SendSignal(SIGTERM);
+  BOOST_REQUIRE(first.WaitUntilExit(10s));
+  BOOST_TEST(WaitForLog(second, "daemon_started"));
+  second.SendSignal(SIGTERM);
+  BOOST_REQUIRE(second.WaitUntilExit(10s));
+  BOOST_TEST(second.ExitStatus() == 0);
+}
+
+// Guards against a stop that is not heard while a start waits for an address.
+BOOST_FIXTURE_TEST_CASE(StopEndsAStartThatWaitsForAnAddress, ProcessFixture)
+{
+  soak::DaemonProcess first(this->MakeOptions("127.0.10.8"));
+  first.Start();
+  BOOST_REQUIRE(WaitForLog(first, "daemon_started"));
+  soak::DaemonProcess::Options options = this->MakeOptions("127.0.10.8");
+  options.folder += "/second";
+  std::filesystem::create_directory(options.folder);
+  soak::DaemonProcess second(options);
+  second.Start();
+  BOOST_REQUIRE(WaitForLog(second, "bind_delayed"));
+  second.SendSignal(SIGTERM);
+  BOOST_REQUIRE(second.WaitUntilExit(2s));
+  BOOST_TEST(second.ExitStatus() == 0);
+  BOOST_TEST(HasLine(second, "stop_requested", "SIGTERM"));
+}
