Wait for a settings file that is being written

Users saw starts that were refused at once, with status 1, because the settings file was missing, empty or cut at that moment, as when it is being replaced. A reload that met such a file took the change over only at the next check, up to 5 s later.

A start reads such a file again for up to 3 s, with one log line; wrong values in a complete file still refuse it at once. A reload keeps the old settings and reads the file again every 0.1 s for up to 3 s. The errors of a file that stays unreadable are logged once instead of at each check.

--- a/app/main.cpp
+++ b/app/main.cpp
@@ -1,5 +1,6 @@
 #include "configuration/DaemonSettings.h"
 #include "configuration/Endpoint.h"
+#include "configuration/SettingsFile.h"
 #include "core/CrashReport.h"
 #include "core/Log.h"
 #include "core/OutputSink.h"
@@ -66,6 +67,11 @@
 // Size from which a block of memory is mapped on its own.
 constexpr int kMmapThresholdBytes = 512 * 1024;
 
+// Time for which a daemon waits for a settings file that is missing, empty or
+// cut, and time between two readings.
+constexpr std::chrono::milliseconds kSettingsLimit{ 3000 };
+constexpr std::chrono::milliseconds kSettingsPause{ 50 };
+
 struct Subcommand
 {
   std::string_view name;
@@ -188,52 +194,76 @@
   }
 }
 
-ExitCode
-RunServe(const std::vector<std::string>& aArguments)
+template<typename Settings>
+configuration::SettingsFile<Settings>
+OpenSettingsFile(const std::string& aPath)
 {
-  const auto file = ReadTextFile(aArguments[0]);
-  if (!file) {
-    RefuseStart(file.error().detail);
-    return ExitCode::Usage;
-  }
-  const auto settings = configuration::DaemonSettings::Parse(file.value().text);
-  if (!settings) {
-    for (const auto& error : settings.error()) {
-      RefuseStart(fmt::format("{}: {}", aArguments[0], error.ToString()));
-    }
-    return ExitCode::Refused;
-  }
-  const core::Log log(settings.value().logLevel);
-  return static_cast<ExitCode>(daemon::Serve(settings.value(), log));
+  return { aPath, [aPath]() -> core::Result<std::string> {
+            auto file = ReadTextFile(aPath);
+            if (!file) {
+              return file.error();
+            }
+            return std::move(file.value().text);
+          } };
 }
 
-/** Reads proxy settings from a file. On failure, passes each error to
- * `aOnError` and returns nothing. */
-std::optional<configuration::ProxySettings>
-ReadProxySettings(const std::string& aPath,
-                  const std::function<void(const std::string&)>& aOnError)
+/** Reads the settings of a daemon. Waits for a file that is being written. On
+ * failure, logs each error and returns nothing. */
+template<typename Settings>
+std::optional<Settings>
+ReadAtStart(const configuration::SettingsFile<Settings>& aFile)
 {
-  const auto file = ReadTextFile(aPath);
-  if (!file) {
-    aOnError(file.error().detail);
-    return std::nullopt;
+  const auto end = std::chrono::steady_clock::now() + kSettingsLimit;
+  bool isReported = false;
+  const auto content =
+    aFile.ReadComplete([&](const std::vector<std::string>& aErrors) {
+      if (std::chrono::steady_clock::now() >= end ||
+          core::StopSignals::PendingStop() != 0) {
+        return false;
+      }
+      if (!isReported) {
+        core::Log().Write(core::LogLevel::Warning,
+                          "settings_unreadable",
+                          { { "why", aErrors.front() } });
+        isReported = true;
+      }
+      std::this_thread::sleep_for(kSettingsPause);
+      return true;
+    });
+  for (const std::string& error : content.errors) {
+    RefuseStart(error);
   }
-  auto settings = configuration::ProxySettings::Parse(file.value().text);
+  return content.settings;
+}
+
+/** Returns the exit code of a daemon that has not started. */
+ExitCode
+ExitCodeOfStart()
+{
+  return core::StopSignals::PendingStop() != 0 ? ExitCode::Ok
+                                               : ExitCode::Refused;
+}
+
+ExitCode
+RunServe(const std::vector<std::string>& aArguments)
+{
+  const auto settings =
+    ReadAtStart(OpenSettingsFile<configuration::DaemonSettings>(aArguments[0]));
   if (!settings) {
-    for (const auto& error : settings.error()) {
-      aOnError(fmt::format("{}: {}", aPath, error.ToString()));
-    }
-    return std::nullopt;
+    return ReadTextFile(aArguments[0]) ? ExitCodeOfStart() : ExitCode::Usage;
   }
-  return std::move(settings).value();
+  const core::Log log(settings->logLevel);
+  return static_cast<ExitCode>(daemon::Serve(*settings, log));
 }
 
 ExitCode
 RunProxy(const std::vector<std::string>& aArguments)
 {
-  const auto settings = ReadProxySettings(aArguments[0], RefuseStart);
+  const auto file =
+    OpenSettingsFile<configuration::ProxySettings>(aArguments[0]);
+  const auto settings = ReadAtStart(file);
   if (!settings) {
-    return ExitCode::Refused;
+    return ExitCodeOfStart();
   }
   // Ignores SIGPIPE, so that the daemon keeps running if the process that reads
   // its log exits.
@@ -245,18 +275,9 @@
   const core::Log log(settings->logLevel, [&output](std::string_view aLine) {
     output.Write(aLine);
   });
-  proxy::ProxyDaemon daemon(
-    *settings, platform::MakeAdapter(), log, [&log, path = aArguments[0]] {
-      return ReadProxySettings(path, [&log](const std::string& aError) {
-        UsageError(aError);
-        log.Write(core::LogLevel::Warning,
-                  "settings_unreadable",
-                  { { "why", aError } });
-      });
-    });
+  proxy::ProxyDaemon daemon(*settings, platform::MakeAdapter(), log, file);
   if (!daemon.Open()) {
-    const bool isStopped = core::StopSignals::PendingStop() != 0;
-    return isStopped ? ExitCode::Ok : ExitCode::Refused;
+    return ExitCodeOfStart();
   }
   daemon.Run();
   return ExitCode::Ok;
--- a/modules/configuration/configuration.h
+++ b/modules/configuration/configuration.h
@@ -12,3 +12,4 @@
 #include "configuration/DaemonSettings.h"
 #include "configuration/DesiredState.h"
 #include "configuration/OperatorText.h"
+#include "configuration/SettingsFile.h"
--- a/modules/proxy/ProxyDaemon.h
+++ b/modules/proxy/ProxyDaemon.h
@@ -5,6 +5,7 @@
 #include "calls/TicketLedger.h"
 #include "configuration/ProxySettings.h"
 #include "configuration/RouteConfiguration.h"
+#include "configuration/SettingsFile.h"
 #include "core/DaemonId.h"
 #include "core/Log.h"
 #include "daemon/Metrics.h"
@@ -58,20 +59,17 @@
 class ProxyDaemon
 {
 public:
-  /**
-   * Reads the settings again; returns `std::nullopt` if they cannot be read.
-   */
-  using SettingsFunction =
-    std::function<std::optional<configuration::ProxySettings>()>;
+  using SettingsFile =
+    configuration::SettingsFile<configuration::ProxySettings>;
 
   /**
    * `aSettings` must have passed the checks of `ProxySettings::Parse`. `aLog`
-   * must outlive the daemon.
+   * must outlive the daemon. `aSettingsFile` is read for a reload.
    */
   ProxyDaemon(const configuration::ProxySettings& aSettings,
               PlatformAdapter aPlatform,
               const core::Log& aLog,
-              SettingsFunction aReadSettings);
+              SettingsFile aSettingsFile);
   ~ProxyDaemon();
   ProxyDaemon(const ProxyDaemon&) = delete;
   ProxyDaemon& operator=(const ProxyDaemon&) = delete;
@@ -130,6 +128,7 @@
   void CloseIdleSessions();
   void UpdateKeepAliveTime();
   void ReloadSettings();
+  void OnSettingsUnreadable(const SettingsFile::Content& aContent);
   void ScheduleSettingsCheck();
   void LogPeerTraffic() const;
 
@@ -139,12 +138,13 @@
   configuration::ProxySettings settings;
   PlatformAdapter platform;
   const core::Log& log;
-  SettingsFunction readSettings;
+  SettingsFile settingsFile;
   boost::asio::io_context context{ 1 };
   boost::asio::signal_set signals;
   boost::asio::steady_timer stopTimer;
   boost::asio::steady_timer expiryTimer;
   boost::asio::steady_timer settingsTimer;
+  boost::asio::steady_timer rereadTimer;
   boost::asio::steady_timer heartbeatTimer;
   boost::asio::steady_timer rolloutTimer;
   core::DaemonId self;
@@ -186,6 +186,10 @@
   std::size_t requestCount = 0;
   /** Requests in progress, and some that have ended. */
   std::vector<std::weak_ptr<RequestRunner>> runners;
+  /** Errors of the last reading of the settings. */
+  std::vector<std::string> settingsErrors;
+  /** Readings of an incomplete settings file since the last complete one. */
+  int incompleteReadings = 0;
   bool isStopping = false;
   /** Set while this daemon stops. */
   std::optional<StopSchedule> stop;
