--- a/tests/ProcessTest.cpp
+++ b/tests/ProcessTest.cpp
@@ -58,6 +58,16 @@
     return options;
   }
 
+  /** Returns the options of a second process on the addresses of another. */
+  soak::DaemonProcess::Options MakeSecondOptions(
+    const std::string& aAddress) const
+  {
+    soak::DaemonProcess::Options options = this->MakeOptions(aAddress);
+    options.folder += "/second";
+    std::filesystem::create_directory(options.folder);
+    return options;
+  }
+
   std::string program;
   std::string folder;
 };
@@ -190,3 +200,98 @@
     BOOST_TEST(daemon.ExitStatus() == 0);
   }
 }
+
+// Guards against two processes that share the addresses, so that each receives
+// some of the callers and the checks of readiness of the other.
+BOOST_FIXTURE_TEST_CASE(SecondProcessOnTheSameAddressesIsRefused,
+                        ProcessFixture)
+{
+  soak::DaemonProcess first(this->MakeOptions("127.0.10.6"));
+  first.Start();
+  BOOST_REQUIRE(WaitForLog(first, "daemon_started"));
+  soak::DaemonProcess::Options options = this->MakeSecondOptions("127.0.10.6");
+  options.stopLimit = 1ms;
+  soak::DaemonProcess second(options);
+  second.Start();
+  BOOST_REQUIRE(WaitForLog(second, "bind_delayed"));
+  BOOST_REQUIRE(second.WaitUntilExit(15s));
+  BOOST_TEST(second.ExitStatus() == 1);
+  BOOST_TEST(HasLine(second, "bind_failed", "Address already in use"));
+  BOOST_TEST(first.IsRunning());
+}
+
+// Guards against a start that fails because its predecessor is still stopping.
+BOOST_FIXTURE_TEST_CASE(StartWaitsForThePredecessorsAddresses, ProcessFixture)
+{
+  soak::DaemonProcess first(this->MakeOptions("127.0.10.7"));
+  first.Start();
+  BOOST_REQUIRE(WaitForLog(first, "daemon_started"));
+  soak::DaemonProcess second(this->MakeSecondOptions("127.0.10.7"));
+  second.Start();
+  BOOST_REQUIRE(WaitForLog(second, "bind_delayed"));
+  first.SendSignal(SIGTERM);
+  BOOST_REQUIRE(first.WaitUntilExit(10s));
+  BOOST_TEST(WaitForLog(second, "daemon_started"));
+  second.SendSignal(SIGTERM);
+  BOOST_REQUIRE(second.WaitUntilExit(10s));
+  BOOST_TEST(second.ExitStatus() == 0);
+}
+
+// Guards against a stop that is not heard while a start waits for an address.
+BOOST_FIXTURE_TEST_CASE(StopEndsAStartThatWaitsForAnAddress, ProcessFixture)
+{
+  soak::DaemonProcess first(this->MakeOptions("127.0.10.8"));
+  first.Start();
+  BOOST_REQUIRE(WaitForLog(first, "daemon_started"));
+  soak::DaemonProcess second(this->MakeSecondOptions("127.0.10.8"));
+  second.Start();
+  BOOST_REQUIRE(WaitForLog(second, "bind_delayed"));
+  second.SendSignal(SIGTERM);
+  BOOST_REQUIRE(second.WaitUntilExit(2s));
+  BOOST_TEST(second.ExitStatus() == 0);
+  BOOST_TEST(HasLine(second, "stop_requested", "SIGTERM"));
+}
+
+// Guards against a start that is refused because the settings file is being
+// written.
+BOOST_FIXTURE_TEST_CASE(StartWaitsForACompleteSettingsFile, ProcessFixture)
+{
+  soak::DaemonProcess daemon(this->MakeOptions("127.0.10.9"));
+  const std::string text = daemon.SettingsText();
+  const std::string half = text.substr(0, text.size() / 2);
+  for (const std::string& before : { std::string(), half }) {
+    WriteFile(daemon.SettingsPath(), before);
+    daemon.Start();
+    BOOST_REQUIRE(WaitForLog(daemon, "settings_unreadable"));
+    WriteFile(daemon.SettingsPath(), text);
+    BOOST_TEST(WaitForLog(daemon, "daemon_started"));
+    daemon.SendSignal(SIGTERM);
+    BOOST_REQUIRE(daemon.WaitUntilExit(10s));
+    BOOST_TEST(daemon.ExitStatus() == 0);
+    std::filesystem::remove(this->folder + "/127.0.10.9.log");
+  }
+  std::filesystem::remove(daemon.SettingsPath());
+  daemon.Start();
+  BOOST_REQUIRE(daemon.WaitUntilExit(10s));
+  BOOST_TEST(daemon.ExitStatus() == 1);
+  BOOST_TEST(HasLine(daemon, "start_refused", "No such file"));
+}
+
+// Guards against a change of the settings that takes effect only seconds later,
+// because the file was read while it was being written.
+BOOST_FIXTURE_TEST_CASE(CutSettingsFileIsReadAgainSoon, ProcessFixture)
+{
+  soak::DaemonProcess::Options options = this->MakeOptions("127.0.10.10");
+  soak::DaemonProcess daemon(options);
+  daemon.Start();
+  BOOST_REQUIRE(WaitForLog(daemon, "daemon_started"));
+  const std::string text = daemon.SettingsText();
+  WriteFile(daemon.SettingsPath(), text.substr(0, text.size() / 2));
+  daemon.SendSignal(SIGHUP);
+  BOOST_REQUIRE(WaitForLog(daemon, "settings_unreadable"));
+  options.stopLimit = 700ms;
+  const auto writtenAt = std::chrono::steady_clock::now();
+  WriteFile(daemon.SettingsPath(), soak::DaemonProcess(options).SettingsText());
+  BOOST_TEST(WaitForLog(daemon, "settings_reloaded"));
+  BOOST_TEST((std::chrono::steady_clock::now() - writtenAt < 2s));
+}
