Answer callers that close only their sending side

A caller that sent its whole request and closed its sending side (FIN) got no answer, although the request may have run. Cause: a half close looks like a full one; the call was cancelled and its answer suppressed.

Every call of such a caller is now answered, and the connection closes after the last request that was sent before the close. So a call gets 200 ms more, in which most answers are ready; then repeatable work is cancelled at its server and answered `caller_gone` (502 to the platform's callers: promises nothing), or `caller_closed` (503, not run) if nothing was sent. Work that must not repeat, and calls with a ticket, run to their end, and that answer is delivered; no further attempt is made. Later pipelined requests of such a caller are answered `caller_closed` without being started.

The new kinds follow the last one, so that numbers between daemons of mixed versions stay as they are; these two are never sent between daemons.

--- a/modules/calls/CallFlow.cpp
+++ b/modules/calls/CallFlow.cpp
@@ -230,15 +230,14 @@
   if (this->state == State::Continuing || this->state == State::Ended) {
     return WaitStep{};
   }
-  this->hasCaller = false;
   // The caller may resend the request with its ticket: continue the attempt.
   if (this->runningTicket && this->state == State::Sending) {
-    if (MayHaveRun(aProgress)) {
-      return this->ContinueAttempt(ErrorKind::CallerGone, false);
-    }
     return WaitStep{};
   }
-  return this->End(ErrorKind::CallerGone);
+  const bool hasNotRun =
+    this->state == State::New || this->state == State::Choosing ||
+    (this->state == State::Sending && !MayHaveRun(aProgress));
+  return this->End(hasNotRun ? ErrorKind::CallerClosed : ErrorKind::CallerGone);
 }
 
 CallStep
--- a/modules/calls/CallFlow.h
+++ b/modules/calls/CallFlow.h
@@ -130,7 +130,8 @@
   CallStep DeadlineReached(AttemptProgress aProgress);
 
   /**
-   * Reports that the caller has closed its connection. For `aProgress` see
+   * Reports that the caller has closed its connection, or only its sending
+   * side, which cannot be told apart: the call is answered. For `aProgress` see
    * `DeadlineReached`.
    */
   CallStep CallerGone(AttemptProgress aProgress);
--- a/modules/calls/CallFlowTest.cpp
+++ b/modules/calls/CallFlowTest.cpp
@@ -249,6 +249,7 @@
   const CallStep step = plain.CallerGone(AttemptProgress::SentNoAnswer);
   BOOST_TEST((AnswerKind(step) == ErrorKind::CallerGone));
   BOOST_TEST(!std::get<AnswerStep>(step).attemptContinues);
+  BOOST_TEST(std::get<AnswerStep>(step).deliver);
 
   const CallRequest request = fixture.TicketRequest();
   CallFlow flow = fixture.Flow(request);
@@ -260,6 +261,34 @@
   BOOST_TEST((AnswerKind(resent.Begin()) == ErrorKind::None));
 }
 
+// Guards against a caller that has closed its sending side and gets no answer,
+// or one that is not true.
+BOOST_AUTO_TEST_CASE(CallerThatClosedIsAnswered)
+{
+  Fixture fixture;
+  CallFlow unsent = fixture.Flow(fixture.Request());
+  unsent.Begin();
+  const CallStep notRun = unsent.CallerGone(AttemptProgress::NothingSent);
+  BOOST_TEST((AnswerKind(notRun) == ErrorKind::CallerClosed));
+  BOOST_TEST(std::get<AnswerStep>(notRun).deliver);
+
+  CallRequest repeatable = fixture.Request();
+  repeatable.repeatable = true;
+  CallFlow retried = fixture.Flow(repeatable);
+  retried.Begin();
+  retried.AttemptEnded(Failed(AttemptProgress::SentNoAnswer));
+  const CallStep unknown = retried.CallerGone(AttemptProgress::NothingSent);
+  BOOST_TEST((AnswerKind(unknown) == ErrorKind::ConnectionLost));
+
+  CallFlow ticketed = fixture.Flow(fixture.TicketRequest());
+  ticketed.Begin();
+  BOOST_TEST(std::holds_alternative<WaitStep>(
+    ticketed.CallerGone(AttemptProgress::SentNoAnswer)));
+  const CallStep answered = ticketed.AttemptEnded(Answered());
+  BOOST_TEST((AnswerKind(answered) == ErrorKind::None));
+  BOOST_TEST(std::get<AnswerStep>(answered).deliver);
+}
+
 // Guards against running an at-most-once call without a valid ticket.
 BOOST_AUTO_TEST_CASE(RequiresATicket)
 {
--- a/modules/core/ErrorKind.h
+++ b/modules/core/ErrorKind.h
@@ -39,6 +39,9 @@
   RequestCrashesServers,
   CallerGone,
   Internal,
+  // Not sent between daemons, which limit the kinds that they take.
+  CallerClosed,
+  RequestTimeout,
 };
 
 } // namespace fireflytrail::core
--- a/modules/core/ErrorTable.cpp
+++ b/modules/core/ErrorTable.cpp
@@ -178,6 +178,18 @@
             Unknown,
             ResendRule::IfSafe,
             RetryRule::Never },
+  ErrorRow{ ErrorKind::CallerClosed,
+            "caller_closed",
+            503,
+            NotRun,
+            ResendRule::Always,
+            RetryRule::Never },
+  ErrorRow{ ErrorKind::RequestTimeout,
+            "request_timeout",
+            408,
+            NotRun,
+            ResendRule::Always,
+            RetryRule::Never },
 };
 
 constexpr bool
@@ -188,7 +200,8 @@
       return false;
     }
   }
-  return kRows.size() == static_cast<std::size_t>(ErrorKind::Internal) + 1;
+  return kRows.size() ==
+         static_cast<std::size_t>(ErrorKind::RequestTimeout) + 1;
 }
 
 static_assert(RowsFollowEnumeration());
--- a/modules/gateway/CallerSession.cpp
+++ b/modules/gateway/CallerSession.cpp
@@ -28,6 +28,10 @@
 constexpr auto kWriteTimeout = 30s;
 constexpr auto kDrainTimeout = 2s;
 constexpr auto kClosePollInterval = 100ms;
+// Time that a call may still take after its caller has closed. A caller that
+// has left cannot be told from one that has only closed its sending side and
+// waits for the answer.
+constexpr auto kClosedCallTime = 200ms;
 // Time from the establishment of a connection until its first request, which
 // callers send at once, and for the transfer of any request.
 constexpr auto kFirstRequestTime = 1s;
@@ -299,9 +303,14 @@
     this->WriteAnswer(CallAnswer::OfError(core::ErrorKind::BadRequest), false);
     return;
   }
+  this->requestId.assign(call->id);
+  if (this->isCallerGone) {
+    this->WriteAnswer(CallAnswer::OfError(core::ErrorKind::CallerClosed),
+                      this->isKeptAlive);
+    return;
+  }
   this->stream.expires_never();
   this->stage = Stage::Running;
-  this->requestId.assign(call->id);
   this->isCallRunning = true;
   auto cancel = this->hooks->handleCall(
     std::move(*call), [self = this->shared_from_this()](CallAnswer aAnswer) {
@@ -319,7 +328,7 @@
 void
 CallerSession::WatchForClose()
 {
-  if (this->isWatchingForClose) {
+  if (this->isWatchingForClose || this->isCallerClosed) {
     return;
   }
   this->isWatchingForClose = true;
@@ -373,13 +382,29 @@
   return poll(&descriptor, 1, 0) > 0 && (descriptor.revents & kClosed) != 0;
 }
 
+bool
+CallerSession::HasUnreadBytes()
+{
+  beast::error_code error;
+  return this->buffer.size() > 0 || this->stream.socket().available(error) > 0;
+}
+
 void
 CallerSession::OnCallerClosed()
 {
-  if (const auto cancel = std::exchange(this->cancelCall, nullptr)) {
-    cancel();
-    this->ReportCut(Closer::Caller);
-  }
+  this->isCallerClosed = true;
+  this->closeTimer.expires_after(kClosedCallTime);
+  this->closeTimer.async_wait(
+    [weak = this->weak_from_this()](beast::error_code aError) {
+      const auto self = weak.lock();
+      if (aError || !self) {
+        return;
+      }
+      self->isCallerGone = true;
+      if (const auto cancel = std::exchange(self->cancelCall, nullptr)) {
+        cancel();
+      }
+    });
 }
 
 void
@@ -395,7 +420,10 @@
   this->hooks->dialect->writeAnswer(this->response.base(), aAnswer);
   this->response.body() = { this->answer->body.data(),
                             this->answer->body.size() };
-  this->isKeptAlive = aKeepAlive && !this->hooks->isStopping();
+  // Requests that were sent before the close are answered as well.
+  const bool isLastRequest = this->isCallerClosed && !this->HasUnreadBytes();
+  this->isKeptAlive =
+    aKeepAlive && !this->hooks->isStopping() && !isLastRequest;
   this->response.keep_alive(this->isKeptAlive);
   const bool isTimeStated =
     this->isKeptAlive && this->hooks->keepAliveTime.count() > 0;
--- a/modules/gateway/CallerSession.h
+++ b/modules/gateway/CallerSession.h
@@ -37,8 +37,9 @@
 
   /**
    * Runs a call and calls the answer function exactly once, on the session's
-   * thread, either later or before it returns. Returns a function that cancels
-   * the call if its caller disconnects; it may be empty.
+   * thread, either later or before it returns. Returns a function that ends
+   * the call early if its caller closes the connection or only its sending
+   * side; the call is then answered too. It may be empty.
    */
   std::function<CancelFunction(CallRequest, AnswerFunction)> handleCall;
 
@@ -131,6 +132,7 @@
   void PollForClose();
   /** Returns whether the caller has closed at least its sending side. */
   bool HasCallerClosed();
+  bool HasUnreadBytes();
   void OnCallerClosed();
   void WriteAnswer(const CallAnswer& aAnswer, bool aKeepAlive);
   void OnWritten(boost::beast::error_code aError);
@@ -163,6 +165,10 @@
   std::chrono::milliseconds statedIdleTime{ 0 };
   boost::asio::steady_timer closeTimer;
   bool isCallRunning = false;
+  /** Whether the caller has closed at least its sending side. */
+  bool isCallerClosed = false;
+  /** Whether it has done so long enough ago to end its calls. */
+  bool isCallerGone = false;
   bool isWatchingForClose = false;
   bool isKeptAlive = false;
   bool isHeadRequest = false;
--- a/modules/gateway/CallerSessionTest.cpp
+++ b/modules/gateway/CallerSessionTest.cpp
@@ -43,7 +43,11 @@
       if (aCall.target == "/hang") {
         this->pending.push_back(std::move(aDone));
         this->hangingCall.set_value();
-        return [this] { this->cancelled.set_value(); };
+        return [this] {
+          this->cancelled.set_value();
+          std::exchange(this->pending.back(), nullptr)(
+            CallAnswer::OfError(core::ErrorKind::CallerGone));
+        };
       }
       aDone(CallAnswer::OfText(
         200, aCall.service + " " + aCall.target + " " + aCall.body));
@@ -354,6 +358,31 @@
   BOOST_TEST(gateway.WaitForCuts().empty());
 }
 
+// Guards against a caller that closes its sending side after its request and
+// gets no answer.
+BOOST_AUTO_TEST_CASE(CallerThatClosesItsSendingSideIsAnswered)
+{
+  EchoGateway gateway;
+  const std::string answer = gateway.Exchange("GET /a/hang HTTP/1.1\r\n\r\n");
+  BOOST_TEST(answer.find("Error-Kind: caller_gone\r\n") != std::string::npos);
+  BOOST_TEST(answer.find("Connection: close\r\n") != std::string::npos);
+  BOOST_TEST(gateway.WaitForCuts().empty());
+}
+
+// Guards against a request that is started for a caller that has left, and
+// against one that was sent before the close and gets no answer.
+BOOST_AUTO_TEST_CASE(PipelinedRequestsBeforeACloseAreAnswered)
+{
+  EchoGateway gateway;
+  const std::string answer = gateway.Exchange("GET /a/hang HTTP/1.1\r\n\r\n"
+                                              "GET /a/b HTTP/1.1\r\n\r\n");
+  const auto first = answer.find("Error-Kind: caller_gone\r\n");
+  const auto second = answer.find("Error-Kind: caller_closed\r\n");
+  BOOST_TEST(first < second);
+  BOOST_TEST(second != std::string::npos);
+  BOOST_TEST(gateway.calls.size() == 1U);
+}
+
 // Guards against a call that continues after its caller has closed a connection
 // on which the bytes of another request wait.
 BOOST_AUTO_TEST_CASE(ClosedConnectionWithUnreadBytesCancelsItsCall)
--- a/modules/proxy/RequestRunner.cpp
+++ b/modules/proxy/RequestRunner.cpp
@@ -282,8 +282,8 @@
   const Slot used = *std::exchange(this->slot, std::nullopt);
   this->shared.broker.Release(
     used, outcome, aExchange.duration, aExchange.loadSample, aExchange.notice);
-  if (this->isCallerGone) {
-    this->RunStep(this->flow->CallerGone(AttemptProgress::SentNoAnswer));
+  if (this->isCallerGone && aExchange.progress != AttemptProgress::Answered) {
+    this->RunStep(this->flow->CallerGone(aExchange.progress));
     return;
   }
   if (outcome == AttemptOutcome::Lost &&
@@ -369,7 +369,7 @@
                                   this->shared.now() - this->begin);
   this->countHolder.reset();
   const auto deliver = std::exchange(this->onAnswer, nullptr);
-  if (!aStep.deliver || this->isCallerGone || !deliver) {
+  if (!aStep.deliver || !deliver) {
     return;
   }
   gateway::CallAnswer answer;
--- a/modules/proxy/RequestRunner.h
+++ b/modules/proxy/RequestRunner.h
@@ -61,9 +61,9 @@
   void LimitDeadline(core::TimePoint aDeadline);
 
   /**
-   * Ends the request because its caller has closed the connection. A request
-   * that is not idempotent and already has a slot runs to its end at the
-   * instance.
+   * Ends the request because its caller has closed the connection, or only its
+   * sending side. A request that is not idempotent and already has a slot runs
+   * to its end at the instance. Either way it is answered.
    */
   void CallerGone();
 
