Answer 408 to requests that stall, and wait for bodies that make progress

A caller whose body took longer than the limit for heads lost its connection without an answer. Cause: one limit held for the whole request, and the timer of the stream closes the socket, so that nothing could be written.

A timer of the session limits the head, and then each part of the body; the whole body has 60 s, or the limit if that is longer, and no more than the time that the caller states. A request that stalls is answered 408, not run, with `Connection: close`. Idle connections are closed silently as before. A refusal before the head is complete no longer takes the version and the method of the request before it.

--- a/modules/gateway/CallerSession.cpp
+++ b/modules/gateway/CallerSession.cpp
@@ -27,6 +27,12 @@
 
 constexpr auto kWriteTimeout = 30s;
 constexpr auto kDrainTimeout = 2s;
+// Maximum time for a body that makes progress, unless the limit for one part is
+// longer.
+constexpr auto kMaxBodyTime = 60s;
+// Interval at which a read that has timed out is cancelled until it ends: a
+// read in several steps can't be cancelled between two of them.
+constexpr auto kCancelInterval = 50ms;
 constexpr auto kClosePollInterval = 100ms;
 // Time that a call may still take after its caller has closed. A caller that
 // has left cannot be told from one that has only closed its sending side and
@@ -55,6 +61,7 @@
   : stream(std::move(aSocket))
   , hooks(std::move(aHooks))
   , requestExpectedUntil(std::chrono::steady_clock::now() + kFirstRequestTime)
+  , readTimer(this->stream.get_executor())
   , closeTimer(this->stream.get_executor())
 {
   assert(this->hooks && this->hooks->handleCall && this->hooks->isStopping);
@@ -120,7 +127,11 @@
   this->stage = Stage::Head;
   this->requestBegin = std::chrono::steady_clock::now();
   this->requestId.clear();
-  this->stream.expires_after(this->hooks->limits.requestTimeout);
+  this->httpVersion = 11;
+  this->isHeadRequest = false;
+  this->bodyDeadline.reset();
+  this->stream.expires_never();
+  this->LimitReading(this->requestBegin + this->hooks->limits.requestTimeout);
   http::async_read_header(
     this->stream,
     this->buffer,
@@ -153,6 +164,8 @@
     return;
   }
   this->stage = Stage::Body;
+  this->headArrival = std::chrono::steady_clock::now();
+  this->LimitReading(this->headArrival + this->hooks->limits.requestTimeout);
   const auto& request = this->parser->get();
   this->httpVersion = request.version();
   this->isHeadRequest = request.method() == http::verb::head;
@@ -199,6 +212,14 @@
     this->OnRequest({});
     return;
   }
+  if (this->buffer.size() == 0) {
+    if (!this->bodyDeadline) {
+      this->bodyDeadline = this->BodyDeadline();
+    }
+    this->LimitReading(std::min(*this->bodyDeadline,
+                                std::chrono::steady_clock::now() +
+                                  this->hooks->limits.requestTimeout));
+  }
   this->parser->eager(true);
   http::async_read_some(this->stream,
                         this->buffer,
@@ -223,6 +244,58 @@
   this->ReadBody();
 }
 
+std::chrono::steady_clock::time_point
+CallerSession::BodyDeadline() const
+{
+  std::chrono::milliseconds limit = std::max<std::chrono::milliseconds>(
+    kMaxBodyTime, this->hooks->limits.requestTimeout);
+  const auto call =
+    this->hooks->dialect->readRequest(this->parser->get().base());
+  if (call && call->deadline) {
+    limit = std::min(limit, *call->deadline);
+  }
+  return this->headArrival + limit;
+}
+
+void
+CallerSession::LimitReading(std::chrono::steady_clock::time_point aTime)
+{
+  this->readDeadline = aTime;
+  this->isReadTimedOut = false;
+  if (!this->isReadTimerRunning || aTime < this->readTimer.expiry()) {
+    this->StartReadTimer();
+  }
+}
+
+void
+CallerSession::StartReadTimer()
+{
+  // The timer isn't restarted for each request or part: when it ends, the
+  // deadline may have moved.
+  this->isReadTimerRunning = true;
+  this->readTimer.expires_at(this->readDeadline);
+  this->readTimer.async_wait(
+    [weak = this->weak_from_this()](beast::error_code aError) {
+      const auto self = weak.lock();
+      if (aError || !self) {
+        return;
+      }
+      self->isReadTimerRunning = false;
+      const bool isReading =
+        self->stage == Stage::Head || self->stage == Stage::Body;
+      if (!isReading) {
+        return;
+      }
+      const auto now = std::chrono::steady_clock::now();
+      if (now >= self->readDeadline) {
+        self->isReadTimedOut = true;
+        self->stream.cancel();
+        self->readDeadline = now + kCancelInterval;
+      }
+      self->StartReadTimer();
+    });
+}
+
 void
 CallerSession::OnRequest(beast::error_code aError)
 {
@@ -243,6 +316,11 @@
 void
 CallerSession::RefuseRequest(beast::error_code aError)
 {
+  if (this->isReadTimedOut && aError == boost::asio::error::operation_aborted) {
+    this->WriteAnswer(CallAnswer::OfError(core::ErrorKind::RequestTimeout),
+                      false);
+    return;
+  }
   if (aError == http::error::header_limit ||
       aError == http::error::buffer_overflow) {
     this->WriteAnswer(CallAnswer::OfError(core::ErrorKind::HeaderTooLarge),
@@ -528,7 +606,7 @@
 void
 CallerSession::CloseOnError(beast::error_code aError)
 {
-  if (aError == beast::error::timeout) {
+  if (aError == beast::error::timeout || this->isReadTimedOut) {
     this->ReportCut(Closer::TimeLimit);
   } else if (aError == http::error::end_of_stream &&
              this->stage == Stage::Head && this->buffer.size() == 0) {
--- a/modules/gateway/CallerSession.h
+++ b/modules/gateway/CallerSession.h
@@ -119,6 +119,11 @@
   void OnHeader(boost::beast::error_code aError);
   void ReadBody();
   void OnBodyPart(boost::beast::error_code aError);
+  /** Allows a request that is being read until `aTime` for its next part. */
+  void LimitReading(std::chrono::steady_clock::time_point aTime);
+  void StartReadTimer();
+  /** Returns the time by which the body must be complete. */
+  std::chrono::steady_clock::time_point BodyDeadline() const;
   void OnRequest(boost::beast::error_code aError);
   void RefuseRequest(boost::beast::error_code aError);
   /** Refuses a request whose body exceeds the memory that is left. */
@@ -163,6 +168,15 @@
   std::chrono::steady_clock::time_point requestExpectedUntil;
   /** Time for which the last answer allowed the connection to be unused. */
   std::chrono::milliseconds statedIdleTime{ 0 };
+  /** Limits the reading of requests. The timer of the stream would close the
+   * socket, so that no answer could be written. */
+  boost::asio::steady_timer readTimer;
+  std::chrono::steady_clock::time_point readDeadline;
+  bool isReadTimerRunning = false;
+  bool isReadTimedOut = false;
+  std::chrono::steady_clock::time_point headArrival;
+  /** Set when the body does not arrive together with the head. */
+  std::optional<std::chrono::steady_clock::time_point> bodyDeadline;
   boost::asio::steady_timer closeTimer;
   bool isCallRunning = false;
   /** Whether the caller has closed at least its sending side. */
--- a/modules/gateway/CallerSessionTest.cpp
+++ b/modules/gateway/CallerSessionTest.cpp
@@ -402,6 +402,62 @@
     (gateway.cancelled.get_future().wait_for(1s) == std::future_status::ready));
 }
 
+// Guards against a request that stalls and whose connection is closed without
+// an answer.
+BOOST_DATA_TEST_CASE(StalledRequestsAreAnswered,
+                     boost::unit_test::data::make(
+                       { "GET /a/b HTTP/1.1\r\nHos",
+                         "POST /a/b HTTP/1.1\r\nContent-Length: 9\r\n\r\n",
+                         "POST /a/b HTTP/1.1\r\nContent-Length: 9\r\n\r\nab" }),
+                     request)
+{
+  EchoGateway gateway;
+  gateway.Hooks().limits.requestTimeout = 100ms;
+  const std::string answer = gateway.Exchange(request, false);
+  BOOST_TEST(StatusLineOf(answer) == "HTTP/1.1 408 Request Timeout");
+  BOOST_TEST(answer.find("Connection: close\r\n") != std::string::npos);
+  BOOST_TEST(answer.find("Call-Outcome: not-run") != std::string::npos);
+  BOOST_TEST(gateway.calls.empty());
+}
+
+// Guards against a body that takes longer than the limit for heads and whose
+// connection is closed although it makes progress.
+BOOST_AUTO_TEST_CASE(SlowBodiesAreRead)
+{
+  EchoGateway gateway;
+  gateway.Hooks().limits.requestTimeout = 200ms;
+  boost::asio::io_context clientContext;
+  tcp::socket socket(clientContext);
+  socket.connect(gateway.Endpoint());
+  const std::string head =
+    "POST /s/a HTTP/1.1\r\nConnection: close\r\nContent-Length: 8\r\n\r\n";
+  boost::asio::write(socket, boost::asio::buffer(head));
+  boost::system::error_code error;
+  for (int part = 0; part < 8; ++part) {
+    std::this_thread::sleep_for(60ms);
+    boost::asio::write(socket, boost::asio::buffer("x", 1), error);
+  }
+  std::string answer;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
+  BOOST_TEST(answer.find("s /a xxxxxxxx") != std::string::npos);
+}
+
+// Guards against a body that is waited for longer than its caller waits.
+BOOST_AUTO_TEST_CASE(SlowBodiesEndWithTheirDeadline)
+{
+  EchoGateway gateway;
+  boost::asio::io_context clientContext;
+  tcp::socket socket(clientContext);
+  socket.connect(gateway.Endpoint());
+  const std::string start = "POST /s/a HTTP/1.1\r\nDeadline-Ms: 150\r\n"
+                            "Content-Length: 8\r\n\r\nx";
+  boost::asio::write(socket, boost::asio::buffer(start));
+  std::string answer;
+  boost::system::error_code error;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
+  BOOST_TEST(StatusLineOf(answer) == "HTTP/1.1 408 Request Timeout");
+}
+
 // Guards against a planned stop that closes a connection whose first request is
 // on its way.
 BOOST_AUTO_TEST_CASE(FirstRequestOfANewConnectionIsAnsweredInAPlannedStop)
