--- a/soak/DaemonProcess.cpp
+++ b/soak/DaemonProcess.cpp
@@ -116,22 +116,25 @@
   std::ofstream file(
     fmt::format("{}/{}.json", this->options.folder, this->options.address));
   file << fmt::format(R"({{
-  "name": "{}", "failure_domain": "{}", "store": "127.0.0.1:{}",
+  "name": "{}", "failure_domain": "{}", "store": "{}:{}",
   "listen": "{}", "ready_listen": "{}", "operator_listen": "{}",
   "peer_listen": "{}", "first_peers": ["{}:{}"],
   "stop_limit_ms": 6000, "retry_ratio": 0.2, "free_retries": 64,
-  "trial_share": 0.1
+  "trial_share": 0.1{}{}
 }}
 )",
                       this->options.address,
                       this->options.domain,
+                      this->options.storeAddress,
                       this->options.storePort,
                       endpointText(0),
                       endpointText(1),
                       endpointText(2),
                       endpointText(3),
                       this->options.firstPeer,
-                      this->options.basePort + 3);
+                      this->options.basePort + 3,
+                      this->options.moreSettings.empty() ? "" : ", ",
+                      this->options.moreSettings);
 }
 
 } // namespace fireflytrail::soak
--- a/soak/DaemonProcess.h
+++ b/soak/DaemonProcess.h
@@ -28,11 +28,14 @@
     std::string domain;
     /** Address of the peer that the daemon contacts first. */
     std::string firstPeer;
+    std::string storeAddress = "127.0.0.1";
     std::uint16_t storePort = 0;
     /** First of four consecutive ports: for callers, for readiness, for
      * operators and for peers. */
     std::uint16_t basePort = 0;
     unsigned hosts = 1;
+    /** More settings: text that follows a comma, or empty. */
+    std::string moreSettings;
   };
 
   explicit DaemonProcess(Options aOptions);
@@ -52,6 +55,9 @@
    */
   bool IsRunning();
 
+  /** Returns the process id; 0 if no process is known to run. */
+  pid_t Pid() const { return this->pid; }
+
   /** Returns the exit code, or the negated signal number, of the last process
    * that has exited. */
   int ExitStatus() const { return this->exitStatus; }
--- a/soak/ObjectStore.cpp
+++ b/soak/ObjectStore.cpp
@@ -69,7 +69,13 @@
 asio::ip::tcp::endpoint
 ObjectStore::Open()
 {
-  this->service->Open({ asio::ip::make_address("127.0.0.1"), 0 });
+  return this->Open({ asio::ip::make_address("127.0.0.1"), 0 });
+}
+
+asio::ip::tcp::endpoint
+ObjectStore::Open(const asio::ip::tcp::endpoint& aEndpoint)
+{
+  this->service->Open(aEndpoint);
   return this->service->Endpoint();
 }
 
--- a/soak/ObjectStore.h
+++ b/soak/ObjectStore.h
@@ -39,6 +39,11 @@
   /** Starts to listen on a loopback port; returns the endpoint. */
   boost::asio::ip::tcp::endpoint Open();
 
+  /** Starts to listen at an endpoint; returns it with its port. Throws if it is
+   * in use. */
+  boost::asio::ip::tcp::endpoint Open(
+    const boost::asio::ip::tcp::endpoint& aEndpoint);
+
   void SetMode(Mode aMode) { this->mode = aMode; }
 
   /** Discards the change history: watches from a revision before the current
