Count heads and buffers of callers in the memory of the process

Seen: 3000 connections that each send 63 KB of the line of a chunk's size take 258,100 kB in a process of 160 MB. Cause: the memory budget counted bodies only; 64 KB of buffer and the head were bounded for each connection, not in their sum. Change: one budget for bodies, heads and buffers, of which bodies leave a fifth. A connection has 4 KB of its own; what it needs beyond that and what does not fit is refused, 503 not run.

--- a/modules/configuration/ProxySettings.cpp
+++ b/modules/configuration/ProxySettings.cpp
@@ -22,6 +22,8 @@
 // Share of the memory for bodies. The daemon itself takes up to 50 MB, and a
 // body of unknown length up to twice its size while it grows.
 constexpr double kBodyMemoryShare = 0.4;
+// Share for heads and buffers, which bodies must leave free.
+constexpr double kBufferMemoryShare = 0.1;
 constexpr double kBytesPerMegabyte = 1024.0 * 1024.0;
 
 // Minimum bandwidth and processor share of a host that works for the others.
@@ -105,6 +107,13 @@
                                   kBodyMemoryShare);
 }
 
+std::size_t
+ProxySettings::BufferMemoryBytes() const
+{
+  return static_cast<std::size_t>(this->memoryMegabytes * kBytesPerMegabyte *
+                                  kBufferMemoryShare);
+}
+
 bool
 ProxySettings::IsStrong() const
 {
--- a/modules/configuration/ProxySettings.h
+++ b/modules/configuration/ProxySettings.h
@@ -76,6 +76,12 @@
    * length grows. Thread-safe.
    */
   std::size_t BodyMemoryBytes() const;
+
+  /**
+   * Returns the bytes that heads and buffers of connections may take beyond
+   * those that are left of bodies. Thread-safe.
+   */
+  std::size_t BufferMemoryBytes() const;
 };
 
 } // namespace fireflytrail::configuration
--- a/modules/configuration/ProxySettingsTest.cpp
+++ b/modules/configuration/ProxySettingsTest.cpp
@@ -41,6 +41,7 @@
   BOOST_TEST(settings.trialShare == 0.05);
   BOOST_TEST(settings.memoryMegabytes == 160);
   BOOST_TEST(settings.BodyMemoryBytes() == 67'108'864U);
+  BOOST_TEST(settings.BufferMemoryBytes() == 16'777'216U);
   BOOST_TEST(settings.logBytesPerSecond == 4096U);
 }
 
--- a/modules/core/MemoryBudget.cpp
+++ b/modules/core/MemoryBudget.cpp
@@ -5,11 +5,13 @@
 namespace fireflytrail::core {
 
 bool
-MemoryBudget::TryTake(std::size_t aBytes)
+MemoryBudget::TryTake(std::size_t aBytes, MemoryUse aUse)
 {
+  const std::size_t usable =
+    aUse == MemoryUse::Body ? this->limit - this->reserve : this->limit;
   std::size_t current = this->used.load();
   do {
-    if (aBytes > this->limit - current) {
+    if (current > usable || aBytes > usable - current) {
       ++this->refusedCount;
       return false;
     }
--- a/modules/core/MemoryBudgetTest.cpp
+++ b/modules/core/MemoryBudgetTest.cpp
@@ -28,6 +28,21 @@
   BOOST_TEST(budget->Used() == 0U);
 }
 
+// Guards against bodies that keep all other requests out.
+BOOST_AUTO_TEST_CASE(BodiesLeaveTheReserveOfTheBudget)
+{
+  const auto budget = std::make_shared<core::MemoryBudget>(100, 20);
+  core::MemoryLease body(budget);
+  core::MemoryLease buffer(budget, core::MemoryUse::Buffer);
+  BOOST_TEST(!body.TryResize(81));
+  BOOST_TEST(body.TryResize(80));
+  BOOST_TEST(buffer.TryResize(20));
+  BOOST_TEST(!buffer.TryResize(21));
+  BOOST_TEST(body.TryResize(0));
+  BOOST_TEST(buffer.TryResize(100));
+  BOOST_TEST(!body.TryResize(1));
+}
+
 // Guards against refusals by a daemon without a known limit.
 BOOST_AUTO_TEST_CASE(LeaseWithoutABudgetGrantsAnySize)
 {
--- a/modules/core/MemoryLease.h
+++ b/modules/core/MemoryLease.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "core/MemoryUse.h"
+
 #include <cstddef>
 #include <memory>
 
@@ -16,7 +18,8 @@
 {
 public:
   /** `aBudget` may be null. */
-  explicit MemoryLease(std::shared_ptr<MemoryBudget> aBudget);
+  explicit MemoryLease(std::shared_ptr<MemoryBudget> aBudget,
+                       MemoryUse aUse = MemoryUse::Body);
   ~MemoryLease();
   MemoryLease(const MemoryLease&) = delete;
   MemoryLease& operator=(const MemoryLease&) = delete;
@@ -27,11 +30,15 @@
    */
   bool TryResize(std::size_t aBytes);
 
+  /** The same, and changes what the bytes are for. */
+  bool TryResize(std::size_t aBytes, MemoryUse aUse);
+
   /** Returns the size in bytes. */
   std::size_t Size() const { return this->size; }
 
 private:
   std::shared_ptr<MemoryBudget> budget;
+  MemoryUse use;
   std::size_t size = 0;
 };
 
--- a/modules/core/core.h
+++ b/modules/core/core.h
@@ -17,5 +17,6 @@
 #include "core/Log.h"
 #include "core/MemoryBudget.h"
 #include "core/MemoryLease.h"
+#include "core/MemoryUse.h"
 #include "core/ProcessNumbers.h"
 #include "core/Result.h"
--- a/modules/gateway/CallerSession.cpp
+++ b/modules/gateway/CallerSession.cpp
@@ -36,6 +36,14 @@
 // is in transit.
 constexpr std::size_t kMaxDrainedBytes = 1024 * 1024;
 constexpr std::size_t kReadChunkBytes = 16 * 1024;
+// Buffer of an idle connection, which the memory budget does not count: enough
+// for the head of most requests.
+constexpr std::size_t kIdleBufferBytes = std::size_t{ 4 } * 1024;
+// A head exists as fields of the request, of the attempt and of the record of
+// its call.
+constexpr std::size_t kHeadCopies = 3;
+// Memory of a field beside its text.
+constexpr std::size_t kFieldBytes = 64;
 // Received bytes that are held, beyond the longest header, until the parser
 // takes them. It takes a body as it arrives, but the line of a chunk's size
 // with its extensions, and the trailers, only as a whole.
@@ -47,6 +55,8 @@
                              std::shared_ptr<const CallerSessionHooks> aHooks)
   : stream(std::move(aSocket))
   , hooks(std::move(aHooks))
+  , bufferLease(this->hooks->memory, core::MemoryUse::Buffer)
+  , headLease(this->hooks->memory, core::MemoryUse::Buffer)
   , requestExpectedUntil(std::chrono::steady_clock::now() + kFirstRequestTime)
 {
   assert(this->hooks && this->hooks->handleCall && this->hooks->isStopping);
@@ -81,27 +91,25 @@
   this->parser->header_limit(
     static_cast<std::uint32_t>(this->hooks->limits.maxHeaderBytes));
   this->parser->body_limit(this->hooks->limits.maxBodyBytes);
-  // A new configuration may have lowered the limit of headers.
-  this->buffer.max_size(
-    std::max(this->buffer.size(),
-             this->hooks->limits.maxHeaderBytes + kMaxBufferedBytes));
+  this->headLease.TryResize(0);
+  if (this->buffer.size() <= kIdleBufferBytes &&
+      this->buffer.capacity() > kIdleBufferBytes) {
+    this->buffer.shrink_to_fit();
+  }
+  const std::size_t held = std::max(this->buffer.size(), kIdleBufferBytes);
+  this->buffer.max_size(held);
+  this->bufferLease.TryResize(held - kIdleBufferBytes);
   this->isIdle = this->buffer.size() == 0;
   if (!this->isIdle) {
     this->stream.expires_after(this->hooks->limits.requestTimeout);
-    http::async_read_header(
-      this->stream,
-      this->buffer,
-      *this->parser,
-      [self = this->shared_from_this()](beast::error_code aError, std::size_t) {
-        self->OnHeader(aError);
-      });
+    this->ReadHeaderPart();
     return;
   }
   // The idle timeout applies until the first byte arrives; the request timeout
   // starts at that byte.
   this->stream.expires_after(this->hooks->limits.idleTimeout);
   this->stream.async_read_some(
-    this->buffer.prepare(kReadChunkBytes),
+    this->buffer.prepare(kIdleBufferBytes),
     [self = this->shared_from_this()](beast::error_code aError,
                                       std::size_t aCount) {
       if (aError) {
@@ -111,16 +119,71 @@
       self->buffer.commit(aCount);
       self->isIdle = false;
       self->stream.expires_after(self->hooks->limits.requestTimeout);
-      http::async_read_header(
-        self->stream,
-        self->buffer,
-        *self->parser,
-        [self](beast::error_code aReadError, std::size_t) {
-          self->OnHeader(aReadError);
-        });
+      self->ReadHeaderPart();
     });
 }
 
+void
+CallerSession::ReadHeaderPart()
+{
+  http::async_read_header(
+    this->stream,
+    this->buffer,
+    *this->parser,
+    [self = this->shared_from_this()](beast::error_code aError, std::size_t) {
+      if (!self->GrowFullBuffer(aError, [self] { self->ReadHeaderPart(); })) {
+        self->OnHeader(aError);
+      }
+    });
+}
+
+std::size_t
+CallerSession::MaxBufferBytes() const
+{
+  return this->hooks->limits.maxHeaderBytes + kMaxBufferedBytes;
+}
+
+bool
+CallerSession::TryGrowBuffer(std::size_t aBytes)
+{
+  if (!this->bufferLease.TryResize(aBytes - kIdleBufferBytes)) {
+    return false;
+  }
+  this->buffer.max_size(aBytes);
+  return true;
+}
+
+bool
+CallerSession::GrowFullBuffer(beast::error_code aError,
+                              const std::function<void()>& aContinue)
+{
+  const std::size_t current = this->buffer.max_size();
+  // A new configuration may have lowered the limit of headers.
+  if (aError != http::error::buffer_overflow ||
+      current >= this->MaxBufferBytes()) {
+    return false;
+  }
+  if (this->TryGrowBuffer(std::min(2 * current, this->MaxBufferBytes()))) {
+    aContinue();
+  } else {
+    this->RefuseForMemory();
+  }
+  return true;
+}
+
+bool
+CallerSession::TryHoldHead()
+{
+  const auto& request = this->parser->get();
+  std::size_t bytes = request.target().size();
+  for (const auto& field : request) {
+    bytes += field.name_string().size() + field.value().size() + kFieldBytes;
+  }
+  bytes *= kHeadCopies;
+  return this->headLease.TryResize(
+    bytes <= kIdleBufferBytes ? 0 : bytes - kIdleBufferBytes);
+}
+
 void
 CallerSession::OnIdleWaitEnded()
 {
@@ -156,7 +219,8 @@
     return;
   }
   this->bodyLease = std::make_shared<core::MemoryLease>(this->hooks->memory);
-  if (!this->bodyLease->TryResize(
+  if (!this->TryHoldHead() ||
+      !this->bodyLease->TryResize(
         static_cast<std::size_t>(this->parser->content_length().value_or(0)))) {
     this->RefuseForMemory();
     return;
@@ -190,13 +254,23 @@
     return;
   }
   this->parser->eager(true);
-  http::async_read_some(this->stream,
-                        this->buffer,
-                        *this->parser,
-                        [self = this->shared_from_this()](
-                          beast::error_code aReadError, std::size_t) {
-                          self->OnBodyPart(aReadError);
-                        });
+  // Long bodies are read in larger parts if there is memory for them.
+  if (this->buffer.max_size() < kReadChunkBytes &&
+      this->parser->content_length_remaining().value_or(kReadChunkBytes) >
+        kIdleBufferBytes &&
+      this->TryGrowBuffer(kReadChunkBytes)) {
+    this->buffer.reserve(kReadChunkBytes);
+  }
+  http::async_read_some(
+    this->stream,
+    this->buffer,
+    *this->parser,
+    [self = this->shared_from_this()](beast::error_code aReadError,
+                                      std::size_t) {
+      if (!self->GrowFullBuffer(aReadError, [self] { self->ReadBody(); })) {
+        self->OnBodyPart(aReadError);
+      }
+    });
 }
 
 void
@@ -391,10 +465,14 @@
 {
   // Closing a socket with unread bytes sends a reset, which can discard the
   // answer before the caller has read it.
+  this->buffer.clear();
+  this->buffer.shrink_to_fit();
+  this->buffer.max_size(kIdleBufferBytes);
+  this->bufferLease.TryResize(0);
+  this->headLease.TryResize(0);
   beast::error_code ignored;
   this->stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
   this->stream.expires_after(kDrainTimeout);
-  this->buffer.clear();
   this->DrainInput(0);
 }
 
@@ -405,7 +483,7 @@
     this->Close();
     return;
   }
-  this->stream.async_read_some(this->buffer.prepare(kReadChunkBytes),
+  this->stream.async_read_some(this->buffer.prepare(kIdleBufferBytes),
                                [self = this->shared_from_this(), aDrainedBytes](
                                  beast::error_code aError, std::size_t aCount) {
                                  if (aError) {
--- a/modules/gateway/CallerSession.h
+++ b/modules/gateway/CallerSession.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "configuration/CallerLimits.h"
+#include "core/MemoryLease.h"
 #include "gateway/CallAnswer.h"
 #include "gateway/CallRequest.h"
 #include "gateway/CallerDialect.h"
@@ -21,7 +22,6 @@
 
 namespace fireflytrail::core {
 class MemoryBudget;
-class MemoryLease;
 } // namespace fireflytrail::core
 
 namespace fireflytrail::gateway {
@@ -57,7 +57,8 @@
   /** Size limits of requests, and timeouts of requests and idle connections. */
   configuration::CallerLimits limits;
 
-  /** Bounds the bodies that all connections hold together; may be null. */
+  /** Bounds the bodies, heads and buffers that all connections hold together;
+   * may be null. */
   std::shared_ptr<core::MemoryBudget> memory;
 };
 
@@ -101,7 +102,24 @@
 
   void ReadHeader();
   void OnIdleWaitEnded();
+  void ReadHeaderPart();
   void OnHeader(boost::beast::error_code aError);
+  /** Returns the longest head and the bytes in front of the parser, in bytes.
+   */
+  std::size_t MaxBufferBytes() const;
+  /**
+   * Allows the buffer of received bytes to grow to `aBytes`; returns false if
+   * the memory that is left does not suffice.
+   */
+  bool TryGrowBuffer(std::size_t aBytes);
+  /**
+   * Continues with a larger buffer, or refuses the request; returns whether
+   * `aError` says that the buffer is full and may still grow.
+   */
+  bool GrowFullBuffer(boost::beast::error_code aError,
+                      const std::function<void()>& aContinue);
+  /** Takes the memory of the head's fields; returns false if it is not left. */
+  bool TryHoldHead();
   void ReadBody();
   void OnBodyPart(boost::beast::error_code aError);
   void OnRequest(boost::beast::error_code aError);
@@ -120,6 +138,10 @@
   boost::beast::tcp_stream stream;
   std::shared_ptr<const CallerSessionHooks> hooks;
   boost::beast::flat_buffer buffer;
+  /** Counts what the buffer may hold beyond that of an idle connection. */
+  core::MemoryLease bufferLease;
+  /** Counts the head from its arrival until the answer is written. */
+  core::MemoryLease headLease;
   std::optional<Parser> parser;
   /** Counts the body that is being read. */
   std::shared_ptr<core::MemoryLease> bodyLease;
--- a/modules/gateway/CallerSessionTest.cpp
+++ b/modules/gateway/CallerSessionTest.cpp
@@ -284,6 +284,41 @@
   BOOST_TEST(memory->Used() == 0U);
 }
 
+// Guards against heads and framing of many callers that together exceed the
+// memory of a host, and against refusals of small requests meanwhile.
+BOOST_AUTO_TEST_CASE(BuffersBeyondTheMemoryAreRefused)
+{
+  const std::string longHead =
+    "GET /s/a HTTP/1.1\r\nConnection: close\r\nX: " + std::string(12'000, 'x') +
+    "\r\n\r\n";
+  const std::string longLine = "POST /s/a HTTP/1.1\r\nConnection: close\r\n"
+                               "Transfer-Encoding: chunked\r\n\r\n1;" +
+                               std::string(20'000, 'x') + "\r\nb\r\n0\r\n\r\n";
+  EchoGateway gateway;
+  const auto memory = std::make_shared<core::MemoryBudget>(100'000);
+  gateway.Hooks().memory = memory;
+  {
+    core::MemoryLease other(memory, core::MemoryUse::Buffer);
+    BOOST_REQUIRE(other.TryResize(95'000));
+    for (const std::string& request : { longHead, longLine }) {
+      const std::string answer = gateway.Exchange(request, false);
+      BOOST_TEST(StatusLineOf(answer) == "HTTP/1.1 503 Service Unavailable");
+      BOOST_TEST(answer.find("Call-Outcome: not-run") != std::string::npos);
+    }
+    BOOST_TEST(gateway.calls.empty());
+    BOOST_TEST(StatusLineOf(gateway.Exchange(
+                 "GET /s/a HTTP/1.1\r\nConnection: close\r\n\r\n", false)) ==
+               "HTTP/1.1 200 OK");
+    BOOST_TEST(memory->Used() == 95'000U);
+  }
+  for (const std::string& request : { longHead, longLine }) {
+    BOOST_TEST(StatusLineOf(gateway.Exchange(request, false)) ==
+               "HTTP/1.1 200 OK");
+    gateway.calls.clear();
+  }
+  BOOST_TEST(memory->Used() == 0U);
+}
+
 // Guards against an incomplete request being run.
 BOOST_AUTO_TEST_CASE(IncompleteRequestsAreNotRun)
 {
--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -148,8 +148,9 @@
               [this](const routing::BackendInstance& aInstance) {
                 return this->PoolOf(aInstance);
               } }
-  , bodyMemory(
-      std::make_shared<core::MemoryBudget>(aSettings.BodyMemoryBytes()))
+  , bodyMemory(std::make_shared<core::MemoryBudget>(
+      aSettings.BodyMemoryBytes() + aSettings.BufferMemoryBytes(),
+      aSettings.BufferMemoryBytes()))
   , transport(this->context, SocketEndpoint(aSettings.store))
   , storeView(this->platform,
               aLog,
