Let small answers use the reserve of the memory

Seen: while 200 callers read answers of 4 MB slowly, 1 of 4 small requests of another caller was answered in its time. Cause: an answer that does not fit waits until others were delivered, a small one as well. Change: answers up to 16 KB may use the reserve of the memory, which bodies leave free. Test: SmallAnswerDoesNotWaitForLargeOnes, failed on the code before.

--- a/modules/gateway/ServerConnection.cpp
+++ b/modules/gateway/ServerConnection.cpp
@@ -47,6 +47,10 @@
 // tried again. Its server is slowed meanwhile, since nothing is read.
 constexpr auto kMemoryCheckInterval = 5ms;
 
+// Answers up to this size may use the reserve of the memory, so that they do
+// not wait for the callers of large ones.
+constexpr std::size_t kSmallAnswerBytes = std::size_t{ 16 } * 1024;
+
 // Buffer that an idle connection keeps, enough for most answers.
 constexpr std::size_t kMaxIdleBufferBytes = std::size_t{ 8 } * 1024;
 
@@ -262,7 +266,11 @@
   const std::size_t statedSize =
     static_cast<std::size_t>(std::min<std::uint64_t>(
       this->parser->content_length().value_or(0), kMaxAnswerBytes));
-  if (!this->answerLease->TryResize(std::max(size, statedSize))) {
+  const std::size_t needed = std::max(size, statedSize);
+  if (!this->answerLease->TryResize(needed,
+                                    needed <= kSmallAnswerBytes
+                                      ? core::MemoryUse::Buffer
+                                      : core::MemoryUse::Body)) {
     this->memoryTimer.expires_after(kMemoryCheckInterval);
     this->memoryTimer.async_wait(
       [self = this->shared_from_this(),
--- a/modules/gateway/ServerConnectionTest.cpp
+++ b/modules/gateway/ServerConnectionTest.cpp
@@ -443,3 +443,14 @@
     BOOST_TEST(memory->Used() == 0U);
   }
 }
+
+// Guards against small answers that wait until callers have read large ones.
+BOOST_AUTO_TEST_CASE(SmallAnswerDoesNotWaitForLargeOnes)
+{
+  const auto memory = std::make_shared<core::MemoryBudget>(100, 50);
+  core::MemoryLease large(memory);
+  BOOST_REQUIRE(large.TryResize(50));
+  ScriptedServer server({ { kAnswer } });
+  Client client(server.Endpoint(), ServerDialect::Native(), memory);
+  BOOST_TEST((client.Send(500ms).progress == AttemptProgress::Answered));
+}
