--- a/soak/DaemonProcess.h
+++ b/soak/DaemonProcess.h
@@ -29,6 +29,7 @@
     std::string domain;
     /** Address of the peer that the daemon contacts first. */
     std::string firstPeer;
+    std::string storeAddress = "127.0.0.1";
     std::uint16_t storePort = 0;
     /** First of four consecutive ports: for callers, for readiness, for
      * operators and for peers. */
@@ -39,6 +40,8 @@
     std::vector<std::string> environment;
     /** Whether the settings file is an argument of the program. */
     bool isFileAnArgument = true;
+    /** More settings: text that follows a comma, or empty. */
+    std::string moreSettings;
   };
 
   explicit DaemonProcess(Options aOptions);
@@ -62,6 +65,9 @@
    * this time. */
   bool WaitUntilExit(std::chrono::milliseconds aTime);
 
+  /** Returns the process id; 0 if no process is known to run. */
+  pid_t Pid() const { return this->pid; }
+
   /** Returns the exit code, or the negated signal number, of the last process
    * that has exited. */
   int ExitStatus() const { return this->exitStatus; }
