--- a/soak/Caller.cpp
+++ b/soak/Caller.cpp
@@ -6,12 +6,15 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 #include <fmt/format.h>
 
 #include <chrono>
+#include <limits>
+#include <sstream>
 #include <string_view>
 #include <utility>
 
@@ -27,7 +30,15 @@
 constexpr auto kRequestTimeout = 2000ms;
 constexpr auto kRequestInterval = 15ms;
 // Limited so that requests use both kept-alive and new connections.
-constexpr unsigned kMaxRequestsPerConnection = 20;
+constexpr unsigned kMaxRequestsOfBalanced = 20;
+// Pauses of callers that keep their connections: about one in `kPauseShare`
+// requests comes up to this time after the last one, so that some are on their
+// way while a daemon closes connections.
+constexpr unsigned kPauseShare = 8;
+constexpr unsigned kMaxPauseMs = 3000;
+// Time between the parts of a body, and time until a caller leaves.
+constexpr unsigned kMaxBodyPauseMs = 1500;
+constexpr unsigned kMaxLeaveMs = 40;
 
 RequestHistory::Outcome
 OutcomeOf(unsigned aStatus)
@@ -50,10 +61,12 @@
 Caller::Caller(asio::io_context& aContext,
                RequestHistory& aHistory,
                Hooks aHooks,
+               Kind aKind,
                std::uint64_t aSeed)
   : context(aContext)
   , history(aHistory)
   , hooks(std::move(aHooks))
+  , kind(aKind)
   , random(aSeed)
   , idPrefix(aSeed & 0xffffffU)
 {
@@ -63,14 +76,83 @@
 Caller::Run()
 {
   while (!this->hooks.isOver()) {
-    if (const auto daemon = this->hooks.daemon()) {
+    if (const auto daemon = this->hooks.daemon(this->kind == Kind::Balanced)) {
       co_await this->UseConnection(*daemon);
     }
-    asio::steady_timer pause(this->context, kRequestInterval);
-    co_await pause.async_wait(asio::use_awaitable);
+    co_await this->Wait(kRequestInterval);
   }
 }
 
+std::chrono::milliseconds
+Caller::NextPause()
+{
+  return this->kind == Kind::Keeping && this->random() % kPauseShare == 0
+           ? std::chrono::milliseconds(this->random() % kMaxPauseMs)
+           : kRequestInterval;
+}
+
+unsigned
+Caller::MaxRequestsPerConnection() const
+{
+  switch (this->kind) {
+    case Kind::Balanced:
+      return kMaxRequestsOfBalanced;
+    case Kind::Keeping:
+      return std::numeric_limits<unsigned>::max();
+    default:
+      return 1;
+  }
+}
+
+HttpRequest
+Caller::MakeRequest(const std::string& aId)
+{
+  const bool isAtMostOnce = this->random() % 2 == 0;
+  const bool isForSecond = isAtMostOnce && this->random() % 3 == 0;
+  const std::string_view prefix = isForSecond    ? kSecondServicePrefix
+                                  : isAtMostOnce ? "/once/"
+                                                 : "/any/";
+  HttpRequest request;
+  request.method(isAtMostOnce ? http::verb::post : http::verb::get);
+  request.target(fmt::format("{}{}", prefix, aId));
+  request.set(http::field::host, "soak.example");
+  request.set("X-Request-Id", aId);
+  request.set("X-Request-Timeout-Ms", std::to_string(kRequestTimeout.count()));
+  request.body() = isAtMostOnce ? std::string(this->random() % 3000, 'x') : "";
+  request.prepare_payload();
+  return request;
+}
+
+asio::awaitable<boost::system::error_code>
+Caller::Send(boost::beast::tcp_stream& aStream, const HttpRequest& aRequest)
+{
+  std::ostringstream serialized;
+  serialized << aRequest;
+  const std::string text = serialized.str();
+  boost::system::error_code error;
+  const bool isSplit = this->kind == Kind::SlowBody && !aRequest.body().empty();
+  const std::size_t firstBytes =
+    isSplit ? text.size() - aRequest.body().size() / 2 : text.size();
+  co_await asio::async_write(aStream,
+                             asio::buffer(text.data(), firstBytes),
+                             asio::redirect_error(asio::use_awaitable, error));
+  if (!error && isSplit) {
+    co_await this->Wait(
+      std::chrono::milliseconds(this->random() % kMaxBodyPauseMs));
+    co_await asio::async_write(
+      aStream,
+      asio::buffer(text.data() + firstBytes, text.size() - firstBytes),
+      asio::redirect_error(asio::use_awaitable, error));
+    // The daemon may have responded already, so the response is read anyway.
+    error = {};
+  }
+  if (!error && this->kind == Kind::HalfClosing) {
+    aStream.socket().shutdown(tcp::socket::shutdown_send, error);
+    error = {};
+  }
+  co_return error;
+}
+
 asio::awaitable<void>
 Caller::UseConnection(tcp::endpoint aDaemon)
 {
@@ -80,35 +162,31 @@
   co_await stream.async_connect(
     aDaemon, asio::redirect_error(asio::use_awaitable, error));
   boost::beast::flat_buffer buffer;
-  for (unsigned index = 0;
-       !error && index < kMaxRequestsPerConnection && !this->hooks.isOver();
+  for (unsigned index = 0; !error && index < this->MaxRequestsPerConnection() &&
+                           !this->hooks.isOver();
        ++index) {
     const std::string id =
       fmt::format("{:06x}{:08x}", this->idPrefix, ++this->count);
-    const bool isAtMostOnce = this->random() % 2 == 0;
-    HttpRequest request;
-    request.method(isAtMostOnce ? http::verb::post : http::verb::get);
-    const bool isForSecond = isAtMostOnce && this->random() % 3 == 0;
-    const std::string_view prefix = isForSecond    ? kSecondServicePrefix
-                                    : isAtMostOnce ? "/once/"
-                                                   : "/any/";
-    request.target(fmt::format("{}{}", prefix, id));
-    request.set(http::field::host, "soak.example");
-    request.set("X-Request-Id", id);
-    request.set("X-Request-Timeout-Ms",
-                std::to_string(kRequestTimeout.count()));
-    request.body() =
-      isAtMostOnce ? std::string(this->random() % 3000, 'x') : "";
-    request.prepare_payload();
-    this->history.RecordSend(id, isAtMostOnce);
+    const HttpRequest request = this->MakeRequest(id);
+    const bool isAtMostOnce = request.method() == http::verb::post;
+    this->history.RecordSend(id, isAtMostOnce, aDaemon.address().to_string());
+    const auto sentAt = std::chrono::steady_clock::now();
     // 1 s longer than the timeout sent to the daemon, so that the daemon's own
     // timeout response still arrives.
-    stream.expires_after(kRequestTimeout + 1s);
-    co_await http::async_write(
-      stream, request, asio::redirect_error(asio::use_awaitable, error));
-    const bool isSent = !error;
+    stream.expires_after(kRequestTimeout + 1s +
+                         std::chrono::milliseconds(
+                           this->kind == Kind::SlowBody ? kMaxBodyPauseMs : 0));
+    error = co_await this->Send(stream, request);
+    if (!error && this->kind == Kind::Leaving && this->random() % 2 == 0) {
+      co_await this->Wait(
+        std::chrono::milliseconds(this->random() % kMaxLeaveMs));
+      stream.socket().set_option(
+        asio::socket_base::linger(this->random() % 2 == 0, 0), error);
+      this->history.RecordOutcome(id, RequestHistory::Outcome::Abandoned);
+      break;
+    }
     HttpResponse response;
-    if (isSent) {
+    if (!error) {
       co_await http::async_read(
         stream,
         buffer,
@@ -117,16 +195,16 @@
     }
     if (error) {
       this->history.RecordOutcome(id, RequestHistory::Outcome::ConnectionLost);
-      // The daemon may close a kept-alive connection just as the next request
-      // is sent. This is no fault, so only a connection that is lost during its
-      // first request is reported.
-      if (isSent && index == 0) {
-        this->hooks.onConnectionLost(aDaemon, id);
-      }
+      this->hooks.onRequestLost({ .id = id,
+                                  .daemon = aDaemon,
+                                  .sentAt = sentAt,
+                                  .endedAt = std::chrono::steady_clock::now(),
+                                  .isFirst = index == 0,
+                                  .error = error.message() });
       break;
     }
     this->history.RecordOutcome(id, OutcomeOf(response.result_int()));
-    this->hooks.onResponse(aDaemon, response.result_int());
+    this->hooks.onResponse(id, response.result_int());
     const std::string expected = fmt::format(
       "{} {} {}", id, std::string(request.target()), request.body());
     if (response.result() == http::status::ok &&
@@ -138,9 +216,15 @@
     if (!response.keep_alive()) {
       break;
     }
-    asio::steady_timer pause(this->context, kRequestInterval);
-    co_await pause.async_wait(asio::use_awaitable);
+    co_await this->Wait(this->NextPause());
   }
 }
 
+asio::awaitable<void>
+Caller::Wait(std::chrono::milliseconds aTime)
+{
+  asio::steady_timer timer(this->context, aTime);
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
 } // namespace fireflytrail::soak
--- a/soak/Caller.h
+++ b/soak/Caller.h
@@ -1,11 +1,13 @@
 #pragma once
 
+#include "soak/HttpService.h"
 #include "soak/RequestHistory.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <optional>
@@ -15,26 +17,56 @@
 namespace fireflytrail::soak {
 
 /**
- * A caller that sends requests one at a time, reuses each connection while
- * keep-alive permits, and checks each response. Use it only on the context's
- * thread.
+ * A caller that sends requests one at a time and checks each response. Use it
+ * only on the context's thread.
  */
 class Caller
 {
 public:
+  /** How a caller chooses its daemons and uses its connections. */
+  enum class Kind : std::uint8_t
+  {
+    /** Uses daemons that are ready, as behind a balancer, and several requests
+     * on each connection. */
+    Balanced,
+    /** Uses any daemon that accepts, and each connection until the daemon
+     * closes it, at times after a pause. */
+    Keeping,
+    /** Opens a connection to any daemon that accepts for each request. */
+    Reconnecting,
+    /** As `Reconnecting`, and sends the body in two parts. */
+    SlowBody,
+    /** As `Reconnecting`, and at times closes the connection before the
+     * response. */
+    Leaving,
+    /** As `Reconnecting`, and closes its sending half after the request. */
+    HalfClosing,
+  };
+
+  /** A request whose connection ended without a complete response. */
+  struct LostRequest
+  {
+    std::string id;
+    boost::asio::ip::tcp::endpoint daemon;
+    std::chrono::steady_clock::time_point sentAt;
+    std::chrono::steady_clock::time_point endedAt;
+    /** Whether the connection had carried no request before. */
+    bool isFirst = false;
+    std::string error;
+  };
+
   /** Callbacks of a caller. All functions must be set. */
   struct Hooks
   {
-    /** Returns a daemon that accepts new connections, if there is one. */
-    std::function<std::optional<boost::asio::ip::tcp::endpoint>()> daemon;
-    /** Called when the first request on a connection was sent completely and
-     * the connection ended without a complete response. */
-    std::function<void(const boost::asio::ip::tcp::endpoint&,
-                       const std::string& aId)>
-      onConnectionLost;
+    /** Returns a daemon; `aMustBeReady` if it must accept new connections. */
+    std::function<std::optional<boost::asio::ip::tcp::endpoint>(
+      bool aMustBeReady)>
+      daemon;
+    /** Called when the connection of a request that was sent ended without a
+     * complete response. */
+    std::function<void(const LostRequest&)> onRequestLost;
     /** Called with the status of each complete response. */
-    std::function<void(const boost::asio::ip::tcp::endpoint&, unsigned aStatus)>
-      onResponse;
+    std::function<void(const std::string& aId, unsigned aStatus)> onResponse;
     /** Returns true when the caller must stop sending. */
     std::function<bool()> isOver;
   };
@@ -42,6 +74,7 @@
   Caller(boost::asio::io_context& aContext,
          RequestHistory& aHistory,
          Hooks aHooks,
+         Kind aKind,
          std::uint64_t aSeed);
   Caller(const Caller&) = delete;
   Caller& operator=(const Caller&) = delete;
@@ -55,10 +88,20 @@
    * number of requests. */
   boost::asio::awaitable<void> UseConnection(
     boost::asio::ip::tcp::endpoint aDaemon);
+  HttpRequest MakeRequest(const std::string& aId);
+  /** Sends a request in the way of the caller's kind; returns the error. */
+  boost::asio::awaitable<boost::system::error_code> Send(
+    boost::beast::tcp_stream& aStream,
+    const HttpRequest& aRequest);
+  boost::asio::awaitable<void> Wait(std::chrono::milliseconds aTime);
+  /** Returns the time until the next request on a connection. */
+  std::chrono::milliseconds NextPause();
+  unsigned MaxRequestsPerConnection() const;
 
   boost::asio::io_context& context;
   RequestHistory& history;
   Hooks hooks;
+  Kind kind;
   std::mt19937_64 random;
   /** Makes the request ids of this caller distinct from those of others. */
   std::uint64_t idPrefix;
--- a/soak/DaemonProcess.cpp
+++ b/soak/DaemonProcess.cpp
@@ -1,10 +1,13 @@
 #include "soak/DaemonProcess.h"
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <array>
 #include <cassert>
 #include <csignal>
+#include <deque>
+#include <filesystem>
 #include <fstream>
 #include <stdexcept>
 #include <utility>
@@ -21,7 +24,7 @@
 DaemonProcess::DaemonProcess(Options aOptions)
   : options(std::move(aOptions))
 {
-  this->WriteSettings();
+  this->ReplaceSettings({});
 }
 
 DaemonProcess::~DaemonProcess()
@@ -37,10 +40,10 @@
 DaemonProcess::Start()
 {
   assert(this->pid == 0);
-  std::string settings =
-    fmt::format("{}/{}.json", this->options.folder, this->options.address);
-  const std::string log =
-    fmt::format("{}/{}.log", this->options.folder, this->options.address);
+  this->stopRequestedAt.reset();
+  this->wasKilled = false;
+  std::string settings = this->SettingsPath();
+  const std::string log = this->LogPath();
   std::string subcommand = "proxy";
   std::array<char*, 4> arguments{
     this->options.program.data(), subcommand.data(), settings.data(), nullptr
@@ -71,9 +74,21 @@
 void
 DaemonProcess::SendSignal(int aSignal)
 {
-  if (this->IsRunning()) {
-    kill(this->pid, aSignal);
+  if (!this->IsRunning()) {
+    return;
+  }
+  if (aSignal == SIGTERM && !this->stopRequestedAt) {
+    this->stopRequestedAt = std::chrono::steady_clock::now();
   }
+  this->wasKilled = this->wasKilled || aSignal == SIGKILL;
+  kill(this->pid, aSignal);
+}
+
+bool
+DaemonProcess::IsExitAsRequested() const
+{
+  return (this->exitStatus == 0 && this->stopRequestedAt) ||
+         (this->exitStatus == -SIGKILL && this->wasKilled);
 }
 
 bool
@@ -106,32 +121,74 @@
            static_cast<std::uint16_t>(this->options.basePort + 1) };
 }
 
+std::string
+DaemonProcess::SettingsPath() const
+{
+  return fmt::format("{}/{}.json", this->options.folder, this->options.address);
+}
+
+std::string
+DaemonProcess::LogPath() const
+{
+  return fmt::format("{}/{}.log", this->options.folder, this->options.address);
+}
+
+std::string
+DaemonProcess::LogTail() const
+{
+  constexpr std::size_t kLines = 8;
+  std::ifstream file(this->LogPath());
+  std::deque<std::string> lines;
+  for (std::string line; std::getline(file, line);) {
+    lines.push_back("    " + line);
+    if (lines.size() > kLines) {
+      lines.pop_front();
+    }
+  }
+  return fmt::format("{}", fmt::join(lines, "\n"));
+}
+
 void
-DaemonProcess::WriteSettings() const
+DaemonProcess::ReplaceSettings(const Reloadable& aSettings) const
+{
+  const std::string temporaryPath = this->SettingsPath() + ".new";
+  std::ofstream(temporaryPath) << this->SettingsText(aSettings);
+  std::filesystem::rename(temporaryPath, this->SettingsPath());
+}
+
+void
+DaemonProcess::TruncateSettings() const
+{
+  const std::string text = this->SettingsText({});
+  std::ofstream(this->SettingsPath()) << text.substr(0, text.size() / 2);
+}
+
+std::string
+DaemonProcess::SettingsText(const Reloadable& aSettings) const
 {
   const auto endpointText = [this](int aOffset) {
     return fmt::format(
       "{}:{}", this->options.address, this->options.basePort + aOffset);
   };
-  std::ofstream file(
-    fmt::format("{}/{}.json", this->options.folder, this->options.address));
-  file << fmt::format(R"({{
+  return fmt::format(R"({{
   "name": "{}", "failure_domain": "{}", "store": "127.0.0.1:{}",
   "listen": "{}", "ready_listen": "{}", "operator_listen": "{}",
   "peer_listen": "{}", "first_peers": ["{}:{}"],
-  "stop_limit_ms": 6000, "retry_ratio": 0.2, "free_retries": 64,
-  "trial_share": 0.1
+  "stop_limit_ms": 6000, "retry_ratio": 0.2, "free_retries": {},
+  "trial_share": 0.1, "expected_hosts": {}
 }}
 )",
-                      this->options.address,
-                      this->options.domain,
-                      this->options.storePort,
-                      endpointText(0),
-                      endpointText(1),
-                      endpointText(2),
-                      endpointText(3),
-                      this->options.firstPeer,
-                      this->options.basePort + 3);
+                     this->options.address,
+                     this->options.domain,
+                     this->options.storePort,
+                     endpointText(0),
+                     endpointText(1),
+                     endpointText(2),
+                     endpointText(3),
+                     this->options.firstPeer,
+                     this->options.basePort + 3,
+                     aSettings.freeRetries,
+                     aSettings.expectedHosts);
 }
 
 } // namespace fireflytrail::soak
--- a/soak/DaemonProcess.h
+++ b/soak/DaemonProcess.h
@@ -4,6 +4,7 @@
 
 #include <chrono>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 #include <sys/types.h>
@@ -45,7 +46,39 @@
    * started. */
   void Start();
 
-  /** Sends a signal if the process is running. */
+  /** Returns when the running or last process was first told to stop. */
+  std::optional<std::chrono::steady_clock::time_point> StopRequestedAt() const
+  {
+    return this->stopRequestedAt;
+  }
+
+  /** Returns whether `SendSignal` has killed the running or last process. */
+  bool WasKilled() const { return this->wasKilled; }
+
+  /** Returns whether the last process exited as the signals that were sent ask
+   * for: with status 0 after SIGTERM, or by SIGKILL. Call only after
+   * `IsRunning` has returned false. */
+  bool IsExitAsRequested() const;
+
+  /** Settings that a running daemon applies. */
+  struct Reloadable
+  {
+    unsigned freeRetries = 64;
+    unsigned expectedHosts = 19;
+  };
+
+  /** Replaces the settings file at once; a running daemon isn't told. */
+  void ReplaceSettings(const Reloadable& aSettings) const;
+
+  /** Truncates the settings file and writes the first half of its content;
+   * `ReplaceSettings` completes it. */
+  void TruncateSettings() const;
+
+  /** Returns the last lines of the log of all processes of this host. */
+  std::string LogTail() const;
+
+  /** Sends a signal if the process is running, and remembers it for
+   * `IsExitAsRequested`. */
   void SendSignal(int aSignal);
 
   /** Returns whether the process is still running; reaps it if it has exited.
@@ -56,15 +89,24 @@
    * that has exited. */
   int ExitStatus() const { return this->exitStatus; }
 
+  /** Returns the address of the host. */
+  const std::string& Address() const { return this->options.address; }
+
+  const Options& StartOptions() const { return this->options; }
+
   boost::asio::ip::tcp::endpoint CallerEndpoint() const;
   boost::asio::ip::tcp::endpoint ReadyEndpoint() const;
 
 private:
-  void WriteSettings() const;
+  std::string SettingsText(const Reloadable& aSettings) const;
+  std::string SettingsPath() const;
+  std::string LogPath() const;
 
   Options options;
   pid_t pid = 0;
   int exitStatus = 0;
+  std::optional<std::chrono::steady_clock::time_point> stopRequestedAt;
+  bool wasKilled = false;
 };
 
 } // namespace fireflytrail::soak
--- a/soak/RequestHistory.cpp
+++ b/soak/RequestHistory.cpp
@@ -8,15 +8,48 @@
 namespace fireflytrail::soak {
 
 void
-RequestHistory::RecordSend(const std::string& aId, bool aIsAtMostOnce)
+RequestHistory::RecordSend(const std::string& aId,
+                           bool aIsAtMostOnce,
+                           const std::string& aDaemon)
 {
-  this->requests[aId].isAtMostOnce = aIsAtMostOnce;
+  Request& request = this->requests[aId];
+  request.isAtMostOnce = aIsAtMostOnce;
+  request.daemon = aDaemon;
+}
+
+void
+RequestHistory::RecordArrival(const std::string& aId,
+                              const std::string& aServer)
+{
+  // `RecordRun` reports ids that no caller has sent.
+  const auto found = this->requests.find(aId);
+  if (found != this->requests.end()) {
+    found->second.servers.push_back(aServer);
+  }
+}
+
+std::string
+RequestHistory::DaemonOf(const std::string& aId) const
+{
+  if (aId.starts_with(kProbePrefix)) {
+    return aId.substr(kProbePrefix.size());
+  }
+  const auto found = this->requests.find(aId);
+  return found == this->requests.end() ? std::string() : found->second.daemon;
+}
+
+std::vector<std::string>
+RequestHistory::ServersOf(const std::string& aId) const
+{
+  const auto found = this->requests.find(aId);
+  return found == this->requests.end() ? std::vector<std::string>()
+                                       : found->second.servers;
 }
 
 void
 RequestHistory::RecordRun(const std::string& aId)
 {
-  if (aId == kProbeId) {
+  if (aId.starts_with(kProbePrefix)) {
     return;
   }
   const auto found = this->requests.find(aId);
--- a/soak/RequestHistory.h
+++ b/soak/RequestHistory.h
@@ -1,9 +1,9 @@
 #pragma once
 
-#include <chrono>
 #include <cstdint>
 #include <map>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace fireflytrail::soak {
@@ -27,19 +27,35 @@
     Failure,
     /** The connection ended without a complete response. */
     ConnectionLost,
+    /** The caller closed its connection before the response. */
+    Abandoned,
   };
 
-  /** Id of requests that are sent only to read the status of the response. */
-  static constexpr const char* kProbeId = "probe";
+  /** Prefix of the ids of requests that are sent only to read the status of
+   * the response; the address of the daemon follows. */
+  static constexpr std::string_view kProbePrefix = "probe-";
 
-  /** Records that a caller sends a request; `aIsAtMostOnce` if it must not run
-   * more than once. */
-  void RecordSend(const std::string& aId, bool aIsAtMostOnce);
+  /** Records that a caller sends a request to the daemon at `aDaemon`;
+   * `aIsAtMostOnce` if it must not run more than once. */
+  void RecordSend(const std::string& aId,
+                  bool aIsAtMostOnce,
+                  const std::string& aDaemon);
 
-  /** Records that a server starts to run a request. Ignores `kProbeId`; reports
-   * an id that no caller has sent. */
+  /** Records that a request has been passed on to a server, whether or not the
+   * server runs it. */
+  void RecordArrival(const std::string& aId, const std::string& aServer);
+
+  /** Records that a server starts to run a request. Ignores probes; reports an
+   * id that no caller has sent. */
   void RecordRun(const std::string& aId);
 
+  /** Returns the address of the daemon to which a request was sent; empty if no
+   * caller has sent it. */
+  std::string DaemonOf(const std::string& aId) const;
+
+  /** Returns the ids of the servers to which a request has been passed on. */
+  std::vector<std::string> ServersOf(const std::string& aId) const;
+
   /** Records how a request that was sent ended for its caller. */
   void RecordOutcome(const std::string& aId, Outcome aOutcome);
 
@@ -63,6 +79,8 @@
   struct Request
   {
     bool isAtMostOnce = false;
+    std::string daemon;
+    std::vector<std::string> servers;
     /** Number of times that servers started to run the request. */
     unsigned runs = 0;
     Outcome outcome = Outcome::Open;
--- a/soak/Server.cpp
+++ b/soak/Server.cpp
@@ -82,10 +82,19 @@
 }
 
 void
-Server::Drain(std::chrono::steady_clock::time_point aDeadline)
+Server::Drain(std::chrono::steady_clock::time_point aDeadline,
+              ExcuseFunction aIsExcused)
 {
   this->isDraining = true;
+  this->LeaveSilently(aDeadline, std::move(aIsExcused));
+}
+
+void
+Server::LeaveSilently(std::chrono::steady_clock::time_point aDeadline,
+                      ExcuseFunction aIsExcused)
+{
   this->drainDeadline = aDeadline;
+  this->isLateExcused = std::move(aIsExcused);
 }
 
 json::value
@@ -118,17 +127,24 @@
   }
   const std::string requestId(aRequest["X-Request-Id"]);
   response.set("X-Request-Id", requestId);
+  this->history.RecordArrival(requestId, this->id);
   if (aRequest["X-Target-Instance"] != this->id) {
     response.result(421U);
     response.set("X-Not-Executed", "1");
     co_return response;
   }
   if (this->drainDeadline &&
-      std::chrono::steady_clock::now() > *this->drainDeadline) {
-    this->history.ReportViolation(
-      fmt::format("request {} reached draining server {} after its deadline",
-                  requestId,
-                  this->id));
+      std::chrono::steady_clock::now() > *this->drainDeadline &&
+      !this->isLateExcused(requestId)) {
+    this->history.ReportViolation(fmt::format(
+      "request {} by daemon {} reached leaving server {} {} ms after "
+      "its deadline",
+      requestId,
+      this->history.DaemonOf(requestId),
+      this->id,
+      std::chrono::duration_cast<std::chrono::milliseconds>(
+        std::chrono::steady_clock::now() - *this->drainDeadline)
+        .count()));
   }
   this->CheckNotices(requestId);
   const auto pause = std::chrono::duration<double>(
@@ -178,7 +194,7 @@
 bool
 Server::IsUnrestricted() const
 {
-  return this->isUp && !this->isDraining && !this->limit &&
+  return this->isUp && !this->IsLeaving() && !this->limit &&
          std::chrono::steady_clock::now() >= this->pausedUntil;
 }
 
--- a/soak/Server.h
+++ b/soak/Server.h
@@ -9,6 +9,7 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <random>
@@ -52,12 +53,20 @@
   /** Sets the factor by which the service time is multiplied. */
   void SetSlowdown(unsigned aFactor) { this->slowdown = aFactor; }
 
-  /** Starts draining. A request that arrives after `aDeadline` is a violation.
-   * This changes `Registration`, which must then be written to the store. */
-  void Drain(std::chrono::steady_clock::time_point aDeadline);
+  /** Returns whether a request that arrives at a leaving server after its
+   * deadline is excused. */
+  using ExcuseFunction = std::function<bool(const std::string& aRequestId)>;
 
-  /** Removes the deadline of `Drain`; call if a fault may delay the daemons. */
-  void WaiveDrainDeadline() { this->drainDeadline.reset(); }
+  /** Starts draining. A request that arrives after `aDeadline` is a violation
+   * unless `aIsExcused` returns true. This changes `Registration`, which must
+   * then be written to the store. */
+  void Drain(std::chrono::steady_clock::time_point aDeadline,
+             ExcuseFunction aIsExcused);
+
+  /** As `Drain`, but the server reports nothing: its object is removed from the
+   * store while it serves on. */
+  void LeaveSilently(std::chrono::steady_clock::time_point aDeadline,
+                     ExcuseFunction aIsExcused);
 
   /**
    * Names a limit, in requests a second from all daemons together, in all
@@ -85,6 +94,9 @@
   /** Returns the number of requests that this object has started to run. */
   std::size_t RunCount() const { return this->runCount; }
 
+  /** Whether it is leaving: reported or silently. */
+  bool IsLeaving() const { return this->drainDeadline.has_value(); }
+
   /** Whether it takes requests without a limit of its own, now. */
   bool IsUnrestricted() const;
 
@@ -118,6 +130,7 @@
    * gets no response. */
   unsigned generation = 0;
   std::optional<std::chrono::steady_clock::time_point> drainDeadline;
+  ExcuseFunction isLateExcused;
   bool isDraining = false;
   std::optional<double> limit;
   /** Time from which the limit and the pause are checked. */
--- a/soak/Soak.cpp
+++ b/soak/Soak.cpp
@@ -55,6 +55,22 @@
 // violations that it may cause are not reported.
 constexpr auto kGraceTime = 3s;
 
+// Time limit of the platform for a stop, plus the allowance below.
+constexpr auto kStopLimit = 6250ms;
+// Time within which a daemon may close a connection that a request crosses, and
+// time after which the servers have recorded each request.
+constexpr auto kCrossingTime = 200ms;
+constexpr auto kRecordingTime = 500ms;
+// Callers of a daemon that stops, besides the others.
+constexpr unsigned kCallersOfStop = 8;
+constexpr unsigned kMaxEarlySignalMs = 20;
+constexpr unsigned kMaxStopSignalMs = 5000;
+constexpr unsigned kMaxRewriteMs = 300;
+constexpr unsigned kMaxSeriesStepMs = 700;
+// Servers that left before a loss of power serve on until the daemons have been
+// back for a while.
+constexpr auto kEndDelayAfterPowerLoss = 12s;
+
 // Time limits of the platform for draining servers and for new configurations,
 // plus an allowance for scheduling delays of the test machine. `kRemovalDelay`
 // is the time from the start of draining to the end of the server.
@@ -80,7 +96,10 @@
     aServer, asio::redirect_error(asio::use_awaitable, error));
   HttpRequest request(http::verb::get, aTarget, 11);
   request.set(http::field::host, "soak.example");
-  request.set("X-Request-Id", RequestHistory::kProbeId);
+  request.set("X-Request-Id",
+              fmt::format("{}{}",
+                          RequestHistory::kProbePrefix,
+                          aServer.address().to_string()));
   request.set("X-Request-Timeout-Ms", std::to_string(aTimeLimit.count()));
   HttpResponse response;
   response.result(0U);
@@ -126,11 +145,30 @@
   std::unique_ptr<DaemonProcess> process;
   /** Proxy between the daemon and the store. */
   std::shared_ptr<FaultLink> link;
+  /** Earlier processes at the same address that are still stopping. */
+  std::vector<std::unique_ptr<DaemonProcess>> predecessors;
+  /** Signals for the next process, with the times from its start. */
+  std::vector<std::pair<milliseconds, int>> earlySignals;
   bool isReady = false;
-  /** Whether the soak has stopped or killed the process. */
-  bool isExitExpected = false;
   TimePoint startedAt{};
-  TimePoint graceUntil{};
+  TimePoint pausedUntil{};
+  /** Requests sent before this time may be lost: the daemon was killed or
+   * paused. */
+  TimePoint disruptedUntil{};
+  /** Before this time the daemon, or its way to the store, was disrupted. */
+  TimePoint inTouchFrom{};
+
+  /** Whether a process was told to stop and its successor isn't started. */
+  bool IsStopping() const
+  {
+    return this->process->StopRequestedAt() || this->process->WasKilled();
+  }
+
+  void Disrupt(TimePoint aUntil)
+  {
+    this->disruptedUntil = std::max(this->disruptedUntil, aUntil);
+    this->inTouchFrom = std::max(this->inTouchFrom, aUntil);
+  }
 };
 
 Soak::Soak(SoakPlan aPlan, std::function<void(const std::string&)> aLog)
@@ -172,8 +210,7 @@
       .storePort = host->link->Port(),
       .basePort = this->plan.basePort,
       .hosts = this->plan.daemons });
-    host->process->Start();
-    host->startedAt = std::chrono::steady_clock::now();
+    this->StartDaemon(*host);
     this->hosts.push_back(std::move(host));
   }
   const auto spawn = [this](auto aFunction) {
@@ -194,26 +231,25 @@
 {
   co_await this->Wait(kStartupTime);
   for (unsigned index = 0; index < this->plan.callers; ++index) {
-    this->callers.push_back(std::make_unique<Caller>(
-      this->context,
-      this->history,
-      Caller::Hooks{
-        .daemon = [this]() -> std::optional<tcp::endpoint> {
-          Host& host = this->RandomHost();
-          return host.isReady ? std::optional(host.process->CallerEndpoint())
-                              : std::nullopt;
-        },
-        .onConnectionLost =
-          [this](const tcp::endpoint& aDaemon, const std::string& aId) {
-            this->OnConnectionLost(aDaemon, aId);
-          },
-        .onResponse = [](const tcp::endpoint&, unsigned) {},
-        .isOver = [this] { return this->isOver; } },
-      this->random()));
-    asio::co_spawn(
-      this->context,
-      [caller = this->callers.back().get()] { return caller->Run(); },
-      asio::detached);
+    constexpr std::array kKinds = {
+      Caller::Kind::Balanced,     Caller::Kind::Keeping,
+      Caller::Kind::Reconnecting, Caller::Kind::SlowBody,
+      Caller::Kind::Balanced,     Caller::Kind::Keeping,
+      Caller::Kind::HalfClosing,  Caller::Kind::Leaving
+    };
+    Caller::Kind kind = kKinds[index % kKinds.size()];
+    if (kind == Caller::Kind::HalfClosing && !this->plan.hasHalfClosing) {
+      kind = Caller::Kind::Reconnecting;
+    }
+    this->StartCaller(
+      kind,
+      [this](bool aMustBeReady) -> std::optional<tcp::endpoint> {
+        Host& host = this->RandomHost();
+        return host.isReady || !aMustBeReady
+                 ? std::optional(host.process->CallerEndpoint())
+                 : std::nullopt;
+      },
+      [this] { return this->isOver; });
   }
   co_await this->InjectFaults();
   std::vector<std::size_t> runsBefore;
@@ -265,26 +301,7 @@
   while (std::chrono::steady_clock::now() < end) {
     const auto elapsed = std::chrono::steady_clock::now() - begin;
     if (elapsed / kPhaseTime % 2 == 0) {
-      switch (this->RandomBelow(6)) {
-        case 0:
-          this->StopGracefully(this->RandomHost());
-          break;
-        case 4:
-          this->LimitServer(this->RandomServer());
-          break;
-        case 5:
-          this->PauseServer(this->RandomServer());
-          break;
-        case 1:
-          this->DrainServer(this->RandomServer());
-          break;
-        case 2:
-          this->RandomHost().process->SendSignal(SIGHUP);
-          break;
-        default:
-          this->ChangeConfiguration();
-          break;
-      }
+      this->InjectPlannedOperation();
     } else {
       this->InjectRandomFault();
     }
@@ -292,10 +309,45 @@
   }
 }
 
+void
+Soak::InjectPlannedOperation()
+{
+  switch (this->RandomBelow(10)) {
+    case 0:
+      this->StopGracefully(this->RandomHost());
+      break;
+    case 1:
+      this->DrainServer(this->RandomServer(), kRemovalDelay);
+      break;
+    case 2:
+      this->SignalTwice(this->RandomHost());
+      break;
+    case 3:
+      this->LimitServer(this->RandomServer());
+      break;
+    case 4:
+      this->PauseServer(this->RandomServer());
+      break;
+    case 5:
+      this->StopInSeries();
+      break;
+    case 6:
+      this->StopAndSignalSuccessor(this->RandomHost());
+      break;
+    case 7:
+    case 8:
+      this->ChangeSettings(this->RandomHost());
+      break;
+    default:
+      this->ChangeConfiguration();
+      break;
+  }
+}
+
 void
 Soak::InjectRandomFault()
 {
-  switch (this->RandomBelow(4)) {
+  switch (this->RandomBelow(6)) {
     case 0:
       this->InjectStoreFault();
       break;
@@ -305,9 +357,18 @@
     case 2:
       this->InjectDaemonFault();
       break;
-    default:
+    case 3:
       this->ChangeConfiguration();
       break;
+    case 4:
+      if (this->RandomBelow(3) == 0) {
+        this->LosePower();
+        break;
+      }
+      [[fallthrough]];
+    default:
+      this->InjectPlannedOperation();
+      break;
   }
 }
 
@@ -315,8 +376,11 @@
 Soak::InjectStoreFault()
 {
   const milliseconds duration(500 + this->RandomBelow(2000));
-  this->ExtendGracePeriod(duration);
-  FaultLink& link = *this->RandomHost().link;
+  this->WaiveNotices(duration);
+  const TimePoint disruptedUntil =
+    std::chrono::steady_clock::now() + duration + kGraceTime;
+  Host& host = this->RandomHost();
+  FaultLink& link = *host.link;
   const std::uint64_t kind = this->RandomBelow(7);
   this->log(fmt::format("store fault {} for {} ms", kind, duration.count()));
   switch (kind) {
@@ -326,6 +390,8 @@
       constexpr std::array kModes = { ObjectStore::Mode::Refusing,
                                       ObjectStore::Mode::Silent,
                                       ObjectStore::Mode::LosingAnswers };
+      this->storeDisruptedUntil =
+        std::max(this->storeDisruptedUntil, disruptedUntil);
       this->store.SetMode(kModes[kind]);
       this->RunAfter(
         duration, [this] { this->store.SetMode(ObjectStore::Mode::Normal); });
@@ -335,9 +401,11 @@
       this->store.ForgetHistory();
       break;
     case 4:
+      host.inTouchFrom = std::max(host.inTouchFrom, disruptedUntil);
       link.Reset();
       break;
     default:
+      host.inTouchFrom = std::max(host.inTouchFrom, disruptedUntil);
       link.SetFaults(
         { .delay = kind == 5 ? 100ms : 0ms,
           .isDroppingToTarget = kind == 6 && this->RandomBelow(2) == 0,
@@ -355,7 +423,9 @@
   const std::uint64_t kind = this->RandomBelow(6);
   this->log(fmt::format(
     "server {} fault {} for {} ms", server.Id(), kind, duration.count()));
-  this->ExtendGracePeriod(duration);
+  this->WaiveNotices(duration);
+  this->serverDisruptedUntil[server.Id()] =
+    std::chrono::steady_clock::now() + duration;
   switch (kind) {
     case 0:
       if (server.IsUp()) {
@@ -377,10 +447,10 @@
     case 5:
       // The server runs on, cut off from the store until its entry has expired.
       // Short gaps matter: requests then run across them.
-      if (server.IsUp()) {
+      if (server.IsUp() && !server.IsLeaving()) {
         this->store.Remove("servers", server.Id());
         this->RunAfter(duration / 10, [this, &server, id = server.Id()] {
-          if (server.IsUp() && server.Id() == id) {
+          if (server.IsUp() && server.Id() == id && !server.IsLeaving()) {
             this->RegisterServer(server);
           }
         });
@@ -406,44 +476,200 @@
 {
   Host& host = this->RandomHost();
   const milliseconds duration(200 + this->RandomBelow(1300));
-  this->ExtendGracePeriod(duration);
+  this->WaiveNotices(duration);
   if (this->RandomBelow(2) == 0) {
-    this->log("daemon killed");
-    host.isExitExpected = true;
-    host.process->SendSignal(SIGKILL);
+    this->Kill(host);
     return;
   }
-  this->log(fmt::format("daemon paused for {} ms", duration.count()));
+  this->log(fmt::format(
+    "daemon {} paused for {} ms", host.process->Address(), duration.count()));
+  const TimePoint until = std::chrono::steady_clock::now() + duration;
+  host.pausedUntil = std::max(host.pausedUntil, until);
+  host.Disrupt(until + kGraceTime);
   host.process->SendSignal(SIGSTOP);
   this->RunAfter(duration, [&host] { host.process->SendSignal(SIGCONT); });
 }
 
+void
+Soak::LosePower()
+{
+  this->log("all daemons lose power after an acknowledgement");
+  this->WaiveNotices(kRestartDelay);
+  if (this->RandomBelow(2) == 0) {
+    this->ChangeConfiguration();
+  } else {
+    this->DrainServer(this->RandomServer(), kEndDelayAfterPowerLoss);
+  }
+  this->RunAfter(milliseconds(this->RandomBelow(2) * this->RandomBelow(300)),
+                 [this] {
+                   for (const auto& host : this->hosts) {
+                     this->Kill(*host);
+                   }
+                 });
+}
+
+void
+Soak::Kill(Host& aHost)
+{
+  this->log(fmt::format("daemon {} killed", aHost.process->Address()));
+  aHost.Disrupt(std::chrono::steady_clock::now() + kRestartDelay + kGraceTime);
+  aHost.process->SendSignal(SIGKILL);
+  for (const auto& predecessor : aHost.predecessors) {
+    predecessor->SendSignal(SIGKILL);
+  }
+}
+
 void
 Soak::StopGracefully(Host& aHost)
 {
-  this->log("graceful stop of a daemon requested");
-  aHost.isExitExpected = true;
+  const std::uint64_t kind = this->RandomBelow(4);
+  this->log(
+    fmt::format("daemon {} told to stop ({})", aHost.process->Address(), kind));
+  if (kind == 1) {
+    aHost.process->SendSignal(SIGHUP);
+  }
   aHost.process->SendSignal(SIGTERM);
+  if (kind == 2 || kind == 3) {
+    this->RunAfter(milliseconds(this->RandomBelow(kMaxStopSignalMs)),
+                   [&aHost, signal = kind == 2 ? SIGHUP : SIGTERM] {
+                     if (aHost.process->StopRequestedAt()) {
+                       aHost.process->SendSignal(signal);
+                     }
+                   });
+  }
+  if (this->plan.hasSuccessors && aHost.predecessors.empty() &&
+      aHost.process->IsRunning() && this->RandomBelow(2) == 0) {
+    this->RunAfter(kRestartDelay, [this, &aHost] {
+      if (!aHost.process->IsRunning() || !aHost.process->StopRequestedAt()) {
+        return;
+      }
+      this->log(fmt::format("successor of daemon {} started",
+                            aHost.process->Address()));
+      auto successor =
+        std::make_unique<DaemonProcess>(aHost.process->StartOptions());
+      aHost.predecessors.push_back(
+        std::exchange(aHost.process, std::move(successor)));
+      this->StartDaemon(aHost);
+    });
+  }
+  for (unsigned index = 0; index < kCallersOfStop; ++index) {
+    this->StartCaller(
+      index % 4 == 0 ? Caller::Kind::Keeping : Caller::Kind::Reconnecting,
+      [&aHost](bool) { return aHost.process->CallerEndpoint(); },
+      [this, end = std::chrono::steady_clock::now() + kStopLimit] {
+        return this->isOver || std::chrono::steady_clock::now() >= end;
+      });
+  }
 }
 
 void
-Soak::DrainServer(Server& aServer)
+Soak::StopInSeries()
+{
+  const std::size_t count = 2 + this->RandomBelow(this->hosts.size() - 1);
+  const std::size_t first = this->RandomBelow(this->hosts.size());
+  const milliseconds step(this->RandomBelow(kMaxSeriesStepMs));
+  this->log(fmt::format("{} daemons stop in series", count));
+  for (std::size_t index = 0; index < count; ++index) {
+    Host& host = *this->hosts[(first + index) % this->hosts.size()];
+    this->RunAfter(step * index, [this, &host] {
+      this->StopGracefully(host);
+      if (this->RandomBelow(2) == 0) {
+        this->ChangeConfiguration();
+      } else {
+        this->DrainServer(this->RandomServer(), kRemovalDelay);
+      }
+    });
+  }
+}
+
+void
+Soak::StopAndSignalSuccessor(Host& aHost)
+{
+  const std::uint64_t kind = this->RandomBelow(3);
+  const milliseconds delay(this->RandomBelow(kMaxEarlySignalMs + 1));
+  if (kind != 0) {
+    aHost.earlySignals.emplace_back(delay, SIGHUP);
+  }
+  if (kind != 1) {
+    aHost.earlySignals.emplace_back(delay, SIGTERM);
+  }
+  this->log(fmt::format("successor of daemon {} gets signals {} after {} ms",
+                        aHost.process->Address(),
+                        kind,
+                        delay.count()));
+  this->StopGracefully(aHost);
+}
+
+void
+Soak::SignalTwice(Host& aHost)
+{
+  this->log(
+    fmt::format("daemon {} gets SIGHUP twice", aHost.process->Address()));
+  aHost.process->SendSignal(SIGHUP);
+  this->RunAfter(milliseconds(this->RandomBelow(2)),
+                 [&aHost] { aHost.process->SendSignal(SIGHUP); });
+}
+
+void
+Soak::ChangeSettings(Host& aHost)
+{
+  const std::uint64_t kind = this->RandomBelow(3);
+  this->log(fmt::format(
+    "settings of daemon {} change ({})", aHost.process->Address(), kind));
+  const DaemonProcess::Reloadable settings{
+    .freeRetries = static_cast<unsigned>(64 + this->RandomBelow(16)),
+    .expectedHosts = static_cast<unsigned>(19 + this->RandomBelow(4))
+  };
+  if (kind != 0) {
+    // A reader sees an incomplete file until `ReplaceSettings`.
+    aHost.process->TruncateSettings();
+    aHost.process->SendSignal(SIGHUP);
+  }
+  this->RunAfter(milliseconds(kind == 0 ? 0 : this->RandomBelow(kMaxRewriteMs)),
+                 [&aHost, kind, settings] {
+                   aHost.process->ReplaceSettings(settings);
+                   if (kind == 2) {
+                     aHost.process->SendSignal(SIGHUP);
+                   }
+                 });
+}
+
+void
+Soak::DrainServer(Server& aServer, milliseconds aEndDelay)
 {
   const auto upCount =
     std::ranges::count_if(this->servers, [&](const auto& aCandidate) {
-      return aCandidate->IsUp() && aCandidate->Service() == aServer.Service();
+      return aCandidate->IsUp() && !aCandidate->IsLeaving() &&
+             aCandidate->Service() == aServer.Service();
     });
-  if (!aServer.IsUp() || upCount <= 1) {
+  if (!aServer.IsUp() || aServer.IsLeaving() || upCount <= 1) {
     return;
   }
-  this->log(fmt::format("server {} starts draining", aServer.Id()));
+  const bool isSilent = this->RandomBelow(3) == 0;
+  this->log(fmt::format(
+    "server {} starts draining{}", aServer.Id(), isSilent ? " silently" : ""));
   const TimePoint now = std::chrono::steady_clock::now();
-  aServer.Drain(now + kDrainLimit);
-  if (now < this->graceUntil) {
-    aServer.WaiveDrainDeadline();
+  const TimePoint deadline =
+    std::max(now, this->storeDisruptedUntil) + kDrainLimit;
+  const auto isExcused =
+    [this, deadline, id = aServer.Id()](const std::string& aRequestId) {
+      const TimePoint arrivedAt = std::chrono::steady_clock::now();
+      const Host* host = this->HostAt(this->history.DaemonOf(aRequestId));
+      const auto disrupted = this->serverDisruptedUntil.find(id);
+      return host == nullptr || arrivedAt < deadline ||
+             arrivedAt < this->storeDisruptedUntil ||
+             arrivedAt < host->inTouchFrom ||
+             (disrupted != this->serverDisruptedUntil.end() &&
+              arrivedAt < disrupted->second + kGraceTime);
+    };
+  if (isSilent) {
+    aServer.LeaveSilently(now + kDrainLimit, isExcused);
+    this->store.Remove("servers", aServer.Id());
+  } else {
+    aServer.Drain(now + kDrainLimit, isExcused);
+    this->RegisterServer(aServer);
   }
-  this->RegisterServer(aServer);
-  this->RunAfter(kRemovalDelay, [this, &aServer, id = aServer.Id()] {
+  this->RunAfter(aEndDelay, [this, &aServer, id = aServer.Id()] {
     if (!aServer.IsUp() || aServer.Id() != id) {
       return;
     }
@@ -464,7 +690,7 @@
                         limit,
                         duration.count()));
   aServer.SetLimit(limit);
-  if (std::chrono::steady_clock::now() < this->graceUntil) {
+  if (std::chrono::steady_clock::now() < this->noticesWaivedUntil) {
     aServer.WaiveNotices();
   }
   this->RunAfter(duration, [&aServer, id = aServer.Id()] {
@@ -481,7 +707,7 @@
   this->log(fmt::format(
     "server {} wants a pause of {} ms", aServer.Id(), duration.count()));
   aServer.Pause(duration, this->hosts.size());
-  if (std::chrono::steady_clock::now() < this->graceUntil) {
+  if (std::chrono::steady_clock::now() < this->noticesWaivedUntil) {
     aServer.WaiveNotices();
   }
 }
@@ -523,37 +749,52 @@
                   { "Resources", std::move(entries) } });
   this->log(
     fmt::format("configuration r{} published", this->configurationVersion));
-  const TimePoint publishedAt = std::chrono::steady_clock::now();
-  this->RunAfter(
-    kConfigurationLimit,
-    [this, publishedAt, expectedVersion = this->configurationVersion] {
-      for (const auto& host : this->hosts) {
-        asio::co_spawn(
-          this->context,
-          [this, &host, publishedAt, expectedVersion]()
-            -> asio::awaitable<void> {
-            const auto isExempt = [&] {
-              return expectedVersion != this->configurationVersion ||
-                     host->isExitExpected || publishedAt < this->graceUntil ||
-                     publishedAt < host->startedAt + kGraceTime;
-            };
-            if (isExempt()) {
-              co_return;
-            }
-            const unsigned status =
-              co_await GetStatus(this->context,
-                                 host->process->CallerEndpoint(),
-                                 fmt::format("/v{}/x", expectedVersion),
-                                 1000ms);
-            constexpr unsigned kNotFound = 404;
-            if (status == kNotFound && !isExempt()) {
-              this->history.ReportViolation(fmt::format(
-                "configuration r{} was not applied in time", expectedVersion));
-            }
-          },
-          asio::detached);
-      }
-    });
+  for (const auto& host : this->hosts) {
+    asio::co_spawn(
+      this->context,
+      [this,
+       &host,
+       version = this->configurationVersion,
+       publishedAt = std::chrono::steady_clock::now()] {
+        return this->CheckConfiguration(*host, version, publishedAt);
+      },
+      asio::detached);
+  }
+}
+
+asio::awaitable<void>
+Soak::CheckConfiguration(Host& aHost, unsigned aVersion, TimePoint aPublishedAt)
+{
+  const auto dueAt = [&] {
+    return std::max({ aPublishedAt + kConfigurationLimit,
+                      this->storeDisruptedUntil,
+                      aHost.inTouchFrom,
+                      aHost.startedAt + kGraceTime });
+  };
+  while (aVersion == this->configurationVersion && !this->isOver) {
+    if (std::chrono::steady_clock::now() < dueAt() || aHost.IsStopping() ||
+        !aHost.predecessors.empty()) {
+      co_await this->Wait(50ms);
+      continue;
+    }
+    const unsigned status = co_await GetStatus(this->context,
+                                               aHost.process->CallerEndpoint(),
+                                               fmt::format("/v{}/x", aVersion),
+                                               1000ms);
+    const bool isExempt = aVersion != this->configurationVersion ||
+                          std::chrono::steady_clock::now() < dueAt() ||
+                          aHost.IsStopping();
+    constexpr unsigned kNotFound = 404;
+    if (status == kNotFound && !isExempt) {
+      this->history.ReportViolation(
+        fmt::format("configuration r{} was not applied in time by daemon {}",
+                    aVersion,
+                    aHost.process->Address()));
+    }
+    if (!isExempt) {
+      co_return;
+    }
+  }
 }
 
 void
@@ -563,29 +804,132 @@
 }
 
 void
-Soak::OnConnectionLost(const tcp::endpoint& aDaemon, const std::string& aId)
+Soak::StartCaller(
+  Caller::Kind aKind,
+  std::function<std::optional<tcp::endpoint>(bool aMustBeReady)> aDaemon,
+  std::function<bool()> aIsOver)
 {
-  const TimePoint now = std::chrono::steady_clock::now();
-  if (now < this->graceUntil) {
+  this->callers.push_back(std::make_unique<Caller>(
+    this->context,
+    this->history,
+    Caller::Hooks{ .daemon = std::move(aDaemon),
+                   .onRequestLost =
+                     [this](const Caller::LostRequest& aRequest) {
+                       this->OnRequestLost(aRequest);
+                     },
+                   .onResponse =
+                     [this](const std::string& aId, unsigned aStatus) {
+                       // The routes of callers are in each configuration.
+                       constexpr unsigned kNotFound = 404;
+                       if (aStatus == kNotFound) {
+                         this->history.ReportViolation(
+                           fmt::format("request {} got 404 from daemon {}",
+                                       aId,
+                                       this->history.DaemonOf(aId)));
+                       }
+                     },
+                   .isOver = std::move(aIsOver) },
+    aKind,
+    this->random()));
+  asio::co_spawn(
+    this->context,
+    [caller = this->callers.back().get()] { return caller->Run(); },
+    asio::detached);
+}
+
+void
+Soak::OnRequestLost(const Caller::LostRequest& aRequest)
+{
+  this->RunAfter(kRecordingTime,
+                 [this, aRequest] { this->JudgeLostRequest(aRequest); });
+}
+
+void
+Soak::JudgeLostRequest(const Caller::LostRequest& aRequest)
+{
+  const std::vector<std::string> passedOnTo =
+    this->history.ServersOf(aRequest.id);
+  const auto duration = std::chrono::duration_cast<milliseconds>(
+    aRequest.endedAt - aRequest.sentAt);
+  const Host& host = *this->HostAt(aRequest.daemon.address().to_string());
+  if (aRequest.sentAt < host.disruptedUntil) {
+    ++this->excuses.daemon;
+    return;
+  }
+  if (!aRequest.isFirst && passedOnTo.empty() && duration <= kCrossingTime) {
+    ++this->excuses.crossing;
     return;
   }
-  this->history.ReportViolation(
-    fmt::format("request {} lost its connection to daemon {} without a fault",
-                aId,
-                aDaemon.address().to_string()));
+  const bool hasServerFailed =
+    std::ranges::any_of(passedOnTo, [&](const std::string& aId) {
+      const auto disrupted = this->serverDisruptedUntil.find(aId);
+      return disrupted != this->serverDisruptedUntil.end() &&
+             aRequest.sentAt <= disrupted->second;
+    });
+  if (hasServerFailed) {
+    ++this->excuses.server;
+    return;
+  }
+  this->history.ReportViolation(fmt::format(
+    "{} request {} to daemon {} ended without a response {} ms after it was "
+    "sent ({}); {}",
+    aRequest.isFirst ? "first" : "later",
+    aRequest.id,
+    host.process->Address(),
+    duration.count(),
+    aRequest.error,
+    passedOnTo.empty() ? "not passed on"
+                       : "passed on to " + passedOnTo.front()));
+}
+
+void
+Soak::JudgeExit(const DaemonProcess& aProcess)
+{
+  if (!aProcess.IsExitAsRequested()) {
+    this->history.ReportViolation(
+      fmt::format("daemon {} exited with status {}{}\n{}",
+                  aProcess.Address(),
+                  aProcess.ExitStatus(),
+                  aProcess.StopRequestedAt() ? " after SIGTERM" : "",
+                  aProcess.LogTail()));
+  }
+}
+
+void
+Soak::EndOverdueStop(Host& aHost, DaemonProcess& aProcess)
+{
+  const auto requestedAt = aProcess.StopRequestedAt();
+  if (requestedAt && !aProcess.WasKilled() &&
+      std::chrono::steady_clock::now() >
+        std::max(*requestedAt, aHost.pausedUntil) + kStopLimit) {
+    this->history.ReportViolation(
+      fmt::format("daemon {} did not stop in time\n{}",
+                  aProcess.Address(),
+                  aProcess.LogTail()));
+    aProcess.SendSignal(SIGKILL);
+  }
 }
 
 void
-Soak::ExtendGracePeriod(milliseconds aTime)
+Soak::WaiveNotices(milliseconds aTime)
 {
-  this->graceUntil = std::max(
-    this->graceUntil, std::chrono::steady_clock::now() + aTime + kGraceTime);
+  this->noticesWaivedUntil =
+    std::max(this->noticesWaivedUntil,
+             std::chrono::steady_clock::now() + aTime + kGraceTime);
   for (const auto& server : this->servers) {
-    server->WaiveDrainDeadline();
     server->WaiveNotices();
   }
 }
 
+Soak::Host*
+Soak::HostAt(const std::string& aAddress)
+{
+  const auto found = std::ranges::find_if(this->hosts, [&](const auto& aHost) {
+    return aHost->process->Address() == aAddress;
+  });
+  return found == this->hosts.end() ? nullptr : found->get();
+}
+
 void
 Soak::RunAfter(milliseconds aTime, std::function<void()> aFunction)
 {
@@ -627,19 +971,36 @@
 {
   for (;;) {
     co_await this->Wait(50ms);
+    std::erase_if(aHost.predecessors, [&](const auto& aPredecessor) {
+      if (aPredecessor->IsRunning()) {
+        this->EndOverdueStop(aHost, *aPredecessor);
+        return false;
+      }
+      this->JudgeExit(*aPredecessor);
+      return true;
+    });
     if (aHost.process->IsRunning()) {
+      this->EndOverdueStop(aHost, *aHost.process);
       continue;
     }
-    if (!aHost.isExitExpected) {
-      this->history.ReportViolation(
-        fmt::format("a daemon exited unexpectedly with status {}",
-                    aHost.process->ExitStatus()));
-      this->ExtendGracePeriod(0ms);
-    }
+    this->JudgeExit(*aHost.process);
     co_await this->Wait(kRestartDelay);
-    aHost.isExitExpected = false;
-    aHost.process->Start();
-    aHost.startedAt = std::chrono::steady_clock::now();
+    if (aHost.process->WasKilled()) {
+      aHost.Disrupt(std::chrono::steady_clock::now() + kGraceTime);
+    }
+    this->StartDaemon(aHost);
+  }
+}
+
+void
+Soak::StartDaemon(Host& aHost)
+{
+  aHost.process->Start();
+  aHost.startedAt = std::chrono::steady_clock::now();
+  for (const auto& early : std::exchange(aHost.earlySignals, {})) {
+    this->RunAfter(early.first, [&aHost, signal = early.second] {
+      aHost.process->SendSignal(signal);
+    });
   }
 }
 
--- a/soak/Soak.h
+++ b/soak/Soak.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "soak/Caller.h"
 #include "soak/ObjectStore.h"
 #include "soak/RequestHistory.h"
 
@@ -11,13 +12,13 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <string>
 #include <vector>
 
 namespace fireflytrail::soak {
 
-class Caller;
 class DaemonProcess;
 class FaultLink;
 class Server;
@@ -37,6 +38,10 @@
   std::string folder;
   /** First port of each daemon; see `DaemonProcess::Options`. */
   std::uint16_t basePort = 0;
+  /** Whether some daemons are started while their predecessor still stops. */
+  bool hasSuccessors = false;
+  /** Whether some callers close their sending half after the request. */
+  bool hasHalfClosing = false;
 };
 
 /**
@@ -59,6 +64,18 @@
 
   const RequestHistory& Results() const { return this->history; }
 
+  /** Numbers of lost requests that break no guarantee, by the reason. */
+  struct Excuses
+  {
+    /** The daemon was killed or paused. */
+    std::size_t daemon = 0;
+    /** A server that had received the request failed. */
+    std::size_t server = 0;
+    /** The request crossed the close of a connection that had been in use. */
+    std::size_t crossing = 0;
+  };
+  const Excuses& ExcusedLosses() const { return this->excuses; }
+
 private:
   struct Host;
   using TimePoint = std::chrono::steady_clock::time_point;
@@ -68,27 +85,58 @@
   boost::asio::awaitable<void> InjectFaults();
   /** Keeps `Host::isReady` up to date. */
   boost::asio::awaitable<void> PollReadiness(Host& aHost);
-  /** Restarts the daemon of a host whenever it exits. */
+  /** Restarts the daemon of a host whenever it exits, and checks each exit. */
   boost::asio::awaitable<void> RestartOnExit(Host& aHost);
   boost::asio::awaitable<void> Wait(std::chrono::milliseconds aTime);
+  /** Starts the process of a host and sends the signals that wait for it. */
+  void StartDaemon(Host& aHost);
+  void StartCaller(Caller::Kind aKind,
+                   std::function<std::optional<boost::asio::ip::tcp::endpoint>(
+                     bool aMustBeReady)> aDaemon,
+                   std::function<bool()> aIsOver);
+  void InjectPlannedOperation();
   void InjectRandomFault();
   void InjectStoreFault();
   void InjectServerFault();
   void InjectDaemonFault();
+  /** Acknowledges a configuration or a leaving server and kills all daemons. */
+  void LosePower();
+  void Kill(Host& aHost);
   void StopGracefully(Host& aHost);
-  void DrainServer(Server& aServer);
+  /** Stops several daemons one after the other while configurations change and
+   * servers leave. */
+  void StopInSeries();
+  /** Stops a daemon and signals its successor up to 20 ms after its start. */
+  void StopAndSignalSuccessor(Host& aHost);
+  void SignalTwice(Host& aHost);
+  /** Changes the settings file at once or in two parts, with or without a
+   * signal. */
+  void ChangeSettings(Host& aHost);
+  /** Lets a server leave, in order or silently; it ends after `aEndDelay`. */
+  void DrainServer(Server& aServer, std::chrono::milliseconds aEndDelay);
   void LimitServer(Server& aServer);
   void PauseServer(Server& aServer);
   /** Publishes a new configuration version and checks later that each daemon
    * has applied it. */
   void ChangeConfiguration();
+  boost::asio::awaitable<void> CheckConfiguration(Host& aHost,
+                                                  unsigned aVersion,
+                                                  TimePoint aPublishedAt);
   /** Writes the current registration of a server to the store. */
   void RegisterServer(Server& aServer);
-  void OnConnectionLost(const boost::asio::ip::tcp::endpoint& aDaemon,
-                        const std::string& aId);
-  /** Starts or extends the grace period for a fault that lasts `aTime`. Also
-   * waives the drain deadlines of all servers. */
-  void ExtendGracePeriod(std::chrono::milliseconds aTime);
+  void OnRequestLost(const Caller::LostRequest& aRequest);
+  /** Checks a lost request against the guarantees, when the servers have
+   * recorded it. */
+  void JudgeLostRequest(const Caller::LostRequest& aRequest);
+  /** Reports the exit of a process unless the soak has asked for it. */
+  void JudgeExit(const DaemonProcess& aProcess);
+  /** Kills a process that outlives the time for a stop, and reports it. */
+  void EndOverdueStop(Host& aHost, DaemonProcess& aProcess);
+  /** Waives the checks of limits and pauses during a fault that lasts `aTime`
+   * and some time after it. */
+  void WaiveNotices(std::chrono::milliseconds aTime);
+  /** Returns the host with an address; null if there is none. */
+  Host* HostAt(const std::string& aAddress);
   /** Calls a function after a time, for example to end a fault. */
   void RunAfter(std::chrono::milliseconds aTime,
                 std::function<void()> aFunction);
@@ -112,11 +160,14 @@
   std::vector<std::unique_ptr<Caller>> callers;
   unsigned configurationVersion = 0;
   bool isOver = false;
-  /** End of the grace period. During it, lost connections, late configurations
-   * and missed drain deadlines are not reported, because an unplanned fault may
-   * cause them. */
-  TimePoint graceUntil{};
-  std::size_t successesBeforeEnd = 0;
+  /** Until then limits and pauses of servers aren't checked. */
+  TimePoint noticesWaivedUntil{};
+  /** End of the last disruption of the store, and of the time that the daemons
+   * then have to be in touch. */
+  TimePoint storeDisruptedUntil{};
+  /** End of the last fault of each server and its link, by server id. */
+  std::map<std::string, TimePoint> serverDisruptedUntil;
+  Excuses excuses;
 };
 
 } // namespace fireflytrail::soak
--- a/soak/SoakMain.cpp
+++ b/soak/SoakMain.cpp
@@ -19,6 +19,12 @@
 DEFINE_uint32(daemons, 4, "number of entry daemons");
 DEFINE_uint32(servers, 6, "number of servers");
 DEFINE_uint32(callers, 12, "number of callers");
+DEFINE_bool(successors,
+            false,
+            "start some daemons while their predecessors still stop");
+DEFINE_bool(half_closing,
+            false,
+            "some callers close their sending half after the request");
 DEFINE_bool(verbose, false, "print each fault");
 
 using namespace fireflytrail::soak;
@@ -47,6 +53,8 @@
   plan.folder = folder;
   plan.basePort = static_cast<std::uint16_t>(
     kFirstPort + getpid() * kPortsPerRun % kPortRange);
+  plan.hasSuccessors = FLAGS_successors;
+  plan.hasHalfClosing = FLAGS_half_closing;
   const auto begin = std::chrono::steady_clock::now();
   Soak soak(plan, [begin](const std::string& aLine) {
     if (FLAGS_verbose) {
@@ -57,13 +65,19 @@
   });
   const auto& violations = soak.Run();
   const RequestHistory& results = soak.Results();
-  fmt::print("seed {}: {} served, {} not run, {} failed, {} cut; {}\n",
-             aSeed,
-             results.Count(RequestHistory::Outcome::Success),
-             results.Count(RequestHistory::Outcome::NotRun),
-             results.Count(RequestHistory::Outcome::Failure),
-             results.Count(RequestHistory::Outcome::ConnectionLost),
-             violations.empty() ? "kept" : "BROKEN");
+  const auto& excuses = soak.ExcusedLosses();
+  fmt::print(
+    "seed {}: {} served, {} not run, {} failed, {} cut (excused: {} by "
+    "the daemon, {} by a server, {} crossed a close); {}\n",
+    aSeed,
+    results.Count(RequestHistory::Outcome::Success),
+    results.Count(RequestHistory::Outcome::NotRun),
+    results.Count(RequestHistory::Outcome::Failure),
+    results.Count(RequestHistory::Outcome::ConnectionLost),
+    excuses.daemon,
+    excuses.server,
+    excuses.crossing,
+    violations.empty() ? "kept" : "BROKEN");
   for (const std::string& line : violations) {
     fmt::print("  {}\n", line);
   }
