Start daemons while their settings file is rewritten in the soak

A start while the settings are incomplete was drawn only when a restart met a rewrite by chance. Violations beyond 40 of a run are counted, not printed.

--- a/soak/Soak.cpp
+++ b/soak/Soak.cpp
@@ -66,6 +66,7 @@
 constexpr unsigned kMaxEarlySignalMs = 20;
 constexpr unsigned kMaxStopSignalMs = 5000;
 constexpr unsigned kMaxRewriteMs = 300;
+constexpr unsigned kMaxStartRewriteMs = 50;
 constexpr unsigned kMaxSeriesStepMs = 700;
 // Servers that left before a loss of power serve on until the daemons have been
 // back for a while.
@@ -149,6 +150,8 @@
   std::vector<std::unique_ptr<DaemonProcess>> predecessors;
   /** Signals for the next process, with the times from its start. */
   std::vector<std::pair<milliseconds, int>> earlySignals;
+  /** Whether the next process starts while its settings file is rewritten. */
+  bool isRewrittenAtStart = false;
   bool isReady = false;
   TimePoint startedAt{};
   TimePoint pausedUntil{};
@@ -585,14 +588,15 @@
 void
 Soak::StopAndSignalSuccessor(Host& aHost)
 {
-  const std::uint64_t kind = this->RandomBelow(3);
+  const std::uint64_t kind = this->RandomBelow(4);
   const milliseconds delay(this->RandomBelow(kMaxEarlySignalMs + 1));
   if (kind != 0) {
     aHost.earlySignals.emplace_back(delay, SIGHUP);
   }
-  if (kind != 1) {
+  if (kind == 0 || kind == 2) {
     aHost.earlySignals.emplace_back(delay, SIGTERM);
   }
+  aHost.isRewrittenAtStart = kind == 3;
   this->log(fmt::format("successor of daemon {} gets signals {} after {} ms",
                         aHost.process->Address(),
                         kind,
@@ -995,6 +999,11 @@
 void
 Soak::StartDaemon(Host& aHost)
 {
+  if (std::exchange(aHost.isRewrittenAtStart, false)) {
+    aHost.process->TruncateSettings();
+    this->RunAfter(milliseconds(this->RandomBelow(kMaxStartRewriteMs)),
+                   [&aHost] { aHost.process->ReplaceSettings({}); });
+  }
   aHost.process->Start();
   aHost.startedAt = std::chrono::steady_clock::now();
   for (const auto& early : std::exchange(aHost.earlySignals, {})) {
--- a/soak/Soak.h
+++ b/soak/Soak.h
@@ -106,7 +106,8 @@
   /** Stops several daemons one after the other while configurations change and
    * servers leave. */
   void StopInSeries();
-  /** Stops a daemon and signals its successor up to 20 ms after its start. */
+  /** Stops a daemon and signals its successor up to 20 ms after its start, at
+   * times while the settings file is rewritten. */
   void StopAndSignalSuccessor(Host& aHost);
   void SignalTwice(Host& aHost);
   /** Changes the settings file at once or in two parts, with or without a
--- a/soak/SoakMain.cpp
+++ b/soak/SoakMain.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdlib>
 #include <filesystem>
@@ -78,8 +79,13 @@
     excuses.server,
     excuses.crossing,
     violations.empty() ? "kept" : "BROKEN");
-  for (const std::string& line : violations) {
-    fmt::print("  {}\n", line);
+  constexpr std::size_t kMaxLines = 40;
+  for (std::size_t index = 0; index < std::min(violations.size(), kMaxLines);
+       ++index) {
+    fmt::print("  {}\n", violations[index]);
+  }
+  if (violations.size() > kMaxLines) {
+    fmt::print("  and {} more\n", violations.size() - kMaxLines);
   }
   if (violations.empty()) {
     std::filesystem::remove_all(folder);
