Draw the soak's faults independently of its callers

Callers chose their daemons from the generator of the faults, so two runs of a seed had different faults. Callers have their own generator, and faults draw the same numbers whatever state the daemons and servers are in.

--- a/soak/Soak.cpp
+++ b/soak/Soak.cpp
@@ -150,8 +150,8 @@
   std::vector<std::unique_ptr<DaemonProcess>> predecessors;
   /** Signals for the next process, with the times from its start. */
   std::vector<std::pair<milliseconds, int>> earlySignals;
-  /** Whether the next process starts while its settings file is rewritten. */
-  bool isRewrittenAtStart = false;
+  /** Time from the next start until its settings file is complete. */
+  std::optional<milliseconds> startRewriteTime;
   bool isReady = false;
   TimePoint startedAt{};
   TimePoint pausedUntil{};
@@ -178,6 +178,7 @@
   : plan(std::move(aPlan))
   , log(std::move(aLog))
   , random(this->plan.seed)
+  , callerRandom(this->plan.seed)
   , store(this->context)
 {
 }
@@ -247,7 +248,8 @@
     this->StartCaller(
       kind,
       [this](bool aMustBeReady) -> std::optional<tcp::endpoint> {
-        Host& host = this->RandomHost();
+        const Host& host =
+          *this->hosts[this->callerRandom() % this->hosts.size()];
         return host.isReady || !aMustBeReady
                  ? std::optional(host.process->CallerEndpoint())
                  : std::nullopt;
@@ -540,8 +542,9 @@
                      }
                    });
   }
-  if (this->plan.hasSuccessors && aHost.predecessors.empty() &&
-      aHost.process->IsRunning() && this->RandomBelow(2) == 0) {
+  const bool hasSuccessor = this->RandomBelow(2) == 0;
+  if (hasSuccessor && this->plan.hasSuccessors && aHost.predecessors.empty() &&
+      aHost.process->IsRunning()) {
     this->RunAfter(kRestartDelay, [this, &aHost] {
       if (!aHost.process->IsRunning() || !aHost.process->StopRequestedAt()) {
         return;
@@ -596,7 +599,10 @@
   if (kind == 0 || kind == 2) {
     aHost.earlySignals.emplace_back(delay, SIGTERM);
   }
-  aHost.isRewrittenAtStart = kind == 3;
+  if (kind == 3) {
+    aHost.startRewriteTime =
+      milliseconds(this->RandomBelow(kMaxStartRewriteMs));
+  }
   this->log(fmt::format("successor of daemon {} gets signals {} after {} ms",
                         aHost.process->Address(),
                         kind,
@@ -641,6 +647,7 @@
 void
 Soak::DrainServer(Server& aServer, milliseconds aEndDelay)
 {
+  const bool isSilent = this->RandomBelow(3) == 0;
   const auto upCount =
     std::ranges::count_if(this->servers, [&](const auto& aCandidate) {
       return aCandidate->IsUp() && !aCandidate->IsLeaving() &&
@@ -649,7 +656,6 @@
   if (!aServer.IsUp() || aServer.IsLeaving() || upCount <= 1) {
     return;
   }
-  const bool isSilent = this->RandomBelow(3) == 0;
   this->log(fmt::format(
     "server {} starts draining{}", aServer.Id(), isSilent ? " silently" : ""));
   const TimePoint now = std::chrono::steady_clock::now();
@@ -999,10 +1005,9 @@
 void
 Soak::StartDaemon(Host& aHost)
 {
-  if (std::exchange(aHost.isRewrittenAtStart, false)) {
+  if (const auto time = std::exchange(aHost.startRewriteTime, std::nullopt)) {
     aHost.process->TruncateSettings();
-    this->RunAfter(milliseconds(this->RandomBelow(kMaxStartRewriteMs)),
-                   [&aHost] { aHost.process->ReplaceSettings({}); });
+    this->RunAfter(*time, [&aHost] { aHost.process->ReplaceSettings({}); });
   }
   aHost.process->Start();
   aHost.startedAt = std::chrono::steady_clock::now();
--- a/soak/Soak.h
+++ b/soak/Soak.h
@@ -153,6 +153,8 @@
   std::function<void(const std::string&)> log;
   boost::asio::io_context context{ 1 };
   std::mt19937_64 random;
+  /** Separate, so that the faults do not depend on the callers' timing. */
+  std::mt19937_64 callerRandom;
   RequestHistory history;
   ObjectStore store;
   boost::asio::ip::tcp::endpoint storeEndpoint;
