--- a/soak/DaemonProcess.cpp
+++ b/soak/DaemonProcess.cpp
@@ -1,10 +1,13 @@
 #include "soak/DaemonProcess.h"
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 #include <array>
 #include <cassert>
 #include <csignal>
+#include <deque>
+#include <filesystem>
 #include <fstream>
 #include <iterator>
 #include <stdexcept>
@@ -23,7 +26,7 @@
 DaemonProcess::DaemonProcess(Options aOptions)
   : options(std::move(aOptions))
 {
-  std::ofstream(this->SettingsPath()) << this->SettingsText();
+  this->ReplaceSettings({});
 }
 
 DaemonProcess::~DaemonProcess()
@@ -39,6 +42,8 @@
 DaemonProcess::Start()
 {
   assert(this->pid == 0);
+  this->stopRequestedAt.reset();
+  this->wasKilled = false;
   std::string settings = this->SettingsPath();
   const std::string log = this->LogPath();
   std::string subcommand = "proxy";
@@ -78,9 +83,21 @@
 void
 DaemonProcess::SendSignal(int aSignal)
 {
-  if (this->IsRunning()) {
-    kill(this->pid, aSignal);
+  if (!this->IsRunning()) {
+    return;
+  }
+  if (aSignal == SIGTERM && !this->stopRequestedAt) {
+    this->stopRequestedAt = std::chrono::steady_clock::now();
   }
+  this->wasKilled = this->wasKilled || aSignal == SIGKILL;
+  kill(this->pid, aSignal);
+}
+
+bool
+DaemonProcess::IsExitAsRequested() const
+{
+  return (this->exitStatus == 0 && this->stopRequestedAt) ||
+         (this->exitStatus == -SIGKILL && this->wasKilled);
 }
 
 bool
@@ -149,6 +166,42 @@
 
 std::string
 DaemonProcess::SettingsText() const
+{
+  return this->SettingsText({});
+}
+
+std::string
+DaemonProcess::LogTail() const
+{
+  constexpr std::size_t kLines = 8;
+  std::ifstream file(this->LogPath());
+  std::deque<std::string> lines;
+  for (std::string line; std::getline(file, line);) {
+    lines.push_back("    " + line);
+    if (lines.size() > kLines) {
+      lines.pop_front();
+    }
+  }
+  return fmt::format("{}", fmt::join(lines, "\n"));
+}
+
+void
+DaemonProcess::ReplaceSettings(const Reloadable& aSettings) const
+{
+  const std::string temporaryPath = this->SettingsPath() + ".new";
+  std::ofstream(temporaryPath) << this->SettingsText(aSettings);
+  std::filesystem::rename(temporaryPath, this->SettingsPath());
+}
+
+void
+DaemonProcess::TruncateSettings() const
+{
+  const std::string text = this->SettingsText({});
+  std::ofstream(this->SettingsPath()) << text.substr(0, text.size() / 2);
+}
+
+std::string
+DaemonProcess::SettingsText(const Reloadable& aSettings) const
 {
   const auto endpointText = [this](int aOffset) {
     return fmt::format(
@@ -158,8 +211,8 @@
   "name": "{}", "failure_domain": "{}", "store": "{}:{}",
   "listen": "{}", "ready_listen": "{}", "operator_listen": "{}",
   "peer_listen": "{}", "first_peers": ["{}:{}"],
-  "stop_limit_ms": {}, "retry_ratio": 0.2, "free_retries": 64,
-  "trial_share": 0.1{}{}
+  "stop_limit_ms": {}, "retry_ratio": 0.2, "free_retries": {},
+  "trial_share": 0.1, "expected_hosts": {}{}{}
 }}
 )",
                      this->options.address,
@@ -173,6 +226,8 @@
                      this->options.firstPeer,
                      this->options.basePort + 3,
                      this->options.stopLimit.count(),
+                     aSettings.freeRetries,
+                     aSettings.expectedHosts,
                      this->options.moreSettings.empty() ? "" : ", ",
                      this->options.moreSettings);
 }
--- a/soak/SoakMain.cpp
+++ b/soak/SoakMain.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 #include <gflags/gflags.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdlib>
 #include <filesystem>
@@ -19,6 +20,12 @@
 DEFINE_uint32(daemons, 4, "number of entry daemons");
 DEFINE_uint32(servers, 6, "number of servers");
 DEFINE_uint32(callers, 12, "number of callers");
+DEFINE_bool(successors,
+            false,
+            "start some daemons while their predecessors still stop");
+DEFINE_bool(half_closing,
+            false,
+            "some callers close their sending half after the request");
 DEFINE_bool(verbose, false, "print each fault");
 
 using namespace fireflytrail::soak;
@@ -47,6 +54,8 @@
   plan.folder = folder;
   plan.basePort = static_cast<std::uint16_t>(
     kFirstPort + getpid() * kPortsPerRun % kPortRange);
+  plan.hasSuccessors = FLAGS_successors;
+  plan.hasHalfClosing = FLAGS_half_closing;
   const auto begin = std::chrono::steady_clock::now();
   Soak soak(plan, [begin](const std::string& aLine) {
     if (FLAGS_verbose) {
@@ -57,15 +66,26 @@
   });
   const auto& violations = soak.Run();
   const RequestHistory& results = soak.Results();
-  fmt::print("seed {}: {} served, {} not run, {} failed, {} cut; {}\n",
-             aSeed,
-             results.Count(RequestHistory::Outcome::Success),
-             results.Count(RequestHistory::Outcome::NotRun),
-             results.Count(RequestHistory::Outcome::Failure),
-             results.Count(RequestHistory::Outcome::ConnectionLost),
-             violations.empty() ? "kept" : "BROKEN");
-  for (const std::string& line : violations) {
-    fmt::print("  {}\n", line);
+  const auto& excuses = soak.ExcusedLosses();
+  fmt::print(
+    "seed {}: {} served, {} not run, {} failed, {} cut (excused: {} by "
+    "the daemon, {} by a server, {} crossed a close); {}\n",
+    aSeed,
+    results.Count(RequestHistory::Outcome::Success),
+    results.Count(RequestHistory::Outcome::NotRun),
+    results.Count(RequestHistory::Outcome::Failure),
+    results.Count(RequestHistory::Outcome::ConnectionLost),
+    excuses.daemon,
+    excuses.server,
+    excuses.crossing,
+    violations.empty() ? "kept" : "BROKEN");
+  constexpr std::size_t kMaxLines = 40;
+  for (std::size_t index = 0; index < std::min(violations.size(), kMaxLines);
+       ++index) {
+    fmt::print("  {}\n", violations[index]);
+  }
+  if (violations.size() > kMaxLines) {
+    fmt::print("  and {} more\n", violations.size() - kMaxLines);
   }
   if (violations.empty()) {
     std::filesystem::remove_all(folder);
