Start with the settings path of the environment and without optional values

Operators had to repeat the path of the settings file in the deployment, and a field that the platform does not state for a host left a hole in the file that is filled in, so that each start of that host was refused.

--- a/app/main.cpp
+++ b/app/main.cpp
@@ -259,8 +259,14 @@
 ExitCode
 RunProxy(const std::vector<std::string>& aArguments)
 {
-  const auto file =
-    OpenSettingsFile<configuration::ProxySettings>(aArguments[0]);
+  const char* variable = std::getenv("FIREFLYTRAIL_SETTINGS");
+  if (aArguments.empty() && (variable == nullptr || *variable == '\0')) {
+    RefuseStart("proxy: neither an argument nor FIREFLYTRAIL_SETTINGS names "
+                "the settings file");
+    return ExitCode::Usage;
+  }
+  const auto file = OpenSettingsFile<configuration::ProxySettings>(
+    aArguments.empty() ? variable : aArguments[0]);
   const auto settings = ReadAtStart(file);
   if (!settings) {
     return ExitCodeOfStart();
@@ -440,14 +446,15 @@
       },
       true },
     { "proxy",
-      "proxy SETTINGS_FILE",
+      "proxy [SETTINGS_FILE]",
       "Runs the entry daemon for HTTP routes.\n"
       "It reads routes and instances from the platform's store and serves\n"
       "until SIGTERM or SIGINT, then stops gracefully, without cutting off\n"
       "any request.\n"
-      "The settings are reloaded on SIGHUP and when the file changes.",
+      "The settings are reloaded on SIGHUP and when the file changes. Without\n"
+      "an argument, FIREFLYTRAIL_SETTINGS holds the path of the file.",
       {},
-      1,
+      0,
       1,
       [](const std::vector<std::string>& aArguments) {
         return RunLogged([&] { return RunProxy(aArguments); });
--- a/modules/configuration/ObjectReader.cpp
+++ b/modules/configuration/ObjectReader.cpp
@@ -37,6 +37,10 @@
 ObjectReader::FindOrReport(std::string_view aKey, bool aRequired)
 {
   const LocatedValue* found = Find(aKey);
+  if (found != nullptr && found->kind == LocatedValue::Kind::Null &&
+      this->doesNullMeanAbsent) {
+    found = nullptr;
+  }
   // The constructor has already reported a value that is not an object.
   if (found == nullptr && aRequired &&
       this->value.kind == LocatedValue::Kind::Object) {
--- a/modules/configuration/ObjectReader.h
+++ b/modules/configuration/ObjectReader.h
@@ -32,6 +32,9 @@
                std::string aPath,
                std::vector<TextError>& aErrors);
 
+  /** Makes a key with the value `null` count as absent from now on. */
+  void TreatNullAsAbsent() { this->doesNullMeanAbsent = true; }
+
   /** Returns the value of a key, or null if it is absent. */
   const LocatedValue* Find(std::string_view aKey);
 
@@ -104,6 +107,7 @@
   std::string path;
   std::vector<TextError>& errors;
   std::vector<std::string> knownKeys;
+  bool doesNullMeanAbsent = false;
 };
 
 } // namespace fireflytrail::configuration
--- a/modules/configuration/ProxySettings.cpp
+++ b/modules/configuration/ProxySettings.cpp
@@ -48,6 +48,8 @@
   }
   std::vector<TextError> errors;
   ObjectReader reader(root.value(), "", errors);
+  // The platform fills in `null` for a field that it does not have.
+  reader.TreatNullAsAbsent();
   ProxySettings settings;
   settings.name = reader.String("name");
   settings.failureDomain = reader.String("failure_domain");
--- a/modules/configuration/ProxySettingsTest.cpp
+++ b/modules/configuration/ProxySettingsTest.cpp
@@ -66,3 +66,22 @@
   BOOST_REQUIRE(result.has_value());
   BOOST_TEST((result.value().stopLimit == 2500ms));
 }
+
+// Guards against a start that is refused because the platform does not state an
+// optional value.
+BOOST_AUTO_TEST_CASE(NullTakesTheDefaultOfAnOptionalSetting)
+{
+  std::string text = kSettings;
+  for (const std::string key :
+       { "\"stop_limit_ms\": 5000", "\"retry_ratio\": 0.25" }) {
+    const std::size_t colon = key.find(':');
+    text.replace(text.find(key), key.size(), key.substr(0, colon) + ": null");
+  }
+  const auto result = ProxySettings::Parse(text);
+  BOOST_REQUIRE(result.has_value());
+  BOOST_TEST((result.value().stopLimit == 6s));
+  BOOST_TEST(result.value().retryRatio == 0.2);
+  const std::string name = "\"edge-akl-a-1\"";
+  text.replace(text.find(name), name.size(), "null");
+  BOOST_TEST(!ProxySettings::Parse(text).has_value());
+}
--- a/tests/ProcessTest.cpp
+++ b/tests/ProcessTest.cpp
@@ -295,3 +295,19 @@
   BOOST_TEST(WaitForLog(daemon, "settings_reloaded"));
   BOOST_TEST((std::chrono::steady_clock::now() - writtenAt < 2s));
 }
+
+// Guards against a start that needs the path of the settings as an argument,
+// although the platform names it in the environment.
+BOOST_FIXTURE_TEST_CASE(EnvironmentNamesTheSettingsFile, ProcessFixture)
+{
+  soak::DaemonProcess::Options options = this->MakeOptions("127.0.10.11");
+  options.isFileAnArgument = false;
+  options.environment = { "FIREFLYTRAIL_SETTINGS=" +
+                          soak::DaemonProcess(options).SettingsPath() };
+  soak::DaemonProcess daemon(options);
+  daemon.Start();
+  BOOST_TEST(WaitForLog(daemon, "daemon_started"));
+  daemon.SendSignal(SIGTERM);
+  BOOST_REQUIRE(daemon.WaitUntilExit(10s));
+  BOOST_TEST(daemon.ExitStatus() == 0);
+}
