Excuse signals in the soak that end a process in its dynamic loader

No program can handle a signal before its first instruction. Such exits are told by the processor time that the process had used when the signal was sent, 3 ms at most, so that a busy machine does not excuse later ones.

--- a/soak/DaemonProcess.cpp
+++ b/soak/DaemonProcess.cpp
@@ -20,6 +20,14 @@
 namespace fireflytrail::soak {
 
 using boost::asio::ip::tcp;
+using namespace std::chrono_literals;
+
+namespace {
+
+// Processor time in which the dynamic loader maps and relocates the libraries.
+constexpr std::chrono::nanoseconds kLoaderTime = 3ms;
+
+} // namespace
 
 DaemonProcess::DaemonProcess(Options aOptions)
   : options(std::move(aOptions))
@@ -42,6 +50,7 @@
   assert(this->pid == 0);
   this->stopRequestedAt.reset();
   this->wasKilled = false;
+  this->signalsOfLoader.clear();
   std::string settings = this->SettingsPath();
   const std::string log = this->LogPath();
   std::string subcommand = "proxy";
@@ -81,6 +90,9 @@
     this->stopRequestedAt = std::chrono::steady_clock::now();
   }
   this->wasKilled = this->wasKilled || aSignal == SIGKILL;
+  if (this->ProcessorTime() < kLoaderTime) {
+    this->signalsOfLoader.insert(aSignal);
+  }
   kill(this->pid, aSignal);
 }
 
@@ -88,7 +100,17 @@
 DaemonProcess::IsExitAsRequested() const
 {
   return (this->exitStatus == 0 && this->stopRequestedAt) ||
-         (this->exitStatus == -SIGKILL && this->wasKilled);
+         (this->exitStatus == -SIGKILL && this->wasKilled) ||
+         this->signalsOfLoader.contains(-this->exitStatus);
+}
+
+std::chrono::nanoseconds
+DaemonProcess::ProcessorTime() const
+{
+  std::ifstream file(fmt::format("/proc/{}/schedstat", this->pid));
+  std::chrono::nanoseconds::rep time = 0;
+  file >> time;
+  return std::chrono::nanoseconds(time);
 }
 
 bool
--- a/soak/DaemonProcess.h
+++ b/soak/DaemonProcess.h
@@ -5,6 +5,7 @@
 #include <chrono>
 #include <cstdint>
 #include <optional>
+#include <set>
 #include <string>
 
 #include <sys/types.h>
@@ -56,8 +57,9 @@
   bool WasKilled() const { return this->wasKilled; }
 
   /** Returns whether the last process exited as the signals that were sent ask
-   * for: with status 0 after SIGTERM, or by SIGKILL. Call only after
-   * `IsRunning` has returned false. */
+   * for: with status 0 after SIGTERM, or by SIGKILL; or by a signal that was
+   * sent while the dynamic loader may have run, when no program can handle it.
+   * Call only after `IsRunning` has returned false. */
   bool IsExitAsRequested() const;
 
   /** Settings that a running daemon applies. */
@@ -99,6 +101,8 @@
 
 private:
   std::string SettingsText(const Reloadable& aSettings) const;
+  /** Returns the processor time that the running process has used. */
+  std::chrono::nanoseconds ProcessorTime() const;
   std::string SettingsPath() const;
   std::string LogPath() const;
 
@@ -107,6 +111,8 @@
   int exitStatus = 0;
   std::optional<std::chrono::steady_clock::time_point> stopRequestedAt;
   bool wasKilled = false;
+  /** Signals sent before the program's first instructions. */
+  std::set<int> signalsOfLoader;
 };
 
 } // namespace fireflytrail::soak
