Count the time that a body takes as time that the caller waits

A call knows how long its body took to arrive. Its limits, in `proxy` and `serve`, begin with the head. The time is 0 if the body arrived with the head.

The check of the body's time in SlowBodiesAreRead failed before.

--- a/modules/daemon/CallRunner.cpp
+++ b/modules/daemon/CallRunner.cpp
@@ -83,7 +83,7 @@
   , callName(aRoute.name)
   , guard(std::move(aGuard))
   , onAnswer(std::move(aOnAnswer))
-  , begin(std::chrono::steady_clock::now())
+  , begin(std::chrono::steady_clock::now() - this->call.bodyTime)
   , timer(aThread.Context())
   , answerDelayTimer(aThread.Context())
 {
@@ -130,7 +130,7 @@
                      std::move(hooks),
                      this->thread.Hooks().ledger,
                      this->thread.Hooks().guard);
-  this->SetTimer(this->request.deadline - this->begin);
+  this->SetTimer(this->request.deadline - std::chrono::steady_clock::now());
   this->Execute(this->flow->Begin());
 }
 
--- a/modules/gateway/CallRequest.h
+++ b/modules/gateway/CallRequest.h
@@ -31,8 +31,10 @@
   std::string body;
   /** Counts the body in the memory budget of the process; may be null. */
   std::shared_ptr<const core::MemoryLease> bodyLease;
-  /** Time that the caller allows for the call. */
+  /** Time that the caller allows for the call, from the arrival of its head. */
   std::optional<std::chrono::milliseconds> deadline;
+  /** Time from the arrival of the head until the body was complete. */
+  std::chrono::nanoseconds bodyTime{ 0 };
   std::optional<std::string> ticket;
   /** Above 0 if this call, or a call upstream of it, is a retry. */
   unsigned attempt = 0;
--- a/modules/gateway/CallerSessionTest.cpp
+++ b/modules/gateway/CallerSessionTest.cpp
@@ -440,6 +440,8 @@
   std::string answer;
   boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
   BOOST_TEST(answer.find("s /a xxxxxxxx") != std::string::npos);
+  // The caller's waiting time counts from the head.
+  BOOST_TEST((gateway.calls.front().bodyTime >= 400ms));
 }
 
 // Guards against a body that is waited for longer than its caller waits.
--- a/modules/proxy/RequestRunner.cpp
+++ b/modules/proxy/RequestRunner.cpp
@@ -75,7 +75,7 @@
   , countHolder(std::move(aCountHolder))
   , onAnswer(std::move(aOnAnswer))
   , timer(aShared.context)
-  , begin(aShared.now())
+  , begin(aShared.now() - this->call.bodyTime)
 {
   assert(this->onAnswer);
   const milliseconds limit = std::min(
