--- a/modules/gateway/ServerConnectionTest.cpp
+++ b/modules/gateway/ServerConnectionTest.cpp
@@ -421,6 +421,18 @@
   BOOST_TEST(held.expired());
 }
 
+// Guards against an answer that is lost because it echoes a long id, or another
+// long field, of the request.
+BOOST_AUTO_TEST_CASE(AnswerWithALongHeadIsTaken)
+{
+  const std::string field(15'000, 'x');
+  ScriptedServer server({ { .bytes = "HTTP/1.1 200 OK\r\nX-Echo: " + field +
+                                     "\r\nContent-Length: 2\r\n\r\nhi" } });
+  Client client(server.Endpoint());
+  const ServerExchange exchange = client.Send();
+  BOOST_TEST((exchange.progress == calls::AttemptProgress::Answered));
+}
+
 // Guards against answers that together exceed the memory of a host. An answer
 // that does not fit is delivered when others have been.
 BOOST_AUTO_TEST_CASE(AnswerWaitsForMemory)
