Wait a short time after an accept that failed

Cause: the listener accepts again after each completion, failed or not. Change: it waits 20 ms, calls a hook for the log and the metrics, and accepts nothing while its owner allows none; connections wait in the kernel. Tests: FailingAcceptIsNotRepeatedAtOnce and ConnectionWaitsUntilItMayBeAccepted failed with the accept repeated at once and without the check.

--- a/modules/gateway/TcpListener.cpp
+++ b/modules/gateway/TcpListener.cpp
@@ -1,8 +1,10 @@
 #include "gateway/TcpListener.h"
 
 #include <boost/asio/detail/socket_option.hpp>
+#include <boost/asio/post.hpp>
 
 #include <cassert>
+#include <chrono>
 #include <utility>
 
 namespace fireflytrail::gateway {
@@ -11,11 +13,22 @@
 using ReusePort =
   boost::asio::detail::socket_option::boolean<SOL_SOCKET, SO_REUSEPORT>;
 
+namespace {
+
+// Time until the next accept after one that failed, or while none is allowed.
+// A connection waits in the kernel that long at most once a descriptor is free.
+constexpr std::chrono::milliseconds kRetryInterval{ 20 };
+
+} // namespace
+
 TcpListener::TcpListener(boost::asio::io_context& aContext,
-                         AcceptFunction aOnAccept)
+                         AcceptFunction aOnAccept,
+                         TcpListenerHooks aHooks)
   : context(aContext)
   , acceptor(aContext)
   , onAccept(std::move(aOnAccept))
+  , hooks(std::move(aHooks))
+  , retryTimer(aContext)
 {
   assert(this->onAccept);
 }
@@ -31,6 +44,13 @@
   if (!error) {
     this->acceptor.set_option(ReusePort(true), error);
   }
+  if (!error && this->hooks.receiveBufferBytes) {
+    // Accepted sockets inherit it. Without it the listener serves as well.
+    boost::system::error_code ignored;
+    this->acceptor.set_option(
+      tcp::acceptor::receive_buffer_size(*this->hooks.receiveBufferBytes),
+      ignored);
+  }
   if (!error) {
     this->acceptor.bind(aEndpoint, error);
   }
@@ -61,25 +81,65 @@
   this->AcceptEstablished();
   boost::system::error_code ignored;
   this->acceptor.close(ignored);
+  this->retryTimer.cancel();
+}
+
+void
+TcpListener::AcceptLater()
+{
+  this->retryTimer.expires_after(kRetryInterval);
+  this->retryTimer.async_wait(
+    [self = this->shared_from_this()](boost::system::error_code aError) {
+      if (!aError && self->acceptor.is_open()) {
+        self->Accept();
+      }
+    });
 }
 
 void
 TcpListener::Accept()
 {
+  if (this->hooks.mayAccept && !this->hooks.mayAccept()) {
+    this->AcceptLater();
+    return;
+  }
+  if (const auto error = this->hooks.simulatedError
+                           ? this->hooks.simulatedError()
+                           : boost::system::error_code()) {
+    boost::asio::post(this->context, [self = this->shared_from_this(), error] {
+      self->OnAccepted(error, tcp::socket(self->context));
+    });
+    return;
+  }
   this->acceptor.async_accept(
     this->context,
     [self = this->shared_from_this()](boost::system::error_code aError,
                                       tcp::socket aSocket) {
-      // The socket may have been accepted just before the listener was closed.
-      if (!aError) {
-        self->TakeSocket(std::move(aSocket));
-      }
-      if (self->acceptor.is_open()) {
-        self->Accept();
-      }
+      self->OnAccepted(aError, std::move(aSocket));
     });
 }
 
+void
+TcpListener::OnAccepted(boost::system::error_code aError, tcp::socket aSocket)
+{
+  // The socket may have been accepted just before the listener was closed.
+  if (!aError) {
+    this->TakeSocket(std::move(aSocket));
+  }
+  if (!this->acceptor.is_open()) {
+    return;
+  }
+  if (!aError) {
+    this->Accept();
+    return;
+  }
+  // At once, it would fail again until a descriptor is free.
+  if (this->hooks.onFailure) {
+    this->hooks.onFailure(aError);
+  }
+  this->AcceptLater();
+}
+
 void
 TcpListener::AcceptEstablished()
 {
--- a/modules/gateway/TcpListener.h
+++ b/modules/gateway/TcpListener.h
@@ -2,12 +2,33 @@
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
 
 #include <functional>
 #include <memory>
+#include <optional>
 
 namespace fireflytrail::gateway {
 
+/** Functions that a listener calls; each may be empty. */
+struct TcpListenerHooks
+{
+  /** Returns whether another connection may be accepted now. Connections wait
+   * in the kernel meanwhile. */
+  std::function<bool()> mayAccept;
+
+  /** Called once for each accept that fails, for example because no descriptor
+   * is left. The next one is tried after a short time. */
+  std::function<void(boost::system::error_code)> onFailure;
+
+  /** For tests: returns the error with which the next accept fails, if any. */
+  std::function<boost::system::error_code()> simulatedError;
+
+  /** Bytes that the kernel keeps of each connection until they are read; by
+   * default, it grows with the connection. */
+  std::optional<int> receiveBufferBytes;
+};
+
 /**
  * Accepts TCP connections on one address for one thread. Several listeners may
  * share an address; the kernel distributes connections among them.
@@ -18,7 +39,9 @@
   using AcceptFunction = std::function<void(boost::asio::ip::tcp::socket)>;
 
   /** `aOnAccept` must be set. It runs on the thread of `aContext`. */
-  TcpListener(boost::asio::io_context& aContext, AcceptFunction aOnAccept);
+  TcpListener(boost::asio::io_context& aContext,
+              AcceptFunction aOnAccept,
+              TcpListenerHooks aHooks = {});
 
   /**
    * Binds and starts accepting. Returns an error if the address cannot be
@@ -40,12 +63,17 @@
 
 private:
   void Accept();
+  void AcceptLater();
+  void OnAccepted(boost::system::error_code aError,
+                  boost::asio::ip::tcp::socket aSocket);
   void AcceptEstablished();
   void TakeSocket(boost::asio::ip::tcp::socket aSocket);
 
   boost::asio::io_context& context;
   boost::asio::ip::tcp::acceptor acceptor;
   AcceptFunction onAccept;
+  TcpListenerHooks hooks;
+  boost::asio::steady_timer retryTimer;
   boost::asio::ip::tcp::endpoint localEndpoint;
 };
 
--- a/modules/gateway/TcpListenerTest.cpp
+++ b/modules/gateway/TcpListenerTest.cpp
@@ -2,10 +2,29 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <chrono>
+#include <optional>
 #include <vector>
 
 using namespace fireflytrail::gateway;
 using boost::asio::ip::tcp;
+using namespace std::chrono_literals;
+
+namespace {
+
+/** Opens a listener, connects to it and runs it until it closes. */
+void
+ConnectAndRun(boost::asio::io_context& aContext, TcpListener& aListener)
+{
+  BOOST_REQUIRE(
+    !aListener.Open({ boost::asio::ip::address_v4::loopback(), 0 }));
+  boost::asio::io_context callerContext;
+  tcp::socket caller(callerContext);
+  caller.connect(aListener.LocalEndpoint());
+  aContext.run();
+}
+
+} // namespace
 
 // Guards against the reset of connections that the kernel has established when
 // a daemon stops listening.
@@ -51,3 +70,60 @@
   context.run();
   BOOST_TEST(accepted == 2U);
 }
+
+// Guards against a listener that takes all processor time while no descriptor
+// is left for a connection.
+BOOST_AUTO_TEST_CASE(FailingAcceptIsNotRepeatedAtOnce)
+{
+  boost::asio::io_context context;
+  std::size_t failures = 0;
+  std::size_t accepted = 0;
+  const auto failsUntil = std::chrono::steady_clock::now() + 200ms;
+  std::shared_ptr<TcpListener> listener;
+  listener = std::make_shared<TcpListener>(
+    context,
+    [&](const tcp::socket&) {
+      ++accepted;
+      listener->Close();
+    },
+    TcpListenerHooks{
+      .mayAccept = nullptr,
+      .onFailure = [&](boost::system::error_code) { ++failures; },
+      .simulatedError =
+        [&] {
+          return std::chrono::steady_clock::now() < failsUntil
+                   ? boost::asio::error::make_error_code(
+                       boost::asio::error::no_descriptors)
+                   : boost::system::error_code();
+        },
+      .receiveBufferBytes = std::nullopt });
+  ConnectAndRun(context, *listener);
+  BOOST_TEST(accepted == 1U);
+  BOOST_TEST(failures > 0U);
+  BOOST_TEST(failures <= 10U);
+}
+
+// Guards against connections that are accepted beyond the descriptors of a
+// host, and against those that wait being forgotten.
+BOOST_AUTO_TEST_CASE(ConnectionWaitsUntilItMayBeAccepted)
+{
+  boost::asio::io_context context;
+  bool mayAccept = false;
+  std::size_t accepted = 0;
+  std::shared_ptr<TcpListener> listener;
+  listener = std::make_shared<TcpListener>(
+    context,
+    [&](const tcp::socket&) {
+      BOOST_TEST(mayAccept);
+      ++accepted;
+      listener->Close();
+    },
+    TcpListenerHooks{ .mayAccept = [&] { return mayAccept; },
+                      .onFailure = nullptr,
+                      .simulatedError = nullptr,
+                      .receiveBufferBytes = std::nullopt });
+  boost::asio::steady_timer timer(context, 100ms);
+  timer.async_wait([&](boost::system::error_code) { mayAccept = true; });
+  ConnectAndRun(context, *listener);
+  BOOST_TEST(accepted == 1U);
+}
