Do not count a lack of descriptors against a server

Read, not seen: a connect that fails because this host has no descriptor, port or memory left counted as a failure of the server, which is then excluded. Change: the exchange says that the failure is local, and the slot is given back as cancelled. No test: a run without descriptors would need changed limits of the process.

--- a/modules/gateway/ServerConnection.cpp
+++ b/modules/gateway/ServerConnection.cpp
@@ -54,6 +54,18 @@
 // Buffer that an idle connection keeps, enough for most answers.
 constexpr std::size_t kMaxIdleBufferBytes = std::size_t{ 8 } * 1024;
 
+/** Whether a connect failed because this host lacks descriptors, ports or
+ * memory. */
+bool
+IsLocalFailure(const boost::system::error_code& aError)
+{
+  return aError == boost::system::errc::too_many_files_open ||
+         aError == boost::system::errc::too_many_files_open_in_system ||
+         aError == boost::system::errc::address_not_available ||
+         aError == boost::system::errc::no_buffer_space ||
+         aError == boost::system::errc::not_enough_memory;
+}
+
 /** An answer and the memory that it takes. */
 struct LeasedAnswer
 {
@@ -132,6 +144,7 @@
       if (aError) {
         self->isConnectRefused =
           aError == boost::asio::error::connection_refused;
+        self->isLocalFailure = IsLocalFailure(aError);
         self->FailOnError(aError);
         return;
       }
@@ -375,6 +388,7 @@
   ServerExchange exchange;
   exchange.progress = aProgress;
   exchange.isConnectRefused = std::exchange(this->isConnectRefused, false);
+  exchange.isLocalFailure = std::exchange(this->isLocalFailure, false);
   this->End(std::move(exchange));
 }
 
--- a/modules/gateway/ServerConnection.h
+++ b/modules/gateway/ServerConnection.h
@@ -140,6 +140,7 @@
   /** Number of answers to other requests that arrived; more may follow. */
   unsigned mismatchedAnswers = 0;
   bool isConnectRefused = false;
+  bool isLocalFailure = false;
   bool isOpen = false;
   bool isNewConnection = false;
   // Distinguishes the callbacks of one idle watch or request from those of
--- a/modules/gateway/ServerExchange.h
+++ b/modules/gateway/ServerExchange.h
@@ -30,6 +30,9 @@
   bool isWrongServer = false;
   /** Whether the server's host refused the connection. */
   bool isConnectRefused = false;
+  /** Whether the connection failed for a reason on this side, for example
+   * because no descriptor is left, which says nothing about the server. */
+  bool isLocalFailure = false;
   /** Time from `ServerConnection::Send` to the end of the attempt. */
   std::chrono::steady_clock::duration duration{};
   /** Whether a new connection was opened for this attempt. */
--- a/modules/proxy/RequestRunner.cpp
+++ b/modules/proxy/RequestRunner.cpp
@@ -43,7 +43,8 @@
       return aExchange.isWrongServer ? AttemptOutcome::WrongServer
                                      : AttemptOutcome::Refused;
     case AttemptProgress::NothingSent:
-      return AttemptOutcome::ConnectFailed;
+      return aExchange.isLocalFailure ? AttemptOutcome::Cancelled
+                                      : AttemptOutcome::ConnectFailed;
     case AttemptProgress::SentNoAnswer:
     case AttemptProgress::AnswerTruncated:
     case AttemptProgress::AnswerInvalid:
