Bound the connections of callers below the descriptors of a host

Seen: 3000 callers take 3,033 descriptors; nothing keeps callers from taking all 4,100 of a deployment, and then neither servers, peers nor the store can be connected to. Change: the setting max_descriptors, from the limit of the deployment. Three quarters of what is left beside files is for callers. Connections that are expected to send no request are closed first, since their callers lose nothing; then the last eighth answers requests 503, not run, and beyond it connections wait unaccepted. Connections with a request, or within the idle time that an answer stated, are never closed for others. The kernel keeps 64 KB of a connection that is not read, instead of up to 6 MB. Tests: RequestOnAConnectionTooManyIsRefused failed without the check; settings.

--- a/modules/configuration/ProxySettings.cpp
+++ b/modules/configuration/ProxySettings.cpp
@@ -4,6 +4,7 @@
 #include "configuration/TextChecks.h"
 
 #include <algorithm>
+#include <limits>
 
 namespace fireflytrail::configuration {
 
@@ -26,6 +27,15 @@
 constexpr double kBufferMemoryShare = 0.1;
 constexpr double kBytesPerMegabyte = 1024.0 * 1024.0;
 
+constexpr std::int64_t kMinDescriptors = 32;
+constexpr std::int64_t kMaxDescriptors = 1 << 24;
+// Descriptors that the platform keeps for files, a quarter at most, and the
+// share of the others for callers. Each request in progress has a connection to
+// a server, but most connections of callers are idle.
+constexpr std::size_t kFileDescriptors = 200;
+constexpr std::size_t kMaxFilePart = 4;
+constexpr double kCallerShare = 0.75;
+
 // Minimum bandwidth and processor share of a host that works for the others.
 // The link must transfer 1.5 MB in a quarter of a second, and 1,000 short
 // messages a second must use at most a tenth of the processor share.
@@ -88,6 +98,8 @@
     reader.Number("processor_share", 0, kMaxProcessorShare, 1);
   settings.memoryMegabytes =
     reader.Number("memory_mb", kMinMemoryMegabytes, kMaxMemoryMegabytes, 256);
+  settings.maxDescriptors = static_cast<std::size_t>(
+    reader.Integer("max_descriptors", kMinDescriptors, kMaxDescriptors, 0));
   settings.linkMegabitsPerSecond =
     reader.Number("link_mbps", 0, kMaxLinkMegabitsPerSecond, 1000);
   settings.expectedHosts =
@@ -107,6 +119,18 @@
                                   kBodyMemoryShare);
 }
 
+std::size_t
+ProxySettings::MaxCallerConnections() const
+{
+  if (this->maxDescriptors == 0) {
+    return std::numeric_limits<std::size_t>::max();
+  }
+  const std::size_t forFiles =
+    std::min(kFileDescriptors, this->maxDescriptors / kMaxFilePart);
+  return static_cast<std::size_t>(
+    static_cast<double>(this->maxDescriptors - forFiles) * kCallerShare);
+}
+
 std::size_t
 ProxySettings::BufferMemoryBytes() const
 {
--- a/modules/configuration/ProxySettings.h
+++ b/modules/configuration/ProxySettings.h
@@ -50,6 +50,8 @@
   double processorShare = 1;
   /** Memory that the host grants the daemon, in megabytes of 2^20 bytes. */
   double memoryMegabytes = 256;
+  /** Descriptors that the host grants the daemon; 0 if that is not known. */
+  std::size_t maxDescriptors = 0;
   /** Bandwidth of the host's link, in Mbit/s. */
   double linkMegabitsPerSecond = 1000;
   /** Minimum number of entry hosts among which budgets of the whole fleet are
@@ -77,6 +79,13 @@
    */
   std::size_t BodyMemoryBytes() const;
 
+  /**
+   * Returns how many connections of callers may be open at once; the largest
+   * number if `maxDescriptors` is 0. The rest of the descriptors is for files
+   * and for connections to servers, other daemons and the store. Thread-safe.
+   */
+  std::size_t MaxCallerConnections() const;
+
   /**
    * Returns the bytes that heads and buffers of connections may take beyond
    * those that are left of bodies. Thread-safe.
--- a/modules/configuration/ProxySettingsTest.cpp
+++ b/modules/configuration/ProxySettingsTest.cpp
@@ -15,7 +15,7 @@
   "peer_listen": "10.1.0.15:7620",
   "first_peers": ["10.1.0.15:8649", "10.2.0.42:8649"],
   "stop_limit_ms": 5000, "retry_ratio": 0.25, "free_retries": 64.0,
-  "trial_share": 0.05, "memory_mb": 160, "log_bytes_per_second": 4096
+  "trial_share": 0.05, "memory_mb": 160, "max_descriptors": 4100, "log_bytes_per_second": 4096
 })";
 
 } // namespace
@@ -42,6 +42,8 @@
   BOOST_TEST(settings.memoryMegabytes == 160);
   BOOST_TEST(settings.BodyMemoryBytes() == 67'108'864U);
   BOOST_TEST(settings.BufferMemoryBytes() == 16'777'216U);
+  BOOST_TEST(settings.maxDescriptors == 4100U);
+  BOOST_TEST(settings.MaxCallerConnections() == 2925U);
   BOOST_TEST(settings.logBytesPerSecond == 4096U);
 }
 
--- a/modules/gateway/CallerSession.cpp
+++ b/modules/gateway/CallerSession.cpp
@@ -74,6 +74,13 @@
   this->ReadHeader();
 }
 
+void
+CallerSession::StartRefusing()
+{
+  this->isRefusing = true;
+  this->ReadHeader();
+}
+
 void
 CallerSession::CloseIfIdle(std::chrono::steady_clock::time_point aNow)
 {
@@ -107,7 +114,9 @@
   }
   // The idle timeout applies until the first byte arrives; the request timeout
   // starts at that byte.
-  this->stream.expires_after(this->hooks->limits.idleTimeout);
+  this->stream.expires_after(this->isRefusing
+                               ? std::chrono::milliseconds(kFirstRequestTime)
+                               : this->hooks->limits.idleTimeout);
   this->stream.async_read_some(
     this->buffer.prepare(kIdleBufferBytes),
     [self = this->shared_from_this()](beast::error_code aError,
@@ -118,7 +127,9 @@
       }
       self->buffer.commit(aCount);
       self->isIdle = false;
-      self->stream.expires_after(self->hooks->limits.requestTimeout);
+      self->stream.expires_after(
+        self->isRefusing ? std::chrono::milliseconds(kFirstRequestTime)
+                         : self->hooks->limits.requestTimeout);
       self->ReadHeaderPart();
     });
 }
@@ -219,7 +230,7 @@
     return;
   }
   this->bodyLease = std::make_shared<core::MemoryLease>(this->hooks->memory);
-  if (!this->TryHoldHead() ||
+  if (this->isRefusing || !this->TryHoldHead() ||
       !this->bodyLease->TryResize(
         static_cast<std::size_t>(this->parser->content_length().value_or(0)))) {
     this->RefuseForMemory();
--- a/modules/gateway/CallerSession.h
+++ b/modules/gateway/CallerSession.h
@@ -84,6 +84,12 @@
   /** Starts reading. Call once, on the socket's thread. */
   void Start();
 
+  /**
+   * Starts reading like `Start`, but answers the first request as not run and
+   * closes: there are too many connections. Call instead of `Start`.
+   */
+  void StartRefusing();
+
   /**
    * Closes the connection if no request has arrived or is being answered and
    * none is expected any more at `aNow`: the time that the last answer stated
@@ -155,6 +161,7 @@
   /** Time for which the last answer allowed the connection to be unused. */
   std::chrono::milliseconds statedIdleTime{ 0 };
   bool isCallRunning = false;
+  bool isRefusing = false;
   bool isKeptAlive = false;
   bool isHeadRequest = false;
   unsigned httpVersion = 11;
--- a/modules/gateway/CallerSessionTest.cpp
+++ b/modules/gateway/CallerSessionTest.cpp
@@ -57,7 +57,11 @@
         const auto session =
           std::make_shared<CallerSession>(std::move(aSocket), this->hooks);
         this->sessions.push_back(session);
-        session->Start();
+        if (this->refusesAll) {
+          session->StartRefusing();
+        } else {
+          session->Start();
+        }
       });
     const auto error =
       this->listener->Open({ boost::asio::ip::address_v4::loopback(), 0 });
@@ -112,6 +116,8 @@
   CallerSessionHooks& Hooks() { return *this->hooks; }
 
   std::vector<CallRequest> calls;
+  /** Whether new sessions refuse their first request. */
+  std::atomic<bool> refusesAll{ false };
   std::promise<void> hangingCall;
   std::promise<void> cancelled;
 
@@ -319,6 +325,19 @@
   BOOST_TEST(memory->Used() == 0U);
 }
 
+// Guards against requests that get no answer because there are too many
+// connections.
+BOOST_AUTO_TEST_CASE(RequestOnAConnectionTooManyIsRefused)
+{
+  EchoGateway gateway;
+  gateway.refusesAll = true;
+  const std::string answer =
+    gateway.Exchange("GET /s/a HTTP/1.1\r\n\r\n", false);
+  BOOST_TEST(StatusLineOf(answer) == "HTTP/1.1 503 Service Unavailable");
+  BOOST_TEST(answer.find("Call-Outcome: not-run") != std::string::npos);
+  BOOST_TEST(gateway.calls.empty());
+}
+
 // Guards against an incomplete request being run.
 BOOST_AUTO_TEST_CASE(IncompleteRequestsAreNotRun)
 {
--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -41,6 +41,15 @@
 
 constexpr milliseconds kStopCheckInterval = 100ms;
 
+// Part of the callers' connections that is used to refuse requests.
+constexpr std::size_t kRefusedPart = 8;
+constexpr milliseconds kIdleCloseInterval = 100ms;
+constexpr milliseconds kDescriptorLogInterval = 10'000ms;
+
+// Bytes that the kernel keeps of a connection until they are read; they count
+// as the daemon's. This transfers 64 MB/s at a round trip of 1 ms.
+constexpr int kReceiveBufferBytes = 64 * 1024;
+
 // Maximum time that a watch waits for a change. If its connection goes silent
 // without a reset, this time also passes before the daemon calls again. The
 // platform then allows 3 s in addition to its time limits. An urgent watch and
@@ -503,17 +512,25 @@
     return report("peer_listen", boost::asio::error::address_in_use);
   }
   this->listener = std::make_shared<gateway::TcpListener>(
-    this->context, [this](tcp::socket aSocket) {
-      const auto session = std::make_shared<gateway::CallerSession>(
-        std::move(aSocket), this->sessionHooks);
-      if (this->sessions.size() >= kMinSessionsToSweep &&
-          this->sessions.size() >= 2 * this->sessionCount) {
-        std::erase_if(this->sessions,
-                      [](const auto& aWeak) { return aWeak.expired(); });
-      }
-      this->sessions.push_back(session);
-      session->Start();
-    });
+    this->context,
+    [this](tcp::socket aSocket) {
+      this->OnCallerConnected(std::move(aSocket));
+    },
+    gateway::TcpListenerHooks{ .mayAccept =
+                                 [this] {
+                                   if (this->sessionCount <
+                                       this->settings.MaxCallerConnections()) {
+                                     return true;
+                                   }
+                                   this->MakeRoom();
+                                   return false;
+                                 },
+                               .onFailure =
+                                 [this](boost::system::error_code aError) {
+                                   this->OnAcceptFailed(aError);
+                                 },
+                               .simulatedError = nullptr,
+                               .receiveBufferBytes = kReceiveBufferBytes });
   if (const auto error =
         this->listener->Open(SocketEndpoint(this->settings.listen))) {
     return report("listen", error);
@@ -889,6 +906,62 @@
   }
 }
 
+void
+ProxyDaemon::OnCallerConnected(tcp::socket aSocket)
+{
+  const auto session = std::make_shared<gateway::CallerSession>(
+    std::move(aSocket), this->sessionHooks);
+  if (this->sessions.size() >= kMinSessionsToSweep &&
+      this->sessions.size() >= 2 * this->sessionCount) {
+    std::erase_if(this->sessions,
+                  [](const auto& aWeak) { return aWeak.expired(); });
+  }
+  this->sessions.push_back(session);
+  const std::size_t limit = this->settings.MaxCallerConnections();
+  if (this->sessionCount <= limit - limit / kRefusedPart) {
+    session->Start();
+    return;
+  }
+  // The last connections are kept free for answers that refuse.
+  this->MakeRoom();
+  const core::TimePoint now = std::chrono::steady_clock::now();
+  this->metrics.Count("connections_refused_total");
+  if (now - this->descriptorsLoggedAt >= kDescriptorLogInterval) {
+    this->descriptorsLoggedAt = now;
+    this->log.Write(
+      LogLevel::Warning,
+      "connections_refused",
+      { { "sessions", static_cast<std::int64_t>(this->sessionCount) },
+        { "limit", static_cast<std::int64_t>(limit) } });
+  }
+  session->StartRefusing();
+}
+
+void
+ProxyDaemon::MakeRoom()
+{
+  const core::TimePoint now = std::chrono::steady_clock::now();
+  if (now - this->idleClosedAt >= kIdleCloseInterval) {
+    this->idleClosedAt = now;
+    this->CloseIdleSessions();
+  }
+}
+
+void
+ProxyDaemon::OnAcceptFailed(boost::system::error_code aError)
+{
+  this->metrics.Count("accept_failures_total");
+  const core::TimePoint now = std::chrono::steady_clock::now();
+  if (now - this->descriptorsLoggedAt >= kDescriptorLogInterval) {
+    this->descriptorsLoggedAt = now;
+    this->log.Write(
+      LogLevel::Warning,
+      "accept_failed",
+      { { "error", aError.message() },
+        { "sessions", static_cast<std::int64_t>(this->sessionCount) } });
+  }
+}
+
 void
 ProxyDaemon::UpdateKeepAliveTime()
 {
--- a/modules/proxy/ProxyDaemon.h
+++ b/modules/proxy/ProxyDaemon.h
@@ -127,6 +127,12 @@
   void BeginStop();
   void CheckStop();
   void CloseIdleSessions();
+  /** Closes connections of callers that are expected to send no request; they
+   * lose nothing. */
+  void MakeRoom();
+  void OnCallerConnected(boost::asio::ip::tcp::socket aSocket);
+  /** Logs that accepting failed for the first time in a while. */
+  void OnAcceptFailed(boost::system::error_code aError);
   void UpdateKeepAliveTime();
   void ReloadSettings();
   void ScheduleSettingsCheck();
@@ -182,6 +188,10 @@
    */
   std::map<std::string, std::map<std::string, double>> shareCredits;
   std::size_t sessionCount = 0;
+  /** Time of the last line about descriptors, and of the last closing of idle
+   * sessions because there are too many. */
+  core::TimePoint descriptorsLoggedAt{};
+  core::TimePoint idleClosedAt{};
   std::size_t requestCount = 0;
   /** Requests in progress, and some that have ended. */
   std::vector<std::weak_ptr<RequestRunner>> runners;
