Return free memory to the system after a peak

Seen: after chunk-lines 247,380 kB, and after bodies 23,468 kB, stayed resident. Cause: free blocks between others that are in use are not returned. Change: malloc_trim when connections hold 16 MB less than at their peak.

--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -19,6 +19,8 @@
 #include <random>
 #include <utility>
 
+#include <malloc.h>
+
 namespace fireflytrail::proxy {
 
 namespace json = boost::json;
@@ -41,6 +43,12 @@
 
 constexpr milliseconds kStopCheckInterval = 100ms;
 
+// Memory of a connection beside what the budget counts, and size of a decline
+// after which free memory is returned to the system: blocks between others that
+// are in use stay resident until then. It takes about a millisecond.
+constexpr std::size_t kSessionBytes = std::size_t{ 8 } * 1024;
+constexpr std::size_t kReturnedBytes = std::size_t{ 16 } << 20U;
+
 // Part of the callers' connections that is used to refuse requests.
 constexpr std::size_t kRefusedPart = 8;
 constexpr milliseconds kIdleCloseInterval = 100ms;
@@ -605,6 +613,7 @@
 ProxyDaemon::OnHeartbeatTimer()
 {
   this->budgets.SetAllowance(this->RetryAllowance());
+  this->ReturnMemory();
   this->watcher->SetActive(this->relay->ShouldWatch());
   this->relay->Tick();
   this->heartbeatTimer.expires_after(StoreRelay::kHeartbeatInterval);
@@ -947,6 +956,18 @@
   }
 }
 
+void
+ProxyDaemon::ReturnMemory()
+{
+  const std::size_t held =
+    this->bodyMemory->Used() + this->sessionCount * kSessionBytes;
+  this->peakHeldBytes = std::max(this->peakHeldBytes, held);
+  if (this->peakHeldBytes - held >= kReturnedBytes) {
+    this->peakHeldBytes = held;
+    malloc_trim(0);
+  }
+}
+
 void
 ProxyDaemon::OnAcceptFailed(boost::system::error_code aError)
 {
--- a/modules/proxy/ProxyDaemon.h
+++ b/modules/proxy/ProxyDaemon.h
@@ -130,6 +130,8 @@
   /** Closes connections of callers that are expected to send no request; they
    * lose nothing. */
   void MakeRoom();
+  /** Returns free memory to the system after a peak. */
+  void ReturnMemory();
   void OnCallerConnected(boost::asio::ip::tcp::socket aSocket);
   /** Logs that accepting failed for the first time in a while. */
   void OnAcceptFailed(boost::system::error_code aError);
@@ -192,6 +194,8 @@
    * sessions because there are too many. */
   core::TimePoint descriptorsLoggedAt{};
   core::TimePoint idleClosedAt{};
+  /** Most bytes that connections held since memory was returned. */
+  std::size_t peakHeldBytes = 0;
   std::size_t requestCount = 0;
   /** Requests in progress, and some that have ended. */
   std::vector<std::weak_ptr<RequestRunner>> runners;
