--- a/modules/gateway/CallerSession.cpp
+++ b/modules/gateway/CallerSession.cpp
@@ -89,6 +89,13 @@
   this->ReadHeader();
 }
 
+void
+CallerSession::StartRefusing()
+{
+  this->isRefusing = true;
+  this->ReadHeader();
+}
+
 void
 CallerSession::CloseIfIdle(std::chrono::steady_clock::time_point aNow)
 {
@@ -121,7 +128,9 @@
   }
   // The idle timeout applies until the first byte arrives; the request timeout
   // starts at that byte.
-  this->stream.expires_after(this->hooks->limits.idleTimeout);
+  this->stream.expires_after(this->isRefusing
+                               ? std::chrono::milliseconds(kFirstRequestTime)
+                               : this->hooks->limits.idleTimeout);
   this->stream.async_read_some(this->buffer.prepare(kIdleBufferBytes),
                                [self = this->shared_from_this()](
                                  beast::error_code aError, std::size_t aCount) {
@@ -145,7 +154,10 @@
   this->isHeadRequest = false;
   this->bodyDeadline.reset();
   this->stream.expires_never();
-  this->LimitReading(this->requestBegin + this->hooks->limits.requestTimeout);
+  this->LimitReading(this->requestBegin +
+                     (this->isRefusing
+                        ? std::chrono::milliseconds(kFirstRequestTime)
+                        : this->hooks->limits.requestTimeout));
   this->ReadHeaderPart();
 }
 
@@ -248,7 +260,7 @@
     return;
   }
   this->bodyLease = std::make_shared<core::MemoryLease>(this->hooks->memory);
-  if (!this->TryHoldHead() ||
+  if (this->isRefusing || !this->TryHoldHead() ||
       !this->bodyLease->TryResize(
         static_cast<std::size_t>(this->parser->content_length().value_or(0)))) {
     this->RefuseForMemory();
--- a/modules/gateway/CallerSession.h
+++ b/modules/gateway/CallerSession.h
@@ -92,6 +92,12 @@
   /** Starts reading. Call once, on the socket's thread. */
   void Start();
 
+  /**
+   * Starts reading like `Start`, but answers the first request as not run and
+   * closes: there are too many connections. Call instead of `Start`.
+   */
+  void StartRefusing();
+
   /**
    * Closes the connection if no request has arrived or is being answered and
    * none is expected any more at `aNow`: the time that the last answer stated
@@ -206,6 +212,7 @@
   /** Whether it has done so long enough ago to end its calls. */
   bool isCallerGone = false;
   bool isWatchingForClose = false;
+  bool isRefusing = false;
   bool isKeptAlive = false;
   bool isHeadRequest = false;
   unsigned httpVersion = 11;
--- a/modules/proxy/ProxyDaemon.h
+++ b/modules/proxy/ProxyDaemon.h
@@ -128,6 +128,14 @@
   void CloseIdleSessions();
   /** Logs the requests and connections that the end of the process cuts. */
   void ReportCutRequests();
+  /** Closes connections of callers that are expected to send no request; they
+   * lose nothing. */
+  void MakeRoom();
+  /** Returns free memory to the system after a peak. */
+  void ReturnMemory();
+  void OnCallerConnected(boost::asio::ip::tcp::socket aSocket);
+  /** Logs that accepting failed for the first time in a while. */
+  void OnAcceptFailed(boost::system::error_code aError);
   void UpdateKeepAliveTime();
   void ReloadSettings();
   void OnSettingsUnreadable(const SettingsFile::Content& aContent);
@@ -185,6 +193,12 @@
    */
   std::map<std::string, std::map<std::string, double>> shareCredits;
   std::size_t sessionCount = 0;
+  /** Time of the last line about descriptors, and of the last closing of idle
+   * sessions because there are too many. */
+  core::TimePoint descriptorsLoggedAt{};
+  core::TimePoint idleClosedAt{};
+  /** Most bytes that connections held since memory was returned. */
+  std::size_t peakHeldBytes = 0;
   std::size_t requestCount = 0;
   /** Requests in progress, and some that have ended. */
   std::vector<std::weak_ptr<RequestRunner>> runners;
