--- a/modules/gateway/TcpListener.h
+++ b/modules/gateway/TcpListener.h
@@ -76,6 +76,8 @@
   void AcceptLater();
   void OnAccepted(boost::system::error_code aError,
                   boost::asio::ip::tcp::socket aSocket);
+  /** Keeps the kernel from establishing more connections. */
+  void StopEstablishing();
   void AcceptEstablished();
   void TakeSocket(boost::asio::ip::tcp::socket aSocket);
 
