Let hurried callers use daemons that stop in the soak

Each stop has callers of its own now, some of which open connections without pauses for a service without servers.

--- a/soak/Caller.cpp
+++ b/soak/Caller.cpp
@@ -28,7 +28,8 @@
 namespace {
 
 constexpr auto kRequestTimeout = 2000ms;
-constexpr auto kRequestInterval = 15ms;
+constexpr std::chrono::milliseconds kRequestInterval = 15ms;
+constexpr std::chrono::milliseconds kHurriedInterval = 1ms;
 // Limited so that requests use both kept-alive and new connections.
 constexpr unsigned kMaxRequestsOfBalanced = 20;
 // Pauses of callers that keep their connections: about one in `kPauseShare`
@@ -79,7 +80,8 @@
     if (const auto daemon = this->hooks.daemon(this->kind == Kind::Balanced)) {
       co_await this->UseConnection(*daemon);
     }
-    co_await this->Wait(kRequestInterval);
+    co_await this->Wait(this->kind == Kind::Hurried ? kHurriedInterval
+                                                    : kRequestInterval);
   }
 }
 
@@ -109,7 +111,9 @@
 {
   const bool isAtMostOnce = this->random() % 2 == 0;
   const bool isForSecond = isAtMostOnce && this->random() % 3 == 0;
-  const std::string_view prefix = isForSecond    ? kSecondServicePrefix
+  const std::string_view prefix = this->kind == Kind::Hurried
+                                    ? kAbsentServicePrefix
+                                  : isForSecond  ? kSecondServicePrefix
                                   : isAtMostOnce ? "/once/"
                                                  : "/any/";
   HttpRequest request;
--- a/soak/Caller.h
+++ b/soak/Caller.h
@@ -34,6 +34,9 @@
     Keeping,
     /** Opens a connection to any daemon that accepts for each request. */
     Reconnecting,
+    /** As `Reconnecting`, almost without pauses, and for a service without
+     * servers, so that the daemon responds at once. */
+    Hurried,
     /** As `Reconnecting`, and sends the body in two parts. */
     SlowBody,
     /** As `Reconnecting`, and at times closes the connection before the
--- a/soak/Soak.cpp
+++ b/soak/Soak.cpp
@@ -61,13 +61,13 @@
 // time after which the servers have recorded each request.
 constexpr auto kCrossingTime = 200ms;
 constexpr auto kRecordingTime = 500ms;
-// Callers of a daemon that stops, besides the others.
-constexpr unsigned kCallersOfStop = 8;
+// Time in which a daemon that stops has callers of its own besides the others.
+constexpr auto kStopCallersTime = 4s;
 constexpr unsigned kMaxEarlySignalMs = 20;
 constexpr unsigned kMaxStopSignalMs = 5000;
 constexpr unsigned kMaxRewriteMs = 300;
 constexpr unsigned kMaxStartRewriteMs = 50;
-constexpr unsigned kMaxSeriesStepMs = 700;
+constexpr unsigned kMaxSeriesMs = 2800;
 // Servers that left before a loss of power serve on until the daemons have been
 // back for a while.
 constexpr auto kEndDelayAfterPowerLoss = 12s;
@@ -558,11 +558,17 @@
       this->StartDaemon(aHost);
     });
   }
-  for (unsigned index = 0; index < kCallersOfStop; ++index) {
+  constexpr std::array kKinds = {
+    Caller::Kind::Hurried,      Caller::Kind::Hurried,
+    Caller::Kind::Hurried,      Caller::Kind::Hurried,
+    Caller::Kind::Reconnecting, Caller::Kind::Reconnecting,
+    Caller::Kind::Keeping,      Caller::Kind::SlowBody
+  };
+  for (const Caller::Kind kind : kKinds) {
     this->StartCaller(
-      index % 4 == 0 ? Caller::Kind::Keeping : Caller::Kind::Reconnecting,
+      kind,
       [&aHost](bool) { return aHost.process->CallerEndpoint(); },
-      [this, end = std::chrono::steady_clock::now() + kStopLimit] {
+      [this, end = std::chrono::steady_clock::now() + kStopCallersTime] {
         return this->isOver || std::chrono::steady_clock::now() >= end;
       });
   }
@@ -573,7 +579,7 @@
 {
   const std::size_t count = 2 + this->RandomBelow(this->hosts.size() - 1);
   const std::size_t first = this->RandomBelow(this->hosts.size());
-  const milliseconds step(this->RandomBelow(kMaxSeriesStepMs));
+  const milliseconds step(this->RandomBelow(kMaxSeriesMs / count));
   this->log(fmt::format("{} daemons stop in series", count));
   for (std::size_t index = 0; index < count; ++index) {
     Host& host = *this->hosts[(first + index) % this->hosts.size()];
@@ -731,10 +737,12 @@
   entries.push_back(MakeRoute("r-any", "/any/", false));
   entries.push_back(MakeRoute(
     "r-second", std::string(kSecondServicePrefix), true, kSecondService));
+  entries.push_back(MakeRoute(
+    "r-absent", std::string(kAbsentServicePrefix), false, kAbsentService));
   const std::string prefix = fmt::format("/v{}/", this->configurationVersion);
   entries.push_back(MakeRoute("r-new", prefix, false));
   for (const std::string_view service :
-       { std::string_view(kService), kSecondService }) {
+       { std::string_view(kService), kSecondService, kAbsentService }) {
     entries.push_back(
       json::object{ { "EntryType", "Services" },
                     { "Metadata", json::object{ { "Name", service } } },
