--- a/modules/gateway/TcpListener.cpp
+++ b/modules/gateway/TcpListener.cpp
@@ -5,6 +5,9 @@
 #include <cassert>
 #include <utility>
 
+#include <linux/filter.h>
+#include <sys/socket.h>
+
 namespace fireflytrail::gateway {
 
 using boost::asio::ip::tcp;
@@ -58,6 +61,7 @@
   if (!this->acceptor.is_open()) {
     return;
   }
+  this->StopEstablishing();
   this->AcceptEstablished();
   boost::system::error_code ignored;
   this->acceptor.close(ignored);
@@ -80,6 +84,22 @@
     });
 }
 
+void
+TcpListener::StopEstablishing()
+{
+  // Drops all packets to the listening socket; accepted sockets have their own.
+  // Without the filter, a connection that is established between the last
+  // accept and the close would be reset, so a failure is no reason to go on
+  // listening.
+  sock_filter dropAll = BPF_STMT(BPF_RET | BPF_K, 0);
+  const sock_fprog program{ .len = 1, .filter = &dropAll };
+  setsockopt(this->acceptor.native_handle(),
+             SOL_SOCKET,
+             SO_ATTACH_FILTER,
+             &program,
+             sizeof(program));
+}
+
 void
 TcpListener::AcceptEstablished()
 {
--- a/modules/gateway/TcpListener.h
+++ b/modules/gateway/TcpListener.h
@@ -40,6 +40,8 @@
 
 private:
   void Accept();
+  /** Keeps the kernel from establishing more connections. */
+  void StopEstablishing();
   void AcceptEstablished();
   void TakeSocket(boost::asio::ip::tcp::socket aSocket);
 
--- a/modules/gateway/TcpListenerTest.cpp
+++ b/modules/gateway/TcpListenerTest.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/test/unit_test.hpp>
 
+#include <chrono>
 #include <vector>
 
 using namespace fireflytrail::gateway;
@@ -51,3 +52,31 @@
   context.run();
   BOOST_TEST(accepted == 2U);
 }
+
+// Guards against a connection that is established between the last accept and
+// the close of the listener, which would reset it.
+BOOST_AUTO_TEST_CASE(NoConnectionIsEstablishedWhileTheListenerCloses)
+{
+  boost::asio::io_context context;
+  boost::asio::io_context callerContext;
+  tcp::socket late(callerContext);
+  bool isEstablished = false;
+  std::size_t accepted = 0;
+  std::shared_ptr<TcpListener> listener;
+  listener = std::make_shared<TcpListener>(context, [&](const tcp::socket&) {
+    if (++accepted > 1) {
+      return;
+    }
+    late.async_connect(
+      listener->LocalEndpoint(),
+      [&](boost::system::error_code aError) { isEstablished = !aError; });
+    callerContext.run_for(std::chrono::milliseconds(50));
+  });
+  BOOST_REQUIRE(
+    !listener->Open({ boost::asio::ip::address_v4::loopback(), 0 }));
+  tcp::socket early(callerContext);
+  early.connect(listener->LocalEndpoint());
+  listener->Close();
+  BOOST_TEST(accepted == 1U);
+  BOOST_TEST(!isEstablished);
+}
