--- a/soak/connections/ConnectionTest.cpp
+++ b/soak/connections/ConnectionTest.cpp
@@ -226,7 +226,7 @@
     }
     request.bytes += "0\r\n\r\n";
   }
-  this->history.RecordSend(request.id, isAtMostOnce);
+  this->history.RecordSend(request.id, isAtMostOnce, kAddress);
   return request;
 }
 
