Check the time that servers are allowed for slow bodies

No test saw that a server was allowed the time that a body had taken: the unit test ends at the session.

soak_connections compares the time that a server is handed with what is left from the head.

--- a/soak/Server.cpp
+++ b/soak/Server.cpp
@@ -148,6 +148,9 @@
   }
   this->history.RecordRun(requestId);
   ++this->runCount;
+  if (this->runObserver) {
+    this->runObserver(aRequest);
+  }
   if (aRequest.target().starts_with(kSecondServicePrefix) !=
       (this->service == kSecondService)) {
     this->history.ReportViolation(
--- a/soak/Server.h
+++ b/soak/Server.h
@@ -9,11 +9,13 @@
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <functional>
 #include <memory>
 #include <optional>
 #include <random>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace fireflytrail::soak {
 
@@ -41,6 +43,12 @@
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
 
+  /** Sets a function that is called with each request that is run. */
+  void SetRunObserver(std::function<void(const HttpRequest&)> aObserver)
+  {
+    this->runObserver = std::move(aObserver);
+  }
+
   /** Starts to listen as a new instance with a new id. */
   void Start();
 
@@ -106,6 +114,7 @@
   std::string service;
   std::string domain;
   std::mt19937_64 random;
+  std::function<void(const HttpRequest&)> runObserver;
   std::shared_ptr<HttpService> http;
   std::shared_ptr<FaultLink> link;
   std::string id;
--- a/soak/connections/ConnectionTest.cpp
+++ b/soak/connections/ConnectionTest.cpp
@@ -38,6 +38,8 @@
 // Time after which an answer that has not arrived is taken for none.
 constexpr auto kAnswerTime = 6s;
 constexpr auto kStartTime = 8s;
+// Allowance for scheduling delays of the test machine.
+constexpr auto kTimeLeftMargin = 150ms;
 
 json::object
 MakeRoute(const std::string& aName, bool aIsAtMostOnce)
@@ -49,7 +51,7 @@
                { "Host", "soak.example" },
                { "PathPrefix", "/" + aName + "/" },
                { "Type", aIsAtMostOnce ? "non_idempotent" : "idempotent" },
-               { "TimeoutMs", 2000 },
+               { "TimeoutMs", 3000 },
                { "TargetLatencyMs", 300 },
                { "Priority", 0 },
                { "Service", "s" },
@@ -84,6 +86,8 @@
   for (unsigned index = 0; index < kServers; ++index) {
     this->servers.push_back(std::make_unique<Server>(
       this->context, this->history, "s", "a", this->random()));
+    this->servers.back()->SetRunObserver(
+      [this](const HttpRequest& aRequest) { this->CheckTimeLeft(aRequest); });
     this->servers.back()->Start();
     this->store.Put("servers",
                     this->servers.back()->Id(),
@@ -226,6 +230,7 @@
     }
     request.bytes += "0\r\n\r\n";
   }
+  request.headBytes = request.bytes.find("\r\n\r\n") + 4;
   this->history.RecordSend(request.id, isAtMostOnce);
   return request;
 }
@@ -266,6 +271,10 @@
       asio::buffer(aScript.bytes.data() + sent, std::min(size, rest)),
       asio::redirect_error(asio::use_awaitable, error));
     sent += std::min(size, rest);
+    if (sent >= aScript.requests.front().headBytes) {
+      this->headTimes.try_emplace(aScript.requests.front().id,
+                                  std::chrono::steady_clock::now());
+    }
     if (aScript.maxPause > 0ms && sent < aScript.sentBytes) {
       co_await this->Wait(milliseconds(this->RandomBelow(
         static_cast<std::uint64_t>(aScript.maxPause.count()))));
@@ -295,11 +304,14 @@
     asio::detached);
   // Ends the reading if an answer is missing.
   asio::steady_timer limit(this->context, kAnswerTime);
-  limit.async_wait([weak = std::weak_ptr(socket)](boost::system::error_code e) {
-    if (const auto open = weak.lock(); open && !e) {
-      open->close(e);
-    }
-  });
+  limit.async_wait(
+    [weak = std::weak_ptr(socket)](boost::system::error_code aError) {
+      const auto open = weak.lock();
+      if (open && !aError) {
+        boost::system::error_code ignored;
+        open->close(ignored);
+      }
+    });
   boost::beast::flat_buffer buffer;
   std::size_t answered = 0;
   bool isClosing = false;
@@ -335,6 +347,27 @@
   socket->close(error);
 }
 
+void
+ConnectionTest::CheckTimeLeft(const HttpRequest& aRequest)
+{
+  const std::string id(aRequest["X-Request-Id"]);
+  const auto found = this->headTimes.find(id);
+  if (found == this->headTimes.end()) {
+    return;
+  }
+  const milliseconds allowed(
+    std::stoul(std::string(aRequest["X-Request-Timeout-Ms"])));
+  const auto left =
+    kCallerTime - (std::chrono::steady_clock::now() - found->second);
+  if (allowed > left + kTimeLeftMargin) {
+    this->history.ReportViolation(
+      fmt::format("request {} was allowed {} ms, {} ms were left",
+                  id,
+                  allowed.count(),
+                  std::chrono::duration_cast<milliseconds>(left).count()));
+  }
+}
+
 void
 ConnectionTest::OnUnanswered(const Script& aScript,
                              std::size_t aAnswered,
--- a/soak/connections/ConnectionTest.h
+++ b/soak/connections/ConnectionTest.h
@@ -58,6 +58,7 @@
     std::string target;
     std::string body;
     std::string bytes;
+    std::size_t headBytes = 0;
   };
 
   /** How a caller uses one connection. */
@@ -82,6 +83,8 @@
   void Configure();
   Script MakeScript();
   Request MakeRequest();
+  /** Checks the time that a server is allowed for a request. */
+  void CheckTimeLeft(const HttpRequest& aRequest);
   void OnUnanswered(const Script& aScript,
                     std::size_t aAnswered,
                     bool aIsAllowed);
@@ -95,6 +98,9 @@
   std::vector<std::unique_ptr<Server>> servers;
   std::unique_ptr<DaemonProcess> daemon;
   std::map<std::string, std::size_t> counts;
+  /** Time at which the head had been sent of the first request of each
+   * connection; the time of a later one counts from when it is read. */
+  std::map<std::string, std::chrono::steady_clock::time_point> headTimes;
   unsigned requestNumber = 0;
   unsigned runningCallers = 0;
   bool isOver = false;
