--- a/soak/Server.h
+++ b/soak/Server.h
@@ -15,6 +15,7 @@
 #include <random>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace fireflytrail::soak {
 
@@ -45,6 +46,12 @@
   Server(const Server&) = delete;
   Server& operator=(const Server&) = delete;
 
+  /** Sets a function that is called with each request that is run. */
+  void SetRunObserver(std::function<void(const HttpRequest&)> aObserver)
+  {
+    this->runObserver = std::move(aObserver);
+  }
+
   /** Starts to listen as a new instance with a new id. */
   void Start();
 
@@ -121,6 +128,7 @@
   std::string service;
   std::string domain;
   std::mt19937_64 random;
+  std::function<void(const HttpRequest&)> runObserver;
   std::shared_ptr<HttpService> http;
   std::shared_ptr<FaultLink> link;
   std::string id;
