--- a/soak/Server.cpp
+++ b/soak/Server.cpp
@@ -222,6 +222,12 @@
   this->arrivedDuringPause = 0;
 }
 
+void
+Server::PermitStartedDaemon()
+{
+  this->allowedDuringPause += kAllowedPerDaemon;
+}
+
 void
 Server::WaiveNotices()
 {
--- a/soak/Server.h
+++ b/soak/Server.h
@@ -87,6 +87,10 @@
    */
   void Pause(std::chrono::milliseconds aTime, std::size_t aDaemons);
 
+  /** Permits the requests of one more daemon during the pause, which it does
+   * not know when it starts. */
+  void PermitStartedDaemon();
+
   /** Checks neither the limit nor the pause that are in force now; call if a
    * fault may delay the daemons or make them decide alone. */
   void WaiveNotices();
--- a/soak/Soak.cpp
+++ b/soak/Soak.cpp
@@ -1019,6 +1019,9 @@
   }
   aHost.process->Start();
   aHost.startedAt = std::chrono::steady_clock::now();
+  for (const auto& server : this->servers) {
+    server->PermitStartedDaemon();
+  }
   for (const auto& early : std::exchange(aHost.earlySignals, {})) {
     this->RunAfter(early.first, [&aHost, signal = early.second] {
       aHost.process->SendSignal(signal);
