--- a/memory/MemoryRun.cpp
+++ b/memory/MemoryRun.cpp
@@ -36,10 +36,15 @@
 constexpr auto kStartupTime = 2500ms;
 constexpr auto kSampleInterval = 50ms;
 constexpr auto kSmallInterval = 20ms;
+// Time that a small request states, and time after which its caller counts it
+// as not answered.
+constexpr auto kSmallRequestTime = 1500ms;
 constexpr auto kSmallTimeLimit = 2000ms;
 // Longer than the time limit for heads, so that all connections have ended.
 constexpr auto kSettleTime = 4000ms;
 constexpr std::size_t kMaxBodyBytes = std::size_t{ 64 } << 20U;
+// A body of the largest size alone takes all memory for bodies.
+constexpr std::size_t kSlowBodyBytes = kMaxBodyBytes / 2;
 constexpr std::size_t kMaxAnswerBytes = std::size_t{ 4 } << 20U;
 constexpr std::size_t kMaxHeaderBytes = std::size_t{ 16 } * 1024;
 constexpr std::size_t kPartBytes = std::size_t{ 64 } * 1024;
@@ -318,7 +323,8 @@
       if (!socket) {
         co_return 0;
       }
-      const std::string head = this->Head("GET", "/any/100", "\r\n");
+      const std::string head =
+        this->Head("GET", "/any/100", "\r\n", kSmallRequestTime);
       boost::system::error_code error;
       co_await asio::async_write(
         *socket,
@@ -328,9 +334,9 @@
     };
     const auto ended = co_await (exchange() || this->Wait(kSmallTimeLimit));
     const unsigned status = ended.index() == 0 ? std::get<0>(ended) : 0;
-    ++(status == 200   ? this->result.smallServed
-       : status == 503 ? this->result.smallRefused
-                       : this->result.smallCut);
+    ++(status == 200 ? this->result.smallServed
+       : status != 0 ? this->result.smallRefused
+                     : this->result.smallCut);
     co_await this->Wait(kSmallInterval);
   }
 }
@@ -420,7 +426,7 @@
       "POST",
       "/any/100",
       aIsChunked ? std::string("Transfer-Encoding: chunked\r\n\r\n")
-                 : fmt::format("Content-Length: {}\r\n\r\n", kMaxBodyBytes));
+                 : fmt::format("Content-Length: {}\r\n\r\n", kSlowBodyBytes));
     boost::system::error_code error;
     co_await asio::async_write(
       *socket,
@@ -551,14 +557,16 @@
 std::string
 MemoryRun::Head(std::string_view aMethod,
                 std::string_view aTarget,
-                std::string_view aFields)
+                std::string_view aFields,
+                milliseconds aTimeLimit)
 {
   return fmt::format("{} {} HTTP/1.1\r\nHost: memory.example\r\n"
                      "X-Request-Id: {:016x}\r\n"
-                     "X-Request-Timeout-Ms: 5000\r\n{}",
+                     "X-Request-Timeout-Ms: {}\r\n{}",
                      aMethod,
                      aTarget,
                      ++this->requestCount,
+                     aTimeLimit.count(),
                      aFields);
 }
 
--- a/memory/MemoryRun.h
+++ b/memory/MemoryRun.h
@@ -112,9 +112,11 @@
   Awaitable Wait(std::chrono::milliseconds aTime);
   /** Connects to a daemon; returns `std::nullopt` on an error. */
   boost::asio::awaitable<std::optional<boost::asio::ip::tcp::socket>> Connect();
-  std::string Head(std::string_view aMethod,
-                   std::string_view aTarget,
-                   std::string_view aFields);
+  std::string Head(
+    std::string_view aMethod,
+    std::string_view aTarget,
+    std::string_view aFields,
+    std::chrono::milliseconds aTimeLimit = std::chrono::milliseconds(5000));
   void PutConfiguration(std::size_t aFillerBytes);
   std::uint64_t RandomBelow(std::uint64_t aLimit);
   bool IsOver() const { return this->isOver; }
