Count the time of a body whose first packet ends within a chunk's size

The time of a body was counted only if the session had seen the body begin, which it hasn't when the first packet ends within the size of a chunk. It is always counted now.

SlowChunkSizesCountAsTimeOfTheBody failed before.

--- a/modules/gateway/CallerSession.cpp
+++ b/modules/gateway/CallerSession.cpp
@@ -381,9 +381,7 @@
     this->WriteAnswer(CallAnswer::OfError(core::ErrorKind::BadRequest), false);
     return;
   }
-  if (this->bodyDeadline) {
-    call->bodyTime = std::chrono::steady_clock::now() - this->headArrival;
-  }
+  call->bodyTime = std::chrono::steady_clock::now() - this->headArrival;
   this->requestId.assign(call->id);
   if (this->isCallerGone) {
     this->WriteAnswer(CallAnswer::OfError(core::ErrorKind::CallerClosed),
--- a/modules/gateway/CallerSessionTest.cpp
+++ b/modules/gateway/CallerSessionTest.cpp
@@ -444,6 +444,26 @@
   BOOST_TEST((gateway.calls.front().bodyTime >= 400ms));
 }
 
+// Guards against the same where a packet ends within the size of a chunk.
+BOOST_AUTO_TEST_CASE(SlowChunkSizesCountAsTimeOfTheBody)
+{
+  EchoGateway gateway;
+  boost::asio::io_context clientContext;
+  tcp::socket socket(clientContext);
+  socket.connect(gateway.Endpoint());
+  const std::string start = "POST /s/a HTTP/1.1\r\nConnection: close\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n1";
+  boost::asio::write(socket, boost::asio::buffer(start));
+  std::this_thread::sleep_for(150ms);
+  const std::string rest = "\r\nx\r\n0\r\n\r\n";
+  boost::asio::write(socket, boost::asio::buffer(rest));
+  std::string answer;
+  boost::system::error_code error;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
+  BOOST_TEST(answer.find("s /a x") != std::string::npos);
+  BOOST_TEST((gateway.calls.front().bodyTime >= 100ms));
+}
+
 // Guards against a body that is waited for longer than its caller waits.
 BOOST_AUTO_TEST_CASE(SlowBodiesEndWithTheirDeadline)
 {
