--- a/soak/RequestHistory.h
+++ b/soak/RequestHistory.h
@@ -35,11 +35,12 @@
    * the response; the address of the daemon follows. */
   static constexpr std::string_view kProbePrefix = "probe-";
 
-  /** Records that a caller sends a request to the daemon at `aDaemon`;
-   * `aIsAtMostOnce` if it must not run more than once. */
+  /** Records that a caller sends a request to the daemon at `aDaemon`, which is
+   * empty if there is only one; `aIsAtMostOnce` if it must not run more than
+   * once. */
   void RecordSend(const std::string& aId,
                   bool aIsAtMostOnce,
-                  const std::string& aDaemon);
+                  const std::string& aDaemon = {});
 
   /** Records that a request has been passed on to a server, whether or not the
    * server runs it. */
