Let handshakes that have begun end before a listener closes

Cause: the filter on the listening socket dropped the last packet of handshakes, too, when the caller was already connected, and the close reset them.

The filter drops only packets that begin a handshake, and what is established within 20 ms, the longest round trip to a caller, is accepted before the close.

--- a/modules/gateway/TcpListener.cpp
+++ b/modules/gateway/TcpListener.cpp
@@ -3,11 +3,13 @@
 #include <boost/asio/detail/socket_option.hpp>
 #include <boost/asio/post.hpp>
 
+#include <array>
 #include <cassert>
 #include <chrono>
 #include <utility>
 
 #include <linux/filter.h>
+#include <poll.h>
 #include <sys/socket.h>
 
 namespace fireflytrail::gateway {
@@ -22,6 +24,10 @@
 // A connection waits in the kernel that long at most once a descriptor is free.
 constexpr std::chrono::milliseconds kRetryInterval{ 20 };
 
+// Time in which a handshake that has begun ends, the longest round trip to a
+// caller.
+constexpr std::chrono::milliseconds kHandshakeTime{ 20 };
+
 } // namespace
 
 TcpListener::TcpListener(boost::asio::io_context& aContext,
@@ -85,7 +91,7 @@
     return;
   }
   this->StopEstablishing();
-  this->AcceptEstablished();
+  this->AcceptUntil(std::chrono::steady_clock::now() + kHandshakeTime);
   boost::system::error_code ignored;
   this->acceptor.close(ignored);
   this->retryTimer.cancel();
@@ -150,12 +156,18 @@
 void
 TcpListener::StopEstablishing()
 {
-  // Drops all packets to the listening socket; accepted sockets have their own.
-  // Without the filter, a connection that is established between the last
-  // accept and the close would be reset, so a failure is no reason to go on
-  // listening.
-  sock_filter dropAll = BPF_STMT(BPF_RET | BPF_K, 0);
-  const sock_fprog program{ .len = 1, .filter = &dropAll };
+  // Drops the packets that begin a handshake. One that has begun may end, since
+  // its caller counts as connected before the kernel has the last packet.
+  constexpr unsigned kFlagsOffset = 13;
+  constexpr unsigned kSyn = 0x02;
+  constexpr unsigned kWholePacket = 0xffffffff;
+  std::array<sock_filter, 4> dropSyn{ {
+    BPF_STMT(BPF_LD | BPF_B | BPF_ABS, kFlagsOffset),
+    BPF_JUMP(BPF_JMP | BPF_JSET | BPF_K, kSyn, 1, 0),
+    BPF_STMT(BPF_RET | BPF_K, kWholePacket),
+    BPF_STMT(BPF_RET | BPF_K, 0),
+  } };
+  const sock_fprog program{ .len = dropSyn.size(), .filter = dropSyn.data() };
   setsockopt(this->acceptor.native_handle(),
              SOL_SOCKET,
              SO_ATTACH_FILTER,
@@ -163,6 +175,19 @@
              sizeof(program));
 }
 
+void
+TcpListener::AcceptUntil(std::chrono::steady_clock::time_point aEnd)
+{
+  pollfd state{ this->acceptor.native_handle(), POLLIN, 0 };
+  std::chrono::milliseconds left{ 0 };
+  do {
+    this->AcceptEstablished();
+    left = std::chrono::ceil<std::chrono::milliseconds>(
+      aEnd - std::chrono::steady_clock::now());
+  } while (this->acceptor.is_open() && left.count() > 0 &&
+           poll(&state, 1, static_cast<int>(left.count())) > 0);
+}
+
 void
 TcpListener::AcceptEstablished()
 {
--- a/modules/gateway/TcpListener.h
+++ b/modules/gateway/TcpListener.h
@@ -4,6 +4,7 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
+#include <chrono>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -66,8 +67,8 @@
 
   /**
    * Stops accepting. Connections that callers have already established are
-   * accepted first, since closing would reset them. Call on the context's
-   * thread.
+   * accepted first, since closing would reset them; handshakes that have begun
+   * are waited for up to 20 ms. Call on the context's thread.
    */
   void Close();
 
@@ -78,6 +79,7 @@
                   boost::asio::ip::tcp::socket aSocket);
   /** Keeps the kernel from establishing more connections. */
   void StopEstablishing();
+  void AcceptUntil(std::chrono::steady_clock::time_point aEnd);
   void AcceptEstablished();
   void TakeSocket(boost::asio::ip::tcp::socket aSocket);
 
