Check time and memory after each chunk of a body

A body in chunks escaped the limits of time and of memory: an eager read goes on within one operation until a packet ends inside a chunk or the body ends. A body with one chunk each 60 ms was answered 408 at a limit of 200 ms although it made progress; one whose first chunk came with the head ran after its caller's time was over; and 60 connections with 896 kB each in chunks took 56 MB at a budget of 1 MB (seen by a review of the changes to bodies). Answers of servers in chunks were read in the same way.

Chunks are read one at a time, in both directions.

--- a/modules/gateway/CallerSession.cpp
+++ b/modules/gateway/CallerSession.cpp
@@ -294,7 +294,8 @@
     this->OnRequest({});
     return;
   }
-  if (this->buffer.size() == 0) {
+  // Bytes that are held may end within the size of a chunk.
+  if (this->buffer.size() == 0 || this->parser->chunked()) {
     if (!this->bodyDeadline) {
       this->bodyDeadline = this->BodyDeadline();
     }
@@ -302,7 +303,9 @@
                                 std::chrono::steady_clock::now() +
                                   this->hooks->limits.requestTimeout));
   }
-  this->parser->eager(true);
+  // An eager read of chunks ends only within a chunk or with the body, and
+  // neither time nor memory would be checked before.
+  this->parser->eager(!this->parser->chunked());
   // Long bodies are read in larger parts if there is memory for them.
   if (this->buffer.max_size() < kReadChunkBytes &&
       this->parser->content_length_remaining().value_or(kReadChunkBytes) >
--- a/modules/gateway/CallerSessionTest.cpp
+++ b/modules/gateway/CallerSessionTest.cpp
@@ -498,6 +498,31 @@
   BOOST_TEST((gateway.calls.front().bodyTime >= 400ms));
 }
 
+// Guards against the same for chunks that each arrive whole.
+BOOST_AUTO_TEST_CASE(SlowChunksAreRead)
+{
+  EchoGateway gateway;
+  gateway.Hooks().limits.requestTimeout = 200ms;
+  boost::asio::io_context clientContext;
+  tcp::socket socket(clientContext);
+  socket.connect(gateway.Endpoint());
+  const std::string head = "POST /s/a HTTP/1.1\r\nConnection: close\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string chunk = "1\r\nx\r\n";
+  const std::string end = "0\r\n\r\n";
+  boost::asio::write(socket, boost::asio::buffer(head));
+  boost::system::error_code error;
+  for (int part = 0; part < 8; ++part) {
+    std::this_thread::sleep_for(60ms);
+    boost::asio::write(socket, boost::asio::buffer(chunk), error);
+  }
+  boost::asio::write(socket, boost::asio::buffer(end), error);
+  std::string answer;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
+  BOOST_REQUIRE(answer.find("s /a xxxxxxxx") != std::string::npos);
+  BOOST_TEST((gateway.calls.front().bodyTime >= 400ms));
+}
+
 // Guards against the same where a packet ends within the size of a chunk.
 BOOST_AUTO_TEST_CASE(SlowChunkSizesCountAsTimeOfTheBody)
 {
@@ -534,6 +559,53 @@
   BOOST_TEST(StatusLineOf(answer) == "HTTP/1.1 408 Request Timeout");
 }
 
+// Guards against the same where the head comes with a whole chunk.
+BOOST_AUTO_TEST_CASE(SlowChunksEndWithTheirDeadline)
+{
+  EchoGateway gateway;
+  boost::asio::io_context clientContext;
+  tcp::socket socket(clientContext);
+  socket.connect(gateway.Endpoint());
+  const std::string start = "POST /s/a HTTP/1.1\r\nConnection: close\r\n"
+                            "Deadline-Ms: 150\r\n"
+                            "Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n";
+  boost::asio::write(socket, boost::asio::buffer(start));
+  std::this_thread::sleep_for(400ms);
+  const std::string end = "0\r\n\r\n";
+  boost::system::error_code error;
+  boost::asio::write(socket, boost::asio::buffer(end), error);
+  std::string answer;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
+  BOOST_TEST(StatusLineOf(answer) == "HTTP/1.1 408 Request Timeout");
+  BOOST_TEST(gateway.calls.empty());
+}
+
+// Guards against memory that whole chunks of unfinished bodies take uncounted.
+BOOST_AUTO_TEST_CASE(WholeChunksCountInTheMemory)
+{
+  EchoGateway gateway;
+  const auto memory =
+    std::make_shared<core::MemoryBudget>(std::size_t{ 1024 } * 1024);
+  gateway.Hooks().memory = memory;
+  boost::asio::io_context clientContext;
+  tcp::socket socket(clientContext);
+  socket.connect(gateway.Endpoint());
+  const std::string head = "POST /s/a HTTP/1.1\r\n"
+                           "Transfer-Encoding: chunked\r\n\r\n";
+  const std::string chunk = "2000\r\n" + std::string(0x2000, 'x') + "\r\n";
+  constexpr std::size_t kChunks = 8;
+  boost::asio::write(socket, boost::asio::buffer(head));
+  for (std::size_t index = 0; index < kChunks; ++index) {
+    boost::asio::write(socket, boost::asio::buffer(chunk));
+  }
+  const auto end = std::chrono::steady_clock::now() + 2s;
+  while (memory->Used() < kChunks * 0x2000 &&
+         std::chrono::steady_clock::now() < end) {
+    std::this_thread::sleep_for(1ms);
+  }
+  BOOST_TEST(memory->Used() >= kChunks * 0x2000);
+}
+
 // Guards against a planned stop that closes a connection whose first request is
 // on its way.
 BOOST_AUTO_TEST_CASE(FirstRequestOfANewConnectionIsAnsweredInAPlannedStop)
--- a/modules/gateway/ServerConnection.cpp
+++ b/modules/gateway/ServerConnection.cpp
@@ -247,7 +247,6 @@
   this->buffer.max_size(std::max(this->buffer.size(), headLimit));
   this->parser->body_limit(kMaxAnswerBytes);
   this->parser->skip(this->request.method() == http::verb::head);
-  this->parser->eager(true);
   this->answerLease = std::make_shared<core::MemoryLease>(this->memory);
   this->ReadPart();
 }
@@ -255,6 +254,11 @@
 void
 ServerConnection::ReadPart()
 {
+  // An eager read of chunks ends only within a chunk or with the body, and the
+  // memory would not be checked before. Whether there are chunks is known when
+  // the head is complete.
+  this->parser->eager(this->parser->is_header_done() &&
+                      !this->parser->chunked());
   http::async_read_some(this->stream,
                         this->buffer,
                         *this->parser,
