--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -48,7 +48,7 @@
 
 // Memory of a connection beside what the budget counts, and size of a decline
 // after which free memory is returned to the system: blocks between others that
-// are in use stay resident until then. It takes about a millisecond.
+// are in use stay resident until then.
 constexpr std::size_t kSessionBytes = std::size_t{ 8 } * 1024;
 constexpr std::size_t kReturnedBytes = std::size_t{ 16 } << 20U;
 
