Carry the organisation of a request to its dispatcher

The order of service and the report of usage will need to know whose request it is. The name travels in CallRequest, its hash in DispatchRequest and in the message SlotRequest, where 0 stands for none: nothing sets it yet, so what is sent is as before. No behaviour changes; FrameCodecTest covers the new field.

--- a/modules/gateway/CallRequest.h
+++ b/modules/gateway/CallRequest.h
@@ -29,6 +29,10 @@
   /** End-to-end header fields; hop-by-hop fields are removed. */
   boost::beast::http::fields fields;
   std::string body;
+  /** Name of the organisation that the caller belongs to; empty if the
+   * configuration has no organisations or the route is public. Set by the
+   * daemon, never from the caller's own fields. */
+  std::string organisation;
   /** Counts the body in the memory budget of the process; may be null. */
   std::shared_ptr<const core::MemoryLease> bodyLease;
   /** Time that the caller allows for the call, from the arrival of its head. */
--- a/modules/proxy/RequestRunner.cpp
+++ b/modules/proxy/RequestRunner.cpp
@@ -208,6 +208,9 @@
   request.deadline = this->deadline;
   request.priority = this->route.priority;
   request.route = this->routeKey;
+  request.organisation = this->call.organisation.empty()
+                           ? 0
+                           : core::HashOf(this->call.organisation) | 1U;
   request.expectedBytes = this->shared.transferSizes.Expected(this->route.name);
   request.avoid = std::move(aStep.avoid);
   const core::TimePoint requestedAt = this->shared.now();
--- a/modules/proxy/SlotBroker.cpp
+++ b/modules/proxy/SlotBroker.cpp
@@ -228,6 +228,7 @@
   request.avoid = aRequest.avoid;
   request.expectedBytes = aRequest.expectedBytes;
   request.route = aRequest.route;
+  request.organisation = aRequest.organisation;
   request.coldRateShare = kDispatcherColdShare;
   request.limitShare = kDispatcherLimitShare;
   request.isCentrallyDispatched = true;
@@ -532,6 +533,7 @@
   request.digest = aPending.digest;
   request.expectedBytes = aPending.request.expectedBytes;
   request.route = static_cast<std::uint32_t>(aPending.request.route);
+  request.organisation = aPending.request.organisation;
   this->hooks.send(aPending.askedDaemon, std::move(request));
   this->StartDecisionTimer(
     aNumber, aPending.isQueued ? kRecheckTimeout : kDecisionTimeout);
--- a/modules/routing/DispatchRequest.h
+++ b/modules/routing/DispatchRequest.h
@@ -31,6 +31,9 @@
   std::uint64_t route = 0;
   /** Expected size of the request and its answer together, in bytes. */
   std::uint32_t expectedBytes = 0;
+  /** Hash of the organisation that the request counts for; 0 if there is none.
+   */
+  std::uint64_t organisation = 0;
   /** Fraction of a cold instance's request rate that this dispatcher may use;
    * small if other hosts may send to the instance at the same time. */
   double coldRateShare = 1;
--- a/modules/wire/EntryConversion.cpp
+++ b/modules/wire/EntryConversion.cpp
@@ -42,7 +42,8 @@
                                   avoid,
                                   aRequest.digest,
                                   aRequest.expectedBytes,
-                                  aRequest.route) };
+                                  aRequest.route,
+                                  aRequest.organisation) };
 }
 
 EncodedMessage<fbs::SlotDecision>
@@ -172,6 +173,7 @@
   request.digest = aRequest.digest();
   request.expectedBytes = aRequest.expected_bytes();
   request.route = aRequest.route();
+  request.organisation = aRequest.organisation();
   aMessage = std::move(request);
   return FrameError::None;
 }
--- a/modules/wire/FrameCodecTest.cpp
+++ b/modules/wire/FrameCodecTest.cpp
@@ -64,7 +64,7 @@
                    core::ErrorKind::Internal,
                    core::CallOutcome::NotRun },
     SlotRequest{
-      8, "till-sales", "akl-a", 400ms, 1500ms, 2, { 7, 9 }, 99, 17, 5200 },
+      8, "till-sales", "akl-a", 400ms, 1500ms, 2, { 7, 9 }, 99, 17, 5200, 31 },
     SlotDecision{ 8,
                   core::ErrorKind::Overloaded,
                   5,
--- a/modules/wire/SlotRequest.h
+++ b/modules/wire/SlotRequest.h
@@ -28,6 +28,9 @@
   std::uint32_t route = 0;
   /** Expected size of the request and its answer. */
   std::uint32_t expectedBytes = 0;
+  /** Key of the organisation that the request counts for; 0 if there is none.
+   */
+  std::uint64_t organisation = 0;
 
   bool operator==(const SlotRequest&) const = default;
 };
--- a/modules/wire/messages_generated.h
+++ b/modules/wire/messages_generated.h
@@ -1548,7 +1548,8 @@
     VT_AVOID = 16,
     VT_DIGEST = 18,
     VT_EXPECTED_BYTES = 20,
-    VT_ROUTE = 22
+    VT_ROUTE = 22,
+    VT_ORGANISATION = 24
   };
   uint64_t number() const {
     return GetField<uint64_t>(VT_NUMBER, 0);
@@ -1580,6 +1581,9 @@
   uint32_t route() const {
     return GetField<uint32_t>(VT_ROUTE, 0);
   }
+  uint64_t organisation() const {
+    return GetField<uint64_t>(VT_ORGANISATION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_NUMBER, 8) &&
@@ -1595,6 +1599,7 @@
            VerifyField<uint64_t>(verifier, VT_DIGEST, 8) &&
            VerifyField<uint32_t>(verifier, VT_EXPECTED_BYTES, 4) &&
            VerifyField<uint32_t>(verifier, VT_ROUTE, 4) &&
+           VerifyField<uint64_t>(verifier, VT_ORGANISATION, 8) &&
            verifier.EndTable();
   }
 };
@@ -1633,6 +1638,9 @@
   void add_route(uint32_t route) {
     fbb_.AddElement<uint32_t>(SlotRequest::VT_ROUTE, route, 0);
   }
+  void add_organisation(uint64_t organisation) {
+    fbb_.AddElement<uint64_t>(SlotRequest::VT_ORGANISATION, organisation, 0);
+  }
   explicit SlotRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1656,8 +1664,10 @@
     flatbuffers::Offset<flatbuffers::Vector<uint64_t>> avoid = 0,
     uint64_t digest = 0,
     uint32_t expected_bytes = 0,
-    uint32_t route = 0) {
+    uint32_t route = 0,
+    uint64_t organisation = 0) {
   SlotRequestBuilder builder_(_fbb);
+  builder_.add_organisation(organisation);
   builder_.add_digest(digest);
   builder_.add_number(number);
   builder_.add_route(route);
@@ -1687,7 +1697,8 @@
     const std::vector<uint64_t> *avoid = nullptr,
     uint64_t digest = 0,
     uint32_t expected_bytes = 0,
-    uint32_t route = 0) {
+    uint32_t route = 0,
+    uint64_t organisation = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto failure_domain__ = failure_domain ? _fbb.CreateString(failure_domain) : 0;
   auto avoid__ = avoid ? _fbb.CreateVector<uint64_t>(*avoid) : 0;
@@ -1702,7 +1713,8 @@
       avoid__,
       digest,
       expected_bytes,
-      route);
+      route,
+      organisation);
 }
 
 struct SlotDecision FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
