Call a hook when a server began to run a request

Usage reports need the requests that servers began to run, by organisation; only RequestRunner knows how an attempt ended. It calls ProxyShared::onRunBegan at most once for each attempt: answered by the server, or sent and not refused, also when it is cancelled or timed out after sending.

--- a/modules/proxy/ProxyShared.h
+++ b/modules/proxy/ProxyShared.h
@@ -56,6 +56,13 @@
   std::function<std::shared_ptr<gateway::ServerPool>(
     const routing::BackendInstance&)>
     poolOf;
+  /**
+   * Is called with the organisation of a request, which may be empty, when an
+   * attempt ends whose server began to run it, as far as that can be known: it
+   * answered, or the request was sent and the server didn't refuse it. Called
+   * at most once for each attempt. May be empty.
+   */
+  std::function<void(const std::string& aOrganisation)> onRunBegan;
 };
 
 } // namespace fireflytrail::proxy
--- a/modules/proxy/RequestRunner.cpp
+++ b/modules/proxy/RequestRunner.cpp
@@ -282,6 +282,7 @@
 RequestRunner::OnExchange(const gateway::ServerExchange& aExchange)
 {
   this->connection = nullptr;
+  this->ReportRun(aExchange.progress);
   const AttemptOutcome outcome = OutcomeOf(aExchange);
   const Slot used = *std::exchange(this->slot, std::nullopt);
   this->shared.broker.Release(
@@ -355,6 +356,14 @@
   this->RunStep(this->flow->AttemptEnded(aResult));
 }
 
+void
+RequestRunner::ReportRun(AttemptProgress aProgress) const
+{
+  if (this->shared.onRunBegan && calls::MayHaveRun(aProgress)) {
+    this->shared.onRunBegan(this->call.organisation);
+  }
+}
+
 void
 RequestRunner::SendAnswer(const calls::AnswerStep& aStep)
 {
@@ -392,6 +401,7 @@
 {
   ++this->attemptNumber;
   if (const auto running = std::exchange(this->connection, nullptr)) {
+    this->ReportRun(running->Progress());
     this->pool->Cancel(*running);
   }
   if (const auto used = std::exchange(this->slot, std::nullopt)) {
--- a/modules/proxy/RequestRunner.h
+++ b/modules/proxy/RequestRunner.h
@@ -80,6 +80,9 @@
   void OnExchange(const gateway::ServerExchange& aExchange);
   void OnConnectionLost(const gateway::ServerExchange& aExchange);
   void EndAttempt(const calls::AttemptResult& aResult);
+  /** Calls `onRunBegan` if the server of an attempt that ends with a progress
+   * began to run the request. */
+  void ReportRun(calls::AttemptProgress aProgress) const;
   void SendAnswer(const calls::AnswerStep& aStep);
   void CancelAttempt(routing::AttemptOutcome aOutcome);
   calls::AttemptProgress Progress() const;
