Name the organisation of a request to servers and keep its key

A configuration may now have organisations with keys and a priority, and public routes. The key is taken from the request, looked up in a table that is made with each configuration (KeyTable, comparison to the end of the key) and removed with the caller's own naming of an organisation; servers get the name. An unknown key is answered 401 (unknown_key), after the route is known; without a configuration 503 as before. The key is looked up again before each attempt after a new configuration, and requests that wait with a withdrawn key end at once. A process that was away for over 2 s refuses requests that need a key for 1 s (PauseGuard). The organisation's priority goes before the route's. Metrics have at most 128 names of organisations.

Without organisations in the configuration, nothing changes.

--- a/modules/configuration/HttpRoute.h
+++ b/modules/configuration/HttpRoute.h
@@ -35,6 +35,9 @@
   unsigned maxAttempts = 1;
   /** 0 is the highest priority. */
   unsigned priority = 0;
+  /** Whether callers need no key although the configuration has organisations.
+   */
+  bool isPublic = false;
 
   bool operator==(const HttpRoute&) const = default;
 };
--- a/modules/configuration/RouteConfiguration.h
+++ b/modules/configuration/RouteConfiguration.h
@@ -3,6 +3,7 @@
 #include "configuration/BackendService.h"
 #include "configuration/CallerLimits.h"
 #include "configuration/HttpRoute.h"
+#include "configuration/Organisation.h"
 
 #include <cstdint>
 #include <map>
@@ -19,6 +20,9 @@
   std::vector<HttpRoute> routes;
   std::map<std::string, BackendService, std::less<>> services;
   CallerLimits limits;
+  /** If there are any, callers need a key of one of them, except on public
+   * routes. */
+  std::vector<Organisation> organisations;
 };
 
 } // namespace fireflytrail::configuration
--- a/modules/core/ErrorKind.h
+++ b/modules/core/ErrorKind.h
@@ -42,6 +42,7 @@
   // Not sent between daemons, which limit the kinds that they take.
   CallerClosed,
   RequestTimeout,
+  UnknownKey,
 };
 
 } // namespace fireflytrail::core
--- a/modules/core/ErrorTable.cpp
+++ b/modules/core/ErrorTable.cpp
@@ -190,6 +190,12 @@
             NotRun,
             ResendRule::Always,
             RetryRule::Never },
+  ErrorRow{ ErrorKind::UnknownKey,
+            "unknown_key",
+            401,
+            NotRun,
+            ResendRule::Never,
+            RetryRule::Never },
 };
 
 constexpr bool
@@ -200,8 +206,7 @@
       return false;
     }
   }
-  return kRows.size() ==
-         static_cast<std::size_t>(ErrorKind::RequestTimeout) + 1;
+  return kRows.size() == static_cast<std::size_t>(ErrorKind::UnknownKey) + 1;
 }
 
 static_assert(RowsFollowEnumeration());
--- a/modules/daemon/Metrics.h
+++ b/modules/daemon/Metrics.h
@@ -40,6 +40,7 @@
 
 private:
   friend class CallMetrics;
+  friend class OrganisationMetrics;
 
   prometheus::Registry registry;
   prometheus::Family<prometheus::Histogram>& durations;
--- a/modules/gateway/CallRequest.h
+++ b/modules/gateway/CallRequest.h
@@ -4,6 +4,7 @@
 #include <boost/beast/http/verb.hpp>
 
 #include <chrono>
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -29,10 +30,17 @@
   /** End-to-end header fields; hop-by-hop fields are removed. */
   boost::beast::http::fields fields;
   std::string body;
-  /** Name of the organisation that the caller belongs to; empty if the
-   * configuration has no organisations or the route is public. Set by the
-   * daemon, never from the caller's own fields. */
+  /** The key that the caller presents; secret, so never logged or sent on. */
+  std::optional<std::string> key;
+  /** Name of the organisation that holds the key; empty if the configuration
+   * has no organisations, or the route is public and the key unknown. Set by
+   * the daemon, never from the caller's own fields. */
   std::string organisation;
+  /** Priority of the organisation; 0 if there is none. */
+  unsigned organisationPriority = 0;
+  /** Version of the configuration that the organisation was last looked up in;
+   * 0 before. */
+  std::uint64_t identifiedByVersion = 0;
   /** Counts the body in the memory budget of the process; may be null. */
   std::shared_ptr<const core::MemoryLease> bodyLease;
   /** Time that the caller allows for the call, from the arrival of its head. */
--- a/modules/gateway/CallerDialect.h
+++ b/modules/gateway/CallerDialect.h
@@ -13,7 +13,7 @@
 
 /**
  * Reads requests from and writes answers to the HTTP header fields that callers
- * use. All functions are set, may be called on any thread and perform no I/O.
+ * use. Functions may be called on any thread and perform no I/O.
  */
 struct CallerDialect
 {
@@ -29,6 +29,10 @@
   std::function<void(boost::beast::http::response_header<>&, const CallAnswer&)>
     writeAnswer;
 
+  /** Removes the fields by which callers present a key or name an organisation;
+   * may be empty. */
+  std::function<void(boost::beast::http::fields&)> removeIdentity = nullptr;
+
   /** Returns the dialect with the product's own fields of `HttpFields.h`; see
    * docs/design.md section 3. Thread-safe. */
   static std::shared_ptr<const CallerDialect> Native();
--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -8,6 +8,7 @@
 #include "gateway/ServerPool.h"
 #include "gateway/SocketAddress.h"
 #include "gateway/TcpListener.h"
+#include "proxy/CallerIdentity.h"
 #include "proxy/RequestRunner.h"
 
 #include <boost/asio/post.hpp>
@@ -156,6 +157,7 @@
             this->OnPeerMessage(aFrom, aPeerMessage);
           })
   , callMetrics(this->metrics)
+  , organisationMetrics(this->metrics)
   , ledger(this->self, RandomNumber(), std::chrono::steady_clock::now)
   , guard(std::chrono::steady_clock::now)
   , prober(this->context, this->platform.loadMeasurement)
@@ -168,6 +170,7 @@
             .log = aLog,
             .metrics = this->metrics,
             .callMetrics = this->callMetrics,
+            .organisationMetrics = this->organisationMetrics,
             .transferSizes = this->transferSizes,
             .now = std::chrono::steady_clock::now,
             .random = RandomNumber,
@@ -177,6 +180,11 @@
             .poolOf =
               [this](const routing::BackendInstance& aInstance) {
                 return this->PoolOf(aInstance);
+              },
+            .identifyCaller =
+              [this](gateway::CallRequest& aCall,
+                     const configuration::HttpRoute& aRoute) {
+                return this->IdentifyCaller(aCall, aRoute);
               } }
   , bodyMemory(std::make_shared<core::MemoryBudget>(
       aSettings.BodyMemoryBytes() + aSettings.BufferMemoryBytes(),
@@ -186,7 +194,8 @@
               aLog,
               std::chrono::steady_clock::now,
               aSettings.reportInterval,
-              aSettings.IsStrong())
+              aSettings.IsStrong(),
+              RandomNumber())
   , sessionHooks(std::make_shared<gateway::CallerSessionHooks>())
   , budgets(std::chrono::steady_clock::now,
             calls::RetryBudget::Allowance::OfFleet(aSettings.retryRatio,
@@ -634,6 +643,7 @@
 void
 ProxyDaemon::OnHeartbeatTimer()
 {
+  this->pauseGuard.Tick(PauseGuard::Now());
   this->budgets.SetAllowance(this->RetryAllowance());
   this->ReturnMemory();
   this->watcher->SetActive(this->relay->ShouldWatch());
@@ -708,6 +718,12 @@
         return aKnown.name == aRoute;
       });
     });
+    // Answers may lead to further requests, which change the list.
+    for (const auto& weak : std::vector(this->runners)) {
+      if (const auto runner = weak.lock()) {
+        runner->CheckKey();
+      }
+    }
   }
   this->UpdateBroker();
 }
@@ -772,6 +788,20 @@
   if (route == nullptr) {
     return refuse(ErrorKind::UnknownCall, std::nullopt);
   }
+  // After the route, which says whether a key is needed.
+  const ErrorKind keyError = this->IdentifyCaller(aCall, *route);
+  if (keyError == ErrorKind::NoConfiguration) {
+    return refuse(keyError, kRetryWithoutConfiguration);
+  }
+  if (keyError != ErrorKind::None) {
+    this->log.Write(LogLevel::Info,
+                    "key_refused",
+                    { { "id", aCall.id },
+                      { "key_hash",
+                        aCall.key ? routing::KeyTable::ShortHash(*aCall.key)
+                                  : std::string() } });
+    return refuse(keyError, std::nullopt);
+  }
   if (aCall.deadline && aCall.deadline->count() <= 0) {
     return refuse(ErrorKind::DeadlineBeforeSend, std::nullopt);
   }
@@ -808,6 +838,21 @@
   };
 }
 
+ErrorKind
+ProxyDaemon::IdentifyCaller(gateway::CallRequest& aCall,
+                            const configuration::HttpRoute& aRoute)
+{
+  if (this->storeView.Keys()->HasOrganisations() && !aRoute.isPublic &&
+      this->pauseGuard.HasJustWoken(PauseGuard::Now())) {
+    return ErrorKind::NoConfiguration;
+  }
+  return CallerIdentity::Apply(
+    { *this->storeView.Routes(), *this->storeView.Keys() },
+    *this->platform.callers,
+    aRoute.isPublic,
+    aCall);
+}
+
 std::string
 ProxyDaemon::SelectService(const configuration::HttpRoute& aRoute)
 {
@@ -1168,6 +1213,13 @@
     static_cast<double>(this->storeView.Directory().InstanceCount()));
   this->metrics.Set("store_is_lost",
                     this->watcher->IsStoreUnavailable() ? 1 : 0);
+  if (this->storeView.Keys()) {
+    const auto& inForce = this->storeView.Routes()->Configuration();
+    this->metrics.Set("organisations",
+                      static_cast<double>(inForce.organisations.size()));
+    this->metrics.Set("organisation_keys",
+                      static_cast<double>(this->storeView.Keys()->KeyCount()));
+  }
   this->metrics.Set(
     "configuration_version",
     static_cast<double>(this->storeView.ConfigurationVersion()));
@@ -1192,6 +1244,12 @@
     { "name", this->settings.name },
     { "is_stopping", this->isStopping },
     { "configuration_version", this->storeView.ConfigurationVersion() },
+    { "organisations",
+      this->storeView.Routes()
+        ? this->storeView.Routes()->Configuration().organisations.size()
+        : 0 },
+    { "organisation_keys",
+      this->storeView.Keys() ? this->storeView.Keys()->KeyCount() : 0 },
     { "store_is_lost", this->watcher->IsStoreUnavailable() },
     { "instances", this->storeView.Directory().InstanceCount() },
     { "requests_in_progress", this->requestCount },
--- a/modules/proxy/ProxyDaemon.h
+++ b/modules/proxy/ProxyDaemon.h
@@ -12,6 +12,7 @@
 #include "daemon/OperatorEndpoint.h"
 #include "gateway/CallerSession.h"
 #include "proxy/LoadProber.h"
+#include "proxy/PauseGuard.h"
 #include "proxy/PeerNetwork.h"
 #include "proxy/PlatformAdapter.h"
 #include "proxy/ProxyShared.h"
@@ -116,6 +117,9 @@
   gateway::CallerSessionHooks::CancelFunction Handle(
     gateway::CallRequest aCall,
     gateway::CallerSessionHooks::AnswerFunction aOnAnswer);
+  /** See `ProxyShared::identifyCaller`; a configuration must be in force. */
+  core::ErrorKind IdentifyCaller(gateway::CallRequest& aCall,
+                                 const configuration::HttpRoute& aRoute);
   std::string SelectService(const configuration::HttpRoute& aRoute);
   std::shared_ptr<gateway::ServerPool> PoolOf(
     const routing::BackendInstance& aInstance);
@@ -161,6 +165,7 @@
   PeerNetwork peers;
   daemon::Metrics metrics;
   daemon::CallMetrics callMetrics;
+  daemon::OrganisationMetrics organisationMetrics;
   calls::TicketLedger ledger;
   calls::CrashGuard guard;
   routing::TransferSizes transferSizes;
@@ -174,6 +179,7 @@
   std::unique_ptr<store::ObjectWatcher> watcher;
   std::unique_ptr<StoreRelay> relay;
   StoreView storeView;
+  PauseGuard pauseGuard;
   std::shared_ptr<gateway::CallerSessionHooks> sessionHooks;
   std::shared_ptr<gateway::TcpListener> listener;
   std::vector<std::weak_ptr<gateway::CallerSession>> sessions;
--- a/modules/proxy/ProxyShared.h
+++ b/modules/proxy/ProxyShared.h
@@ -3,9 +3,11 @@
 #include "calls/CrashGuard.h"
 #include "calls/RetryBudget.h"
 #include "calls/TicketLedger.h"
+#include "core/ErrorKind.h"
 #include "core/Hooks.h"
 #include "core/Log.h"
 #include "daemon/Metrics.h"
+#include "daemon/OrganisationMetrics.h"
 #include "routing/TransferSizes.h"
 
 #include <boost/asio/io_context.hpp>
@@ -14,8 +16,13 @@
 #include <memory>
 #include <string>
 
+namespace fireflytrail::configuration {
+struct HttpRoute;
+}
+
 namespace fireflytrail::gateway {
 class ServerPool;
+struct CallRequest;
 }
 
 namespace fireflytrail::routing {
@@ -40,6 +47,7 @@
   const core::Log& log;
   daemon::Metrics& metrics;
   daemon::CallMetrics& callMetrics;
+  daemon::OrganisationMetrics& organisationMetrics;
   routing::TransferSizes& transferSizes;
   core::NowFunction now;
   core::RandomFunction random;
@@ -56,6 +64,13 @@
   std::function<std::shared_ptr<gateway::ServerPool>(
     const routing::BackendInstance&)>
     poolOf;
+  /**
+   * Sets the organisation of a request by the current configuration, see
+   * `CallerIdentity`; returns `None`, or why the request must not be run.
+   */
+  std::function<core::ErrorKind(gateway::CallRequest&,
+                                const configuration::HttpRoute&)>
+    identifyCaller;
   /**
    * Is called with the organisation of a request, which may be empty, when an
    * attempt ends whose server began to run it, as far as that can be known: it
--- a/modules/proxy/RequestRunner.cpp
+++ b/modules/proxy/RequestRunner.cpp
@@ -31,6 +31,9 @@
 // First HTTP status that reports a failure of the server itself.
 constexpr unsigned kFirstFailureStatus = 500;
 
+// Lowest priority of an organisation, and of a route if there are any.
+constexpr unsigned kMaxPriority = 15;
+
 AttemptOutcome
 OutcomeOf(const gateway::ServerExchange& aExchange)
 {
@@ -206,7 +209,7 @@
   request.goal =
     std::min(this->begin + this->route.latencyGoal, this->deadline);
   request.deadline = this->deadline;
-  request.priority = this->route.priority;
+  request.priority = this->Priority();
   request.route = this->routeKey;
   request.organisation = this->call.organisation.empty()
                            ? 0
@@ -246,12 +249,46 @@
     this->RunStep(this->flow->ServerChosen(core::Error{ aResult.kind, {} }));
     return;
   }
+  // The key may have been withdrawn while the request waited.
+  const ErrorKind keyError =
+    this->shared.identifyCaller(this->call, this->route);
+  if (keyError != ErrorKind::None) {
+    this->shared.broker.Release(
+      *aSlot, AttemptOutcome::Cancelled, 0ns, std::nullopt, {});
+    this->RunStep(this->flow->ServerChosen(core::Error{ keyError, {} }));
+    return;
+  }
   this->slot = std::move(aSlot);
   calls::ServerHandle handle;
   handle.server = routing::ServiceDispatcher::KeyOf(*this->slot->instance);
   this->RunStep(this->flow->ServerChosen(std::move(handle)));
 }
 
+void
+RequestRunner::CheckKey()
+{
+  if (this->slotRequest == 0) {
+    return;
+  }
+  const ErrorKind error = this->shared.identifyCaller(this->call, this->route);
+  if (error != ErrorKind::UnknownKey) {
+    return;
+  }
+  this->shared.broker.Withdraw(std::exchange(this->slotRequest, 0));
+  this->RunStep(this->flow->ServerChosen(core::Error{ error, {} }));
+}
+
+unsigned
+RequestRunner::Priority() const
+{
+  if (this->call.organisation.empty()) {
+    return this->route.priority;
+  }
+  return std::min(this->call.organisationPriority, kMaxPriority) *
+           (kMaxPriority + 1) +
+         std::min(this->route.priority, kMaxPriority);
+}
+
 void
 RequestRunner::SendAttempt(const calls::SendStep& aStep)
 {
@@ -380,6 +417,7 @@
                                   {},
                                   aStep.kind,
                                   this->shared.now() - this->begin);
+  this->shared.organisationMetrics.Record(this->call.organisation, aStep.kind);
   this->countHolder.reset();
   const auto deliver = std::exchange(this->onAnswer, nullptr);
   if (!aStep.deliver || !deliver) {
@@ -439,6 +477,7 @@
     { { "id", this->call.id },
       { "route", this->route.name },
       { "service", this->service },
+      { "organisation", this->call.organisation },
       { "kind", row.name },
       { "outcome", core::ErrorTable::NameOf(row.outcome) },
       { "status",
--- a/modules/proxy/RequestRunner.h
+++ b/modules/proxy/RequestRunner.h
@@ -67,6 +67,12 @@
    */
   void CallerGone();
 
+  /**
+   * Looks the caller's key up once more, after a change of the configuration,
+   * and ends the request if it waits and must not be run any more.
+   */
+  void CheckKey();
+
   /** Logs that the end of the process cuts the request, unless it has ended. */
   void ReportCut() const;
 
@@ -76,6 +82,9 @@
   void ChooseInstance(calls::ChooseStep aStep);
   void OnDecided(const routing::DispatchResult& aResult,
                  std::optional<Slot> aSlot);
+  /** Returns the priority for the order of service: the organisation's goes
+   * before the route's. */
+  unsigned Priority() const;
   void SendAttempt(const calls::SendStep& aStep);
   void OnExchange(const gateway::ServerExchange& aExchange);
   void OnConnectionLost(const gateway::ServerExchange& aExchange);
--- a/modules/proxy/StoreView.cpp
+++ b/modules/proxy/StoreView.cpp
@@ -19,11 +19,13 @@
                      const core::Log& aLog,
                      core::NowFunction aNow,
                      std::chrono::milliseconds aReportInterval,
-                     bool aLogsEachInstance)
+                     bool aLogsEachInstance,
+                     std::uint64_t aKeySeed)
   : platform(aPlatform)
   , log(aLog)
   , logsEachInstance(aLogsEachInstance)
   , directory(std::move(aNow), aReportInterval)
+  , keySeed(aKeySeed)
 {
 }
 
@@ -68,9 +70,13 @@
     if (parsed.value().version <= previousVersion) {
       continue;
     }
-    this->routes = std::make_shared<const routing::HttpRouteTable>(
+    const auto configuration =
       std::make_shared<const configuration::RouteConfiguration>(
-        std::move(parsed).value()));
+        std::move(parsed).value());
+    this->routes =
+      std::make_shared<const routing::HttpRouteTable>(configuration);
+    this->keys =
+      std::make_shared<const routing::KeyTable>(configuration, this->keySeed);
     const auto& current = this->routes->Configuration();
     this->log.Write(
       LogLevel::Info,
@@ -78,7 +84,10 @@
       { { "version", static_cast<std::int64_t>(current.version) },
         { "before", static_cast<std::int64_t>(previousVersion) },
         { "revision", static_cast<std::int64_t>(object.revision) },
-        { "routes", static_cast<std::int64_t>(current.routes.size()) } });
+        { "routes", static_cast<std::int64_t>(current.routes.size()) },
+        { "organisations",
+          static_cast<std::int64_t>(current.organisations.size()) },
+        { "keys", static_cast<std::int64_t>(this->keys->KeyCount()) } });
   }
 }
 
--- a/modules/proxy/StoreView.h
+++ b/modules/proxy/StoreView.h
@@ -4,6 +4,7 @@
 #include "core/Log.h"
 #include "proxy/PlatformAdapter.h"
 #include "routing/HttpRouteTable.h"
+#include "routing/KeyTable.h"
 #include "routing/ServiceDirectory.h"
 #include "store/ObjectRecord.h"
 
@@ -30,12 +31,14 @@
 public:
   /** The adapter and the log must outlive this object. `aReportInterval` is the
    * time between two reports of an instance to the store. Unless
-   * `aLogsEachInstance` is set, an update with many instances is one line. */
+   * `aLogsEachInstance` is set, an update with many instances is one line.
+   * `aKeySeed` is the secret seed of `KeyTable`. */
   StoreView(const PlatformAdapter& aPlatform,
             const core::Log& aLog,
             core::NowFunction aNow,
             std::chrono::milliseconds aReportInterval,
-            bool aLogsEachInstance);
+            bool aLogsEachInstance,
+            std::uint64_t aKeySeed);
   StoreView(const StoreView&) = delete;
   StoreView& operator=(const StoreView&) = delete;
 
@@ -53,6 +56,12 @@
     return this->routes;
   }
 
+  /** Returns the keys of the current configuration; null before the first. */
+  const std::shared_ptr<const routing::KeyTable>& Keys() const
+  {
+    return this->keys;
+  }
+
   /**
    * Returns the version of the current configuration; 0 before the first. It
    * never decreases.
@@ -73,7 +82,9 @@
   const core::Log& log;
   bool logsEachInstance;
   routing::ServiceDirectory directory;
+  std::uint64_t keySeed;
   std::shared_ptr<const routing::HttpRouteTable> routes;
+  std::shared_ptr<const routing::KeyTable> keys;
   std::set<std::string, std::less<>> domainsOut;
 };
 
