Soak with organisations, keys that change and public routes

Each configuration adds a key and withdraws another; callers present permanent, new, withdrawn and unknown keys or none, and a forged organisation. Checked: no server sees a key, each request names its organisation, none runs for a key that never existed or was withdrawn longer ago than the bound, no valid key is refused, no log has a key.

Measured: builds; not run yet.

--- a/soak/Caller.cpp
+++ b/soak/Caller.cpp
@@ -47,6 +47,8 @@
   switch (aStatus) {
     case 200:
       return RequestHistory::Outcome::Success;
+    case 401:
+      return RequestHistory::Outcome::Denied;
     case 408:
     case 421:
     case 429:
@@ -111,8 +113,10 @@
 {
   const bool isAtMostOnce = this->random() % 2 == 0;
   const bool isForSecond = isAtMostOnce && this->random() % 3 == 0;
+  const std::string key = this->hooks.keyOf(aId);
   const std::string_view prefix = this->kind == Kind::Hurried
                                     ? kAbsentServicePrefix
+                                  : key.empty()  ? kPublicPrefix
                                   : isForSecond  ? kSecondServicePrefix
                                   : isAtMostOnce ? "/once/"
                                                  : "/any/";
@@ -122,6 +126,10 @@
   request.set(http::field::host, "soak.example");
   request.set("X-Request-Id", aId);
   request.set("X-Request-Timeout-Ms", std::to_string(kRequestTimeout.count()));
+  request.set("X-Tenant", "forged");
+  if (!key.empty()) {
+    request.set(http::field::authorization, "Bearer " + key);
+  }
   request.body() = isAtMostOnce ? std::string(this->random() % 3000, 'x') : "";
   request.prepare_payload();
   return request;
--- a/soak/Caller.h
+++ b/soak/Caller.h
@@ -70,6 +70,9 @@
     std::function<void(const LostRequest&)> onRequestLost;
     /** Called with the status of each complete response. */
     std::function<void(const std::string& aId, unsigned aStatus)> onResponse;
+    /** Returns the key of a new request; empty for one that has no key, which
+     * is sent on a public route. */
+    std::function<std::string(const std::string& aId)> keyOf;
     /** Returns true when the caller must stop sending. */
     std::function<bool()> isOver;
   };
--- a/soak/RequestHistory.cpp
+++ b/soak/RequestHistory.cpp
@@ -87,6 +87,10 @@
         "at-most-once request {} ran, but its caller got a not-run response",
         id));
     }
+    if (request.outcome == Outcome::Denied && request.runs > 0) {
+      this->ReportViolation(
+        fmt::format("request {} ran, but its key was refused", id));
+    }
     if (request.outcome == Outcome::Success && request.runs == 0) {
       this->ReportViolation(
         fmt::format("request {} got a success response, but has not run", id));
--- a/soak/RequestHistory.h
+++ b/soak/RequestHistory.h
@@ -23,6 +23,8 @@
     Success,
     /** The response states that the request has not run and never will. */
     NotRun,
+    /** The response states that the key is not valid. */
+    Denied,
     /** Any other complete response. */
     Failure,
     /** The connection ended without a complete response. */
--- a/soak/Server.h
+++ b/soak/Server.h
@@ -25,6 +25,8 @@
 /** Prefix of the paths of the second service; its servers run no others. */
 inline constexpr std::string_view kSecondServicePrefix = "/second/";
 inline constexpr std::string_view kSecondService = "second";
+/** The same of a public route, which needs no key. */
+inline constexpr std::string_view kPublicPrefix = "/public/";
 /** The same of a service that has no servers. */
 inline constexpr std::string_view kAbsentServicePrefix = "/absent/";
 inline constexpr std::string_view kAbsentService = "absent";
--- a/soak/Soak.cpp
+++ b/soak/Soak.cpp
@@ -88,7 +88,8 @@
 GetStatus(asio::io_context& aContext,
           tcp::endpoint aServer,
           std::string aTarget,
-          milliseconds aTimeLimit)
+          milliseconds aTimeLimit,
+          std::string aKey = {})
 {
   boost::beast::tcp_stream stream(aContext);
   boost::system::error_code error;
@@ -102,6 +103,9 @@
                           RequestHistory::kProbePrefix,
                           aServer.address().to_string()));
   request.set("X-Request-Timeout-Ms", std::to_string(aTimeLimit.count()));
+  if (!aKey.empty()) {
+    request.set(http::field::authorization, "Bearer " + aKey);
+  }
   HttpResponse response;
   response.result(0U);
   boost::beast::flat_buffer buffer;
@@ -180,6 +184,7 @@
   , random(this->plan.seed)
   , callerRandom(this->plan.seed)
   , store(this->context)
+  , keyRing(this->plan.seed)
 {
 }
 
@@ -197,6 +202,8 @@
       index % 3 == 2 ? std::string(kSecondService) : kService,
       index % 2 == 0 ? "a" : "b",
       this->random()));
+    this->servers.back()->SetRunObserver(
+      [this](const HttpRequest& aRequest) { this->CheckIdentity(aRequest); });
     this->servers.back()->Start();
     this->RegisterServer(*this->servers.back());
   }
@@ -226,6 +233,7 @@
   }
   spawn([this] { return this->RunTest(); });
   this->context.run();
+  this->CheckLogs();
   this->history.CheckAll();
   return this->history.Violations();
 }
@@ -732,7 +740,12 @@
 Soak::ChangeConfiguration()
 {
   ++this->configurationVersion;
-  json::array entries;
+  this->keyRing.Rotate();
+  json::array entries = this->keyRing.Entries();
+  json::object publicRoute =
+    MakeRoute("r-public", std::string(kPublicPrefix), true);
+  publicRoute["Spec"].as_object()["Public"] = true;
+  entries.push_back(std::move(publicRoute));
   entries.push_back(MakeRoute("r-once", "/once/", true));
   entries.push_back(MakeRoute("r-any", "/any/", false));
   entries.push_back(MakeRoute(
@@ -784,10 +797,7 @@
 Soak::CheckConfiguration(Host& aHost, unsigned aVersion, TimePoint aPublishedAt)
 {
   const auto dueAt = [&] {
-    return std::max({ aPublishedAt + kConfigurationLimit,
-                      this->storeDisruptedUntil,
-                      aHost.inTouchFrom,
-                      aHost.startedAt + kGraceTime });
+    return this->ConfigurationDueAt(aHost, aPublishedAt);
   };
   while (aVersion == this->configurationVersion && !this->isOver) {
     if (std::chrono::steady_clock::now() < dueAt() || aHost.IsStopping() ||
@@ -798,7 +808,8 @@
     const unsigned status = co_await GetStatus(this->context,
                                                aHost.process->CallerEndpoint(),
                                                fmt::format("/v{}/x", aVersion),
-                                               1000ms);
+                                               1000ms,
+                                               this->keyRing.PermanentKey());
     const bool isExempt = aVersion != this->configurationVersion ||
                           std::chrono::steady_clock::now() < dueAt() ||
                           aHost.IsStopping();
@@ -815,6 +826,93 @@
   }
 }
 
+Soak::TimePoint
+Soak::ConfigurationDueAt(const Host& aHost, TimePoint aPublishedAt) const
+{
+  return std::max({ aPublishedAt + kConfigurationLimit,
+                    this->storeDisruptedUntil,
+                    aHost.inTouchFrom,
+                    aHost.startedAt + kGraceTime });
+}
+
+void
+Soak::CheckIdentity(const HttpRequest& aRequest)
+{
+  const std::string id(aRequest["X-Request-Id"]);
+  for (const auto& field : aRequest) {
+    if (field.name() == http::field::authorization ||
+        field.value().find(KeyRing::kKeyPrefix) != std::string_view::npos) {
+      this->history.ReportViolation(
+        fmt::format("a server saw the key of request {}", id));
+    }
+  }
+  const auto identity = this->keyRing.IdentityOf(id);
+  if (!identity) {
+    return;
+  }
+  if (aRequest["X-Tenant"] != identity->organisation ||
+      aRequest.count("X-Tenant") > 1) {
+    this->history.ReportViolation(
+      fmt::format("request {} of {} reached a server as of {}",
+                  id,
+                  identity->organisation,
+                  std::string(aRequest["X-Tenant"])));
+  }
+  if (!identity->key.empty() && identity->organisation.empty()) {
+    this->history.ReportViolation(
+      fmt::format("request {} ran with a key that never existed", id));
+  }
+  const Host* host = this->HostAt(this->history.DaemonOf(id));
+  if (!identity->withdrawnAt || host == nullptr || host->IsStopping() ||
+      !host->predecessors.empty()) {
+    return;
+  }
+  const auto late = std::chrono::steady_clock::now() -
+                    this->ConfigurationDueAt(*host, *identity->withdrawnAt);
+  if (late.count() > 0) {
+    this->history.ReportViolation(fmt::format(
+      "request {} by daemon {} ran {} ms after the bound of its withdrawn key",
+      id,
+      host->process->Address(),
+      std::chrono::duration_cast<milliseconds>(late).count()));
+  }
+}
+
+void
+Soak::CheckDenial(const std::string& aId)
+{
+  const auto identity = this->keyRing.IdentityOf(aId);
+  const Host* host = this->HostAt(this->history.DaemonOf(aId));
+  if (!identity || identity->organisation.empty() || identity->withdrawnAt ||
+      host == nullptr) {
+    return;
+  }
+  // The answer may belong to a request that was sent this long ago.
+  constexpr auto kLongestRequest = 3s;
+  const bool isDue =
+    !host->IsStopping() && host->predecessors.empty() &&
+    std::chrono::steady_clock::now() >
+      this->ConfigurationDueAt(*host, identity->addedAt) + kLongestRequest;
+  if (identity->isPermanent || isDue) {
+    this->history.ReportViolation(fmt::format(
+      "request {} was denied by daemon {} although its key is valid",
+      aId,
+      host->process->Address()));
+  }
+}
+
+void
+Soak::CheckLogs()
+{
+  for (const auto& host : this->hosts) {
+    if (host->process->LogText().find(KeyRing::kKeyPrefix) !=
+        std::string::npos) {
+      this->history.ReportViolation(fmt::format(
+        "the log of daemon {} has a key", host->process->Address()));
+    }
+  }
+}
+
 void
 Soak::RegisterServer(Server& aServer)
 {
@@ -845,6 +943,14 @@
                                        aId,
                                        this->history.DaemonOf(aId)));
                        }
+                       constexpr unsigned kUnauthorized = 401;
+                       if (aStatus == kUnauthorized) {
+                         this->CheckDenial(aId);
+                       }
+                     },
+                   .keyOf =
+                     [this](const std::string& aId) {
+                       return this->keyRing.Assign(aId).key;
                      },
                    .isOver = std::move(aIsOver) },
     aKind,
--- a/soak/Soak.h
+++ b/soak/Soak.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "soak/Caller.h"
+#include "soak/KeyRing.h"
 #include "soak/ObjectStore.h"
 #include "soak/RequestHistory.h"
 
@@ -125,6 +126,14 @@
                                                   TimePoint aPublishedAt);
   /** Writes the current registration of a server to the store. */
   void RegisterServer(Server& aServer);
+  /** Checks the key and the organisation of a request that a server runs. */
+  void CheckIdentity(const HttpRequest& aRequest);
+  /** Checks that the key of a request may be refused now. */
+  void CheckDenial(const std::string& aId);
+  /** Returns from when on a daemon must apply a configuration. */
+  TimePoint ConfigurationDueAt(const Host& aHost, TimePoint aPublishedAt) const;
+  /** Reports keys in the logs of the daemons. */
+  void CheckLogs();
   void OnRequestLost(const Caller::LostRequest& aRequest);
   /** Checks a lost request against the guarantees, when the servers have
    * recorded it. */
@@ -161,6 +170,8 @@
   std::vector<std::unique_ptr<Host>> hosts;
   std::vector<std::unique_ptr<Server>> servers;
   std::vector<std::unique_ptr<Caller>> callers;
+  /** Has random numbers of its own, so that the faults do not depend on it. */
+  KeyRing keyRing;
   unsigned configurationVersion = 0;
   bool isOver = false;
   /** Until then limits and pauses of servers aren't checked. */
--- a/soak/SoakMain.cpp
+++ b/soak/SoakMain.cpp
@@ -67,18 +67,19 @@
   const auto& violations = soak.Run();
   const RequestHistory& results = soak.Results();
   const auto& excuses = soak.ExcusedLosses();
-  fmt::print(
-    "seed {}: {} served, {} not run, {} failed, {} cut (excused: {} by "
-    "the daemon, {} by a server, {} crossed a close); {}\n",
-    aSeed,
-    results.Count(RequestHistory::Outcome::Success),
-    results.Count(RequestHistory::Outcome::NotRun),
-    results.Count(RequestHistory::Outcome::Failure),
-    results.Count(RequestHistory::Outcome::ConnectionLost),
-    excuses.daemon,
-    excuses.server,
-    excuses.crossing,
-    violations.empty() ? "kept" : "BROKEN");
+  fmt::print("seed {}: {} served, {} denied, {} not run, {} failed, {} cut "
+             "(excused: {} by "
+             "the daemon, {} by a server, {} crossed a close); {}\n",
+             aSeed,
+             results.Count(RequestHistory::Outcome::Success),
+             results.Count(RequestHistory::Outcome::Denied),
+             results.Count(RequestHistory::Outcome::NotRun),
+             results.Count(RequestHistory::Outcome::Failure),
+             results.Count(RequestHistory::Outcome::ConnectionLost),
+             excuses.daemon,
+             excuses.server,
+             excuses.crossing,
+             violations.empty() ? "kept" : "BROKEN");
   constexpr std::size_t kMaxLines = 40;
   for (std::size_t index = 0; index < std::min(violations.size(), kMaxLines);
        ++index) {
