Play crowds of callers that don't behave at every port

Cause: no test held a process to its memory while clients stop just short of the end of a body, send ahead without reading, or send half frames, at the callers', the ready, the operators' and the peers' port.

Change: memory_run plays KIND@PORT with 900 clients and judges what does not depend on the machine's speed: the process lives, memory with unread and unsent bytes of the kernel, descriptors, one ordinary request and readiness afterwards.

--- a/memory/MemoryMain.cpp
+++ b/memory/MemoryMain.cpp
@@ -18,6 +18,9 @@
 DEFINE_uint32(daemons, 1, "number of entry daemons, 1 to 3");
 DEFINE_uint32(callers, 0, "callers or connections; 0 selects as many as usual");
 DEFINE_uint32(memory_mb, 160, "memory that a daemon may take, in megabytes");
+DEFINE_uint32(max_descriptors,
+              0,
+              "the setting max_descriptors of a daemon; 0 writes none");
 DEFINE_uint32(milliseconds, 8000, "duration of a load in milliseconds");
 DEFINE_bool(memory_setting,
             true,
@@ -35,6 +38,9 @@
       aLoad == "chunk-lines") {
     return 3000;
   }
+  if (aLoad.find('@') != std::string::npos) {
+    return 900;
+  }
   if (aLoad == "pipelined") {
     return 500;
   }
@@ -64,6 +70,7 @@
   plan.callers = FLAGS_callers > 0 ? FLAGS_callers : UsualCallers(aLoad);
   plan.memoryMegabytes = FLAGS_memory_mb;
   plan.isMemoryStated = FLAGS_memory_setting;
+  plan.maxDescriptors = FLAGS_max_descriptors;
   plan.moreSettings = FLAGS_more_settings;
   plan.loadTime = std::chrono::milliseconds(FLAGS_milliseconds);
   plan.program = FLAGS_program;
--- a/memory/MemoryRun.cpp
+++ b/memory/MemoryRun.cpp
@@ -1,6 +1,7 @@
 #include "memory/MemoryRun.h"
 
 #include "memory/Bytes.h"
+#include "memory/Crowd.h"
 #include "memory/LoadServer.h"
 #include "memory/ProcessSize.h"
 
@@ -50,6 +51,11 @@
 constexpr std::size_t kPartBytes = std::size_t{ 64 } * 1024;
 constexpr std::size_t kBytesPerKilobyte = 1024;
 constexpr std::size_t kServers = 4;
+// Ports of a daemon, in the order of their numbers.
+constexpr std::array<std::string_view, 4> kPorts{ "callers",
+                                                  "ready",
+                                                  "operators",
+                                                  "peers" };
 // Part of the memory that must stay free: the platform kills the process that
 // exceeds its limit.
 constexpr double kUsableShare = 0.9;
@@ -134,9 +140,23 @@
 std::vector<std::string>
 MemoryRun::Loads()
 {
-  return { "bodies",         "chunked-bodies", "slow-readers",  "slow-bodies",
-           "endless-chunks", "idle",           "half-heads",    "chunk-lines",
-           "long-heads",     "pipelined",      "configuration", "servers" };
+  std::vector<std::string> loads{
+    "bodies",         "chunked-bodies", "slow-readers",  "slow-bodies",
+    "endless-chunks", "idle",           "half-heads",    "chunk-lines",
+    "long-heads",     "pipelined",      "configuration", "servers"
+  };
+  for (const std::string_view port : kPorts) {
+    for (const std::string& kind : Crowd::Kinds(port == "peers")) {
+      loads.push_back(fmt::format("{}@{}", kind, port));
+    }
+  }
+  return loads;
+}
+
+bool
+MemoryRun::IsCrowd() const
+{
+  return this->plan.load.find('@') != std::string::npos;
 }
 
 MemoryRun::MemoryRun(MemoryPlan aPlan)
@@ -170,6 +190,11 @@
                               settings.empty() ? "" : ", ",
                               this->plan.memoryMegabytes);
     }
+    if (this->plan.maxDescriptors > 0) {
+      settings += fmt::format("{}\"max_descriptors\": {}",
+                              settings.empty() ? "" : ", ",
+                              this->plan.maxDescriptors);
+    }
     this->daemons.push_back(
       std::make_unique<soak::DaemonProcess>(soak::DaemonProcess::Options{
         .program = this->plan.program,
@@ -189,6 +214,13 @@
   asio::co_spawn(
     this->context, [this] { return this->RunTest(); }, asio::detached);
   this->context.run();
+  this->Judge();
+  return this->result;
+}
+
+void
+MemoryRun::Judge()
+{
   const double limit = kUsableShare * this->plan.memoryMegabytes *
                        static_cast<double>(kBytesPerKilobyte);
   const auto report = [this](std::string aText) {
@@ -198,6 +230,14 @@
       static_cast<double>(this->result.peakKilobytes) > limit) {
     report("a process exceeded nine tenths of its memory");
   }
+  if (this->plan.maxDescriptors > 0 &&
+      this->result.peakDescriptors > this->plan.maxDescriptors) {
+    report("a process exceeded its descriptors");
+  }
+  if (this->IsCrowd()) {
+    // How many others are served meanwhile depends on the machine's speed.
+    return;
+  }
   const std::size_t small = this->result.smallServed +
                             this->result.smallRefused + this->result.smallCut;
   if (this->result.smallCut > 0) {
@@ -208,7 +248,6 @@
         kMinServedRatio * static_cast<double>(small)) {
     report("too few small requests were served");
   }
-  return this->result;
 }
 
 MemoryRun::Awaitable
@@ -222,7 +261,14 @@
   this->StartLoad();
   co_await this->Wait(this->plan.loadTime);
   this->isOver = true;
+  if (this->crowd) {
+    this->result.largeRefused = this->crowd->Connections();
+    this->crowd->Leave();
+  }
   co_await this->Wait(kSettleTime);
+  if (this->crowd) {
+    co_await this->CheckAfterCrowd();
+  }
   this->isEnding = true;
   for (const auto& daemon : this->daemons) {
     if (!daemon->IsRunning()) {
@@ -251,7 +297,9 @@
       }
       const ProcessSize size = ProcessSize::Of(daemon->Pid());
       const std::size_t unread =
-        UnreadBytes(daemon->Pid(), daemon->CallerEndpoint()) /
+        (this->IsCrowd()
+           ? KernelBytes(daemon->Pid(), daemon->CallerEndpoint(), kPorts.size())
+           : UnreadBytes(daemon->Pid(), daemon->CallerEndpoint())) /
         kBytesPerKilobyte;
       this->result.peakKilobytes =
         std::max(this->result.peakKilobytes, size.peakKilobytes);
@@ -273,7 +321,9 @@
       asio::co_spawn(this->context, aFunction, asio::detached);
     }
   };
-  if (load == "bodies" || load == "chunked-bodies") {
+  if (this->IsCrowd()) {
+    this->StartCrowd();
+  } else if (load == "bodies" || load == "chunked-bodies") {
     spawn([this, isChunked = load != "bodies"] {
       return this->SendLarge(isChunked);
     });
@@ -314,6 +364,69 @@
   }
 }
 
+void
+MemoryRun::StartCrowd()
+{
+  const std::size_t at = this->plan.load.find('@');
+  const std::string port = this->plan.load.substr(at + 1);
+  const auto number = std::ranges::find(kPorts, port) - kPorts.begin();
+  tcp::endpoint target = this->daemons.front()->CallerEndpoint();
+  target.port(static_cast<std::uint16_t>(target.port() + number));
+  const std::vector<std::string> paths =
+    port == "callers"
+      ? std::vector<std::string>{ fmt::format("/any/{}", kMaxAnswerBytes),
+                                  "/any/100",
+                                  "/unrouted/100",
+                                  "/ready" }
+      : std::vector<std::string>{ "/ready", "/metrics", "/unrouted", "/dump" };
+  this->crowd =
+    std::make_shared<Crowd>(this->context,
+                            Crowd::Plan{ .seed = this->plan.seed,
+                                         .kind = this->plan.load.substr(0, at),
+                                         .target = target,
+                                         .isPeerPort = port == "peers",
+                                         .paths = paths,
+                                         .clients = this->plan.callers });
+  this->crowd->Start();
+}
+
+asio::awaitable<unsigned>
+MemoryRun::AskOnce(tcp::endpoint aTarget, std::string aPath)
+{
+  tcp::socket socket(this->context);
+  boost::system::error_code error;
+  const std::string head = this->Head("GET", aPath, "\r\n");
+  const auto exchange = [&]() -> asio::awaitable<unsigned> {
+    co_await socket.async_connect(
+      aTarget, asio::redirect_error(asio::use_awaitable, error));
+    if (!error) {
+      co_await asio::async_write(
+        socket,
+        asio::buffer(head),
+        asio::redirect_error(asio::use_awaitable, error));
+    }
+    co_return error ? 0 : co_await ReadAnswer(socket, 0ms, kPartBytes);
+  };
+  // The crowd has gone; the time only ends a test whose daemon hangs.
+  constexpr auto kHangTime = 20s;
+  const auto ended = co_await (exchange() || this->Wait(kHangTime));
+  co_return ended.index() == 0 ? std::get<0>(ended) : 0;
+}
+
+MemoryRun::Awaitable
+MemoryRun::CheckAfterCrowd()
+{
+  const auto& daemon = this->daemons.front();
+  constexpr unsigned kOk = 200;
+  if (co_await this->AskOnce(daemon->CallerEndpoint(), "/any/100") != kOk) {
+    this->result.violations.emplace_back(
+      "an ordinary request was not answered afterwards");
+  }
+  if (co_await this->AskOnce(daemon->ReadyEndpoint(), "/ready") != kOk) {
+    this->result.violations.emplace_back("not ready afterwards");
+  }
+}
+
 MemoryRun::Awaitable
 MemoryRun::SendSmallRequests()
 {
--- a/memory/MemoryRun.h
+++ b/memory/MemoryRun.h
@@ -20,6 +20,7 @@
 
 namespace fireflytrail::memory {
 
+class Crowd;
 class LoadServer;
 
 /** What a run does; the same values give the same load. */
@@ -35,6 +36,8 @@
   unsigned memoryMegabytes = 160;
   /** Whether the setting is written; programs of earlier versions refuse it. */
   bool isMemoryStated = true;
+  /** The setting `max_descriptors` of the daemons; 0 if it is not written. */
+  unsigned maxDescriptors = 0;
   /** More settings of the daemons: text that follows a comma, or empty. */
   std::string moreSettings;
   std::chrono::milliseconds loadTime{ 8000 };
@@ -49,7 +52,7 @@
   /** Largest resident size of a daemon, from the kernel. */
   std::size_t peakKilobytes = 0;
   /** Largest sum of a daemon's resident size and the received bytes that it has
-   * not read, as sampled. */
+   * not read, as sampled; for crowds, the unsent bytes are included. */
   std::size_t peakWithUnreadKilobytes = 0;
   /** Largest resident size four seconds after the load. */
   std::size_t lastKilobytes = 0;
@@ -96,6 +99,17 @@
   Awaitable Sample();
   Awaitable SendSmallRequests();
   void StartLoad();
+  /** Starts the crowd that the load names as `KIND@PORT`. */
+  void StartCrowd();
+  /** Returns the status of one ordinary request at a port, 0 without answer. */
+  boost::asio::awaitable<unsigned> AskOnce(
+    boost::asio::ip::tcp::endpoint aTarget,
+    std::string aPath);
+  /** Checks after the crowd that an ordinary request is answered. */
+  Awaitable CheckAfterCrowd();
+  /** Adds what does not hold after the run. */
+  void Judge();
+  bool IsCrowd() const;
   /** Sends requests with large bodies and asks for large answers. */
   Awaitable SendLarge(bool aIsChunked);
   /** Asks for large answers and reads them slowly. */
@@ -128,6 +142,7 @@
   soak::ObjectStore store;
   std::vector<std::shared_ptr<LoadServer>> servers;
   std::vector<std::unique_ptr<soak::DaemonProcess>> daemons;
+  std::shared_ptr<Crowd> crowd;
   std::uint64_t requestCount = 0;
   std::uint64_t configurationCount = 0;
   bool isOver = false;
--- a/memory/ProcessSize.cpp
+++ b/memory/ProcessSize.cpp
@@ -57,19 +57,30 @@
   return size;
 }
 
-std::size_t
-UnreadBytes(pid_t aProcess, const boost::asio::ip::tcp::endpoint& aListener)
+namespace {
+
+/** Bytes that the kernel holds for a connection. */
+struct QueuedBytes
+{
+  std::size_t unsent = 0;
+  std::size_t unread = 0;
+};
+
+/** Sums the queues of the connections to `aCount` consecutive ports. */
+QueuedBytes
+SumQueues(pid_t aProcess,
+          const boost::asio::ip::tcp::endpoint& aFirst,
+          unsigned aCount)
 {
   // The kernel states addresses as the bytes in network order, read as a number
   // of the host.
-  const std::string local =
-    fmt::format("{:08X}:{:04X}",
-                htonl(aListener.address().to_v4().to_uint()),
-                aListener.port());
+  const std::string address =
+    fmt::format("{:08X}:", htonl(aFirst.address().to_v4().to_uint()));
   std::ifstream table(fmt::format("/proc/{}/net/tcp", aProcess));
   std::string line;
   std::getline(table, line);
-  std::size_t bytes = 0;
+  QueuedBytes sum;
+  constexpr int kBase = 16;
   while (std::getline(table, line)) {
     std::istringstream words(line);
     std::string number;
@@ -80,11 +91,35 @@
     words >> number >> from >> to >> state >> queues;
     constexpr const char* kListening = "0A";
     const std::size_t colon = queues.find(':');
-    if (from == local && state != kListening && colon != std::string::npos) {
-      bytes += std::stoul(queues.substr(colon + 1), nullptr, 16);
+    if (!from.starts_with(address) || state == kListening ||
+        colon == std::string::npos) {
+      continue;
+    }
+    const unsigned long port =
+      std::stoul(from.substr(address.size()), nullptr, kBase);
+    if (port >= aFirst.port() && port < aFirst.port() + aCount) {
+      sum.unsent += std::stoul(queues.substr(0, colon), nullptr, kBase);
+      sum.unread += std::stoul(queues.substr(colon + 1), nullptr, kBase);
     }
   }
-  return bytes;
+  return sum;
+}
+
+} // namespace
+
+std::size_t
+UnreadBytes(pid_t aProcess, const boost::asio::ip::tcp::endpoint& aListener)
+{
+  return SumQueues(aProcess, aListener, 1).unread;
+}
+
+std::size_t
+KernelBytes(pid_t aProcess,
+            const boost::asio::ip::tcp::endpoint& aFirst,
+            unsigned aCount)
+{
+  const QueuedBytes sum = SumQueues(aProcess, aFirst, aCount);
+  return sum.unsent + sum.unread;
 }
 
 } // namespace fireflytrail::memory
--- a/memory/ProcessSize.h
+++ b/memory/ProcessSize.h
@@ -26,4 +26,11 @@
 std::size_t
 UnreadBytes(pid_t aProcess, const boost::asio::ip::tcp::endpoint& aListener);
 
+/** Returns the bytes that the kernel holds, unread or unsent, for the
+ * connections to `aCount` consecutive ports of a process from `aFirst` on. */
+std::size_t
+KernelBytes(pid_t aProcess,
+            const boost::asio::ip::tcp::endpoint& aFirst,
+            unsigned aCount);
+
 } // namespace fireflytrail::memory
