Bound what crowds take at every port

Cause: the ready and the operators' port buffered bodies of up to 1 MB outside the memory budget, on any number of connections; the peers' port any number of frames of up to 2 MB; the kernel kept 64 KB of each caller unread and megabytes unsent; freed bodies below 512 KB stayed with the process.

Change: all ports take from the one budget. Ready and operators' port read no bodies (413) and keep 64 connections each: for a new one the oldest that completed no exchange is closed, so that the readiness check finds a place. Peers' connections are bounded in the same way, frames before Hello to 2 KB. Callers' connections are bounded by memory too. The kernel's buffers of all callers share a tenth of the memory for each direction. When a request does not fit, those that hold most for least progress are answered 503, not run. Blocks from 64 KB on are mapped on their own. Settings max_caller_connections, max_operator_connections, max_peer_connections.

--- a/app/main.cpp
+++ b/app/main.cpp
@@ -65,7 +65,7 @@
 constexpr std::size_t kMaxLogFiles = 4096;
 
 // Size from which a block of memory is mapped on its own.
-constexpr int kMmapThresholdBytes = 512 * 1024;
+constexpr int kMmapThresholdBytes = 64 * 1024;
 
 // Time for which a daemon waits for a settings file that is missing, empty or
 // cut, and time between two readings.
--- a/modules/configuration/ProxySettings.cpp
+++ b/modules/configuration/ProxySettings.cpp
@@ -25,6 +25,20 @@
 constexpr double kBodyMemoryShare = 0.4;
 // Share for heads and buffers, which bodies must leave free.
 constexpr double kBufferMemoryShare = 0.1;
+// Share for the kernel's buffers of callers' connections, in each direction,
+// and for the connections themselves.
+constexpr double kSocketMemoryShare = 0.1;
+constexpr double kConnectionMemoryShare = 0.25;
+// Memory of an idle connection, with what the kernel keeps of it.
+constexpr double kConnectionBytes = 12.0 * 1024;
+constexpr std::int64_t kMaxConnections = 1 << 24;
+// Shares of memory and descriptors for connections from other daemons, and the
+// memory of one with its buffer. Each host opens one connection; those of
+// processes that lost power remain for a while.
+constexpr double kPeerMemoryShare = 0.125;
+constexpr double kPeerConnectionBytes = 24.0 * 1024;
+constexpr std::size_t kPeerPart = 6;
+constexpr std::size_t kMinPeerConnections = 64;
 constexpr double kBytesPerMegabyte = 1024.0 * 1024.0;
 
 constexpr std::int64_t kMinDescriptors = 32;
@@ -102,6 +116,12 @@
     reader.Number("memory_mb", kMinMemoryMegabytes, kMaxMemoryMegabytes, 256);
   settings.maxDescriptors = static_cast<std::size_t>(
     reader.Integer("max_descriptors", kMinDescriptors, kMaxDescriptors, 0));
+  settings.maxCallerConnections = static_cast<std::size_t>(
+    reader.Integer("max_caller_connections", 1, kMaxConnections, 0));
+  settings.maxOperatorConnections = static_cast<std::size_t>(
+    reader.Integer("max_operator_connections", 2, kMaxConnections, 64));
+  settings.maxPeerConnections = static_cast<std::size_t>(
+    reader.Integer("max_peer_connections", 1, kMaxConnections, 0));
   settings.linkMegabitsPerSecond =
     reader.Number("link_mbps", 0, kMaxLinkMegabitsPerSecond, 1000);
   settings.expectedHosts =
@@ -124,13 +144,41 @@
 std::size_t
 ProxySettings::MaxCallerConnections() const
 {
+  if (this->maxCallerConnections > 0) {
+    return this->maxCallerConnections;
+  }
+  const auto byMemory =
+    static_cast<std::size_t>(this->memoryMegabytes * kBytesPerMegabyte *
+                             kConnectionMemoryShare / kConnectionBytes);
   if (this->maxDescriptors == 0) {
-    return std::numeric_limits<std::size_t>::max();
+    return byMemory;
   }
   const std::size_t forFiles =
     std::min(kFileDescriptors, this->maxDescriptors / kMaxFilePart);
-  return static_cast<std::size_t>(
+  const auto byDescriptors = static_cast<std::size_t>(
     static_cast<double>(this->maxDescriptors - forFiles) * kCallerShare);
+  return std::min(byMemory, byDescriptors);
+}
+
+std::size_t
+ProxySettings::MaxPeerConnections() const
+{
+  if (this->maxPeerConnections > 0) {
+    return this->maxPeerConnections;
+  }
+  const auto byMemory =
+    static_cast<std::size_t>(this->memoryMegabytes * kBytesPerMegabyte *
+                             kPeerMemoryShare / kPeerConnectionBytes);
+  const std::size_t byDescriptors =
+    this->maxDescriptors == 0 ? byMemory : this->maxDescriptors / kPeerPart;
+  return std::max(kMinPeerConnections, std::min(byMemory, byDescriptors));
+}
+
+std::size_t
+ProxySettings::SocketMemoryBytes() const
+{
+  return static_cast<std::size_t>(this->memoryMegabytes * kBytesPerMegabyte *
+                                  kSocketMemoryShare);
 }
 
 std::size_t
--- a/modules/configuration/ProxySettings.h
+++ b/modules/configuration/ProxySettings.h
@@ -52,6 +52,13 @@
   double memoryMegabytes = 256;
   /** Descriptors that the host grants the daemon; 0 if that is not known. */
   std::size_t maxDescriptors = 0;
+  /** Most connections of callers; 0 derives it from memory and descriptors. */
+  std::size_t maxCallerConnections = 0;
+  /** Most connections to `readyListen`, and to `operatorListen`. */
+  std::size_t maxOperatorConnections = 64;
+  /** Most connections from other daemons; 0 derives it from memory and
+   * descriptors. */
+  std::size_t maxPeerConnections = 0;
   /** Bandwidth of the host's link, in Mbit/s. */
   double linkMegabitsPerSecond = 1000;
   /** Minimum number of entry hosts among which budgets of the whole fleet are
@@ -80,12 +87,22 @@
   std::size_t BodyMemoryBytes() const;
 
   /**
-   * Returns how many connections of callers may be open at once; the largest
-   * number if `maxDescriptors` is 0. The rest of the descriptors is for files
-   * and for connections to servers, other daemons and the store. Thread-safe.
+   * Returns how many connections of callers may be open at once: as many as
+   * `maxCallerConnections` says, else as the memory and the descriptors allow,
+   * of which none count if `maxDescriptors` is 0. The rest of the descriptors
+   * is for files and for connections to servers, other daemons and the store.
+   * Thread-safe.
    */
   std::size_t MaxCallerConnections() const;
 
+  /** Returns how many connections from other daemons may be open at once.
+   * Thread-safe. */
+  std::size_t MaxPeerConnections() const;
+
+  /** Returns the bytes that the kernel may keep of all connections of callers,
+   * in each direction, until they are read or acknowledged. Thread-safe. */
+  std::size_t SocketMemoryBytes() const;
+
   /**
    * Returns the bytes that heads and buffers of connections may take beyond
    * those that are left of bodies. Thread-safe.
--- a/modules/configuration/ProxySettingsTest.cpp
+++ b/modules/configuration/ProxySettingsTest.cpp
@@ -44,9 +44,28 @@
   BOOST_TEST(settings.BufferMemoryBytes() == 16'777'216U);
   BOOST_TEST(settings.maxDescriptors == 4100U);
   BOOST_TEST(settings.MaxCallerConnections() == 2925U);
+  BOOST_TEST(settings.MaxPeerConnections() == 683U);
+  BOOST_TEST(settings.maxOperatorConnections == 64U);
   BOOST_TEST(settings.logBytesPerSecond == 4096U);
 }
 
+// Guards against bounds that a fleet of the largest size meets, or that do not
+// follow the memory where no descriptors are stated.
+BOOST_AUTO_TEST_CASE(ConnectionsAreBoundedByMemoryAndDescriptors)
+{
+  ProxySettings settings;
+  settings.memoryMegabytes = 64;
+  BOOST_TEST(settings.MaxCallerConnections() == 1365U);
+  BOOST_TEST(settings.MaxPeerConnections() == 341U);
+  settings.maxDescriptors = 800;
+  BOOST_TEST(settings.MaxCallerConnections() == 450U);
+  BOOST_TEST(settings.MaxPeerConnections() == 133U);
+  settings.maxCallerConnections = 10;
+  settings.maxPeerConnections = 20;
+  BOOST_TEST(settings.MaxCallerConnections() == 10U);
+  BOOST_TEST(settings.MaxPeerConnections() == 20U);
+}
+
 // Guards against invalid settings that are accepted, and against errors that
 // are reported one at a time.
 BOOST_AUTO_TEST_CASE(ReportsAllProxySettingErrors)
--- a/modules/daemon/OperatorEndpoint.cpp
+++ b/modules/daemon/OperatorEndpoint.cpp
@@ -1,18 +1,32 @@
 #include "daemon/OperatorEndpoint.h"
 
 #include "gateway/CallAnswer.h"
+#include "gateway/HeldConnection.h"
 #include "gateway/TcpListener.h"
 
 #include <cassert>
+#include <chrono>
 #include <utility>
 
 namespace fireflytrail::daemon {
 
 using boost::asio::ip::tcp;
 
+namespace {
+
+// Time in which the head of a request must arrive. Balancers and operators send
+// it at once.
+constexpr std::chrono::seconds kRequestTimeout{ 5 };
+// No page is longer than a few times this.
+constexpr int kSocketBufferBytes = 16 * 1024;
+
+} // namespace
+
 OperatorEndpoint::OperatorEndpoint(boost::asio::io_context& aContext,
-                                   OperatorPages aPages)
+                                   OperatorPages aPages,
+                                   OperatorLimits aLimits)
   : pages(std::move(aPages))
+  , limits(std::move(aLimits))
   , hooks(std::make_shared<gateway::CallerSessionHooks>())
 {
   assert(this->pages.metrics && this->pages.dump && this->pages.status);
@@ -25,11 +39,50 @@
   };
   this->hooks->isStopping = [] { return false; };
   this->hooks->sessionCountChanged = [](int) {};
+  this->hooks->memory = this->limits.memory;
+  this->hooks->limits.maxBodyBytes = 0;
+  this->hooks->limits.requestTimeout = kRequestTimeout;
   this->listener = std::make_shared<gateway::TcpListener>(
-    aContext, [this](tcp::socket aSocket) {
-      std::make_shared<gateway::CallerSession>(std::move(aSocket), this->hooks)
-        ->Start();
-    });
+    aContext,
+    [this](tcp::socket aSocket) { this->OnConnected(std::move(aSocket)); },
+    gateway::TcpListenerHooks{ .mayAccept = nullptr,
+                               .onFailure = nullptr,
+                               .simulatedError = nullptr,
+                               .receiveBufferBytes = kSocketBufferBytes });
+}
+
+void
+OperatorEndpoint::OnConnected(tcp::socket aSocket)
+{
+  this->MakePlace();
+  const auto session =
+    std::make_shared<gateway::CallerSession>(std::move(aSocket), this->hooks);
+  session->SetSocketBuffers(kSocketBufferBytes);
+  this->sessions.push_back(session);
+  session->Start();
+}
+
+void
+OperatorEndpoint::MakePlace()
+{
+  if (this->sessions.size() < this->limits.maxConnections) {
+    return;
+  }
+  std::erase_if(this->sessions,
+                [](const auto& aWeak) { return aWeak.expired(); });
+  if (this->sessions.size() < this->limits.maxConnections) {
+    return;
+  }
+  std::vector<gateway::HeldConnection> held;
+  for (const auto& weak : this->sessions) {
+    held.push_back(weak.lock()->Held());
+  }
+  const auto oldest = gateway::HeldConnection::SelectOldest(held);
+  const auto entry =
+    this->sessions.begin() + static_cast<std::ptrdiff_t>(*oldest);
+  entry->lock()->Drop();
+  this->sessions.erase(entry);
+  ++this->dropped;
 }
 
 boost::system::error_code
--- a/modules/daemon/OperatorEndpoint.h
+++ b/modules/daemon/OperatorEndpoint.h
@@ -5,9 +5,11 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <cstddef>
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace fireflytrail::gateway {
 class TcpListener;
@@ -27,15 +29,27 @@
   std::function<bool()> isReady;
 };
 
+/** Bounds on what the clients of such an endpoint take. */
+struct OperatorLimits
+{
+  /** Counts heads and buffers; may be null. */
+  std::shared_ptr<core::MemoryBudget> memory;
+  /** Beyond them, the oldest connection that was not used is closed. */
+  std::size_t maxConnections = 64;
+};
+
 /**
  * Read-only HTTP endpoint for operators: `/metrics`, `/dump`, `/status` and, if
  * `OperatorPages::isReady` is set, `/ready`. Operators make changes through the
- * store only. Use on the thread of `aContext` only.
+ * store only, so requests with a body are refused without reading it. Use on
+ * the thread of `aContext` only.
  */
 class OperatorEndpoint
 {
 public:
-  OperatorEndpoint(boost::asio::io_context& aContext, OperatorPages aPages);
+  OperatorEndpoint(boost::asio::io_context& aContext,
+                   OperatorPages aPages,
+                   OperatorLimits aLimits = {});
 
   /** Binds the address. Returns an error if it cannot be bound; only then it
    * may be called again. */
@@ -48,12 +62,21 @@
   /** Stops accepting connections. */
   void Close();
 
+  /** Returns how many connections were closed to make place for others. */
+  std::size_t DroppedConnections() const { return this->dropped; }
+
 private:
   gateway::CallAnswer Answer(const gateway::CallRequest& aRequest) const;
+  void OnConnected(boost::asio::ip::tcp::socket aSocket);
+  /** Closes a connection if there are as many as allowed. */
+  void MakePlace();
 
   OperatorPages pages;
+  OperatorLimits limits;
   std::shared_ptr<gateway::CallerSessionHooks> hooks;
   std::shared_ptr<gateway::TcpListener> listener;
+  std::vector<std::weak_ptr<gateway::CallerSession>> sessions;
+  std::size_t dropped = 0;
 };
 
 } // namespace fireflytrail::daemon
--- a/modules/gateway/CallerSession.cpp
+++ b/modules/gateway/CallerSession.cpp
@@ -70,7 +70,8 @@
   , hooks(std::move(aHooks))
   , bufferLease(this->hooks->memory, core::MemoryUse::Buffer)
   , headLease(this->hooks->memory, core::MemoryUse::Buffer)
-  , requestExpectedUntil(std::chrono::steady_clock::now() + kFirstRequestTime)
+  , requestBegin(std::chrono::steady_clock::now())
+  , requestExpectedUntil(this->requestBegin + kFirstRequestTime)
   , readTimer(this->stream.get_executor())
   , closeTimer(this->stream.get_executor())
 {
@@ -106,6 +107,47 @@
   }
 }
 
+HeldConnection
+CallerSession::Held() const
+{
+  const bool isReading =
+    this->stage == Stage::Head || this->stage == Stage::Body;
+  return { .bytes = isReading
+                      ? this->bufferLease.Size() + this->headLease.Size() +
+                          (this->bodyLease ? this->bodyLease->Size() : 0)
+                      : 0,
+           .hasServed = this->hasServed,
+           .lastBegin = this->requestBegin,
+           .lastPart = this->lastPart };
+}
+
+void
+CallerSession::RefuseStalled()
+{
+  if (this->stage == Stage::Head || this->stage == Stage::Body) {
+    this->LimitReading(std::chrono::steady_clock::now());
+    this->isStalled = true;
+  }
+}
+
+void
+CallerSession::Drop()
+{
+  this->ReportCut(Closer::Daemon);
+  this->Close();
+}
+
+void
+CallerSession::SetSocketBuffers(std::size_t aBytes)
+{
+  const int bytes = static_cast<int>(aBytes);
+  beast::error_code ignored;
+  this->stream.socket().set_option(tcp::socket::receive_buffer_size(bytes),
+                                   ignored);
+  this->stream.socket().set_option(tcp::socket::send_buffer_size(bytes),
+                                   ignored);
+}
+
 void
 CallerSession::ReadHeader()
 {
@@ -149,6 +191,7 @@
 {
   this->stage = Stage::Head;
   this->requestBegin = std::chrono::steady_clock::now();
+  this->lastPart = this->requestBegin;
   this->requestId.clear();
   this->httpVersion = 11;
   this->isHeadRequest = false;
@@ -246,6 +289,7 @@
   }
   this->stage = Stage::Body;
   this->headArrival = std::chrono::steady_clock::now();
+  this->lastPart = this->headArrival;
   this->LimitReading(this->headArrival + this->hooks->limits.requestTimeout);
   const auto& request = this->parser->get();
   this->httpVersion = request.version();
@@ -336,6 +380,7 @@
     this->RefuseForMemory();
     return;
   }
+  this->lastPart = std::chrono::steady_clock::now();
   this->ReadBody();
 }
 
@@ -357,6 +402,7 @@
 {
   this->readDeadline = aTime;
   this->isReadTimedOut = false;
+  this->isStalled = false;
   if (!this->isReadTimerRunning || aTime < this->readTimer.expiry()) {
     this->StartReadTimer();
   }
@@ -412,6 +458,10 @@
 CallerSession::RefuseRequest(beast::error_code aError)
 {
   if (this->isReadTimedOut && aError == boost::asio::error::operation_aborted) {
+    if (this->isStalled) {
+      this->RefuseForMemory();
+      return;
+    }
     this->WriteAnswer(CallAnswer::OfError(core::ErrorKind::RequestTimeout),
                       false);
     return;
@@ -449,6 +499,9 @@
   CallAnswer answer = CallAnswer::OfError(core::ErrorKind::Overloaded);
   answer.retryAfter = kRetryWithoutMemory;
   this->WriteAnswer(answer, false);
+  if (!this->isStalled && this->hooks->memoryShort) {
+    this->hooks->memoryShort();
+  }
 }
 
 std::optional<CallRequest>
@@ -637,6 +690,7 @@
     this->CloseAfterDrain();
     return;
   }
+  this->hasServed = true;
   this->requestExpectedUntil =
     std::chrono::steady_clock::now() + this->statedIdleTime;
   this->ReadHeader();
--- a/modules/gateway/CallerSession.h
+++ b/modules/gateway/CallerSession.h
@@ -6,6 +6,7 @@
 #include "gateway/CallRequest.h"
 #include "gateway/CallerConnectionEnd.h"
 #include "gateway/CallerDialect.h"
+#include "gateway/HeldConnection.h"
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -68,6 +69,9 @@
   /** Bounds the bodies, heads and buffers that all connections hold together;
    * may be null. */
   std::shared_ptr<core::MemoryBudget> memory;
+
+  /** Called when a request is refused for lack of memory; may be empty. */
+  std::function<void()> memoryShort;
 };
 
 /**
@@ -108,6 +112,21 @@
    */
   void CloseIfIdle(std::chrono::steady_clock::time_point aNow);
 
+  /** Returns what the connection holds for a request that is being read. Call
+   * on the socket's thread, like the methods below. */
+  HeldConnection Held() const;
+
+  /** Answers the request that is being read as not run, and closes, because its
+   * memory is needed. Does nothing unless a request is being read. */
+  void RefuseStalled();
+
+  /** Closes the connection in whatever it does, because its place is needed. */
+  void Drop();
+
+  /** Sets how many bytes the kernel keeps of the connection, in each
+   * direction, until they are read or acknowledged. */
+  void SetSocketBuffers(std::size_t aBytes);
+
   /** Reports the request that is unanswered because the process ends, if there
    * is one. Call on the socket's thread. */
   void ReportStop();
@@ -202,6 +221,10 @@
   std::chrono::steady_clock::time_point readDeadline;
   bool isReadTimerRunning = false;
   bool isReadTimedOut = false;
+  /** Whether the request that is being read is ended because it stalls. */
+  bool isStalled = false;
+  bool hasServed = false;
+  std::chrono::steady_clock::time_point lastPart;
   std::chrono::steady_clock::time_point headArrival;
   /** Set when the body does not arrive together with the head. */
   std::optional<std::chrono::steady_clock::time_point> bodyDeadline;
--- a/modules/gateway/PeerConnection.cpp
+++ b/modules/gateway/PeerConnection.cpp
@@ -19,10 +19,15 @@
 // every host within two seconds, also over the connection that is opened next.
 constexpr std::chrono::milliseconds kSilenceTimeout{ 1000 };
 
+// Bytes of an incomplete frame that the memory budget does not count.
+constexpr std::size_t kUncountedBytes = std::size_t{ 4 } * 1024;
+
 } // namespace
 
-PeerConnection::PeerConnection(tcp::socket aSocket)
+PeerConnection::PeerConnection(tcp::socket aSocket,
+                               std::shared_ptr<core::MemoryBudget> aMemory)
   : socket(std::move(aSocket))
+  , frameLease(std::move(aMemory), core::MemoryUse::Buffer)
 {
 }
 
@@ -90,6 +95,12 @@
         self->End(self->codec.Error());
         return;
       }
+      const std::size_t held = self->codec.BufferedSize();
+      if (!self->frameLease.TryResize(
+            held <= kUncountedBytes ? 0 : held - kUncountedBytes)) {
+        self->End(wire::FrameError::None);
+        return;
+      }
       self->Read();
     });
 }
--- a/modules/gateway/PeerConnection.h
+++ b/modules/gateway/PeerConnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/MemoryLease.h"
 #include "wire/FrameCodec.h"
 #include "wire/WireMessage.h"
 
@@ -13,6 +14,10 @@
 #include <memory>
 #include <string>
 
+namespace fireflytrail::core {
+class MemoryBudget;
+} // namespace fireflytrail::core
+
 namespace fireflytrail::gateway {
 
 /**
@@ -31,9 +36,12 @@
   /** Beyond this, messages are dropped, since the peer is not reading. */
   static constexpr std::size_t kMaxQueuedBytes = std::size_t{ 4 } << 20;
 
-  /** Takes ownership of an open socket. Call on the socket's thread, like every
+  /** Takes ownership of an open socket. `aMemory` bounds the frames that are
+   * not yet complete and may be null. Call on the socket's thread, like every
    * method. */
-  explicit PeerConnection(boost::asio::ip::tcp::socket aSocket);
+  explicit PeerConnection(
+    boost::asio::ip::tcp::socket aSocket,
+    std::shared_ptr<core::MemoryBudget> aMemory = nullptr);
   ~PeerConnection();
   PeerConnection(const PeerConnection&) = delete;
   PeerConnection& operator=(const PeerConnection&) = delete;
@@ -46,6 +54,9 @@
              ClosedFunction aOnClosed,
              BytesFunction aOnBytes);
 
+  /** Sets the size beyond which a frame of the peer is an error. */
+  void LimitFrames(std::size_t aBytes) { this->codec.LimitFrames(aBytes); }
+
   /** Queues a message. Returns its size in bytes, or 0 if it was dropped. */
   std::size_t Send(const wire::WireMessage& aMessage);
 
@@ -59,6 +70,8 @@
 
   boost::asio::ip::tcp::socket socket;
   wire::FrameCodec codec;
+  /** Counts the bytes of an incomplete frame. */
+  core::MemoryLease frameLease;
   std::array<std::uint8_t, 16 * 1024> readBuffer;
   std::deque<std::string> queue;
   std::size_t queuedBytes = 0;
--- a/modules/gateway/PeerHub.cpp
+++ b/modules/gateway/PeerHub.cpp
@@ -1,5 +1,6 @@
 #include "gateway/PeerHub.h"
 
+#include "gateway/HeldConnection.h"
 #include "gateway/PeerConnection.h"
 #include "gateway/PeerLink.h"
 #include "gateway/SocketAddress.h"
@@ -8,14 +9,27 @@
 #include <fmt/format.h>
 
 #include <cassert>
+#include <chrono>
 #include <type_traits>
 #include <utility>
 #include <variant>
+#include <vector>
 
 namespace fireflytrail::gateway {
 
 using boost::asio::ip::tcp;
 
+namespace {
+
+// A `Hello` is shorter.
+constexpr std::size_t kMaxHelloFrame = std::size_t{ 2 } * 1024;
+// Names of daemons, which are kept until the process ends.
+constexpr std::size_t kMaxKnownNames = 8192;
+// Received bytes that the kernel keeps of a connection that sent no `Hello`.
+constexpr int kReceiveBufferBytes = 64 * 1024;
+
+} // namespace
+
 PeerHub::PeerHub(boost::asio::io_context& aContext,
                  core::DaemonId aSelf,
                  PeerHubHooks aHooks)
@@ -32,11 +46,16 @@
 PeerHub::Open(const tcp::endpoint& aEndpoint)
 {
   this->listener = std::make_shared<TcpListener>(
-    this->context, [weak = this->weak_from_this()](tcp::socket aSocket) {
+    this->context,
+    [weak = this->weak_from_this()](tcp::socket aSocket) {
       if (const auto hub = weak.lock()) {
         hub->StartReading(std::move(aSocket));
       }
-    });
+    },
+    TcpListenerHooks{ .mayAccept = nullptr,
+                      .onFailure = nullptr,
+                      .simulatedError = nullptr,
+                      .receiveBufferBytes = kReceiveBufferBytes });
   return this->listener->Open(aEndpoint);
 }
 
@@ -92,8 +111,9 @@
   for (const auto& [address, link] : std::exchange(this->links, {})) {
     link->Close();
   }
-  for (const auto& [key, weak] : std::exchange(this->acceptedConnections, {})) {
-    if (const auto connection = weak.lock()) {
+  for (const auto& [key, accepted] :
+       std::exchange(this->acceptedConnections, {})) {
+    if (const auto connection = accepted.connection.lock()) {
       connection->Close();
     }
   }
@@ -118,20 +138,33 @@
 void
 PeerHub::StartReading(tcp::socket aSocket)
 {
-  const auto connection = std::make_shared<PeerConnection>(std::move(aSocket));
-  this->acceptedConnections.emplace(connection.get(), connection);
+  this->MakePlace();
+  const auto connection =
+    std::make_shared<PeerConnection>(std::move(aSocket), this->hooks.memory);
+  connection->LimitFrames(kMaxHelloFrame);
+  const auto use = std::make_shared<HeldConnection>();
+  use->lastBegin = std::chrono::steady_clock::now();
+  this->acceptedConnections.emplace(connection.get(),
+                                    Accepted{ connection, use });
   connection->Start(
     [weak = this->weak_from_this(),
      weakConnection = std::weak_ptr(connection),
+     use,
      sender = core::DaemonId()](wire::WireMessage aMessage) mutable {
       const auto hub = weak.lock();
       const auto current = weakConnection.lock();
       if (!hub || !current) {
         return;
       }
+      use->lastBegin = std::chrono::steady_clock::now();
       if (const auto* hello = std::get_if<wire::Hello>(&aMessage)) {
+        if (!hub->OnHello(*hello)) {
+          current->Close();
+          return;
+        }
         sender = hello->id;
-        hub->OnHello(*hello);
+        use->hasServed = true;
+        current->LimitFrames(wire::FrameCodec::kMaxFrameSize);
         return;
       }
       // The first message must be a `Hello`, which identifies the sender.
@@ -176,8 +209,31 @@
 }
 
 void
+PeerHub::MakePlace()
+{
+  if (this->acceptedConnections.size() < this->hooks.maxConnections) {
+    return;
+  }
+  std::vector<HeldConnection> uses;
+  std::vector<std::shared_ptr<PeerConnection>> connections;
+  for (const auto& [key, accepted] : this->acceptedConnections) {
+    uses.push_back(*accepted.use);
+    connections.push_back(accepted.connection.lock());
+  }
+  if (const auto oldest = HeldConnection::SelectOldest(uses);
+      oldest && connections[*oldest]) {
+    ++this->counts.connectionsDropped;
+    connections[*oldest]->Close();
+  }
+}
+
+bool
 PeerHub::OnHello(const wire::Hello& aHello)
 {
+  if (this->processes.size() >= kMaxKnownNames &&
+      !this->processes.contains(aHello.id.name)) {
+    return false;
+  }
   this->helloAddresses[aHello.id.name] = aHello.address;
   const auto [known, isNew] =
     this->processes.try_emplace(aHello.id.name, aHello.id.start);
@@ -189,6 +245,7 @@
   if (isReplaced && link != this->links.end()) {
     link->second->Reconnect();
   }
+  return true;
 }
 
 void
--- a/modules/gateway/PeerHub.h
+++ b/modules/gateway/PeerHub.h
@@ -15,16 +15,22 @@
 #include <chrono>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
 #include <variant>
 
+namespace fireflytrail::core {
+class MemoryBudget;
+} // namespace fireflytrail::core
+
 namespace fireflytrail::gateway {
 
 class TcpListener;
 class PeerConnection;
+struct HeldConnection;
 class PeerLink;
 
 /** Totals of the connections between daemons. */
@@ -45,6 +51,8 @@
   std::uint64_t dropped = 0;
   std::uint64_t corruptFrames = 0;
   std::uint64_t unknownVersions = 0;
+  /** Accepted connections that were closed to make place for others. */
+  std::uint64_t connectionsDropped = 0;
 };
 
 /** Receivers of the peers' messages. They are called on the hub's thread. */
@@ -64,6 +72,11 @@
   /** Optional: returns whether bytes to a peer, given its address, are billed.
    */
   std::function<bool(const std::string&)> isFar = nullptr;
+  /** Optional: bounds the incomplete frames of all connections together. */
+  std::shared_ptr<core::MemoryBudget> memory = nullptr;
+  /** Accepted connections beyond which one is closed for each new one: the
+   * oldest without a `Hello`, else the one that was silent longest. */
+  std::size_t maxConnections = std::numeric_limits<std::size_t>::max();
 };
 
 /**
@@ -123,8 +136,18 @@
   friend class PeerLink;
 
   std::shared_ptr<PeerLink> FindOrCreateLink(const gossip::Peer& aPeer);
+  /** An accepted connection. */
+  struct Accepted
+  {
+    std::weak_ptr<PeerConnection> connection;
+    std::shared_ptr<HeldConnection> use;
+  };
+
   void StartReading(boost::asio::ip::tcp::socket aSocket);
-  void OnHello(const wire::Hello& aHello);
+  /** Closes an accepted connection if there are as many as allowed. */
+  void MakePlace();
+  /** Returns whether the sender is known, or may become so. */
+  bool OnHello(const wire::Hello& aHello);
   void CountError(wire::FrameError aError);
   /** Counts a message of a size that was sent, or dropped if it is 0. */
   void CountSent(const boost::asio::ip::tcp::endpoint& aPeer,
@@ -144,8 +167,7 @@
   std::map<std::string, std::string, std::less<>> helloAddresses;
   /** The start numbers of the processes that sent the last `Hello`, by name. */
   std::map<std::string, std::uint64_t, std::less<>> processes;
-  std::map<const PeerConnection*, std::weak_ptr<PeerConnection>>
-    acceptedConnections;
+  std::map<const PeerConnection*, Accepted> acceptedConnections;
 };
 
 } // namespace fireflytrail::gateway
--- a/modules/gateway/ServerConnection.cpp
+++ b/modules/gateway/ServerConnection.cpp
@@ -54,6 +54,10 @@
 // Buffer that an idle connection keeps, enough for most answers.
 constexpr std::size_t kMaxIdleBufferBytes = std::size_t{ 8 } * 1024;
 
+// Bytes that the kernel keeps of an answer that is not read, because there is no
+// memory for it. By default, it keeps megabytes.
+constexpr int kReceiveBufferBytes = 64 * 1024;
+
 /** Whether a connect failed because this host lacks descriptors, ports or
  * memory. */
 bool
@@ -157,6 +161,11 @@
                        std::function<void(boost::system::error_code)> aOnOpened)
 {
   assert(!this->isOpen);
+  // If it can't be opened, the connect fails in the same way.
+  beast::error_code ignored;
+  this->stream.socket().open(aServer.protocol(), ignored);
+  this->stream.socket().set_option(
+    tcp::socket::receive_buffer_size(kReceiveBufferBytes), ignored);
   this->stream.expires_after(kConnectTimeout);
   this->stream.async_connect(
     aServer,
@@ -164,8 +173,8 @@
      onOpened = std::move(aOnOpened)](beast::error_code aError) {
       self->stream.expires_never();
       if (!aError) {
-        beast::error_code ignored;
-        self->stream.socket().set_option(tcp::no_delay(true), ignored);
+        beast::error_code ignoredError;
+        self->stream.socket().set_option(tcp::no_delay(true), ignoredError);
         self->isOpen = true;
       }
       onOpened(aError);
--- a/modules/gateway/TcpListener.cpp
+++ b/modules/gateway/TcpListener.cpp
@@ -64,7 +64,9 @@
     this->acceptor.bind(aEndpoint, error);
   }
   if (!error) {
-    this->acceptor.listen(tcp::acceptor::max_listen_connections, error);
+    this->acceptor.listen(this->hooks.waitingConnections.value_or(
+                            tcp::acceptor::max_listen_connections),
+                          error);
   }
   if (!error) {
     this->localEndpoint = this->acceptor.local_endpoint(error);
@@ -84,6 +86,15 @@
   return this->localEndpoint;
 }
 
+void
+TcpListener::SetSocketBuffers(std::size_t aBytes)
+{
+  const int bytes = static_cast<int>(aBytes);
+  boost::system::error_code ignored;
+  this->acceptor.set_option(tcp::acceptor::receive_buffer_size(bytes), ignored);
+  this->acceptor.set_option(tcp::acceptor::send_buffer_size(bytes), ignored);
+}
+
 void
 TcpListener::Close()
 {
--- a/modules/gateway/TcpListener.h
+++ b/modules/gateway/TcpListener.h
@@ -39,6 +39,10 @@
   /** Bytes that the kernel keeps of each connection until they are read; by
    * default, it grows with the connection. */
   std::optional<int> receiveBufferBytes;
+
+  /** Most connections that wait in the kernel; by default, as many as it
+   * allows. */
+  std::optional<int> waitingConnections = std::nullopt;
 };
 
 /** Accepts TCP connections on one address for one thread. */
@@ -65,6 +69,11 @@
    * succeeded. */
   boost::asio::ip::tcp::endpoint LocalEndpoint() const;
 
+  /** Sets how many bytes the kernel keeps of each further connection, in each
+   * direction, until they are read or acknowledged. Does nothing unless
+   * listening. Call on the context's thread. */
+  void SetSocketBuffers(std::size_t aBytes);
+
   /**
    * Stops accepting. Connections that callers have already established are
    * accepted first, since closing would reset them; handshakes that have begun
--- a/modules/proxy/PeerNetwork.cpp
+++ b/modules/proxy/PeerNetwork.cpp
@@ -77,10 +77,10 @@
 }
 
 boost::system::error_code
-PeerNetwork::Open()
+PeerNetwork::Open(std::shared_ptr<core::MemoryBudget> aMemory)
 {
   if (!this->hub) {
-    this->CreateNode();
+    this->CreateNode(std::move(aMemory));
   }
   return this->hub->Open(
     { boost::asio::ip::make_address(this->settings.peerListen.address),
@@ -88,7 +88,7 @@
 }
 
 void
-PeerNetwork::CreateNode()
+PeerNetwork::CreateNode(std::shared_ptr<core::MemoryBudget> aMemory)
 {
   this->hub = std::make_shared<gateway::PeerHub>(
     this->context,
@@ -116,7 +116,9 @@
           // are in another domain in most cases.
           return this->DescriptionOf(aAddress).failureDomain !=
                  this->settings.failureDomain;
-        } });
+        },
+      .memory = std::move(aMemory),
+      .maxConnections = this->settings.MaxPeerConnections() });
   this->node = std::make_unique<gossip::GossipNode>(
     this->self,
     this->self.name,
--- a/modules/proxy/PeerNetwork.h
+++ b/modules/proxy/PeerNetwork.h
@@ -45,8 +45,9 @@
   PeerNetwork& operator=(const PeerNetwork&) = delete;
 
   /** Starts to listen. Returns an error if the address is not available; only
-   * then it may be called again. Call before anything else. */
-  boost::system::error_code Open();
+   * then it may be called again. Call before anything else. `aMemory` bounds
+   * what other daemons have sent in part, and may be null. */
+  boost::system::error_code Open(std::shared_ptr<core::MemoryBudget> aMemory);
 
   /** Starts the gossip exchange. Call once, after `Open`. */
   void Start();
@@ -83,7 +84,7 @@
   const gateway::PeerCounts& Counts() const { return this->hub->Counts(); }
 
 private:
-  void CreateNode();
+  void CreateNode(std::shared_ptr<core::MemoryBudget> aMemory);
   void OnTick();
   /** Whether a daemon is, as far as known here, in this failure domain. */
   bool IsNear(std::string_view aName) const;
--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -57,9 +57,17 @@
 constexpr milliseconds kIdleCloseInterval = 100ms;
 constexpr milliseconds kDescriptorLogInterval = 10'000ms;
 
-// Bytes that the kernel keeps of a connection until they are read; they count
-// as the daemon's. This transfers 64 MB/s at a round trip of 1 ms.
-constexpr int kReceiveBufferBytes = 64 * 1024;
+// Most bytes that the kernel keeps of a connection until they are read, or
+// acknowledged; they count as the daemon's. This transfers 64 MB/s at a round
+// trip of 1 ms.
+constexpr std::size_t kSocketBufferBytes = std::size_t{ 64 } * 1024;
+
+// Part of the memory budget that is freed at once when a request did not fit,
+// how often, and how long a request has had no part that is ended for it.
+constexpr std::size_t kFreedPart = 8;
+constexpr std::size_t kMaxEndedAtOnce = 32;
+constexpr milliseconds kRelieveInterval = 50ms;
+constexpr milliseconds kMinStall = 250ms;
 
 // Maximum time that a watch waits for a change. If its connection goes silent
 // without a reset, this time also passes before the daemon calls again. The
@@ -192,6 +200,7 @@
             calls::RetryBudget::Allowance::OfFleet(aSettings.retryRatio,
                                                    aSettings.freeRetries,
                                                    aSettings.expectedHosts))
+  , socketBuffers(aSettings.SocketMemoryBytes(), kSocketBufferBytes)
 {
   this->sessionHooks->handleCall =
     [this](gateway::CallRequest aCall,
@@ -206,6 +215,7 @@
     [&aLog](const gateway::CallerConnectionEnd& aEnd) { aEnd.WriteTo(aLog); };
   this->sessionHooks->dialect = this->platform.callers;
   this->sessionHooks->memory = this->bodyMemory;
+  this->sessionHooks->memoryShort = [this] { this->RelieveMemory(); };
   this->UpdateKeepAliveTime();
   const ObjectKinds& kinds = this->platform.kinds;
   this->relay = std::make_unique<StoreRelay>(
@@ -528,21 +538,27 @@
     [this](tcp::socket aSocket) {
       this->OnCallerConnected(std::move(aSocket));
     },
-    gateway::TcpListenerHooks{ .mayAccept =
-                                 [this] {
-                                   if (this->sessionCount <
-                                       this->settings.MaxCallerConnections()) {
-                                     return true;
-                                   }
-                                   this->MakeRoom();
-                                   return false;
-                                 },
-                               .onFailure =
-                                 [this](boost::system::error_code aError) {
-                                   this->OnAcceptFailed(aError);
-                                 },
-                               .simulatedError = nullptr,
-                               .receiveBufferBytes = kReceiveBufferBytes });
+    gateway::TcpListenerHooks{
+      .mayAccept =
+        [this] {
+          if (this->sessionCount < this->settings.MaxCallerConnections()) {
+            return true;
+          }
+          // Those that wait are beyond what is
+          // counted.
+          this->listener->SetSocketBuffers(gateway::SocketBuffers::kMinBytes);
+          this->MakeRoom();
+          return false;
+        },
+      .onFailure =
+        [this](boost::system::error_code aError) {
+          this->OnAcceptFailed(aError);
+        },
+      .simulatedError = nullptr,
+      .receiveBufferBytes = kSocketBufferBytes,
+      .waitingConnections = static_cast<int>(
+        std::min<std::size_t>(this->settings.MaxCallerConnections(),
+                              tcp::acceptor::max_listen_connections)) });
   daemon::OperatorPages pages{
     .metrics = [this] { return this->MetricsText(); },
     .dump = [this] { return this->DumpText(); },
@@ -552,10 +568,14 @@
         return !this->isStopping && this->storeView.Routes() != nullptr;
       }
   };
+  const daemon::OperatorLimits limits{
+    .memory = this->bodyMemory,
+    .maxConnections = this->settings.maxOperatorConnections
+  };
   this->readyEndpoint =
-    std::make_unique<daemon::OperatorEndpoint>(this->context, pages);
+    std::make_unique<daemon::OperatorEndpoint>(this->context, pages, limits);
   this->operatorEndpoint =
-    std::make_unique<daemon::OperatorEndpoint>(this->context, pages);
+    std::make_unique<daemon::OperatorEndpoint>(this->context, pages, limits);
   daemon::AddressBinder binder(this->log,
                                this->settings.stopLimit + kBindReserve);
   const auto bind = [&](std::string_view aPort,
@@ -567,7 +587,9 @@
   };
   return bind("peer_listen",
               this->settings.peerListen,
-              [this](const tcp::endpoint&) { return this->peers.Open(); }) &&
+              [this](const tcp::endpoint&) {
+                return this->peers.Open(this->bodyMemory);
+              }) &&
          bind("listen",
               this->settings.listen,
               [this](const tcp::endpoint& aEndpoint) {
@@ -636,6 +658,7 @@
 {
   this->budgets.SetAllowance(this->RetryAllowance());
   this->ReturnMemory();
+  this->UpdateSocketBuffers();
   this->watcher->SetActive(this->relay->ShouldWatch());
   this->relay->Tick();
   this->heartbeatTimer.expires_after(StoreRelay::kHeartbeatInterval);
@@ -965,6 +988,8 @@
                   [](const auto& aWeak) { return aWeak.expired(); });
   }
   this->sessions.push_back(session);
+  session->SetSocketBuffers(this->socketBuffers.Bytes());
+  this->UpdateSocketBuffers();
   const std::size_t limit = this->settings.MaxCallerConnections();
   if (this->sessionCount <= limit - limit / kRefusedPart) {
     session->Start();
@@ -995,6 +1020,51 @@
   }
 }
 
+void
+ProxyDaemon::UpdateSocketBuffers()
+{
+  if (!this->socketBuffers.Update(this->sessionCount)) {
+    return;
+  }
+  this->listener->SetSocketBuffers(this->socketBuffers.Bytes());
+  for (const auto& weak : this->sessions) {
+    if (const auto session = weak.lock()) {
+      session->SetSocketBuffers(this->socketBuffers.Bytes());
+    }
+  }
+}
+
+void
+ProxyDaemon::RelieveMemory()
+{
+  const core::TimePoint now = std::chrono::steady_clock::now();
+  if (now - this->relievedAt < kRelieveInterval) {
+    return;
+  }
+  this->relievedAt = now;
+  std::vector<std::shared_ptr<gateway::CallerSession>> open;
+  std::vector<gateway::HeldConnection> held;
+  for (const auto& weak : this->sessions) {
+    if (auto session = weak.lock()) {
+      held.push_back(session->Held());
+      open.push_back(std::move(session));
+    }
+  }
+  std::size_t freed = 0;
+  for (std::size_t count = 0; count < kMaxEndedAtOnce &&
+                              freed < this->bodyMemory->Limit() / kFreedPart;
+       ++count) {
+    const auto stalled =
+      gateway::HeldConnection::SelectStalled(held, now, kMinStall);
+    if (!stalled) {
+      break;
+    }
+    freed += std::exchange(held[*stalled].bytes, 0);
+    open[*stalled]->RefuseStalled();
+    this->metrics.Count("stalled_requests_refused_total");
+  }
+}
+
 void
 ProxyDaemon::ReturnMemory()
 {
@@ -1163,6 +1233,16 @@
                     static_cast<double>(this->bodyMemory->Limit()));
   this->metrics.Set("body_memory_refusals",
                     static_cast<double>(this->bodyMemory->RefusedCount()));
+  this->metrics.Set("socket_buffer_bytes",
+                    static_cast<double>(this->socketBuffers.Bytes()));
+  this->metrics.Set(
+    "ready_connections_dropped",
+    static_cast<double>(this->readyEndpoint->DroppedConnections()));
+  this->metrics.Set(
+    "operator_connections_dropped",
+    static_cast<double>(this->operatorEndpoint->DroppedConnections()));
+  this->metrics.Set("peer_connections_dropped",
+                    static_cast<double>(counts.connectionsDropped));
   this->metrics.Set(
     "instances",
     static_cast<double>(this->storeView.Directory().InstanceCount()));
--- a/modules/proxy/ProxyDaemon.h
+++ b/modules/proxy/ProxyDaemon.h
@@ -11,6 +11,7 @@
 #include "daemon/Metrics.h"
 #include "daemon/OperatorEndpoint.h"
 #include "gateway/CallerSession.h"
+#include "gateway/SocketBuffers.h"
 #include "proxy/LoadProber.h"
 #include "proxy/PeerNetwork.h"
 #include "proxy/PlatformAdapter.h"
@@ -131,6 +132,11 @@
   /** Closes connections of callers that are expected to send no request; they
    * lose nothing. */
   void MakeRoom();
+  /** Sets the kernel's buffers of all callers' connections if their number
+   * calls for another size. */
+  void UpdateSocketBuffers();
+  /** Ends the requests that hold most memory for least progress. */
+  void RelieveMemory();
   /** Returns free memory to the system after a peak. */
   void ReturnMemory();
   void OnCallerConnected(boost::asio::ip::tcp::socket aSocket);
@@ -197,6 +203,9 @@
    * sessions because there are too many. */
   core::TimePoint descriptorsLoggedAt{};
   core::TimePoint idleClosedAt{};
+  gateway::SocketBuffers socketBuffers;
+  /** Time of the last look for requests that stall. */
+  core::TimePoint relievedAt{};
   /** Most bytes that connections held since memory was returned. */
   std::size_t peakHeldBytes = 0;
   std::size_t requestCount = 0;
--- a/modules/wire/FrameCodec.cpp
+++ b/modules/wire/FrameCodec.cpp
@@ -41,7 +41,7 @@
   for (std::size_t index = 0; index < kLengthSize; ++index) {
     size |= static_cast<std::size_t>(start[index]) << (8 * index);
   }
-  if (size > kMaxFrameSize) {
+  if (size > this->maxFrameSize) {
     this->error = FrameError::Oversized;
     return std::nullopt;
   }
--- a/modules/wire/FrameCodec.h
+++ b/modules/wire/FrameCodec.h
@@ -42,6 +42,10 @@
    */
   std::optional<WireMessage> Next();
 
+  /** Sets the size beyond which a frame is an error; at most `kMaxFrameSize`.
+   */
+  void LimitFrames(std::size_t aBytes) { this->maxFrameSize = aBytes; }
+
   FrameError Error() const { return this->error; }
 
   /** Number of bytes that are buffered until their frame is complete. */
@@ -53,6 +57,7 @@
 private:
   std::vector<std::uint8_t> buffer;
   std::size_t consumed = 0;
+  std::size_t maxFrameSize = kMaxFrameSize;
   FrameError error = FrameError::None;
 };
 
