Take no status outside 200 to 599 for an answer

Cause: ServerConnection refused only the informational answers whose status has a name. Of the 600 statuses of three digits outside 200 to 599, 598 passed to the caller as an answer, 000 among them; 204 with a body passed as complete. An answer that another daemon forwards was not checked at all.

Change: an answer is final (200 to 599), and a 204 states no body; else the attempt counts as one with an invalid answer: it may have run, so that a request that must not repeat is answered 502. The same for answers of other daemons, where a body in 204 or 304 would also end the process when written.

--- a/modules/daemon/CallRunner.cpp
+++ b/modules/daemon/CallRunner.cpp
@@ -3,6 +3,7 @@
 #include "calls/RequestDigest.h"
 #include "daemon/TrafficState.h"
 #include "daemon/TrafficThread.h"
+#include "gateway/HttpFields.h"
 #include "gateway/ServerConnection.h"
 #include "gateway/ServerPool.h"
 #include "gateway/SocketAddress.h"
@@ -366,7 +367,12 @@
                                    std::move(header.value));
     }
     answer->body = std::move(aAnswer->body);
-    if (result.issuerKind == ErrorKind::None) {
+    const bool isAnswer =
+      gateway::IsFinalStatus(answer->status) &&
+      (answer->body.empty() || !gateway::IsBodilessStatus(answer->status));
+    if (result.issuerKind == ErrorKind::None && !isAnswer) {
+      result.progress = AttemptProgress::AnswerInvalid;
+    } else if (result.issuerKind == ErrorKind::None) {
       result.answer = std::move(answer);
     }
   } else if (aProgress == PeerHub::ForwardProgress::Sent) {
--- a/modules/gateway/HttpFields.cpp
+++ b/modules/gateway/HttpFields.cpp
@@ -48,6 +48,22 @@
           boost::beast::iequals(codings.first->value(), "chunked"));
 }
 
+bool
+IsFinalStatus(unsigned aStatus)
+{
+  constexpr unsigned kFirstFinal = 200;
+  constexpr unsigned kEnd = 600;
+  return aStatus >= kFirstFinal && aStatus < kEnd;
+}
+
+bool
+IsBodilessStatus(unsigned aStatus)
+{
+  constexpr unsigned kNoContent = 204;
+  constexpr unsigned kNotModified = 304;
+  return aStatus == kNoContent || aStatus == kNotModified;
+}
+
 std::optional<unsigned>
 ParseNumberField(const http::fields& aFields,
                  std::string_view aName,
--- a/modules/gateway/HttpFields.h
+++ b/modules/gateway/HttpFields.h
@@ -32,6 +32,17 @@
 bool
 HasKnownTransferCoding(const boost::beast::http::fields& aFields);
 
+/**
+ * Returns whether a status ends an exchange: one of the five classes of HTTP
+ * except the informational ones, which precede an answer. Thread-safe.
+ */
+bool
+IsFinalStatus(unsigned aStatus);
+
+/** Returns whether answers of this status never have a body. Thread-safe. */
+bool
+IsBodilessStatus(unsigned aStatus);
+
 /**
  * Returns the value of a field as a non-negative integer, or nothing if the
  * field is absent. Sets `aValid` to false if the field is present but not a
--- a/modules/gateway/ServerConnection.cpp
+++ b/modules/gateway/ServerConnection.cpp
@@ -326,9 +326,14 @@
   // An answer without a length ends when the server closes the connection. The
   // read has checked that the close was orderly.
   const bool isFramed = hasKnownEnd || this->dialect->allowsUnframedAnswers;
+  // A length in an answer without content states a body that isn't read. Where
+  // content is only not sent again, it states the length of the other answer.
+  const bool statesBody = message.result() == http::status::no_content &&
+                          (message.count(http::field::transfer_encoding) > 0 ||
+                           (message.count(http::field::content_length) > 0 &&
+                            message[http::field::content_length] != "0"));
   if (!isFramed || !HasKnownTransferCoding(message) ||
-      http::to_status_class(message.result()) ==
-        http::status_class::informational) {
+      !IsFinalStatus(message.result_int()) || statesBody) {
     this->Fail(AttemptProgress::AnswerInvalid);
     return;
   }
--- a/modules/gateway/ServerConnectionTest.cpp
+++ b/modules/gateway/ServerConnectionTest.cpp
@@ -11,6 +11,7 @@
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <fmt/format.h>
 
 #include <algorithm>
 #include <deque>
@@ -244,6 +245,53 @@
   BOOST_TEST((client.Send().progress == AttemptProgress::AnswerInvalid));
 }
 
+// Guards against passing on what is no answer of HTTP: the request may have
+// run, so that neither its answer nor "not run" may be told.
+BOOST_AUTO_TEST_CASE(StatusesOutsideTheClassesOfAnswersAreInvalid)
+{
+  constexpr int kStatuses = 1000;
+  constexpr int kFirstFinal = 200;
+  constexpr int kEnd = 600;
+  for (int status = 0; status < kStatuses; ++status) {
+    if (status == kFirstFinal) {
+      status = kEnd;
+    }
+    ScriptedServer server({ { fmt::format("HTTP/1.1 {:03} Odd\r\n"
+                                          "Content-Length: 0\r\n\r\n",
+                                          status),
+                              true } });
+    Client client(server.Endpoint());
+    const ServerExchange exchange = client.Send();
+    BOOST_TEST((exchange.progress == AttemptProgress::AnswerInvalid), status);
+    BOOST_TEST(!exchange.answer, status);
+  }
+}
+
+// Guards against the same with heads that state two answers, or a body where
+// there is none; and against treating its bytes as the next answer.
+BOOST_AUTO_TEST_CASE(AmbiguousAnswersAreNotPassedOn)
+{
+  for (const std::string bytes :
+       { "HTTP/1.1 200 OK\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+         "HTTP/1.1 101 Switch\r\nUpgrade: x\r\n\r\n",
+         "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n",
+         "HTTP/1.1 204 None\r\nContent-Length: 5\r\n\r\nhello",
+         "HTTP/1.1 204 None\r\nTransfer-Encoding: chunked\r\n\r\n"
+         "5\r\nhello\r\n0\r\n\r\n" }) {
+    ScriptedServer server({ { bytes, true } });
+    Client client(server.Endpoint());
+    BOOST_TEST((client.Send().progress == AttemptProgress::AnswerInvalid),
+               bytes);
+  }
+  const std::string unchanged =
+    "HTTP/1.1 304 Same\r\nContent-Length: 5\r\n\r\nhello";
+  ScriptedServer server({ { unchanged }, { kAnswer, true } });
+  Client client(server.Endpoint());
+  BOOST_TEST(client.Send().answer->body.empty());
+  BOOST_TEST(client.Send().answer->body == "hello");
+  BOOST_TEST(server.connections == 2);
+}
+
 // Guards against losing the outcome "not run" when the server refused the
 // request before running it, and against trusting the field with any other
 // status.
