Test the end of waiting requests without filling their queue

The test took eight places, so that the queue dropped another request when its own came (the check failed: 3 instead of 4 waiting). Four places make it wait; the check that the request leaves the queue is added to the others.

--- a/modules/proxy/RequestRunnerTest.cpp
+++ b/modules/proxy/RequestRunnerTest.cpp
@@ -242,7 +242,7 @@
 {
   // Takes all slots, so that the next request waits.
   std::vector<Slot> slots;
-  for (int count = 0; count < 8; ++count) {
+  for (int count = 0; count < 4; ++count) {
     routing::DispatchRequest request;
     request.goal = std::chrono::steady_clock::now() + 100ms;
     request.deadline = std::chrono::steady_clock::now() + 20s;
@@ -265,6 +265,7 @@
     this->keyError = ErrorKind::UnknownKey;
     aRunner.CheckKey();
     BOOST_TEST(this->broker.WaitingCount() == waitingBefore);
+    BOOST_TEST(this->broker.WaitingCount() + 1 == waiting);
   };
   BOOST_TEST((this->RunRequest("one") == ErrorKind::UnknownKey));
   BOOST_TEST(waiting == waitingBefore + 1);
