Split the watch for a caller's close from its session

Cause: CallerSession grew by what crowds need. A request whose part waits in the kernel while the process is busy could be ended as stalled.

Change: CloseWatch takes over the watch for the caller's close, unchanged. A stalled request is ended only if nothing of it waits to be read.

--- a/modules/gateway/CallerSession.cpp
+++ b/modules/gateway/CallerSession.cpp
@@ -14,8 +14,6 @@
 #include <chrono>
 #include <utility>
 
-#include <poll.h>
-
 namespace fireflytrail::gateway {
 
 namespace beast = boost::beast;
@@ -33,11 +31,6 @@
 // Interval at which a read that has timed out is cancelled until it ends: a
 // read in several steps can't be cancelled between two of them.
 constexpr auto kCancelInterval = 50ms;
-constexpr auto kClosePollInterval = 100ms;
-// Time that a call may still take after its caller has closed. A caller that
-// has left cannot be told from one that has only closed its sending side and
-// waits for the answer.
-constexpr auto kClosedCallTime = 200ms;
 // Time from the establishment of a connection until its first request, which
 // callers send at once, and for the transfer of any request.
 constexpr auto kFirstRequestTime = 1s;
@@ -73,7 +66,7 @@
   , requestBegin(std::chrono::steady_clock::now())
   , requestExpectedUntil(this->requestBegin + kFirstRequestTime)
   , readTimer(this->stream.get_executor())
-  , closeTimer(this->stream.get_executor())
+  , closeWatch(this->stream.socket())
 {
   assert(this->hooks && this->hooks->handleCall && this->hooks->isStopping);
   this->hooks->sessionCountChanged(1);
@@ -121,13 +114,18 @@
            .lastPart = this->lastPart };
 }
 
-void
+bool
 CallerSession::RefuseStalled()
 {
-  if (this->stage == Stage::Head || this->stage == Stage::Body) {
-    this->LimitReading(std::chrono::steady_clock::now());
-    this->isStalled = true;
+  const bool isReading =
+    this->stage == Stage::Head || this->stage == Stage::Body;
+  beast::error_code error;
+  if (!isReading || this->stream.socket().available(error) > 0) {
+    return false;
   }
+  this->LimitReading(std::chrono::steady_clock::now());
+  this->isStalled = true;
+  return true;
 }
 
 void
@@ -531,7 +529,7 @@
   }
   call->bodyTime = std::chrono::steady_clock::now() - this->headArrival;
   this->requestId.assign(call->id);
-  if (this->isCallerGone) {
+  if (this->closeWatch.IsGone()) {
     this->WriteAnswer(CallAnswer::OfError(core::ErrorKind::CallerClosed),
                       this->isKeptAlive);
     return;
@@ -543,70 +541,12 @@
     std::move(*call), [self = this->shared_from_this()](CallAnswer aAnswer) {
       assert(self->isCallRunning);
       self->isCallRunning = false;
-      self->cancelCall = nullptr;
+      self->closeWatch.Stop();
       self->WriteAnswer(aAnswer, self->isKeptAlive);
     });
   if (this->isCallRunning) {
-    this->cancelCall = std::move(cancel);
-    this->WatchForClose();
-  }
-}
-
-void
-CallerSession::WatchForClose()
-{
-  if (this->isWatchingForClose || this->isCallerClosed) {
-    return;
+    this->closeWatch.Start(this->weak_from_this(), std::move(cancel));
   }
-  this->isWatchingForClose = true;
-  this->stream.socket().async_wait(
-    tcp::socket::wait_read,
-    [weak = this->weak_from_this()](beast::error_code aError) {
-      const auto self = weak.lock();
-      if (!self) {
-        return;
-      }
-      self->isWatchingForClose = false;
-      if (aError || !self->isCallRunning) {
-        return;
-      }
-      beast::error_code availableError;
-      if (self->HasCallerClosed()) {
-        self->OnCallerClosed();
-      } else if (self->stream.socket().available(availableError) > 0) {
-        self->PollForClose();
-      } else {
-        self->WatchForClose();
-      }
-    });
-}
-
-void
-CallerSession::PollForClose()
-{
-  this->closeTimer.expires_after(kClosePollInterval);
-  this->closeTimer.async_wait(
-    [weak = this->weak_from_this()](beast::error_code aError) {
-      const auto self = weak.lock();
-      if (aError || !self || !self->isCallRunning) {
-        return;
-      }
-      if (self->HasCallerClosed()) {
-        self->OnCallerClosed();
-      } else {
-        self->PollForClose();
-      }
-    });
-}
-
-bool
-CallerSession::HasCallerClosed()
-{
-  pollfd descriptor{ .fd = this->stream.socket().native_handle(),
-                     .events = POLLRDHUP,
-                     .revents = 0 };
-  constexpr int kClosed = POLLRDHUP | POLLHUP | POLLERR | POLLNVAL;
-  return poll(&descriptor, 1, 0) > 0 && (descriptor.revents & kClosed) != 0;
 }
 
 bool
@@ -616,24 +556,6 @@
   return this->buffer.size() > 0 || this->stream.socket().available(error) > 0;
 }
 
-void
-CallerSession::OnCallerClosed()
-{
-  this->isCallerClosed = true;
-  this->closeTimer.expires_after(kClosedCallTime);
-  this->closeTimer.async_wait(
-    [weak = this->weak_from_this()](beast::error_code aError) {
-      const auto self = weak.lock();
-      if (aError || !self) {
-        return;
-      }
-      self->isCallerGone = true;
-      if (const auto cancel = std::exchange(self->cancelCall, nullptr)) {
-        cancel();
-      }
-    });
-}
-
 void
 CallerSession::WriteAnswer(const CallAnswer& aAnswer, bool aKeepAlive)
 {
@@ -648,7 +570,8 @@
   this->response.body() = { this->answer->body.data(),
                             this->answer->body.size() };
   // Requests that were sent before the close are answered as well.
-  const bool isLastRequest = this->isCallerClosed && !this->HasUnreadBytes();
+  const bool isLastRequest =
+    this->closeWatch.IsClosed() && !this->HasUnreadBytes();
   this->isKeptAlive =
     aKeepAlive && !this->hooks->isStopping() && !isLastRequest;
   this->response.keep_alive(this->isKeptAlive);
--- a/modules/gateway/CallerSession.h
+++ b/modules/gateway/CallerSession.h
@@ -6,6 +6,7 @@
 #include "gateway/CallRequest.h"
 #include "gateway/CallerConnectionEnd.h"
 #include "gateway/CallerDialect.h"
+#include "gateway/CloseWatch.h"
 #include "gateway/HeldConnection.h"
 
 #include <boost/asio/ip/tcp.hpp>
@@ -117,8 +118,9 @@
   HeldConnection Held() const;
 
   /** Answers the request that is being read as not run, and closes, because its
-   * memory is needed. Does nothing unless a request is being read. */
-  void RefuseStalled();
+   * memory is needed. Returns false, and does nothing, if no request is being
+   * read or a part of it has arrived that only this process has not read. */
+  bool RefuseStalled();
 
   /** Closes the connection in whatever it does, because its place is needed. */
   void Drop();
@@ -173,15 +175,7 @@
   void RefuseForMemory();
   void StartCall();
   std::optional<CallRequest> ExtractCall();
-  /** Watches for the caller's close while a call runs. */
-  void WatchForClose();
-  /** Checks for the caller's close repeatedly: while received bytes wait, the
-   * socket does not become readable again. */
-  void PollForClose();
-  /** Returns whether the caller has closed at least its sending side. */
-  bool HasCallerClosed();
   bool HasUnreadBytes();
-  void OnCallerClosed();
   void WriteAnswer(const CallAnswer& aAnswer, bool aKeepAlive);
   void OnWritten(boost::beast::error_code aError);
   void CloseAfterDrain();
@@ -205,7 +199,6 @@
   Response response;
   /** Holds the body of the response until it is written. */
   std::shared_ptr<const calls::Answer> answer;
-  CallerSessionHooks::CancelFunction cancelCall;
   bool isIdle = true;
   /** How far the current request has come; empty once it is answered. */
   std::optional<Stage> stage;
@@ -228,13 +221,8 @@
   std::chrono::steady_clock::time_point headArrival;
   /** Set when the body does not arrive together with the head. */
   std::optional<std::chrono::steady_clock::time_point> bodyDeadline;
-  boost::asio::steady_timer closeTimer;
+  CloseWatch closeWatch;
   bool isCallRunning = false;
-  /** Whether the caller has closed at least its sending side. */
-  bool isCallerClosed = false;
-  /** Whether it has done so long enough ago to end its calls. */
-  bool isCallerGone = false;
-  bool isWatchingForClose = false;
   bool isRefusing = false;
   bool isKeptAlive = false;
   bool isHeadRequest = false;
--- a/modules/gateway/CallerSessionTest.cpp
+++ b/modules/gateway/CallerSessionTest.cpp
@@ -14,6 +14,7 @@
 
 #include <atomic>
 #include <chrono>
+#include <functional>
 #include <future>
 #include <mutex>
 #include <thread>
@@ -104,12 +105,19 @@
 
   /** Closes the sessions that are idle at a time, as a planned stop does. */
   void CloseIdleSessions(std::chrono::steady_clock::time_point aNow)
+  {
+    this->ForEachSession(
+      [aNow](CallerSession& aSession) { aSession.CloseIfIdle(aNow); });
+  }
+
+  /** Calls a function with each open session, on the sessions' thread. */
+  void ForEachSession(const std::function<void(CallerSession&)>& aFunction)
   {
     std::promise<void> done;
     boost::asio::post(this->context, [&] {
       for (const auto& weak : this->sessions) {
         if (const auto session = weak.lock()) {
-          session->CloseIfIdle(aNow);
+          aFunction(*session);
         }
       }
       done.set_value();
@@ -348,6 +356,46 @@
   BOOST_TEST(memory->Used() == 0U);
 }
 
+// Guards against a body that stops short of its end and keeps its memory from
+// others, and against an answer that does not promise "not run".
+BOOST_AUTO_TEST_CASE(StalledBodyIsRefusedAsNotRun)
+{
+  EchoGateway gateway;
+  const auto memory = std::make_shared<core::MemoryBudget>(100'000);
+  gateway.Hooks().memory = memory;
+  boost::asio::io_context context;
+  tcp::socket caller(context);
+  caller.connect(gateway.Endpoint());
+  boost::asio::write(
+    caller,
+    boost::asio::buffer("POST /a/b HTTP/1.1\r\nContent-Length: 50000\r\n\r\n" +
+                        std::string(49'999, 'b')));
+  std::size_t held = 0;
+  const auto limit = std::chrono::steady_clock::now() + 5s;
+  while (held < 49'999 && std::chrono::steady_clock::now() < limit) {
+    gateway.ForEachSession(
+      [&](const CallerSession& aSession) { held = aSession.Held().bytes; });
+  }
+  BOOST_TEST(held >= 49'999U);
+  bool isRefused = false;
+  const auto refuse = [&](CallerSession& aSession) {
+    isRefused = aSession.RefuseStalled();
+  };
+  gateway.ForEachSession(refuse);
+  BOOST_TEST(isRefused);
+  std::string answer;
+  boost::system::error_code error;
+  boost::asio::read(caller, boost::asio::dynamic_buffer(answer), error);
+  BOOST_TEST(StatusLineOf(answer) == "HTTP/1.1 503 Service Unavailable");
+  BOOST_TEST(answer.find("Call-Outcome: not-run") != std::string::npos);
+  BOOST_TEST(gateway.calls.empty());
+  BOOST_TEST(memory->Used() == 0U);
+  // Nothing is being read any more.
+  isRefused = false;
+  gateway.ForEachSession(refuse);
+  BOOST_TEST(!isRefused);
+}
+
 // Guards against requests that get no answer because there are too many
 // connections.
 BOOST_AUTO_TEST_CASE(RequestOnAConnectionTooManyIsRefused)
--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -1059,9 +1059,11 @@
     if (!stalled) {
       break;
     }
-    freed += std::exchange(held[*stalled].bytes, 0);
-    open[*stalled]->RefuseStalled();
-    this->metrics.Count("stalled_requests_refused_total");
+    const std::size_t bytes = std::exchange(held[*stalled].bytes, 0);
+    if (open[*stalled]->RefuseStalled()) {
+      freed += bytes;
+      this->metrics.Count("stalled_requests_refused_total");
+    }
   }
 }
 
