--- a/soak/Caller.cpp
+++ b/soak/Caller.cpp
@@ -41,6 +41,9 @@
 constexpr unsigned kMaxBodyPauseMs = 1500;
 constexpr unsigned kMaxLeaveMs = 40;
 
+constexpr unsigned kFirstFinalStatus = 200;
+constexpr unsigned kLastFinalStatus = 599;
+
 RequestHistory::Outcome
 OutcomeOf(unsigned aStatus)
 {
@@ -209,6 +212,11 @@
     }
     this->history.RecordOutcome(id, OutcomeOf(response.result_int()));
     this->hooks.onResponse(id, response.result_int());
+    if (response.result_int() < kFirstFinalStatus ||
+        response.result_int() > kLastFinalStatus) {
+      this->history.ReportViolation(fmt::format(
+        "request {} received the status {:03}", id, response.result_int()));
+    }
     const std::string expected = fmt::format(
       "{} {} {}", id, std::string(request.target()), request.body());
     if (response.result() == http::status::ok &&
--- a/soak/Server.cpp
+++ b/soak/Server.cpp
@@ -8,6 +8,7 @@
 #include <boost/json/object.hpp>
 #include <fmt/format.h>
 
+#include <array>
 #include <utility>
 
 namespace fireflytrail::soak {
@@ -24,6 +25,10 @@
 constexpr unsigned kMinWorkMs = 5;
 constexpr unsigned kWorkRangeMs = 30;
 
+// Statuses that are none of an answer, and how seldom one is given.
+constexpr std::array<unsigned, 4> kOddStatuses{ 0, 99, 600, 999 };
+constexpr std::size_t kOddPart = 32;
+
 // Bounds of the platform for servers that name a limit, and for those that
 // refuse with the time for which they want no requests.
 constexpr auto kLimitGrace = 3500ms;
@@ -188,6 +193,10 @@
   this->SetStateHeaders(response);
   --this->running;
   response.result(200U);
+  if (this->hasOddStatuses && this->runCount % kOddPart == 0) {
+    response.result(
+      kOddStatuses[this->runCount / kOddPart % kOddStatuses.size()]);
+  }
   response.set("X-Response-Signature", "of-" + requestId);
   response.body() = fmt::format(
     "{} {} {}", requestId, std::string(aRequest.target()), aRequest.body());
--- a/soak/Server.h
+++ b/soak/Server.h
@@ -52,6 +52,13 @@
     this->runObserver = std::move(aObserver);
   }
 
+  /** Sets whether some requests that have run are answered with a status that
+   * is none of an answer. */
+  void SetOddStatuses(bool aHasOddStatuses)
+  {
+    this->hasOddStatuses = aHasOddStatuses;
+  }
+
   /** Starts to listen as a new instance with a new id. */
   void Start();
 
@@ -138,6 +145,7 @@
   std::string id;
   std::uint64_t createdAtMs = 0;
   bool isUp = false;
+  bool hasOddStatuses = false;
   unsigned slowdown = 1;
   unsigned running = 0;
   std::size_t runCount = 0;
--- a/soak/Soak.cpp
+++ b/soak/Soak.cpp
@@ -197,6 +197,7 @@
       index % 3 == 2 ? std::string(kSecondService) : kService,
       index % 2 == 0 ? "a" : "b",
       this->random()));
+    this->servers.back()->SetOddStatuses(this->plan.hasOddStatuses);
     this->servers.back()->Start();
     this->RegisterServer(*this->servers.back());
   }
--- a/soak/Soak.h
+++ b/soak/Soak.h
@@ -42,6 +42,8 @@
   bool hasSuccessors = false;
   /** Whether some callers close their sending half after the request. */
   bool hasHalfClosing = false;
+  /** Whether servers answer some requests with a status that is none. */
+  bool hasOddStatuses = false;
 };
 
 /**
--- a/soak/SoakMain.cpp
+++ b/soak/SoakMain.cpp
@@ -26,6 +26,9 @@
 DEFINE_bool(half_closing,
             false,
             "some callers close their sending half after the request");
+DEFINE_bool(odd_statuses,
+            false,
+            "servers answer some requests with a status like 000");
 DEFINE_bool(verbose, false, "print each fault");
 
 using namespace fireflytrail::soak;
@@ -56,6 +59,7 @@
     kFirstPort + getpid() * kPortsPerRun % kPortRange);
   plan.hasSuccessors = FLAGS_successors;
   plan.hasHalfClosing = FLAGS_half_closing;
+  plan.hasOddStatuses = FLAGS_odd_statuses;
   const auto begin = std::chrono::steady_clock::now();
   Soak soak(plan, [begin](const std::string& aLine) {
     if (FLAGS_verbose) {
