Close connections of the address that has most of them first

Cause: beside a crowd at the ready port a readiness check from the same address found its connection closed before its request arrived: 7 of 11 and 6 of 7 were answered (short-fields, stalled-body).

Change: at the ready, the operators' and the peers' port the connection that makes place is one of the address with most connections.

--- a/modules/daemon/OperatorEndpoint.cpp
+++ b/modules/daemon/OperatorEndpoint.cpp
@@ -6,6 +6,7 @@
 
 #include <cassert>
 #include <chrono>
+#include <map>
 #include <utility>
 
 namespace fireflytrail::daemon {
@@ -55,33 +56,41 @@
 OperatorEndpoint::OnConnected(tcp::socket aSocket)
 {
   this->MakePlace();
+  boost::system::error_code ignored;
+  const auto address = aSocket.remote_endpoint(ignored).address();
   const auto session =
     std::make_shared<gateway::CallerSession>(std::move(aSocket), this->hooks);
   session->SetSocketBuffers(kSocketBufferBytes);
-  this->sessions.push_back(session);
+  this->connections.push_back({ session, address });
   session->Start();
 }
 
 void
 OperatorEndpoint::MakePlace()
 {
-  if (this->sessions.size() < this->limits.maxConnections) {
+  if (this->connections.size() < this->limits.maxConnections) {
     return;
   }
-  std::erase_if(this->sessions,
-                [](const auto& aWeak) { return aWeak.expired(); });
-  if (this->sessions.size() < this->limits.maxConnections) {
+  std::erase_if(this->connections, [](const Connection& aConnection) {
+    return aConnection.session.expired();
+  });
+  if (this->connections.size() < this->limits.maxConnections) {
     return;
   }
+  std::map<boost::asio::ip::address, std::size_t> ofAddresses;
+  for (const Connection& connection : this->connections) {
+    ++ofAddresses[connection.address];
+  }
   std::vector<gateway::HeldConnection> held;
-  for (const auto& weak : this->sessions) {
-    held.push_back(weak.lock()->Held());
+  for (const Connection& connection : this->connections) {
+    held.push_back(connection.session.lock()->Held());
+    held.back().ofAddress = ofAddresses[connection.address];
   }
   const auto oldest = gateway::HeldConnection::SelectOldest(held);
   const auto entry =
-    this->sessions.begin() + static_cast<std::ptrdiff_t>(*oldest);
-  entry->lock()->Drop();
-  this->sessions.erase(entry);
+    this->connections.begin() + static_cast<std::ptrdiff_t>(*oldest);
+  entry->session.lock()->Drop();
+  this->connections.erase(entry);
   ++this->dropped;
 }
 
--- a/modules/daemon/OperatorEndpoint.h
+++ b/modules/daemon/OperatorEndpoint.h
@@ -34,7 +34,8 @@
 {
   /** Counts heads and buffers; may be null. */
   std::shared_ptr<core::MemoryBudget> memory;
-  /** Beyond them, the oldest connection that was not used is closed. */
+  /** Beyond them, one is closed for each new one; see
+   * `gateway::HeldConnection::SelectOldest`. */
   std::size_t maxConnections = 64;
 };
 
@@ -66,6 +67,12 @@
   std::size_t DroppedConnections() const { return this->dropped; }
 
 private:
+  struct Connection
+  {
+    std::weak_ptr<gateway::CallerSession> session;
+    boost::asio::ip::address address;
+  };
+
   gateway::CallAnswer Answer(const gateway::CallRequest& aRequest) const;
   void OnConnected(boost::asio::ip::tcp::socket aSocket);
   /** Closes a connection if there are as many as allowed. */
@@ -75,7 +82,7 @@
   OperatorLimits limits;
   std::shared_ptr<gateway::CallerSessionHooks> hooks;
   std::shared_ptr<gateway::TcpListener> listener;
-  std::vector<std::weak_ptr<gateway::CallerSession>> sessions;
+  std::vector<Connection> connections;
   std::size_t dropped = 0;
 };
 
--- a/modules/gateway/HeldConnection.cpp
+++ b/modules/gateway/HeldConnection.cpp
@@ -10,7 +10,9 @@
 {
   const auto oldest = std::ranges::min_element(
     aConnections, {}, [](const HeldConnection& aConnection) {
-      return std::tuple(aConnection.hasServed, aConnection.lastBegin);
+      return std::tuple(-static_cast<std::ptrdiff_t>(aConnection.ofAddress),
+                        aConnection.hasServed,
+                        aConnection.lastBegin);
     });
   if (oldest == aConnections.end()) {
     return std::nullopt;
--- a/modules/gateway/HeldConnection.h
+++ b/modules/gateway/HeldConnection.h
@@ -19,11 +19,14 @@
   std::chrono::steady_clock::time_point lastBegin;
   /** When the last part of the request that is being read arrived. */
   std::chrono::steady_clock::time_point lastPart;
+  /** Connections that its address has, with this one. */
+  std::size_t ofAddress = 1;
 
   /**
    * Returns the index of the connection to close so that another one finds a
-   * place, nothing if there is none: the oldest of those that have completed no
-   * exchange, else the one whose last request is the longest ago. Thread-safe.
+   * place, nothing if there is none: of the address with most connections, the
+   * oldest of those that have completed no exchange, else the one whose last
+   * request is the longest ago. Thread-safe.
    */
   static std::optional<std::size_t> SelectOldest(
     std::span<const HeldConnection> aConnections);
--- a/modules/gateway/HeldConnectionTest.cpp
+++ b/modules/gateway/HeldConnectionTest.cpp
@@ -29,6 +29,12 @@
     { .hasServed = true, .lastBegin = kStart },
   };
   BOOST_TEST(HeldConnection::SelectOldest(served).value() == 1U);
+  const std::vector<HeldConnection> ofTwoAddresses{
+    { .hasServed = false, .lastBegin = kStart, .ofAddress = 1 },
+    { .hasServed = true, .lastBegin = kStart + 1s, .ofAddress = 2 },
+    { .hasServed = false, .lastBegin = kStart + 2s, .ofAddress = 2 },
+  };
+  BOOST_TEST(HeldConnection::SelectOldest(ofTwoAddresses).value() == 2U);
 }
 
 // Guards against ending uploads that proceed, or small ones that pause, while
--- a/modules/gateway/PeerHub.cpp
+++ b/modules/gateway/PeerHub.cpp
@@ -139,13 +139,15 @@
 PeerHub::StartReading(tcp::socket aSocket)
 {
   this->MakePlace();
+  boost::system::error_code ignored;
+  const auto address = aSocket.remote_endpoint(ignored).address();
   const auto connection =
     std::make_shared<PeerConnection>(std::move(aSocket), this->hooks.memory);
   connection->LimitFrames(kMaxHelloFrame);
   const auto use = std::make_shared<HeldConnection>();
   use->lastBegin = std::chrono::steady_clock::now();
   this->acceptedConnections.emplace(connection.get(),
-                                    Accepted{ connection, use });
+                                    Accepted{ connection, use, address });
   connection->Start(
     [weak = this->weak_from_this(),
      weakConnection = std::weak_ptr(connection),
@@ -214,10 +216,15 @@
   if (this->acceptedConnections.size() < this->hooks.maxConnections) {
     return;
   }
+  std::map<boost::asio::ip::address, std::size_t> ofAddresses;
+  for (const auto& [key, accepted] : this->acceptedConnections) {
+    ++ofAddresses[accepted.address];
+  }
   std::vector<HeldConnection> uses;
   std::vector<std::shared_ptr<PeerConnection>> connections;
   for (const auto& [key, accepted] : this->acceptedConnections) {
     uses.push_back(*accepted.use);
+    uses.back().ofAddress = ofAddresses[accepted.address];
     connections.push_back(accepted.connection.lock());
   }
   if (const auto oldest = HeldConnection::SelectOldest(uses);
--- a/modules/gateway/PeerHub.h
+++ b/modules/gateway/PeerHub.h
@@ -141,6 +141,7 @@
   {
     std::weak_ptr<PeerConnection> connection;
     std::shared_ptr<HeldConnection> use;
+    boost::asio::ip::address address;
   };
 
   void StartReading(boost::asio::ip::tcp::socket aSocket);
