--- a/soak/Soak.cpp
+++ b/soak/Soak.cpp
@@ -204,6 +204,7 @@
       this->random()));
     this->servers.back()->SetRunObserver(
       [this](const HttpRequest& aRequest) { this->CheckIdentity(aRequest); });
+    this->servers.back()->SetOddStatuses(this->plan.hasOddStatuses);
     this->servers.back()->Start();
     this->RegisterServer(*this->servers.back());
   }
