Count usage by organisation and report it once a window (unfinished)

The platform asks for the requests of each organisation that servers began to run, once for each window of true time. A new module usage has growing counters that merge in any order, a corrected time of day and the duty to report under a lease with a rising fence; proxy::UsageExchange brings the counters of all daemons together, UsageReporter connects both to sockets and clocks.

--- a/modules/configuration/ProxySettings.cpp
+++ b/modules/configuration/ProxySettings.cpp
@@ -20,6 +20,11 @@
 constexpr double kMinMemoryMegabytes = 32;
 constexpr double kMaxMemoryMegabytes = 1e6;
 
+constexpr std::int64_t kMinUsageMilliseconds = 1000;
+constexpr std::int64_t kMaxUsageMilliseconds = 86'400'000;
+constexpr std::int64_t kMinLeaseMilliseconds = 1000;
+constexpr double kMaxUsageCallsPerSecond = 1000;
+
 // Share of the memory for bodies. The daemon itself takes up to 50 MB, and a
 // body of unknown length up to twice its size while it grows.
 constexpr double kBodyMemoryShare = 0.4;
@@ -49,6 +54,46 @@
     .value_or(Endpoint{});
 }
 
+/** Reads a time in milliseconds, or in seconds, which may be a fraction. */
+std::chrono::milliseconds
+ReadUsageTime(ObjectReader& aReader,
+              const std::string& aName,
+              std::chrono::milliseconds aDefault)
+{
+  const std::chrono::milliseconds time(aReader.Integer(aName + "_ms",
+                                                       kMinUsageMilliseconds,
+                                                       kMaxUsageMilliseconds,
+                                                       aDefault.count()));
+  const double seconds = aReader.Number(
+    aName + "_s", 0, static_cast<double>(kMaxUsageMilliseconds) / 1000, 0);
+  return seconds > 0 ? std::chrono::round<std::chrono::milliseconds>(
+                         std::chrono::duration<double>(seconds))
+                     : time;
+}
+
+void
+ReadUsageSettings(ObjectReader& aReader, ProxySettings& aSettings)
+{
+  aSettings.usageReportAddress =
+    Endpoint::Parse(aReader.String("usage_report_address", "", CheckEndpoint));
+  aSettings.usageWindow =
+    ReadUsageTime(aReader, "usage_window", aSettings.usageWindow);
+  aSettings.usageLate =
+    ReadUsageTime(aReader, "usage_late", aSettings.usageLate);
+  aSettings.usageCallsPerSecond = aReader.Number("usage_calls_per_second",
+                                                 0,
+                                                 kMaxUsageCallsPerSecond,
+                                                 aSettings.usageCallsPerSecond);
+  if (aSettings.usageCallsPerSecond <= 0) {
+    aSettings.usageCallsPerSecond = 1;
+  }
+  aSettings.lease =
+    std::chrono::milliseconds(aReader.Integer("lease_ms",
+                                              kMinLeaseMilliseconds,
+                                              kMaxUsageMilliseconds,
+                                              aSettings.lease.count()));
+}
+
 } // namespace
 
 Checked<ProxySettings>
@@ -106,6 +151,7 @@
     reader.Number("link_mbps", 0, kMaxLinkMegabitsPerSecond, 1000);
   settings.expectedHosts =
     static_cast<unsigned>(reader.Integer("expected_hosts", 1, kMaxHosts, 19));
+  ReadUsageSettings(reader, settings);
   reader.Finish();
   if (!errors.empty()) {
     std::ranges::stable_sort(errors, {}, &TextError::line);
--- a/modules/configuration/ProxySettings.h
+++ b/modules/configuration/ProxySettings.h
@@ -5,6 +5,7 @@
 #include "core/Log.h"
 
 #include <chrono>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -57,6 +58,18 @@
   /** Minimum number of entry hosts among which budgets of the whole fleet are
    * divided; also applies if fewer hosts are known. */
   unsigned expectedHosts = 19;
+  /** Address of the platform that takes reports of usage; nothing is reported
+   * without one. */
+  std::optional<Endpoint> usageReportAddress;
+  /** Length of a window of usage; `usage_window_ms` or `usage_window_s`. */
+  std::chrono::milliseconds usageWindow{ 60'000 };
+  /** Time after the end of a window in which its report is due;
+   * `usage_late_ms` or `usage_late_s`. */
+  std::chrono::milliseconds usageLate{ 30'000 };
+  /** Reports of usage that the platform takes in a second. */
+  double usageCallsPerSecond = 1;
+  /** Time for which a lease in the store holds after its last renewal. */
+  std::chrono::milliseconds lease{ 3000 };
 
   /**
    * Parses and checks settings. On failure the result holds every error found,
--- a/modules/core/core.h
+++ b/modules/core/core.h
@@ -9,6 +9,7 @@
  * Depends on no other module.
  */
 
+#include "core/BootClock.h"
 #include "core/CrashReport.h"
 #include "core/DaemonId.h"
 #include "core/DeadPeerDetection.h"
--- a/modules/proxy/PlatformAdapter.h
+++ b/modules/proxy/PlatformAdapter.h
@@ -4,6 +4,7 @@
 #include "core/Result.h"
 #include "gateway/CallerDialect.h"
 #include "gateway/ServerDialect.h"
+#include "proxy/UsageDialect.h"
 #include "routing/BackendInstance.h"
 #include "routing/RolloutOrder.h"
 #include "store/ObjectDialect.h"
@@ -57,6 +58,7 @@
    * that the order's revision is unchanged.
    */
   std::function<std::string(const routing::RolloutOrder&)> writeRolloutState;
+  UsageDialect usage;
 };
 
 } // namespace fireflytrail::proxy
--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -181,7 +181,9 @@
   , bodyMemory(std::make_shared<core::MemoryBudget>(
       aSettings.BodyMemoryBytes() + aSettings.BufferMemoryBytes(),
       aSettings.BufferMemoryBytes()))
-  , transport(this->context, SocketEndpoint(aSettings.store))
+  , transport(this->context,
+              SocketEndpoint(aSettings.store),
+              this->platform.objects.eraField)
   , storeView(this->platform,
               aLog,
               std::chrono::steady_clock::now,
@@ -220,6 +222,20 @@
                                      { kinds.domainsOut, kWatchWait } },
     this->platform.objects,
     this->MakeWatcherHooks());
+  if (aSettings.usageReportAddress) {
+    this->usage = std::make_unique<UsageReporter>(this->context,
+                                                  this->settings,
+                                                  this->self,
+                                                  this->platform.usage,
+                                                  this->peers,
+                                                  this->transport,
+                                                  aLog,
+                                                  this->metrics);
+    this->shared.onRunBegan = [this](const std::string& aOrganisation,
+                                     core::TimePoint aSentAt) {
+      this->usage->OnRunBegan(aOrganisation, aSentAt);
+    };
+  }
 }
 
 ProxyDaemon::~ProxyDaemon() = default;
@@ -598,6 +614,9 @@
   this->ScheduleSettingsCheck();
   this->OnHeartbeatTimer();
   this->peers.Start();
+  if (this->usage) {
+    this->usage->Start();
+  }
   this->log.Write(LogLevel::Info,
                   "daemon_started",
                   { { "name", this->settings.name },
@@ -667,6 +686,8 @@
   } else if (const auto* updateRequest =
                std::get_if<wire::StoreNewsRequest>(&aPeerMessage)) {
     this->relay->OnUpdateRequest(aFrom.name, *updateRequest);
+  } else if (this->usage) {
+    this->usage->OnMessage(aFrom, aPeerMessage);
   }
 }
 
@@ -882,6 +903,9 @@
   }
   this->isStopping = true;
   this->peers.AnnounceLeaving();
+  if (this->usage) {
+    this->usage->BeginStop();
+  }
   this->stop.emplace(std::chrono::steady_clock::now(),
                      this->settings.stopLimit);
   for (const auto& weak : this->runners) {
@@ -909,7 +933,8 @@
   }
   const bool isDone =
     isBalancerDelayOver && this->requestCount == 0 && this->sessionCount == 0;
-  if (isDone || now >= this->stop->End()) {
+  if ((isDone || now >= this->stop->End()) &&
+      (!this->usage || this->usage->HandOver())) {
     this->log.Write(
       LogLevel::Info,
       "stop_finished",
@@ -1168,6 +1193,9 @@
     static_cast<double>(this->storeView.Directory().InstanceCount()));
   this->metrics.Set("store_is_lost",
                     this->watcher->IsStoreUnavailable() ? 1 : 0);
+  if (this->usage) {
+    this->usage->UpdateMetrics();
+  }
   this->metrics.Set(
     "configuration_version",
     static_cast<double>(this->storeView.ConfigurationVersion()));
@@ -1188,7 +1216,7 @@
                     { "version", order.targetVersion },
                     { "state", routing::NameOf(order.state) } });
   }
-  const json::object dump{
+  json::object dump{
     { "name", this->settings.name },
     { "is_stopping", this->isStopping },
     { "configuration_version", this->storeView.ConfigurationVersion() },
@@ -1200,6 +1228,9 @@
     { "domains_out", domains },
     { "rollouts", rollouts }
   };
+  if (this->usage) {
+    dump["usage"] = this->usage->Dump();
+  }
   return json::serialize(dump) + "\n";
 }
 
--- a/modules/proxy/ProxyDaemon.h
+++ b/modules/proxy/ProxyDaemon.h
@@ -21,6 +21,7 @@
 #include "proxy/StopSchedule.h"
 #include "proxy/StoreRelay.h"
 #include "proxy/StoreView.h"
+#include "proxy/UsageReporter.h"
 #include "routing/TransferSizes.h"
 #include "store/ObjectWatcher.h"
 #include "store/StoreTransport.h"
@@ -173,6 +174,8 @@
   store::StoreTransport transport;
   std::unique_ptr<store::ObjectWatcher> watcher;
   std::unique_ptr<StoreRelay> relay;
+  /** Null if no usage is reported. */
+  std::unique_ptr<UsageReporter> usage;
   StoreView storeView;
   std::shared_ptr<gateway::CallerSessionHooks> sessionHooks;
   std::shared_ptr<gateway::TcpListener> listener;
--- a/modules/proxy/ProxyShared.h
+++ b/modules/proxy/ProxyShared.h
@@ -57,12 +57,14 @@
     const routing::BackendInstance&)>
     poolOf;
   /**
-   * Is called with the organisation of a request, which may be empty, when an
-   * attempt ends whose server began to run it, as far as that can be known: it
-   * answered, or the request was sent and the server didn't refuse it. Called
-   * at most once for each attempt. May be empty.
+   * Is called with the organisation of a request, which may be empty, and the
+   * time at which an attempt was sent, when the attempt ends and its server
+   * began to run it, as far as that can be known: it answered, or the request
+   * was sent and the server didn't refuse it. Called at most once for each
+   * attempt. May be empty.
    */
-  std::function<void(const std::string& aOrganisation)> onRunBegan;
+  std::function<void(const std::string& aOrganisation, core::TimePoint aSentAt)>
+    onRunBegan;
 };
 
 } // namespace fireflytrail::proxy
--- a/modules/proxy/RequestRunner.cpp
+++ b/modules/proxy/RequestRunner.cpp
@@ -360,7 +360,7 @@
 RequestRunner::ReportRun(AttemptProgress aProgress) const
 {
   if (this->shared.onRunBegan && calls::MayHaveRun(aProgress)) {
-    this->shared.onRunBegan(this->call.organisation);
+    this->shared.onRunBegan(this->call.organisation, this->attemptBegin);
   }
 }
 
--- a/modules/store/ObjectDialect.h
+++ b/modules/store/ObjectDialect.h
@@ -47,6 +47,9 @@
   /** Returns the target that replaces the status of an object. */
   std::function<std::string(std::string_view aKind, std::string_view aName)>
     statusTarget;
+  /** Header field of all answers with the era of the store; see
+   * `StoreResponse::era`. */
+  std::string eraField;
   /** Parses the answer to a list. */
   std::function<core::Result<ObjectPage>(std::string_view aKind,
                                          std::string_view aBody)>
--- a/modules/store/StoreConnection.cpp
+++ b/modules/store/StoreConnection.cpp
@@ -35,7 +35,8 @@
 TargetOf(const StoreRequest& aRequest)
 {
   if (aRequest.kind == StoreRequestKind::RawRead ||
-      aRequest.kind == StoreRequestKind::RawWrite) {
+      aRequest.kind == StoreRequestKind::RawWrite ||
+      aRequest.kind == StoreRequestKind::RawPost) {
     return aRequest.target;
   }
   if (aRequest.kind == StoreRequestKind::Hosts) {
@@ -64,8 +65,10 @@
 } // namespace
 
 StoreConnection::StoreConnection(boost::asio::io_context& aContext,
-                                 tcp::endpoint aEndpoint)
+                                 tcp::endpoint aEndpoint,
+                                 std::string aEraField)
   : endpoint(std::move(aEndpoint))
+  , eraField(std::move(aEraField))
   , socket(aContext)
   , timer(aContext)
 {
@@ -79,14 +82,22 @@
   this->deliveryOnFailure = StoreDelivery::NotSent;
   const bool isRawWrite = aRequest.kind == StoreRequestKind::RawWrite;
   const bool isWrite = isRawWrite || aRequest.kind == StoreRequestKind::Write;
-  this->request = { isWrite ? http::verb::put : http::verb::get,
+  const bool isPost = aRequest.kind == StoreRequestKind::RawPost;
+  this->maySend = aRequest.maySend;
+  this->isResetOnEnd = aRequest.isResetOnEnd;
+  this->request = { isPost    ? http::verb::post
+                    : isWrite ? http::verb::put
+                              : http::verb::get,
                     TargetOf(aRequest),
                     11 };
   this->request.set(http::field::host,
                     fmt::format("{}:{}",
                                 this->endpoint.address().to_string(),
                                 this->endpoint.port()));
-  if (isRawWrite) {
+  for (const auto& [name, value] : aRequest.fields) {
+    this->request.set(name, value);
+  }
+  if (isRawWrite || isPost) {
     this->request.set(http::field::content_type, "application/json");
     this->request.body() = aRequest.body;
   } else if (isWrite) {
@@ -143,6 +154,10 @@
 void
 StoreConnection::Write()
 {
+  if (this->maySend && !this->maySend()) {
+    this->Fail(StoreDelivery::NotSent, "no longer wanted");
+    return;
+  }
   this->isReusable = false;
   this->deliveryOnFailure = StoreDelivery::Lost;
   http::async_write(this->socket,
@@ -186,6 +201,9 @@
                      response.delivery = StoreDelivery::Answered;
                      response.status = message.result_int();
                      response.version = VersionOf(message["Object-Version"]);
+                     if (!self->eraField.empty()) {
+                       response.era = VersionOf(message[self->eraField]);
+                     }
                      response.body = std::move(message.body());
                      self->Finish(std::move(response));
                    });
@@ -196,6 +214,9 @@
 {
   this->isReusable = false;
   boost::system::error_code ignored;
+  if (this->isResetOnEnd && this->done) {
+    this->socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
+  }
   this->socket.close(ignored);
   this->buffer.clear();
   if (this->done) {
--- a/modules/store/StoreConnection.h
+++ b/modules/store/StoreConnection.h
@@ -26,8 +26,11 @@
 public:
   using ResponseFunction = std::function<void(StoreResponse)>;
 
+  /** `aEraField` names the header field with the era of the store (see
+   * `StoreResponse::era`); empty if there is none. */
   StoreConnection(boost::asio::io_context& aContext,
-                  boost::asio::ip::tcp::endpoint aEndpoint);
+                  boost::asio::ip::tcp::endpoint aEndpoint,
+                  std::string aEraField = {});
 
   /**
    * Connects if necessary, sends the request and calls `aDone` once. No other
@@ -54,12 +57,15 @@
   void Finish(StoreResponse aResponse);
 
   boost::asio::ip::tcp::endpoint endpoint;
+  std::string eraField;
   boost::asio::ip::tcp::socket socket;
   boost::asio::steady_timer timer;
   boost::beast::flat_buffer buffer;
   Request request;
   std::optional<Parser> parser;
   ResponseFunction done;
+  std::function<bool()> maySend;
+  bool isResetOnEnd = false;
   /** What is reported if the running request fails now. */
   StoreDelivery deliveryOnFailure = StoreDelivery::NotSent;
   bool isReusable = false;
--- a/modules/store/StoreRequest.h
+++ b/modules/store/StoreRequest.h
@@ -2,7 +2,10 @@
 
 #include <chrono>
 #include <cstdint>
+#include <functional>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace fireflytrail::store {
 
@@ -17,6 +20,8 @@
   RawRead,
   /** A PUT request that sends `body` to `target`. */
   RawWrite,
+  /** A POST request that sends `body` to `target`. */
+  RawPost,
 };
 
 /** One request to the platform. */
@@ -32,6 +37,14 @@
   std::string target;
   /** Body of a write. */
   std::string body;
+  /** Further header fields of a `RawPost`. */
+  std::vector<std::pair<std::string, std::string>> fields;
+  /** Optional: asked directly before the first byte is sent; if it returns
+   * false, the request ends as not sent. */
+  std::function<bool()> maySend;
+  /** Whether a request that ends without an answer resets its connection, so
+   * that nothing of it is delivered later. */
+  bool isResetOnEnd = false;
   /** How long the platform may hold a watch open. */
   std::chrono::milliseconds watchTime{ 0 };
   /** Timeout of the whole request. */
--- a/modules/store/StoreTransport.cpp
+++ b/modules/store/StoreTransport.cpp
@@ -25,14 +25,21 @@
 {
   boost::asio::io_context& context;
   boost::asio::ip::tcp::endpoint endpoint;
+  std::string eraField;
   std::vector<std::shared_ptr<StoreConnection>> idle;
   std::set<std::shared_ptr<StoreConnection>> running;
   bool isClosed = false;
 };
 
 StoreTransport::StoreTransport(boost::asio::io_context& aContext,
-                               boost::asio::ip::tcp::endpoint aEndpoint)
-  : pool(new Pool{ aContext, std::move(aEndpoint), {}, {}, false })
+                               boost::asio::ip::tcp::endpoint aEndpoint,
+                               std::string aEraField)
+  : pool(new Pool{ aContext,
+                   std::move(aEndpoint),
+                   std::move(aEraField),
+                   {},
+                   {},
+                   false })
 {
 }
 
@@ -51,7 +58,8 @@
   Run(this->pool,
       aRequest,
       aRequest.kind != StoreRequestKind::Write &&
-        aRequest.kind != StoreRequestKind::RawWrite,
+        aRequest.kind != StoreRequestKind::RawWrite &&
+        aRequest.kind != StoreRequestKind::RawPost,
       std::move(aDone));
 }
 
@@ -67,8 +75,8 @@
     connection = std::move(aPool->idle.back());
     aPool->idle.pop_back();
   } else {
-    connection =
-      std::make_shared<StoreConnection>(aPool->context, aPool->endpoint);
+    connection = std::make_shared<StoreConnection>(
+      aPool->context, aPool->endpoint, aPool->eraField);
   }
   aPool->running.insert(connection);
   const auto sentAt = std::chrono::steady_clock::now();
--- a/modules/store/StoreTransport.h
+++ b/modules/store/StoreTransport.h
@@ -8,6 +8,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 
 namespace fireflytrail::store {
 
@@ -22,8 +23,11 @@
 public:
   using ResponseFunction = std::function<void(StoreResponse)>;
 
+  /** `aEraField` names the header field with the era of the store (see
+   * `StoreResponse::era`); empty if there is none. */
   StoreTransport(boost::asio::io_context& aContext,
-                 boost::asio::ip::tcp::endpoint aEndpoint);
+                 boost::asio::ip::tcp::endpoint aEndpoint,
+                 std::string aEraField = {});
 
   /** Ends running requests without an answer. */
   ~StoreTransport();
--- a/modules/wire/EntryConversion.h
+++ b/modules/wire/EntryConversion.h
@@ -6,9 +6,9 @@
 
 /**
  * Converts the messages that entry daemons exchange for HTTP routes: requests
- * for slots of instances, and changes of the store's objects. Each `Read`
- * expects a verified table and leaves the message unchanged on an error. All
- * are thread-safe.
+ * for slots of instances, changes of the store's objects, and usage. Each
+ * `Read` expects a verified table and leaves the message unchanged on an error.
+ * All are thread-safe.
  */
 namespace fireflytrail::wire {
 
@@ -24,6 +24,12 @@
 Write(FlatBufferBuilder& aBuilder, const StoreBeat& aBeat);
 EncodedMessage<fbs::StoreNewsRequest>
 Write(FlatBufferBuilder& aBuilder, const StoreNewsRequest& aRequest);
+EncodedMessage<fbs::UsageNews>
+Write(FlatBufferBuilder& aBuilder, const UsageNews& aNews);
+EncodedMessage<fbs::UsageRequest>
+Write(FlatBufferBuilder& aBuilder, const UsageRequest& aRequest);
+EncodedMessage<fbs::UsageLease>
+Write(FlatBufferBuilder& aBuilder, const UsageLease& aLease);
 
 FrameError
 Read(const fbs::SlotRequest& aRequest, WireMessage& aMessage);
@@ -37,5 +43,11 @@
 Read(const fbs::StoreBeat& aBeat, WireMessage& aMessage);
 FrameError
 Read(const fbs::StoreNewsRequest& aRequest, WireMessage& aMessage);
+FrameError
+Read(const fbs::UsageNews& aNews, WireMessage& aMessage);
+FrameError
+Read(const fbs::UsageRequest& aRequest, WireMessage& aMessage);
+FrameError
+Read(const fbs::UsageLease& aLease, WireMessage& aMessage);
 
 } // namespace fireflytrail::wire
--- a/modules/wire/FrameCodecTest.cpp
+++ b/modules/wire/FrameCodecTest.cpp
@@ -98,6 +98,11 @@
           { { "main", 7, false, "", 6, { { "new", 4, 8 } }, 77 } } } } },
     StoreBeat{ { 1, 0xffffffffffffffff }, true, true, true, { "x", "y" } },
     StoreNewsRequest{ "servers", 4 },
+    UsageNews{ { { 7, 3, { { 4, { { "a", 1 }, { "b", 70'000 } }, true } } },
+                 { 8, 0, { { 4, { { "b", 2 } } }, { 5, {} } } } },
+               1'700'000'000'000'123us },
+    UsageRequest{ 4, 6, 3, 1'700'000'000'000'123us },
+    UsageLease{ "entry-1", 7, 1ULL << 50U, 9, 412, 2, true, 6 },
   };
 }
 
--- a/modules/wire/MessageConversion.cpp
+++ b/modules/wire/MessageConversion.cpp
@@ -460,6 +460,12 @@
       return Read(*envelope.message_as_StoreBeat(), aMessage);
     case fbs::Message::StoreNewsRequest:
       return Read(*envelope.message_as_StoreNewsRequest(), aMessage);
+    case fbs::Message::UsageNews:
+      return Read(*envelope.message_as_UsageNews(), aMessage);
+    case fbs::Message::UsageRequest:
+      return Read(*envelope.message_as_UsageRequest(), aMessage);
+    case fbs::Message::UsageLease:
+      return Read(*envelope.message_as_UsageLease(), aMessage);
     case fbs::Message::NONE:
       break;
   }
--- a/modules/wire/WireMessage.h
+++ b/modules/wire/WireMessage.h
@@ -13,6 +13,9 @@
 #include "wire/StoreBeat.h"
 #include "wire/StoreNews.h"
 #include "wire/StoreNewsRequest.h"
+#include "wire/UsageLease.h"
+#include "wire/UsageNews.h"
+#include "wire/UsageRequest.h"
 
 #include <variant>
 
@@ -31,6 +34,9 @@
                                  SlotRelease,
                                  StoreNews,
                                  StoreBeat,
-                                 StoreNewsRequest>;
+                                 StoreNewsRequest,
+                                 UsageNews,
+                                 UsageRequest,
+                                 UsageLease>;
 
 } // namespace fireflytrail::wire
--- a/modules/wire/messages_generated.h
+++ b/modules/wire/messages_generated.h
@@ -80,6 +80,21 @@
 struct StoreNewsRequest;
 struct StoreNewsRequestBuilder;
 
+struct UsageWindow;
+struct UsageWindowBuilder;
+
+struct UsageLifetime;
+struct UsageLifetimeBuilder;
+
+struct UsageNews;
+struct UsageNewsBuilder;
+
+struct UsageRequest;
+struct UsageRequestBuilder;
+
+struct UsageLease;
+struct UsageLeaseBuilder;
+
 struct Envelope;
 struct EnvelopeBuilder;
 
@@ -131,11 +146,14 @@
   StoreNews = 11,
   StoreBeat = 12,
   StoreNewsRequest = 13,
+  UsageNews = 14,
+  UsageRequest = 15,
+  UsageLease = 16,
   MIN = NONE,
-  MAX = StoreNewsRequest
+  MAX = UsageLease
 };
 
-inline const Message (&EnumValuesMessage())[14] {
+inline const Message (&EnumValuesMessage())[17] {
   static const Message values[] = {
     Message::NONE,
     Message::Hello,
@@ -150,13 +168,16 @@
     Message::SlotRelease,
     Message::StoreNews,
     Message::StoreBeat,
-    Message::StoreNewsRequest
+    Message::StoreNewsRequest,
+    Message::UsageNews,
+    Message::UsageRequest,
+    Message::UsageLease
   };
   return values;
 }
 
 inline const char * const *EnumNamesMessage() {
-  static const char * const names[15] = {
+  static const char * const names[18] = {
     "NONE",
     "Hello",
     "GossipDigest",
@@ -171,13 +192,16 @@
     "StoreNews",
     "StoreBeat",
     "StoreNewsRequest",
+    "UsageNews",
+    "UsageRequest",
+    "UsageLease",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameMessage(Message e) {
-  if (flatbuffers::IsOutRange(e, Message::NONE, Message::StoreNewsRequest)) return "";
+  if (flatbuffers::IsOutRange(e, Message::NONE, Message::UsageLease)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesMessage()[index];
 }
@@ -238,6 +262,18 @@
   static const Message enum_value = Message::StoreNewsRequest;
 };
 
+template<> struct MessageTraits<fireflytrail::wire::fbs::UsageNews> {
+  static const Message enum_value = Message::UsageNews;
+};
+
+template<> struct MessageTraits<fireflytrail::wire::fbs::UsageRequest> {
+  static const Message enum_value = Message::UsageRequest;
+};
+
+template<> struct MessageTraits<fireflytrail::wire::fbs::UsageLease> {
+  static const Message enum_value = Message::UsageLease;
+};
+
 bool VerifyMessage(flatbuffers::Verifier &verifier, const void *obj, Message type);
 bool VerifyMessageVector(flatbuffers::Verifier &verifier, const flatbuffers::Vector<flatbuffers::Offset<void>> *values, const flatbuffers::Vector<Message> *types);
 
@@ -2620,6 +2656,487 @@
       since);
 }
 
+struct UsageWindow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef UsageWindowBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_WINDOW = 4,
+    VT_ORGANISATIONS = 6,
+    VT_COUNTS = 8,
+    VT_COMPLETE = 10
+  };
+  uint64_t window() const {
+    return GetField<uint64_t>(VT_WINDOW, 0);
+  }
+  const flatbuffers::Vector<uint16_t> *organisations() const {
+    return GetPointer<const flatbuffers::Vector<uint16_t> *>(VT_ORGANISATIONS);
+  }
+  const flatbuffers::Vector<uint32_t> *counts() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_COUNTS);
+  }
+  bool complete() const {
+    return GetField<uint8_t>(VT_COMPLETE, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_WINDOW, 8) &&
+           VerifyOffset(verifier, VT_ORGANISATIONS) &&
+           verifier.VerifyVector(organisations()) &&
+           VerifyOffset(verifier, VT_COUNTS) &&
+           verifier.VerifyVector(counts()) &&
+           VerifyField<uint8_t>(verifier, VT_COMPLETE, 1) &&
+           verifier.EndTable();
+  }
+};
+
+struct UsageWindowBuilder {
+  typedef UsageWindow Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_window(uint64_t window) {
+    fbb_.AddElement<uint64_t>(UsageWindow::VT_WINDOW, window, 0);
+  }
+  void add_organisations(flatbuffers::Offset<flatbuffers::Vector<uint16_t>> organisations) {
+    fbb_.AddOffset(UsageWindow::VT_ORGANISATIONS, organisations);
+  }
+  void add_counts(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> counts) {
+    fbb_.AddOffset(UsageWindow::VT_COUNTS, counts);
+  }
+  void add_complete(bool complete) {
+    fbb_.AddElement<uint8_t>(UsageWindow::VT_COMPLETE, static_cast<uint8_t>(complete), 0);
+  }
+  explicit UsageWindowBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<UsageWindow> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<UsageWindow>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<UsageWindow> CreateUsageWindow(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t window = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint16_t>> organisations = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> counts = 0,
+    bool complete = false) {
+  UsageWindowBuilder builder_(_fbb);
+  builder_.add_window(window);
+  builder_.add_counts(counts);
+  builder_.add_organisations(organisations);
+  builder_.add_complete(complete);
+  return builder_.Finish();
+}
+
+struct UsageWindow::Traits {
+  using type = UsageWindow;
+  static auto constexpr Create = CreateUsageWindow;
+};
+
+inline flatbuffers::Offset<UsageWindow> CreateUsageWindowDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t window = 0,
+    const std::vector<uint16_t> *organisations = nullptr,
+    const std::vector<uint32_t> *counts = nullptr,
+    bool complete = false) {
+  auto organisations__ = organisations ? _fbb.CreateVector<uint16_t>(*organisations) : 0;
+  auto counts__ = counts ? _fbb.CreateVector<uint32_t>(*counts) : 0;
+  return fireflytrail::wire::fbs::CreateUsageWindow(
+      _fbb,
+      window,
+      organisations__,
+      counts__,
+      complete);
+}
+
+struct UsageLifetime FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef UsageLifetimeBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_START = 4,
+    VT_HOST = 6,
+    VT_WINDOWS = 8
+  };
+  uint64_t start() const {
+    return GetField<uint64_t>(VT_START, 0);
+  }
+  uint64_t host() const {
+    return GetField<uint64_t>(VT_HOST, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<fireflytrail::wire::fbs::UsageWindow>> *windows() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<fireflytrail::wire::fbs::UsageWindow>> *>(VT_WINDOWS);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_START, 8) &&
+           VerifyField<uint64_t>(verifier, VT_HOST, 8) &&
+           VerifyOffset(verifier, VT_WINDOWS) &&
+           verifier.VerifyVector(windows()) &&
+           verifier.VerifyVectorOfTables(windows()) &&
+           verifier.EndTable();
+  }
+};
+
+struct UsageLifetimeBuilder {
+  typedef UsageLifetime Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_start(uint64_t start) {
+    fbb_.AddElement<uint64_t>(UsageLifetime::VT_START, start, 0);
+  }
+  void add_host(uint64_t host) {
+    fbb_.AddElement<uint64_t>(UsageLifetime::VT_HOST, host, 0);
+  }
+  void add_windows(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fireflytrail::wire::fbs::UsageWindow>>> windows) {
+    fbb_.AddOffset(UsageLifetime::VT_WINDOWS, windows);
+  }
+  explicit UsageLifetimeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<UsageLifetime> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<UsageLifetime>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<UsageLifetime> CreateUsageLifetime(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t start = 0,
+    uint64_t host = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fireflytrail::wire::fbs::UsageWindow>>> windows = 0) {
+  UsageLifetimeBuilder builder_(_fbb);
+  builder_.add_host(host);
+  builder_.add_start(start);
+  builder_.add_windows(windows);
+  return builder_.Finish();
+}
+
+struct UsageLifetime::Traits {
+  using type = UsageLifetime;
+  static auto constexpr Create = CreateUsageLifetime;
+};
+
+inline flatbuffers::Offset<UsageLifetime> CreateUsageLifetimeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t start = 0,
+    uint64_t host = 0,
+    const std::vector<flatbuffers::Offset<fireflytrail::wire::fbs::UsageWindow>> *windows = nullptr) {
+  auto windows__ = windows ? _fbb.CreateVector<flatbuffers::Offset<fireflytrail::wire::fbs::UsageWindow>>(*windows) : 0;
+  return fireflytrail::wire::fbs::CreateUsageLifetime(
+      _fbb,
+      start,
+      host,
+      windows__);
+}
+
+struct UsageNews FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef UsageNewsBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_NAMES = 4,
+    VT_LIFETIMES = 6,
+    VT_TIME_US = 8
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *names() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>> *>(VT_NAMES);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<fireflytrail::wire::fbs::UsageLifetime>> *lifetimes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<fireflytrail::wire::fbs::UsageLifetime>> *>(VT_LIFETIMES);
+  }
+  int64_t time_us() const {
+    return GetField<int64_t>(VT_TIME_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_NAMES) &&
+           verifier.VerifyVector(names()) &&
+           verifier.VerifyVectorOfStrings(names()) &&
+           VerifyOffset(verifier, VT_LIFETIMES) &&
+           verifier.VerifyVector(lifetimes()) &&
+           verifier.VerifyVectorOfTables(lifetimes()) &&
+           VerifyField<int64_t>(verifier, VT_TIME_US, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct UsageNewsBuilder {
+  typedef UsageNews Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_names(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> names) {
+    fbb_.AddOffset(UsageNews::VT_NAMES, names);
+  }
+  void add_lifetimes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fireflytrail::wire::fbs::UsageLifetime>>> lifetimes) {
+    fbb_.AddOffset(UsageNews::VT_LIFETIMES, lifetimes);
+  }
+  void add_time_us(int64_t time_us) {
+    fbb_.AddElement<int64_t>(UsageNews::VT_TIME_US, time_us, 0);
+  }
+  explicit UsageNewsBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<UsageNews> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<UsageNews>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<UsageNews> CreateUsageNews(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<flatbuffers::String>>> names = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<fireflytrail::wire::fbs::UsageLifetime>>> lifetimes = 0,
+    int64_t time_us = 0) {
+  UsageNewsBuilder builder_(_fbb);
+  builder_.add_time_us(time_us);
+  builder_.add_lifetimes(lifetimes);
+  builder_.add_names(names);
+  return builder_.Finish();
+}
+
+struct UsageNews::Traits {
+  using type = UsageNews;
+  static auto constexpr Create = CreateUsageNews;
+};
+
+inline flatbuffers::Offset<UsageNews> CreateUsageNewsDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<flatbuffers::String>> *names = nullptr,
+    const std::vector<flatbuffers::Offset<fireflytrail::wire::fbs::UsageLifetime>> *lifetimes = nullptr,
+    int64_t time_us = 0) {
+  auto names__ = names ? _fbb.CreateVector<flatbuffers::Offset<flatbuffers::String>>(*names) : 0;
+  auto lifetimes__ = lifetimes ? _fbb.CreateVector<flatbuffers::Offset<fireflytrail::wire::fbs::UsageLifetime>>(*lifetimes) : 0;
+  return fireflytrail::wire::fbs::CreateUsageNews(
+      _fbb,
+      names__,
+      lifetimes__,
+      time_us);
+}
+
+struct UsageRequest FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef UsageRequestBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_FIRST = 4,
+    VT_LAST = 6,
+    VT_FIXED_THROUGH = 8,
+    VT_TIME_US = 10
+  };
+  uint64_t first() const {
+    return GetField<uint64_t>(VT_FIRST, 0);
+  }
+  uint64_t last() const {
+    return GetField<uint64_t>(VT_LAST, 0);
+  }
+  uint64_t fixed_through() const {
+    return GetField<uint64_t>(VT_FIXED_THROUGH, 0);
+  }
+  int64_t time_us() const {
+    return GetField<int64_t>(VT_TIME_US, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_FIRST, 8) &&
+           VerifyField<uint64_t>(verifier, VT_LAST, 8) &&
+           VerifyField<uint64_t>(verifier, VT_FIXED_THROUGH, 8) &&
+           VerifyField<int64_t>(verifier, VT_TIME_US, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct UsageRequestBuilder {
+  typedef UsageRequest Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_first(uint64_t first) {
+    fbb_.AddElement<uint64_t>(UsageRequest::VT_FIRST, first, 0);
+  }
+  void add_last(uint64_t last) {
+    fbb_.AddElement<uint64_t>(UsageRequest::VT_LAST, last, 0);
+  }
+  void add_fixed_through(uint64_t fixed_through) {
+    fbb_.AddElement<uint64_t>(UsageRequest::VT_FIXED_THROUGH, fixed_through, 0);
+  }
+  void add_time_us(int64_t time_us) {
+    fbb_.AddElement<int64_t>(UsageRequest::VT_TIME_US, time_us, 0);
+  }
+  explicit UsageRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<UsageRequest> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<UsageRequest>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<UsageRequest> CreateUsageRequest(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t first = 0,
+    uint64_t last = 0,
+    uint64_t fixed_through = 0,
+    int64_t time_us = 0) {
+  UsageRequestBuilder builder_(_fbb);
+  builder_.add_time_us(time_us);
+  builder_.add_fixed_through(fixed_through);
+  builder_.add_last(last);
+  builder_.add_first(first);
+  return builder_.Finish();
+}
+
+struct UsageRequest::Traits {
+  using type = UsageRequest;
+  static auto constexpr Create = CreateUsageRequest;
+};
+
+struct UsageLease FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef UsageLeaseBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_HOLDER = 4,
+    VT_PROCESS = 6,
+    VT_FENCE = 8,
+    VT_SEQUENCE = 10,
+    VT_REVISION = 12,
+    VT_ERA = 14,
+    VT_RELEASED = 16,
+    VT_FIXED_THROUGH = 18
+  };
+  const flatbuffers::String *holder() const {
+    return GetPointer<const flatbuffers::String *>(VT_HOLDER);
+  }
+  uint64_t process() const {
+    return GetField<uint64_t>(VT_PROCESS, 0);
+  }
+  uint64_t fence() const {
+    return GetField<uint64_t>(VT_FENCE, 0);
+  }
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  uint64_t revision() const {
+    return GetField<uint64_t>(VT_REVISION, 0);
+  }
+  uint64_t era() const {
+    return GetField<uint64_t>(VT_ERA, 0);
+  }
+  bool released() const {
+    return GetField<uint8_t>(VT_RELEASED, 0) != 0;
+  }
+  uint64_t fixed_through() const {
+    return GetField<uint64_t>(VT_FIXED_THROUGH, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffsetRequired(verifier, VT_HOLDER) &&
+           verifier.VerifyString(holder()) &&
+           VerifyField<uint64_t>(verifier, VT_PROCESS, 8) &&
+           VerifyField<uint64_t>(verifier, VT_FENCE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<uint64_t>(verifier, VT_REVISION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
+           VerifyField<uint8_t>(verifier, VT_RELEASED, 1) &&
+           VerifyField<uint64_t>(verifier, VT_FIXED_THROUGH, 8) &&
+           verifier.EndTable();
+  }
+};
+
+struct UsageLeaseBuilder {
+  typedef UsageLease Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_holder(flatbuffers::Offset<flatbuffers::String> holder) {
+    fbb_.AddOffset(UsageLease::VT_HOLDER, holder);
+  }
+  void add_process(uint64_t process) {
+    fbb_.AddElement<uint64_t>(UsageLease::VT_PROCESS, process, 0);
+  }
+  void add_fence(uint64_t fence) {
+    fbb_.AddElement<uint64_t>(UsageLease::VT_FENCE, fence, 0);
+  }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(UsageLease::VT_SEQUENCE, sequence, 0);
+  }
+  void add_revision(uint64_t revision) {
+    fbb_.AddElement<uint64_t>(UsageLease::VT_REVISION, revision, 0);
+  }
+  void add_era(uint64_t era) {
+    fbb_.AddElement<uint64_t>(UsageLease::VT_ERA, era, 0);
+  }
+  void add_released(bool released) {
+    fbb_.AddElement<uint8_t>(UsageLease::VT_RELEASED, static_cast<uint8_t>(released), 0);
+  }
+  void add_fixed_through(uint64_t fixed_through) {
+    fbb_.AddElement<uint64_t>(UsageLease::VT_FIXED_THROUGH, fixed_through, 0);
+  }
+  explicit UsageLeaseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<UsageLease> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<UsageLease>(end);
+    fbb_.Required(o, UsageLease::VT_HOLDER);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<UsageLease> CreateUsageLease(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> holder = 0,
+    uint64_t process = 0,
+    uint64_t fence = 0,
+    uint64_t sequence = 0,
+    uint64_t revision = 0,
+    uint64_t era = 0,
+    bool released = false,
+    uint64_t fixed_through = 0) {
+  UsageLeaseBuilder builder_(_fbb);
+  builder_.add_fixed_through(fixed_through);
+  builder_.add_era(era);
+  builder_.add_revision(revision);
+  builder_.add_sequence(sequence);
+  builder_.add_fence(fence);
+  builder_.add_process(process);
+  builder_.add_holder(holder);
+  builder_.add_released(released);
+  return builder_.Finish();
+}
+
+struct UsageLease::Traits {
+  using type = UsageLease;
+  static auto constexpr Create = CreateUsageLease;
+};
+
+inline flatbuffers::Offset<UsageLease> CreateUsageLeaseDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *holder = nullptr,
+    uint64_t process = 0,
+    uint64_t fence = 0,
+    uint64_t sequence = 0,
+    uint64_t revision = 0,
+    uint64_t era = 0,
+    bool released = false,
+    uint64_t fixed_through = 0) {
+  auto holder__ = holder ? _fbb.CreateString(holder) : 0;
+  return fireflytrail::wire::fbs::CreateUsageLease(
+      _fbb,
+      holder__,
+      process,
+      fence,
+      sequence,
+      revision,
+      era,
+      released,
+      fixed_through);
+}
+
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
   typedef EnvelopeBuilder Builder;
   struct Traits;
@@ -2677,6 +3194,15 @@
   const fireflytrail::wire::fbs::StoreNewsRequest *message_as_StoreNewsRequest() const {
     return message_type() == fireflytrail::wire::fbs::Message::StoreNewsRequest ? static_cast<const fireflytrail::wire::fbs::StoreNewsRequest *>(message()) : nullptr;
   }
+  const fireflytrail::wire::fbs::UsageNews *message_as_UsageNews() const {
+    return message_type() == fireflytrail::wire::fbs::Message::UsageNews ? static_cast<const fireflytrail::wire::fbs::UsageNews *>(message()) : nullptr;
+  }
+  const fireflytrail::wire::fbs::UsageRequest *message_as_UsageRequest() const {
+    return message_type() == fireflytrail::wire::fbs::Message::UsageRequest ? static_cast<const fireflytrail::wire::fbs::UsageRequest *>(message()) : nullptr;
+  }
+  const fireflytrail::wire::fbs::UsageLease *message_as_UsageLease() const {
+    return message_type() == fireflytrail::wire::fbs::Message::UsageLease ? static_cast<const fireflytrail::wire::fbs::UsageLease *>(message()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint32_t>(verifier, VT_PROTOCOL, 4) &&
@@ -2739,6 +3265,18 @@
   return message_as_StoreNewsRequest();
 }
 
+template<> inline const fireflytrail::wire::fbs::UsageNews *Envelope::message_as<fireflytrail::wire::fbs::UsageNews>() const {
+  return message_as_UsageNews();
+}
+
+template<> inline const fireflytrail::wire::fbs::UsageRequest *Envelope::message_as<fireflytrail::wire::fbs::UsageRequest>() const {
+  return message_as_UsageRequest();
+}
+
+template<> inline const fireflytrail::wire::fbs::UsageLease *Envelope::message_as<fireflytrail::wire::fbs::UsageLease>() const {
+  return message_as_UsageLease();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -2837,6 +3375,18 @@
       auto ptr = reinterpret_cast<const fireflytrail::wire::fbs::StoreNewsRequest *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Message::UsageNews: {
+      auto ptr = reinterpret_cast<const fireflytrail::wire::fbs::UsageNews *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::UsageRequest: {
+      auto ptr = reinterpret_cast<const fireflytrail::wire::fbs::UsageRequest *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Message::UsageLease: {
+      auto ptr = reinterpret_cast<const fireflytrail::wire::fbs::UsageLease *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
--- a/modules/wire/wire.h
+++ b/modules/wire/wire.h
@@ -20,4 +20,7 @@
 #include "wire/StoreBeat.h"
 #include "wire/StoreNews.h"
 #include "wire/StoreNewsRequest.h"
+#include "wire/UsageLease.h"
+#include "wire/UsageNews.h"
+#include "wire/UsageRequest.h"
 #include "wire/WireMessage.h"
