Say which windows are done in the notice of the lease

A store that lost the object of the duty altogether left windows that were neither reported nor said missing: the follower knew only which were fixed.

--- a/modules/proxy/UsageReporter.cpp
+++ b/modules/proxy/UsageReporter.cpp
@@ -218,7 +218,8 @@
   const wire::UsageLease lease{ aNotice.holder,     aNotice.process,
                                 aNotice.fence,      aNotice.sequence,
                                 aNotice.revision,   aNotice.era,
-                                aNotice.isReleased, aNotice.fixedThrough };
+                                aNotice.isReleased, aNotice.fixedThrough,
+                                aNotice.doneThrough };
   for (const std::string& name :
        this->exchange.DutyCandidates(usage::ReportDuty::kMaxCandidates)) {
     this->peers.Send(name, lease);
@@ -294,7 +295,8 @@
                           lease->revision,
                           lease->era,
                           lease->isReleased,
-                          lease->fixedThrough });
+                          lease->fixedThrough,
+                          lease->doneThrough });
   }
 }
 
--- a/modules/usage/DutyState.h
+++ b/modules/usage/DutyState.h
@@ -40,6 +40,14 @@
 
   bool operator==(const DutyState&) const = default;
 
+  /** Returns the window up to which all are reported or given up.
+   * Thread-safe. */
+  WindowNumber DoneThrough() const
+  {
+    return this->pending.empty() ? this->fixedThrough
+                                 : this->pending.begin()->first - 1;
+  }
+
   /** Returns the state as text. Thread-safe. */
   std::string ToText() const;
 
--- a/modules/usage/ReportDuty.cpp
+++ b/modules/usage/ReportDuty.cpp
@@ -130,6 +130,8 @@
   this->greatestFence = std::max(this->greatestFence, aNotice.fence);
   this->knownFixedThrough =
     std::max(this->knownFixedThrough, aNotice.fixedThrough);
+  this->knownDoneThrough =
+    std::max(this->knownDoneThrough, aNotice.doneThrough);
   if (aNotice.process == this->settings.process) {
     return;
   }
@@ -330,7 +332,7 @@
                aState.fixedThrough,
                this->knownFixedThrough });
   WindowNumber decided =
-    this->seen->state ? aState.fixedThrough : this->knownFixedThrough;
+    this->seen->state ? aState.fixedThrough : this->knownDoneThrough;
   if (decided == 0) {
     // Nobody has held the duty as far as known.
     decided = last;
@@ -555,6 +557,8 @@
   this->nextRenewal = aSentAt + this->settings.lease / kRenewalPart;
   this->knownFixedThrough =
     std::max(this->knownFixedThrough, aState.fixedThrough);
+  this->knownDoneThrough =
+    std::max(this->knownDoneThrough, aState.DoneThrough());
   for (const auto& [window, figures] : aState.pending) {
     this->fixedHere.insert_or_assign(window, figures);
     if (this->own.pending.contains(window)) {
@@ -571,7 +575,8 @@
                          this->seen->revision,
                          this->seen->era,
                          aState.isReleased,
-                         aState.fixedThrough });
+                         aState.fixedThrough,
+                         aState.DoneThrough() });
 }
 
 //==============================================================================
--- a/modules/usage/ReportDuty.h
+++ b/modules/usage/ReportDuty.h
@@ -133,6 +133,7 @@
   std::optional<Sighting> seen;
   std::uint64_t greatestFence = 0;
   WindowNumber knownFixedThrough = 0;
+  WindowNumber knownDoneThrough = 0;
   /** Figures that this process has fixed, also those that were reported. */
   std::map<WindowNumber, Figures> fixedHere;
 
--- a/modules/usage/ReportDutyHooks.h
+++ b/modules/usage/ReportDutyHooks.h
@@ -48,6 +48,8 @@
   std::uint64_t era = 0;
   bool isReleased = false;
   WindowNumber fixedThrough = 0;
+  /** Up to this window all are reported or given up. */
+  WindowNumber doneThrough = 0;
 
   bool operator==(const LeaseNotice&) const = default;
 };
--- a/modules/wire/FrameCodecTest.cpp
+++ b/modules/wire/FrameCodecTest.cpp
@@ -102,7 +102,7 @@
                  { 8, 0, { { 4, { { "b", 2 } } }, { 5, {} } } } },
                1'700'000'000'000'123us },
     UsageRequest{ 4, 6, 3, 1'700'000'000'000'123us },
-    UsageLease{ "entry-1", 7, 1ULL << 50U, 9, 412, 2, true, 6 },
+    UsageLease{ "entry-1", 7, 1ULL << 50U, 9, 412, 2, true, 6, 5 },
   };
 }
 
--- a/modules/wire/UsageConversion.cpp
+++ b/modules/wire/UsageConversion.cpp
@@ -138,7 +138,8 @@
                                  aLease.revision,
                                  aLease.era,
                                  aLease.isReleased,
-                                 aLease.fixedThrough) };
+                                 aLease.fixedThrough,
+                                 aLease.doneThrough) };
 }
 
 FrameError
@@ -184,10 +185,11 @@
 FrameError
 Read(const fbs::UsageLease& aLease, WireMessage& aMessage)
 {
-  aMessage =
-    UsageLease{ aLease.holder()->str(), aLease.process(),      aLease.fence(),
-                aLease.sequence(),      aLease.revision(),     aLease.era(),
-                aLease.released(),      aLease.fixed_through() };
+  aMessage = UsageLease{ aLease.holder()->str(), aLease.process(),
+                         aLease.fence(),         aLease.sequence(),
+                         aLease.revision(),      aLease.era(),
+                         aLease.released(),      aLease.fixed_through(),
+                         aLease.done_through() };
   return FrameError::None;
 }
 
--- a/modules/wire/UsageLease.h
+++ b/modules/wire/UsageLease.h
@@ -20,6 +20,8 @@
   bool isReleased = false;
   /** The last window whose figures are fixed. */
   std::uint64_t fixedThrough = 0;
+  /** Up to this window all are reported or given up. */
+  std::uint64_t doneThrough = 0;
 
   bool operator==(const UsageLease&) const = default;
 };
--- a/modules/wire/messages_generated.h
+++ b/modules/wire/messages_generated.h
@@ -3006,7 +3006,8 @@
     VT_REVISION = 12,
     VT_ERA = 14,
     VT_RELEASED = 16,
-    VT_FIXED_THROUGH = 18
+    VT_FIXED_THROUGH = 18,
+    VT_DONE_THROUGH = 20
   };
   const flatbuffers::String *holder() const {
     return GetPointer<const flatbuffers::String *>(VT_HOLDER);
@@ -3032,6 +3033,9 @@
   uint64_t fixed_through() const {
     return GetField<uint64_t>(VT_FIXED_THROUGH, 0);
   }
+  uint64_t done_through() const {
+    return GetField<uint64_t>(VT_DONE_THROUGH, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_HOLDER) &&
@@ -3043,6 +3047,7 @@
            VerifyField<uint64_t>(verifier, VT_ERA, 8) &&
            VerifyField<uint8_t>(verifier, VT_RELEASED, 1) &&
            VerifyField<uint64_t>(verifier, VT_FIXED_THROUGH, 8) &&
+           VerifyField<uint64_t>(verifier, VT_DONE_THROUGH, 8) &&
            verifier.EndTable();
   }
 };
@@ -3075,6 +3080,9 @@
   void add_fixed_through(uint64_t fixed_through) {
     fbb_.AddElement<uint64_t>(UsageLease::VT_FIXED_THROUGH, fixed_through, 0);
   }
+  void add_done_through(uint64_t done_through) {
+    fbb_.AddElement<uint64_t>(UsageLease::VT_DONE_THROUGH, done_through, 0);
+  }
   explicit UsageLeaseBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3096,8 +3104,10 @@
     uint64_t revision = 0,
     uint64_t era = 0,
     bool released = false,
-    uint64_t fixed_through = 0) {
+    uint64_t fixed_through = 0,
+    uint64_t done_through = 0) {
   UsageLeaseBuilder builder_(_fbb);
+  builder_.add_done_through(done_through);
   builder_.add_fixed_through(fixed_through);
   builder_.add_era(era);
   builder_.add_revision(revision);
@@ -3123,7 +3133,8 @@
     uint64_t revision = 0,
     uint64_t era = 0,
     bool released = false,
-    uint64_t fixed_through = 0) {
+    uint64_t fixed_through = 0,
+    uint64_t done_through = 0) {
   auto holder__ = holder ? _fbb.CreateString(holder) : 0;
   return fireflytrail::wire::fbs::CreateUsageLease(
       _fbb,
@@ -3134,7 +3145,8 @@
       revision,
       era,
       released,
-      fixed_through);
+      fixed_through,
+      done_through);
 }
 
 struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
