--- a/modules/configuration/ProxySettingsTest.cpp
+++ b/modules/configuration/ProxySettingsTest.cpp
@@ -70,6 +70,27 @@
   BOOST_TEST((result.value().stopLimit == 2500ms));
 }
 
+// Guards against reports of usage where the platform asks for none, and against
+// times in the wrong unit.
+BOOST_AUTO_TEST_CASE(UsageIsReportedOnlyWithAnAddress)
+{
+  BOOST_TEST(
+    !ProxySettings::Parse(kSettings).value().usageReportAddress.has_value());
+  std::string text = kSettings;
+  text.replace(text.rfind('}'),
+               1,
+               R"(, "usage_report_address": "10.0.0.9:80", "usage_window_s": 5,
+               "usage_late_s": 10, "lease_ms": 3000,
+               "usage_calls_per_second": 50.0 })");
+  const auto result = ProxySettings::Parse(text);
+  BOOST_REQUIRE(result.has_value());
+  BOOST_TEST(result.value().usageReportAddress->port == 80);
+  BOOST_TEST((result.value().usageWindow == 5s));
+  BOOST_TEST((result.value().usageLate == 10s));
+  BOOST_TEST((result.value().lease == 3s));
+  BOOST_TEST(result.value().usageCallsPerSecond == 50);
+}
+
 // Guards against a start that is refused because the platform does not state an
 // optional value.
 BOOST_AUTO_TEST_CASE(NullTakesTheDefaultOfAnOptionalSetting)
