--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -1180,7 +1180,10 @@
           counts) },
       { "far_news_kb",
         FarKilobytes<wire::StoreNews, wire::StoreNewsRequest>(counts) },
-      { "far_beats_kb", FarKilobytes<wire::StoreBeat>(counts) } });
+      { "far_beats_kb", FarKilobytes<wire::StoreBeat>(counts) },
+      { "far_usage_kb",
+        FarKilobytes<wire::UsageNews, wire::UsageRequest, wire::UsageLease>(
+          counts) } });
 }
 
 void
--- a/modules/usage/ReportDuty.cpp
+++ b/modules/usage/ReportDuty.cpp
@@ -209,22 +209,20 @@
   if (this->isStopping || this->isCallingStore || aNow < this->nextStoreCall) {
     return;
   }
-  const std::size_t rank = this->hooks.rank();
-  if (rank >= kMaxCandidates) {
+  // A daemon that has just started knows neither the holder nor its own rank.
+  const core::BootTime waitEnd =
+    this->seen ? this->seen->observedAt + this->WaitTime(*this->seen)
+               : this->startedAt + this->settings.lease;
+  if (aNow < waitEnd) {
     return;
   }
-  const milliseconds delay =
-    this->settings.lease / kRankPart * static_cast<int>(rank);
-  if (!this->seen) {
-    if (aNow >= this->startedAt + delay) {
-      this->Read();
-    }
-    return;
-  }
-  if (aNow < this->seen->observedAt + this->WaitTime(*this->seen) + delay) {
+  const std::size_t rank = this->hooks.rank();
+  if (rank >= kMaxCandidates || aNow < waitEnd + this->settings.lease /
+                                                   kRankPart *
+                                                   static_cast<int>(rank)) {
     return;
   }
-  if (this->seen->isPartial) {
+  if (!this->seen || this->seen->isPartial) {
     this->Read();
   } else {
     this->Take(aNow);
--- a/soak/ObjectStore.cpp
+++ b/soak/ObjectStore.cpp
@@ -159,6 +159,13 @@
       co_await this->Watch(path[1],
                            ParseQueryNumber(query, "Watch"),
                            milliseconds(ParseQueryNumber(query, "WaitMs")));
+  } else if (path.size() == 2 &&
+             aRequest.method() == boost::beast::http::verb::post) {
+    response = this->Write(path[1], {}, aRequest.body());
+  } else if (path.size() == 3) {
+    response = aRequest.method() == boost::beast::http::verb::put
+                 ? this->Write(path[1], path[2], aRequest.body())
+                 : this->Get(path[1], path[2]);
   } else if (path.size() == 2) {
     response = this->List(path[1]);
   } else if (path.size() == 4 &&
@@ -231,6 +238,42 @@
   return MakeResponse(200, found->second);
 }
 
+HttpResponse
+ObjectStore::Get(const std::string& aKind, const std::string& aName)
+{
+  const ObjectsByName& objects = this->objectsByKind[aKind];
+  const auto found = objects.find(aName);
+  return found == objects.end() ? MakeResponse(404, json::object())
+                                : MakeResponse(200, found->second);
+}
+
+HttpResponse
+ObjectStore::Write(const std::string& aKind,
+                   const std::string& aName,
+                   const std::string& aBody)
+{
+  const json::value body = json::parse(aBody);
+  const json::object& metadata = body.at("Metadata").as_object();
+  const std::string name(metadata.at("Name").as_string());
+  ObjectsByName& objects = this->objectsByKind[aKind];
+  const auto found = objects.find(name);
+  if (found == objects.end() && !aName.empty()) {
+    return MakeResponse(404, json::object());
+  }
+  const bool isConflict =
+    found != objects.end() &&
+    (aName.empty() || (metadata.contains("Revision") &&
+                       metadata.at("Revision").to_number<std::uint64_t>() !=
+                         found->second.at("Metadata")
+                           .at("Revision")
+                           .to_number<std::uint64_t>()));
+  if (isConflict) {
+    return MakeResponse(409, found->second);
+  }
+  this->Put(aKind, name, body.at("Spec"));
+  return MakeResponse(200, objects.at(name));
+}
+
 HttpResponse
 ObjectStore::MakeResponse(unsigned aStatus, const json::value& aBody)
 {
--- a/soak/ObjectStore.h
+++ b/soak/ObjectStore.h
@@ -16,7 +16,7 @@
 
 /**
  * A stand-in for the platform's store: objects by kind and name with lists,
- * watches and conditional status writes. It can refuse requests, not respond,
+ * watches and conditional writes. It can refuse requests, not respond,
  * lose responses after a write took effect, and discard its change history. Use
  * it only on the context's thread.
  */
@@ -84,6 +84,13 @@
   HttpResponse PutStatus(const std::string& aKind,
                          const std::string& aName,
                          const std::string& aBody);
+  /** Responds with an object, or with 404. */
+  HttpResponse Get(const std::string& aKind, const std::string& aName);
+  /** Creates an object (`aName` is empty) or replaces its `Spec`, on the
+   * condition in the body. */
+  HttpResponse Write(const std::string& aKind,
+                     const std::string& aName,
+                     const std::string& aBody);
   /** Assigns the next revision to an object and adds the change for watches. */
   void RecordChange(const std::string& aKind,
                     boost::json::object& aObject,
--- a/soak/Soak.cpp
+++ b/soak/Soak.cpp
@@ -184,6 +184,11 @@
   , random(this->plan.seed)
   , callerRandom(this->plan.seed)
   , store(this->context)
+  , usageReports(this->context,
+                 this->plan.seed,
+                 [this](std::string aViolation) {
+                   this->history.ReportViolation(std::move(aViolation));
+                 })
   , keyRing(this->plan.seed)
 {
 }
@@ -194,6 +199,7 @@
 Soak::Run()
 {
   this->storeEndpoint = this->store.Open();
+  const tcp::endpoint usageEndpoint = this->usageReports.Open();
   this->ChangeConfiguration();
   for (unsigned index = 0; index < this->plan.servers; ++index) {
     this->servers.push_back(std::make_unique<Server>(
@@ -220,7 +226,12 @@
       .firstPeer = fmt::format("127.0.1.{}", (index + 1) % 2 + 1),
       .storePort = host->link->Port(),
       .basePort = this->plan.basePort,
-      .hosts = this->plan.daemons });
+      .hosts = this->plan.daemons,
+      .moreSettings =
+        fmt::format(R"("usage_report_address": "{}:{}", "usage_window_ms": 2000,
+  "usage_late_ms": 4000, "usage_calls_per_second": 50, "lease_ms": 1500)",
+                    usageEndpoint.address().to_string(),
+                    usageEndpoint.port()) });
     this->StartDaemon(*host);
     this->hosts.push_back(std::move(host));
   }
@@ -296,6 +307,9 @@
         fmt::format("server {} got no request after the faults", server.Id()));
     }
   }
+  if (this->usageReports.WindowCount() == 0) {
+    this->history.ReportViolation("no window of usage was reported");
+  }
   this->isOver = true;
   // The longest time that a caller may still wait for its last response.
   co_await this->Wait(3500ms);
--- a/soak/Soak.h
+++ b/soak/Soak.h
@@ -4,6 +4,7 @@
 #include "soak/KeyRing.h"
 #include "soak/ObjectStore.h"
 #include "soak/RequestHistory.h"
+#include "soak/UsageReports.h"
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/io_context.hpp>
@@ -167,6 +168,7 @@
   RequestHistory history;
   ObjectStore store;
   boost::asio::ip::tcp::endpoint storeEndpoint;
+  UsageReports usageReports;
   std::vector<std::unique_ptr<Host>> hosts;
   std::vector<std::unique_ptr<Server>> servers;
   std::vector<std::unique_ptr<Caller>> callers;
