--- a/modules/store/StoreResponse.h
+++ b/modules/store/StoreResponse.h
@@ -23,12 +23,12 @@
   unsigned status = 0;
   /** `Object-Version` header of an answer, or 0. */
   std::uint64_t version = 0;
-  /** Number in an answer that is greater each time after the store came back
-   * from an older copy; 0 if the answer names none. */
-  std::uint64_t era = 0;
   std::string body;
   /** For logs: what failed. */
   std::string detail;
+  /** Number in an answer that is greater each time after the store came back
+   * from an older copy; 0 if the answer names none. */
+  std::uint64_t era = 0;
 };
 
 } // namespace fireflytrail::store
--- a/modules/usage/ReportDuty.cpp
+++ b/modules/usage/ReportDuty.cpp
@@ -93,6 +93,7 @@
   : settings(std::move(aSettings))
   , hooks(std::move(aHooks))
   , startedAt(this->hooks.now())
+  , firstWindow(WindowAt(this->hooks.trueTime(), this->settings.window))
 {
   assert(this->settings.process != 0 && this->settings.callsPerSecond > 0);
 }
@@ -333,7 +334,7 @@
     this->seen->state ? aState.fixedThrough : this->knownDoneThrough;
   if (decided == 0) {
     // Nobody has held the duty as far as known.
-    decided = last;
+    decided = std::min(last, this->firstWindow - 1);
   }
   std::erase_if(aState.pending, [&](const auto& aEntry) {
     const bool isKnown = this->fixedHere.contains(aEntry.first);
@@ -408,7 +409,8 @@
     this->hooks.onLeaseChange(true, isResumed ? "resumed" : "taken");
     this->Confirm(aState, aSentAt);
     for (const WindowNumber window : this->own.lost) {
-      this->hooks.onMissing(window, window, "the store has lost its figures");
+      this->hooks.onMissing(
+        window, window, "the store knows no figures that may have been sent");
       this->isChanged = true;
     }
     this->own.lost.clear();
--- a/modules/usage/ReportDuty.h
+++ b/modules/usage/ReportDuty.h
@@ -130,6 +130,8 @@
   ReportDutySettings settings;
   ReportDutyHooks hooks;
   core::BootTime startedAt;
+  /** The window in which this process started. */
+  WindowNumber firstWindow;
   std::optional<Sighting> seen;
   std::uint64_t greatestFence = 0;
   WindowNumber knownFixedThrough = 0;
