--- a/modules/usage/ReportDuty.cpp
+++ b/modules/usage/ReportDuty.cpp
@@ -39,6 +39,10 @@
 // Time for which a new holder waits for counters.
 constexpr milliseconds kCollectTime = 1000ms;
 
+// Time by which the clocks of two hosts may differ, beyond the time for which
+// figures are collected.
+constexpr milliseconds kClockReserve = 1500ms;
+
 constexpr milliseconds kFirstRetryDelay = 200ms;
 constexpr unsigned kMaxDoublings = 4;
 
@@ -327,7 +331,7 @@
     std::chrono::duration_cast<core::WallTimePoint::duration>(
       this->hooks.now() - this->seen->observedAt);
   const WindowNumber last =
-    std::max({ WindowAt(observedAt, this->settings.window) - 1,
+    std::max({ WindowAt(observedAt + kClockReserve, this->settings.window) - 1,
                aState.fixedThrough,
                this->knownFixedThrough });
   WindowNumber decided =
--- a/modules/usage/ReportDutyTest.cpp
+++ b/modules/usage/ReportDutyTest.cpp
@@ -72,12 +72,15 @@
   }
 
   /** Returns the windows that have ended and were neither reported nor given
-   * up, apart from the last two. */
+   * up, apart from the last two. If the store went back behind the creation of
+   * the object, nobody may know the windows before the next creation. */
   std::size_t OpenWindows() const
   {
     const WindowNumber last = WindowAt(kEpoch + this->now, kWindow) - 3;
     std::size_t open = 0;
-    for (WindowNumber window = WindowAt(kEpoch, kWindow); window < last;
+    const milliseconds begin =
+      this->creations.size() > 1 ? this->creations.back() : 0ms;
+    for (WindowNumber window = WindowAt(kEpoch + begin, kWindow); window < last;
          ++window) {
       open +=
         !this->acknowledged.contains(window) && !this->missing.contains(window)
@@ -305,6 +308,9 @@
       conflict.status = 409;
       return conflict;
     }
+    if (!aRevision) {
+      this->creations.push_back(this->now);
+    }
     // Few other changes, so that revisions meet again after a return.
     this->store.revision += static_cast<std::uint64_t>(1 + this->Draw(2));
     this->store.objectRevision = this->store.revision;
@@ -516,6 +522,7 @@
   Copy store{ std::nullopt, 0, 5 };
   std::uint64_t era = 1;
   std::vector<std::pair<milliseconds, Copy>> copies;
+  std::vector<milliseconds> creations;
   milliseconds storeDownUntil{ 0 };
   milliseconds storeSlowUntil{ 0 };
   milliseconds platformDownUntil{ 0 };
