--- a/modules/proxy/RequestRunnerTest.cpp
+++ b/modules/proxy/RequestRunnerTest.cpp
@@ -176,7 +176,7 @@
         return this->keyError;
       },
     .onRunBegan =
-      [this](const std::string& aOrganisation) {
+      [this](const std::string& aOrganisation, core::TimePoint) {
         this->runs.push_back(aOrganisation);
       }
   };
--- a/modules/store/StoreResponse.h
+++ b/modules/store/StoreResponse.h
@@ -26,6 +26,9 @@
   std::string body;
   /** For logs: what failed. */
   std::string detail;
+  /** Number in an answer that is greater each time after the store came back
+   * from an older copy; 0 if the answer names none. */
+  std::uint64_t era = 0;
 };
 
 } // namespace fireflytrail::store
