Divide the retry budget among hosts without rounding

Cause: the part of each host was rounded down to whole free retries and up to whole first attempts for each retry, so that 131 hosts could use 0.143 instead of the allotted 0.16 retries for each request. Change: both figures may be fractions; the allotted 0.8 of the fleet's budget is unchanged.

--- a/modules/calls/RetryBudget.cpp
+++ b/modules/calls/RetryBudget.cpp
@@ -86,10 +86,10 @@
                                 std::size_t aHosts)
 {
   assert(aHosts > 0);
-  return { .firstAttemptsPerRetry = static_cast<std::uint64_t>(std::ceil(
-             1 / std::max(aRetryRatio * kAllocatedFraction, kMinRatio))),
-           .freeRetries = static_cast<std::uint64_t>(
-             aFreeRetries * kAllocatedFraction / static_cast<double>(aHosts)) };
+  return { .firstAttemptsPerRetry =
+             1 / std::max(aRetryRatio * kAllocatedFraction, kMinRatio),
+           .freeRetries =
+             aFreeRetries * kAllocatedFraction / static_cast<double>(aHosts) };
 }
 
 RetryBudget::RetryBudget(core::NowFunction aNow)
@@ -185,12 +185,12 @@
 RetryBudget::Charge(std::uint64_t aMilliRetries)
 {
   const SpinLockGuard guard(this->chargeLock);
-  const std::uint64_t freeMilliRetries =
-    this->allowance.freeRetries * kMilliPerUnit;
-  const std::uint64_t newTotal = this->ChargedMilliRetries() + aMilliRetries;
-  if (newTotal > freeMilliRetries &&
-      (newTotal - freeMilliRetries) * this->allowance.firstAttemptsPerRetry >
-        this->FirstAttempts() * kMilliPerUnit) {
+  const double beyondFree =
+    static_cast<double>(this->ChargedMilliRetries() + aMilliRetries) /
+      kMilliPerUnit -
+    this->allowance.freeRetries;
+  if (beyondFree > 0 && beyondFree * this->allowance.firstAttemptsPerRetry >
+                          static_cast<double>(this->FirstAttempts())) {
     return false;
   }
   const std::int64_t interval = this->CurrentInterval();
--- a/modules/calls/RetryBudget.h
+++ b/modules/calls/RetryBudget.h
@@ -33,9 +33,10 @@
      * between daemons. With exactly ten, the fleet therefore reached 10.25 %
      * over a common window (scenario retry-everything-fails-reset, seed 1).
      */
-    std::uint64_t firstAttemptsPerRetry = 11;
-    /** Retries of this daemon that need no first attempts. */
-    std::uint64_t freeRetries = 0;
+    double firstAttemptsPerRetry = 11;
+    /** Retries of this daemon that need no first attempts. A fraction shortens
+     * the number of first attempts needed for the next one. */
+    double freeRetries = 0;
 
     /**
      * Divides the allowance of a fleet of `aHosts` > 0 daemons and returns the
