Show late and waiting requests by route

Cause: operators saw refusals by route and kind, but not which routes wait or are late. Change: fireflytrail_calls_late_total and fireflytrail_calls_waiting, by service and route.

--- a/modules/daemon/Metrics.cpp
+++ b/modules/daemon/Metrics.cpp
@@ -31,6 +31,14 @@
              .Name("fireflytrail_call_errors_total")
              .Help("Calls that ended with an error kind")
              .Register(this->registry))
+  , late(prometheus::BuildCounter()
+           .Name("fireflytrail_calls_late_total")
+           .Help("Calls that were answered later than their latency goal")
+           .Register(this->registry))
+  , waiting(prometheus::BuildGauge()
+              .Name("fireflytrail_calls_waiting")
+              .Help("Calls that wait for a server")
+              .Register(this->registry))
 {
 }
 
@@ -99,4 +107,26 @@
   counter->Increment();
 }
 
+void
+CallMetrics::RecordLate(const std::string& aService, const std::string& aCall)
+{
+  this->metrics.late.Add({ { "service", aService }, { "call", aCall } })
+    .Increment();
+}
+
+void
+CallMetrics::AddWaiting(const std::string& aService,
+                        const std::string& aCall,
+                        int aChange)
+{
+  this->key.clear();
+  this->key.append(aService).append(1, '/').append(aCall);
+  prometheus::Gauge*& gauge = this->waiting[this->key];
+  if (gauge == nullptr) {
+    gauge = &this->metrics.waiting.Add(
+      { { "service", aService }, { "call", aCall } });
+  }
+  gauge->Increment(aChange);
+}
+
 } // namespace fireflytrail::daemon
--- a/modules/daemon/Metrics.h
+++ b/modules/daemon/Metrics.h
@@ -44,6 +44,8 @@
   prometheus::Registry registry;
   prometheus::Family<prometheus::Histogram>& durations;
   prometheus::Family<prometheus::Counter>& errors;
+  prometheus::Family<prometheus::Counter>& late;
+  prometheus::Family<prometheus::Gauge>& waiting;
 };
 
 /**
@@ -64,10 +66,19 @@
               core::ErrorKind aKind,
               std::chrono::steady_clock::duration aDuration);
 
+  /** Records that a call was answered later than its latency goal. */
+  void RecordLate(const std::string& aService, const std::string& aCall);
+
+  /** Adds to the number of calls that wait for a server. */
+  void AddWaiting(const std::string& aService,
+                  const std::string& aCall,
+                  int aChange);
+
 private:
   Metrics& metrics;
   std::unordered_map<std::string, prometheus::Histogram*> durations;
   std::unordered_map<std::string, prometheus::Counter*> errors;
+  std::unordered_map<std::string, prometheus::Gauge*> waiting;
   std::string key;
 };
 
--- a/modules/proxy/RequestRunner.cpp
+++ b/modules/proxy/RequestRunner.cpp
@@ -228,15 +228,25 @@
         isDecided = true;
       }
       isFirst = false;
-      self->slotRequest = 0;
+      self->EndWaiting();
       self->slotWaitTime += self->shared.now() - requestedAt;
       self->OnDecided(aResult, std::move(aSlot));
     });
   if (!isDecided) {
     this->slotRequest = number;
+    this->shared.callMetrics.AddWaiting(this->service, this->route.name, 1);
   }
 }
 
+std::uint64_t
+RequestRunner::EndWaiting()
+{
+  if (this->slotRequest != 0) {
+    this->shared.callMetrics.AddWaiting(this->service, this->route.name, -1);
+  }
+  return std::exchange(this->slotRequest, 0);
+}
+
 void
 RequestRunner::OnDecided(const routing::DispatchResult& aResult,
                          std::optional<Slot> aSlot)
@@ -360,7 +370,7 @@
 {
   this->timer.cancel();
   if (this->slotRequest != 0) {
-    this->shared.broker.Withdraw(std::exchange(this->slotRequest, 0));
+    this->shared.broker.Withdraw(this->EndWaiting());
   }
   this->CancelAttempt(aStep.kind == ErrorKind::DeadlineAfterSend
                         ? AttemptOutcome::TimedOut
@@ -371,6 +381,10 @@
                                   {},
                                   aStep.kind,
                                   this->shared.now() - this->begin);
+  if (aStep.kind == ErrorKind::None &&
+      this->shared.now() - this->begin > this->route.latencyGoal) {
+    this->shared.callMetrics.RecordLate(this->service, this->route.name);
+  }
   this->countHolder.reset();
   const auto deliver = std::exchange(this->onAnswer, nullptr);
   if (!aStep.deliver || !deliver) {
--- a/modules/proxy/RequestRunner.h
+++ b/modules/proxy/RequestRunner.h
@@ -74,6 +74,8 @@
   void StartDeadlineTimer();
   void RunStep(calls::CallStep aStep);
   void ChooseInstance(calls::ChooseStep aStep);
+  /** Ends the wait for a slot; returns the number of its request, or 0. */
+  std::uint64_t EndWaiting();
   void OnDecided(const routing::DispatchResult& aResult,
                  std::optional<Slot> aSlot);
   void SendAttempt(const calls::SendStep& aStep);
