--- a/modules/configuration/ProxySettings.h
+++ b/modules/configuration/ProxySettings.h
@@ -2,6 +2,7 @@
 
 #include "configuration/Checked.h"
 #include "configuration/Endpoint.h"
+#include "configuration/OrderOfService.h"
 #include "core/Log.h"
 
 #include <chrono>
@@ -77,6 +78,9 @@
   double usageCallsPerSecond = 1;
   /** Time for which a lease in the store holds after its last renewal. */
   std::chrono::milliseconds lease{ 3000 };
+  /** Order of the requests that wait for servers; `order_of_service` in the
+   * text, `newest_first` or `by_worth`. Read at the start only. */
+  OrderOfService orderOfService = OrderOfService::NewestFirst;
 
   /**
    * Parses and checks settings. On failure the result holds every error found,
