--- a/modules/gateway/ServerConnection.cpp
+++ b/modules/gateway/ServerConnection.cpp
@@ -54,8 +54,8 @@
 // Buffer that an idle connection keeps, enough for most answers.
 constexpr std::size_t kMaxIdleBufferBytes = std::size_t{ 8 } * 1024;
 
-// Bytes that the kernel keeps of an answer that is not read, because there is no
-// memory for it. By default, it keeps megabytes.
+// Bytes that the kernel keeps of an answer that is not read, because there is
+// no memory for it. By default, it keeps megabytes.
 constexpr int kReceiveBufferBytes = 64 * 1024;
 
 /** Whether a connect failed because this host lacks descriptors, ports or
--- a/modules/gateway/ServerConnectionTest.cpp
+++ b/modules/gateway/ServerConnectionTest.cpp
@@ -18,6 +18,7 @@
 #include <memory>
 #include <optional>
 #include <thread>
+#include <vector>
 
 using namespace fireflytrail;
 using namespace fireflytrail::gateway;
@@ -271,13 +272,15 @@
 // there is none; and against treating its bytes as the next answer.
 BOOST_AUTO_TEST_CASE(AmbiguousAnswersAreNotPassedOn)
 {
-  for (const std::string bytes :
-       { "HTTP/1.1 200 OK\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+  const std::string chunkedWithoutContent =
+    "HTTP/1.1 204 None\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "5\r\nhello\r\n0\r\n\r\n";
+  for (const std::string& bytes : std::vector<std::string>{
+         "HTTP/1.1 200 OK\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
          "HTTP/1.1 101 Switch\r\nUpgrade: x\r\n\r\n",
          "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 100 Continue\r\n\r\n",
          "HTTP/1.1 204 None\r\nContent-Length: 5\r\n\r\nhello",
-         "HTTP/1.1 204 None\r\nTransfer-Encoding: chunked\r\n\r\n"
-         "5\r\nhello\r\n0\r\n\r\n" }) {
+         chunkedWithoutContent }) {
     ScriptedServer server({ { bytes, true } });
     Client client(server.Endpoint());
     BOOST_TEST((client.Send().progress == AttemptProgress::AnswerInvalid),
