Look at the whole waiting queue only when it may have changed

Change: lower bounds of the latest start and of the last chance save the looks for late and hopeless requests; accepted requests are reviewed when one arrives or every 10 ms; the candidates for a server are looked for one by one.

--- a/modules/routing/ServiceDispatcher.cpp
+++ b/modules/routing/ServiceDispatcher.cpp
@@ -778,7 +778,8 @@
 bool
 ServiceDispatcher::TryDispatchTo(Target& aTarget, TimePoint aNow)
 {
-  for (const DispatchRequest* const candidate : this->Candidates(aNow)) {
+  for (std::size_t index = 0; index < kCandidates; ++index) {
+    const DispatchRequest* const candidate = this->Candidate(index, aNow);
     if (candidate == nullptr || !this->MayRun(aTarget, *candidate, false) ||
         aNow < aTarget.pausedUntil ||
         !this->HasCapacity(aTarget, *candidate, aNow) ||
@@ -799,24 +800,26 @@
   this->allTriedAt = now;
   bool isDispatched = true;
   while (!this->waiting.IsEmpty() && isDispatched) {
-    const auto candidates = this->Candidates(now);
-    isDispatched = std::ranges::any_of(
-      candidates, [this](const DispatchRequest* aCandidate) {
-        return aCandidate != nullptr && this->TryDispatch(*aCandidate);
-      });
+    isDispatched = false;
+    for (std::size_t index = 0; index < kCandidates && !isDispatched; ++index) {
+      const DispatchRequest* const candidate = this->Candidate(index, now);
+      isDispatched = candidate != nullptr && this->TryDispatch(*candidate);
+    }
   }
   this->RefuseExcess(now);
 }
 
-std::array<const DispatchRequest*, 3>
-ServiceDispatcher::Candidates(TimePoint aNow) const
+const DispatchRequest*
+ServiceDispatcher::Candidate(std::size_t aIndex, TimePoint aNow) const
 {
-  const DispatchRequest* const first = this->waiting.First(aNow);
-  const DispatchRequest* const patient = this->waiting.MostPatient(aNow);
-  const DispatchRequest* const late = this->waiting.FirstLate(aNow);
-  return { first,
-           patient == first ? nullptr : patient,
-           late == first ? nullptr : late };
+  switch (aIndex) {
+    case 0:
+      return this->waiting.First(aNow);
+    case 1:
+      return this->waiting.MostPatient(aNow);
+    default:
+      return this->waiting.FirstLate(aNow);
+  }
 }
 
 void
--- a/modules/routing/ServiceDispatcher.h
+++ b/modules/routing/ServiceDispatcher.h
@@ -11,7 +11,6 @@
 #include "routing/ServerNotice.h"
 #include "routing/WaitingQueue.h"
 
-#include <array>
 #include <chrono>
 #include <cstdint>
 #include <functional>
@@ -239,6 +238,8 @@
   }
 
 private:
+  static constexpr std::size_t kCandidates = 3;
+
   struct Target
   {
     /** See `KeyOf`. */
@@ -356,10 +357,11 @@
   /** Grants an instance to a waiting request, or refuses it if none is usable.
    * Returns false if it must wait on. */
   bool TryDispatch(const DispatchRequest& aWaiting);
-  /** Returns the waiting requests that may be served next, in order; some may
-   * be null. Slow instances are left to those that can wait longest and to
-   * those that can no longer meet their goal. */
-  std::array<const DispatchRequest*, 3> Candidates(core::TimePoint aNow) const;
+  /** Returns one of the `kCandidates` waiting requests that may be served next,
+   * in order; null if there is none. Slow instances are left to the one that
+   * can wait longest and to those that can no longer meet their goal. */
+  const DispatchRequest* Candidate(std::size_t aIndex,
+                                   core::TimePoint aNow) const;
   /** Refuses waiting requests that cannot be done by their deadline. */
   void RefuseUnservable(core::TimePoint aNow);
   /** Refuses waiting requests for which there is too little room. */
--- a/modules/routing/WaitingQueue.cpp
+++ b/modules/routing/WaitingQueue.cpp
@@ -33,6 +33,9 @@
 // more important ones need.
 constexpr double kMinSlotsPart = 0.05;
 
+// Interval at which accepted requests are reviewed while none arrives.
+constexpr milliseconds kReviewInterval = 10ms;
+
 /** Returns how long `aSlots` slots are occupied by some work. */
 nanoseconds
 TimeFor(nanoseconds aWork, double aSlots)
@@ -119,7 +122,10 @@
   // Requests of its own priority compete with it once it waits.
   nanoseconds ahead{ 0 };
   for (const Entry& entry : this->entries) {
-    if (entry.IsInTime(aNow) && entry.rank < aRequest.priority) {
+    if (entry.rank >= aRequest.priority) {
+      break;
+    }
+    if (entry.IsInTime(aNow)) {
       ahead += entry.work;
     }
   }
@@ -157,7 +163,12 @@
   this->organisations.AddWaiting(entry.organisation, entry.work);
   if (this->entries.empty()) {
     this->rate.OnWaitBegan(aNow);
+    this->firstLatestStart = TimePoint::max();
+    this->firstLastChance = TimePoint::max();
   }
+  this->firstLatestStart = std::min(this->firstLatestStart, entry.latestStart);
+  this->firstLastChance = std::min(this->firstLastChance, entry.lastChance);
+  this->hasUnreviewed = true;
   const auto place =
     this->order == OrderOfService::ByWorth
       ? std::ranges::upper_bound(this->entries, entry.Key(), {}, &Entry::Key)
@@ -250,6 +261,9 @@
 const DispatchRequest*
 WaitingQueue::FirstLate(TimePoint aNow) const
 {
+  if (aNow <= this->firstLatestStart) {
+    return nullptr;
+  }
   const Entry* best = nullptr;
   for (const Entry& entry : this->entries) {
     if (!entry.IsInTime(aNow) &&
@@ -265,9 +279,15 @@
 WaitingQueue::TakeHopeless(TimePoint aNow)
 {
   std::vector<DispatchRequest> taken;
+  if (aNow < this->firstLastChance) {
+    return taken;
+  }
+  this->firstLastChance = TimePoint::max();
   for (auto entry = this->entries.begin(); entry != this->entries.end();) {
     // A request that would end after its deadline uses a slot without benefit.
     if (aNow < entry->lastChance) {
+      this->firstLastChance =
+        std::min(this->firstLastChance, entry->lastChance);
       ++entry;
       continue;
     }
@@ -317,6 +337,11 @@
                                 TimePoint aNow,
                                 std::vector<DispatchRequest>& aTaken)
 {
+  if (!this->hasUnreviewed && aNow - this->reviewedAt < kReviewInterval) {
+    return;
+  }
+  this->hasUnreviewed = false;
+  this->reviewedAt = aNow;
   for (auto entry = this->FirstWithoutRoom(aSlots, aNow);
        entry != this->entries.end();
        entry = this->FirstWithoutRoom(aSlots, aNow)) {
@@ -384,9 +409,15 @@
                              TimePoint aNow,
                              std::vector<DispatchRequest>& aTaken)
 {
+  if (aNow <= this->firstLatestStart) {
+    return;
+  }
   nanoseconds late{ 0 };
   std::size_t count = 0;
+  this->firstLatestStart = TimePoint::max();
   for (const Entry& entry : this->entries) {
+    this->firstLatestStart =
+      std::min(this->firstLatestStart, entry.latestStart);
     if (!entry.IsInTime(aNow)) {
       late += entry.work;
       ++count;
--- a/modules/routing/WaitingQueue.h
+++ b/modules/routing/WaitingQueue.h
@@ -172,6 +172,12 @@
   /** By worth in order of their key, otherwise in order of arrival. */
   Entries entries;
   std::chrono::nanoseconds work{ 0 };
+  /** Lower bounds over the entries, which save looking at all of them. */
+  core::TimePoint firstLatestStart = core::TimePoint::max();
+  core::TimePoint firstLastChance = core::TimePoint::max();
+  /** Whether a request was added since the last review of the room. */
+  bool hasUnreviewed = false;
+  core::TimePoint reviewedAt{};
   OrganisationShares organisations;
   PriorityShares priorities;
   ServiceRate rate;
