--- a/modules/core/BootClock.h
+++ b/modules/core/BootClock.h
@@ -15,9 +15,12 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<BootClock>;
+  // The standard prescribes these two names.
+  // NOLINTNEXTLINE(readability-identifier-naming)
   static constexpr bool is_steady = true;
 
   /** Returns the time since the host started. Thread-safe. */
+  // NOLINTNEXTLINE(readability-identifier-naming)
   static time_point now() noexcept;
 };
 
--- a/modules/usage/FleetClock.cpp
+++ b/modules/usage/FleetClock.cpp
@@ -46,11 +46,9 @@
 {
   const core::BootTime time = this->now();
   const std::chrono::nanoseconds current = OffsetOf(this->wallNow(), time);
-  if (std::chrono::abs(current - this->offset) < kJump) {
-    this->offset = current;
-    this->agreedAt = time;
-  } else if (time - this->agreedAt >= kAcceptDelay &&
-             time - this->fleetHeardAt >= kAcceptDelay) {
+  const bool hasLasted = time - this->agreedAt >= kAcceptDelay &&
+                         time - this->fleetHeardAt >= kAcceptDelay;
+  if (std::chrono::abs(current - this->offset) < kJump || hasLasted) {
     this->offset = current;
     this->agreedAt = time;
   }
