Hold back a starting host's data for 150 ms at most

Change: both waits end after 150 ms, other hosts' revisions no longer lengthen them, and a daemon without routes or servers looks every 50 ms.

The two constants in StartupHold.h stay as upper bounds.

--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -53,6 +53,10 @@
 constexpr std::size_t kSessionBytes = std::size_t{ 8 } * 1024;
 constexpr std::size_t kReturnedBytes = std::size_t{ 16 } << 20U;
 
+// Interval at which a daemon without routes or servers looks whether it may put
+// in force what it has read.
+constexpr milliseconds kStartTickInterval = 50ms;
+
 // Part of the callers' connections that is used to refuse requests.
 constexpr std::size_t kRefusedPart = 8;
 constexpr milliseconds kIdleCloseInterval = 100ms;
@@ -703,7 +707,10 @@
   this->UpdateSocketBuffers();
   this->watcher->SetActive(this->relay->ShouldWatch());
   this->relay->Tick();
-  this->heartbeatTimer.expires_after(StoreRelay::kHeartbeatInterval);
+  const bool isStarting = !this->storeView.Routes() ||
+                          this->storeView.Directory().InstanceCount() == 0;
+  this->heartbeatTimer.expires_after(
+    isStarting ? kStartTickInterval : StoreRelay::kHeartbeatInterval);
   this->heartbeatTimer.async_wait([this](boost::system::error_code aError) {
     if (!aError) {
       this->OnHeartbeatTimer();
--- a/modules/proxy/StartupHold.cpp
+++ b/modules/proxy/StartupHold.cpp
@@ -6,6 +6,15 @@
 
 namespace fireflytrail::proxy {
 
+namespace {
+
+// Bound of both waits. Hosts that have lost power together have lists of
+// different age and cannot tell whether the newest is current; each moment in
+// which they wait for each other is lost to their callers.
+constexpr std::chrono::milliseconds kLongestWait{ 150 };
+
+} // namespace
+
 StartupHold::StartupHold(core::NowFunction aNow,
                          const std::vector<std::string>& aKinds)
   : now(std::move(aNow))
@@ -105,13 +114,12 @@
   if (!this->IsHeld(aKind)) {
     return false;
   }
-  const bool isBehind =
-    kind.highestRevision > aKnown.revision || (kind.isStated && !isCurrent);
+  const bool isBehind = kind.isStated && !isCurrent;
   const auto waited = this->now() - this->startedAt;
+  const auto longest =
+    std::min(isBehind ? kBehindWait : kUnansweredWait, kLongestWait);
   kind.isReleased =
-    kind.isConfirmed ||
-    (!isBehind && (this->hasNoWatchers || waited >= kUnansweredWait)) ||
-    waited >= kBehindWait;
+    kind.isConfirmed || (!isBehind && this->hasNoWatchers) || waited >= longest;
   return kind.isReleased;
 }
 
