Review: eight requesters in case 9

Cause: beside other work, two of four requests met the end of their own instance's time first.

Change: eight requesters instead of four; the check is the same.

--- a/review/9/Case.cpp
+++ b/review/9/Case.cpp
@@ -19,7 +19,7 @@
 
 namespace {
 
-constexpr int kCallers = 4;
+constexpr int kCallers = 8;
 // The last answers before the SIGTERM allow 4 s ("Keep-Alive: timeout=4").
 constexpr auto kPause = 3800ms;
 // Requests sent no later than this after the SIGTERM may be excused.
