--- a/soak/ObjectStore.cpp
+++ b/soak/ObjectStore.cpp
@@ -5,8 +5,10 @@
 #include <boost/json/array.hpp>
 #include <boost/json/parse.hpp>
 #include <boost/json/serialize.hpp>
+#include <boost/url/pct_string_view.hpp>
 
 #include <algorithm>
+#include <charconv>
 #include <chrono>
 #include <string_view>
 #include <utility>
@@ -27,29 +29,59 @@
 // Interval at which a waiting watch checks for changes.
 constexpr auto kPollInterval = 5ms;
 
-/** Returns the value of a numeric query parameter, 0 if it is missing. */
-std::uint64_t
-ParseQueryNumber(std::string_view aQuery, std::string_view aName)
+/** Decodes a part of a target as servers do; nothing if an escape is malformed.
+ * In a query, a plus sign stands for a blank. */
+std::optional<std::string>
+Decode(std::string_view aText, bool aIsQuery)
+{
+  const auto view = boost::urls::make_pct_string_view(aText);
+  if (!view) {
+    return std::nullopt;
+  }
+  boost::urls::encoding_opts options;
+  options.space_as_plus = aIsQuery;
+  return view->decode(options);
+}
+
+/** Returns the encoded value of a query parameter; nothing if it is missing. */
+std::optional<std::string_view>
+FindParameter(std::string_view aQuery, std::string_view aName)
 {
   while (!aQuery.empty()) {
     const std::string_view part = aQuery.substr(0, aQuery.find('&'));
     if (part.starts_with(aName) && part.substr(aName.size()).starts_with('=')) {
-      return std::stoull(std::string(part.substr(aName.size() + 1)));
+      return part.substr(aName.size() + 1);
     }
     aQuery.remove_prefix(std::min(part.size() + 1, aQuery.size()));
   }
-  return 0;
+  return std::nullopt;
 }
 
-/** Returns the segments of a path that starts with a slash. */
-std::vector<std::string>
+/** Returns the value of a numeric query parameter, 0 if it is missing or not a
+ * number. */
+std::uint64_t
+ParseQueryNumber(std::string_view aQuery, std::string_view aName)
+{
+  const std::string_view text = FindParameter(aQuery, aName).value_or("");
+  std::uint64_t number = 0;
+  std::from_chars(text.data(), text.data() + text.size(), number);
+  return number;
+}
+
+/** Returns the decoded segments of a path that starts with a slash; nothing if
+ * one cannot be decoded. */
+std::optional<std::vector<std::string>>
 SplitPath(std::string_view aPath)
 {
   std::vector<std::string> parts;
   while (!aPath.empty()) {
     aPath.remove_prefix(1);
     const std::string_view part = aPath.substr(0, aPath.find('/'));
-    parts.emplace_back(part);
+    auto decoded = Decode(part, false);
+    if (!decoded) {
+      return std::nullopt;
+    }
+    parts.push_back(std::move(*decoded));
     aPath.remove_prefix(part.size());
   }
   return parts;
@@ -148,13 +180,18 @@
     co_return MakeResponse(503, json::object());
   }
   const bool isResponseLost = this->mode == Mode::LosingAnswers;
-  const std::string_view target(aRequest.target().data(),
-                                aRequest.target().size());
+  std::string_view target(aRequest.target().data(), aRequest.target().size());
+  // A fragment is not part of what a server looks at.
+  target = target.substr(0, target.find('#'));
   const std::size_t end = std::min(target.find('?'), target.size());
-  const std::vector<std::string> path = SplitPath(target.substr(0, end));
+  const auto decodedPath = SplitPath(target.substr(0, end));
+  if (!decodedPath) {
+    co_return MakeResponse(400, json::object());
+  }
+  const std::vector<std::string>& path = *decodedPath;
   const std::string query(target.substr(std::min(end + 1, target.size())));
   std::optional<HttpResponse> response;
-  if (path.size() == 2 && query.starts_with("Watch=")) {
+  if (path.size() == 2 && FindParameter(query, "Watch")) {
     response =
       co_await this->Watch(path[1],
                            ParseQueryNumber(query, "Watch"),
@@ -167,7 +204,7 @@
                  ? this->Write(path[1], path[2], aRequest.body())
                  : this->Get(path[1], path[2]);
   } else if (path.size() == 2) {
-    response = this->List(path[1]);
+    response = this->List(path[1], FindParameter(query, "after"));
   } else if (path.size() == 4 &&
              aRequest.method() == boost::beast::http::verb::put) {
     response = this->PutStatus(path[1], path[2], aRequest.body());
@@ -204,15 +241,31 @@
 }
 
 HttpResponse
-ObjectStore::List(const std::string& aKind)
+ObjectStore::List(const std::string& aKind,
+                  std::optional<std::string_view> aAfter)
 {
+  ++this->listCount;
+  const ObjectsByName& objects = this->objectsByKind[aKind];
+  auto next = objects.begin();
+  if (aAfter) {
+    const auto name = Decode(*aAfter, true);
+    const bool isKnown = name && objects.contains(*name);
+    if (!isKnown &&
+        (this->unknownCursor == UnknownCursor::Refused ||
+         (!name && this->unknownCursor != UnknownCursor::Ignored))) {
+      return MakeResponse(400, json::object());
+    }
+    if (isKnown || this->unknownCursor == UnknownCursor::Accepted) {
+      next = objects.upper_bound(*name);
+    }
+  }
   json::array items;
-  for (const auto& [name, object] : this->objectsByKind[aKind]) {
-    items.push_back(object);
+  for (; next != objects.end() && items.size() < this->pageSize; ++next) {
+    items.push_back(next->second);
   }
   return MakeResponse(200,
                       json::object{ { "items", std::move(items) },
-                                    { "More", false },
+                                    { "More", next != objects.end() },
                                     { "AsOf", this->revision } });
 }
 
--- a/soak/ObjectStore.h
+++ b/soak/ObjectStore.h
@@ -10,7 +10,9 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
+#include <string_view>
 
 namespace fireflytrail::soak {
 
@@ -34,6 +36,18 @@
     LosingAnswers,
   };
 
+  /** What a list does with an `after` that is not the name of an object of the
+   * kind, or that cannot be decoded. */
+  enum class UnknownCursor : std::uint8_t
+  {
+    /** Continues after the place that the name would have. */
+    Accepted,
+    /** Responds with 400. */
+    Refused,
+    /** Starts from the first object, as without `after`. */
+    Ignored,
+  };
+
   explicit ObjectStore(boost::asio::io_context& aContext);
 
   /** Starts to listen on a loopback port; returns the endpoint. */
@@ -50,6 +64,14 @@
    * one get 410. */
   void ForgetHistory() { this->oldestRevision = this->revision; }
 
+  /** Sets the maximum number of objects in one page of a list, at least 1. */
+  void SetPageSize(std::size_t aSize) { this->pageSize = aSize; }
+
+  void SetUnknownCursor(UnknownCursor aRule) { this->unknownCursor = aRule; }
+
+  /** Returns the number of requests for pages of lists so far. */
+  std::size_t ListCount() const { return this->listCount; }
+
   /** Creates an object, or replaces the `Spec` of an existing one. */
   void Put(const std::string& aKind,
            const std::string& aName,
@@ -63,6 +85,8 @@
   std::string StateOf(const std::string& aKind, const std::string& aName) const;
 
 private:
+  static constexpr std::size_t kDefaultPageSize = 500;
+
   struct Change
   {
     std::uint64_t revision = 0;
@@ -78,7 +102,10 @@
   boost::asio::awaitable<HttpResponse> Watch(std::string aKind,
                                              std::uint64_t aRevision,
                                              std::chrono::milliseconds aWait);
-  HttpResponse List(const std::string& aKind);
+  /** Responds with the page of objects after `aAfter`, the encoded text of the
+   * query. */
+  HttpResponse List(const std::string& aKind,
+                    std::optional<std::string_view> aAfter);
   /** Replaces the status if `aBody` has the current revision of the object;
    * responds with 409 if not, and with 404 if there is no such object. */
   HttpResponse PutStatus(const std::string& aKind,
@@ -101,6 +128,9 @@
   boost::asio::io_context& context;
   std::shared_ptr<HttpService> service;
   Mode mode = Mode::Normal;
+  UnknownCursor unknownCursor = UnknownCursor::Accepted;
+  std::size_t pageSize = kDefaultPageSize;
+  std::size_t listCount = 0;
   std::uint64_t revision = 1;
   /** Watches from an earlier revision get 410. */
   std::uint64_t oldestRevision = 0;
