End a list whose next pages bring nothing new

What callers saw: with a store that begins a list again instead of continuing it, no request was served while it did so, and each daemon read the same page without end.

Cause: ObjectWatcher requested the next page as long as the answer announced one, and kept every object of every page. A page that repeats, or is empty, kept it reading, with ever more memory, and the kind never came into force. Nothing in the log told of it.

Change: ObjectListing collects the pages, each object once. A page without a new object is requested again from an earlier name, at most eight times in succession; then the list is partial. A partial list is put in force with what it has, removes nothing that another daemon has read, is logged as list_incomplete with the name after which the store did not continue, and is read again after 10 s.

Why it works: each request either brings a new name or uses up one of eight attempts, so that reading ends after at most nine requests for each object. An endless supply of ever new names is not bounded by this.

--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -294,6 +294,19 @@
              std::vector<store::ObjectRecord> aObjects) {
         this->relay->OnListed(aKind, aRevision, std::move(aObjects));
       },
+    .onPartialList =
+      [this](const std::string& aKind,
+             std::uint64_t aRevision,
+             std::vector<store::ObjectRecord> aObjects,
+             const std::string& aAfter) {
+        this->log.Write(
+          LogLevel::Warning,
+          "list_incomplete",
+          { { "kind", aKind },
+            { "after", aAfter },
+            { "objects", static_cast<std::int64_t>(aObjects.size()) } });
+        this->relay->OnPartlyListed(aKind, aRevision, std::move(aObjects));
+      },
     .onChanges =
       [this](const std::string& aKind,
              std::vector<store::ObjectRecord> aObjects) {
--- a/modules/proxy/StoreRelay.cpp
+++ b/modules/proxy/StoreRelay.cpp
@@ -112,13 +112,34 @@
                      std::vector<ObjectRecord> aObjects)
 {
   const std::uint64_t base = this->replica.CompleteRevision(aKind);
-  const auto changed =
-    this->replica.ReplaceAll(aKind, aRevision, std::move(aObjects));
-  if (base != 0) {
-    this->Push(aKind, base, changed);
+  this->OnListApplied(
+    aKind,
+    base,
+    this->replica.ReplaceAll(aKind, aRevision, std::move(aObjects)));
+}
+
+void
+StoreRelay::OnPartlyListed(const std::string& aKind,
+                           std::uint64_t aRevision,
+                           std::vector<ObjectRecord> aObjects)
+{
+  const std::uint64_t base = this->replica.CompleteRevision(aKind);
+  this->OnListApplied(
+    aKind,
+    base,
+    this->replica.AddListed(aKind, aRevision, std::move(aObjects)));
+}
+
+void
+StoreRelay::OnListApplied(const std::string& aKind,
+                          std::uint64_t aBase,
+                          const std::vector<ObjectRecord>& aChanged)
+{
+  if (aBase != 0) {
+    this->Push(aKind, aBase, aChanged);
   }
-  this->KeepContents(changed);
-  this->Deliver(aKind, changed);
+  this->KeepContents(aChanged);
+  this->Deliver(aKind, aChanged);
 }
 
 void
--- a/modules/proxy/StoreRelay.h
+++ b/modules/proxy/StoreRelay.h
@@ -174,6 +174,12 @@
                 std::uint64_t aRevision,
                 std::vector<store::ObjectRecord> aObjects);
 
+  /** Applies a list that lacks some objects of its kind. Objects that another
+   * daemon has read stay known. */
+  void OnPartlyListed(const std::string& aKind,
+                      std::uint64_t aRevision,
+                      std::vector<store::ObjectRecord> aObjects);
+
   /** Applies changes that this daemon has received from a watch. */
   void OnWatched(const std::string& aKind,
                  std::vector<store::ObjectRecord> aObjects);
@@ -283,6 +289,11 @@
   /** Records that a daemon reached the store at a time. */
   void NoteContact(core::TimePoint aTime);
   bool IsKnownKind(const std::string& aKind) const;
+  /** Passes on the changes by this daemon's list of a kind that was complete up
+   * to `aBase`. */
+  void OnListApplied(const std::string& aKind,
+                     std::uint64_t aBase,
+                     const std::vector<store::ObjectRecord>& aChanged);
   void Push(const std::string& aKind,
             std::uint64_t aBase,
             const std::vector<store::ObjectRecord>& aChanged);
--- a/modules/store/ObjectReplica.cpp
+++ b/modules/store/ObjectReplica.cpp
@@ -21,18 +21,12 @@
                           std::vector<ObjectRecord> aObjects)
 {
   KindState& kind = this->kinds[std::string(aKind)];
-  std::vector<ObjectRecord> changed;
   std::set<std::string, std::less<>> listed;
-  const bool isStale = aRevision < kind.completeRevision;
-  for (ObjectRecord& object : aObjects) {
+  for (const ObjectRecord& object : aObjects) {
     listed.insert(object.name);
-    if (isStale && IsKnownToBeGone(kind, object)) {
-      continue;
-    }
-    if (ApplyIfNewer(kind, object)) {
-      changed.push_back(std::move(object));
-    }
   }
+  std::vector<ObjectRecord> changed =
+    ApplyListed(kind, aRevision, std::move(aObjects));
   for (const auto& [name, known] : kind.objects) {
     if (known.isDeleted || listed.contains(name) ||
         known.revision > aRevision) {
@@ -50,15 +44,53 @@
       ApplyIfNewer(kind, object);
     }
   }
-  kind.isListed = true;
+  SetListed(kind, aRevision);
+  return changed;
+}
+
+std::vector<ObjectRecord>
+ObjectReplica::AddListed(std::string_view aKind,
+                         std::uint64_t aRevision,
+                         std::vector<ObjectRecord> aObjects)
+{
+  KindState& kind = this->kinds[std::string(aKind)];
+  std::vector<ObjectRecord> changed =
+    ApplyListed(kind, aRevision, std::move(aObjects));
+  if (!kind.isListed) {
+    SetListed(kind, aRevision);
+  }
+  return changed;
+}
+
+std::vector<ObjectRecord>
+ObjectReplica::ApplyListed(KindState& aKind,
+                           std::uint64_t aRevision,
+                           std::vector<ObjectRecord> aObjects)
+{
+  std::vector<ObjectRecord> changed;
+  const bool isStale = aRevision < aKind.completeRevision;
+  for (ObjectRecord& object : aObjects) {
+    if (isStale && IsKnownToBeGone(aKind, object)) {
+      continue;
+    }
+    if (ApplyIfNewer(aKind, object)) {
+      changed.push_back(std::move(object));
+    }
+  }
+  return changed;
+}
+
+void
+ObjectReplica::SetListed(KindState& aKind, std::uint64_t aRevision)
+{
+  aKind.isListed = true;
   // Objects newer than the list came from other daemons. They do not show that
   // all changes between the list and them are known.
-  for (const auto& [name, known] : kind.objects) {
+  for (const auto& [name, known] : aKind.objects) {
     if (known.revision <= aRevision) {
-      kind.completeRevision = std::max(kind.completeRevision, known.revision);
+      aKind.completeRevision = std::max(aKind.completeRevision, known.revision);
     }
   }
-  return changed;
 }
 
 std::vector<ObjectRecord>
--- a/modules/store/ObjectReplica.h
+++ b/modules/store/ObjectReplica.h
@@ -30,6 +30,15 @@
                                        std::uint64_t aRevision,
                                        std::vector<ObjectRecord> aObjects);
 
+  /**
+   * Applies a list of the objects of a kind at a revision that lacks some of
+   * them. Returns those that were new or newer. If the kind was not listed, it
+   * then is, with what is known; other objects stay as they are.
+   */
+  std::vector<ObjectRecord> AddListed(std::string_view aKind,
+                                      std::uint64_t aRevision,
+                                      std::vector<ObjectRecord> aObjects);
+
   /**
    * Applies all changes of a kind after the revision `aBase`. Returns those
    * that were new or newer. They are applied even if changes before `aBase` are
@@ -90,6 +99,13 @@
   static bool IsKnownToBeGone(const KindState& aKind,
                               const ObjectRecord& aObject);
   static bool ApplyIfNewer(KindState& aKind, const ObjectRecord& aObject);
+  /** Applies the objects of a list; returns those that were new or newer. */
+  static std::vector<ObjectRecord> ApplyListed(
+    KindState& aKind,
+    std::uint64_t aRevision,
+    std::vector<ObjectRecord> aObjects);
+  /** Marks a kind as listed at a revision. */
+  static void SetListed(KindState& aKind, std::uint64_t aRevision);
   /** Returns the part of an object in the digest of its kind. */
   static std::uint64_t DigestOf(const ObjectRecord& aObject);
 
--- a/modules/store/ObjectReplicaTest.cpp
+++ b/modules/store/ObjectReplicaTest.cpp
@@ -108,3 +108,25 @@
   BOOST_TEST(replica.Objects("k").size() == 1U);
   BOOST_TEST(replica.Apply("k", 20, { Object("a", 21) }).size() == 1U);
 }
+
+// Guards against a list without some of the objects that removes those that
+// another daemon has read.
+BOOST_AUTO_TEST_CASE(PartialListRemovesNothing)
+{
+  ObjectReplica replica;
+  replica.ReplaceAll("k", 20, { Object("a", 5), Object("b", 15) });
+  const auto changed =
+    replica.AddListed("k", 30, { Object("b", 15), Object("c", 25) });
+  BOOST_REQUIRE(changed.size() == 1U);
+  BOOST_TEST(changed.front().name == "c");
+  BOOST_TEST(replica.Objects("k").size() == 3U);
+  // A change between the two lists may be missing.
+  BOOST_TEST(replica.CompleteRevision("k") == 15U);
+
+  ObjectReplica unlisted;
+  unlisted.Apply("k", 9, { Object("d", 10) });
+  unlisted.AddListed("k", 30, { Object("b", 15) });
+  BOOST_TEST(unlisted.IsListed("k"));
+  BOOST_TEST(unlisted.Objects("k").size() == 2U);
+  BOOST_TEST(unlisted.CompleteRevision("k") == 15U);
+}
--- a/modules/store/ObjectWatcher.cpp
+++ b/modules/store/ObjectWatcher.cpp
@@ -47,6 +47,10 @@
 constexpr milliseconds kFirstRetryDelay = 150ms;
 constexpr milliseconds kMaxRetryDelay = 1000ms;
 
+// Time after which a kind whose list was partial is listed again. The store may
+// return the other pages by then, since the object that hindered it is gone.
+constexpr milliseconds kPartialListInterval = 10'000ms;
+
 constexpr unsigned kStatusOk = 200;
 constexpr unsigned kStatusGone = 410;
 
@@ -63,7 +67,7 @@
   assert(this->hooks.now && this->hooks.random && this->hooks.send);
   assert(this->hooks.after && this->hooks.onList && this->hooks.onChanges);
   assert(this->hooks.onAvailabilityChange && this->hooks.onRequestEnded);
-  assert(this->hooks.onConfirmed);
+  assert(this->hooks.onConfirmed && this->hooks.onPartialList);
   for (const WatchedKind& kind : this->kinds) {
     Progress& state = this->progress[kind.name];
     state.wait = kind.wait;
@@ -129,13 +133,21 @@
 ObjectWatcher::List(const std::string& aKind)
 {
   const Progress& state = this->progress.at(aKind);
-  this->Send(
-    aKind,
-    this->dialect.listTarget(aKind, state.after, !state.requiresFreshList),
-    kListTimeout,
-    [this, aKind](const StoreResponse& aResponse) {
-      this->OnListResponse(aKind, aResponse);
-    });
+  this->Send(aKind,
+             this->dialect.listTarget(
+               aKind, state.listing.Cursor(), !state.requiresFreshList),
+             kListTimeout,
+             [this, aKind](const StoreResponse& aResponse) {
+               this->OnListResponse(aKind, aResponse);
+             });
+}
+
+void
+ObjectWatcher::RestartList(Progress& aProgress)
+{
+  aProgress.revision = 0;
+  aProgress.listing = {};
+  aProgress.requiresFreshList = true;
 }
 
 void
@@ -206,27 +218,36 @@
     this->MarkUnavailable(page.error().detail);
     return;
   }
-  Progress& state = this->progress.at(aKind);
-  for (ObjectRecord& object : page.value().objects) {
-    state.after = object.name;
-    state.listedObjects.push_back(std::move(object));
-  }
-  // Pages may be read at different revisions, and a change between them may be
-  // in neither. The kind is complete only up to the lowest of the revisions.
-  state.listRevision = state.listRevision == 0
-                         ? page.value().revision
-                         : std::min(state.listRevision, page.value().revision);
-  if (page.value().hasMore && !state.after.empty()) {
-    this->MarkAvailable();
-    this->RequestNext(aKind);
-    return;
+  switch (this->progress.at(aKind).listing.Add(std::move(page).value())) {
+    case ObjectListing::Progress::Continues:
+      this->MarkAvailable();
+      this->RequestNext(aKind);
+      break;
+    case ObjectListing::Progress::Complete:
+      this->EndList(aKind, true);
+      break;
+    case ObjectListing::Progress::Incomplete:
+      this->EndList(aKind, false);
+      break;
   }
-  state.after.clear();
-  state.revision = std::exchange(state.listRevision, 0);
+}
+
+void
+ObjectWatcher::EndList(const std::string& aKind, bool aIsComplete)
+{
+  Progress& state = this->progress.at(aKind);
+  ObjectListing listing = std::exchange(state.listing, {});
+  state.revision = listing.Revision();
   state.isUnconfirmed = !std::exchange(state.requiresFreshList, false);
   this->failures = 0;
-  this->hooks.onList(
-    aKind, state.revision, std::exchange(state.listedObjects, {}));
+  if (aIsComplete) {
+    state.relistAt.reset();
+    this->hooks.onList(aKind, state.revision, listing.TakeObjects());
+  } else {
+    state.relistAt = this->hooks.now() + kPartialListInterval;
+    this->hooks.onPartialList(
+      aKind, state.revision, listing.TakeObjects(), listing.StuckAfter());
+  }
   if (!state.isUnconfirmed) {
     this->hooks.onConfirmed(aKind);
   }
@@ -240,11 +261,7 @@
 {
   Progress& state = this->progress.at(aKind);
   if (aResponse.status == kStatusGone) {
-    state.revision = 0;
-    state.after.clear();
-    state.listedObjects.clear();
-    state.listRevision = 0;
-    state.requiresFreshList = true;
+    RestartList(state);
     this->MarkAvailable();
     this->RequestNext(aKind);
     return;
@@ -257,6 +274,9 @@
   state.revision = std::max(state.revision, page.value().revision);
   state.isUnconfirmed = false;
   const bool hasChanges = !page.value().objects.empty();
+  if (state.relistAt && this->hooks.now() >= *state.relistAt) {
+    RestartList(state);
+  }
   this->failures = 0;
   // `onAvailabilityChange` is called before `onChanges`, because the receiver
   // of the changes may need to know that the store was unavailable.
--- a/modules/store/ObjectWatcher.h
+++ b/modules/store/ObjectWatcher.h
@@ -2,6 +2,7 @@
 
 #include "core/Hooks.h"
 #include "store/ObjectDialect.h"
+#include "store/ObjectListing.h"
 #include "store/StoreRequest.h"
 #include "store/StoreResponse.h"
 
@@ -43,6 +44,14 @@
   std::function<
     void(const std::string& aKind, std::uint64_t, std::vector<ObjectRecord>)>
     onList;
+  /** Receives the objects of a kind at a revision, as far as the store returns
+   * them: it announces further pages, but none with a new object. `aAfter` is
+   * the name after which it first did not continue. */
+  std::function<void(const std::string& aKind,
+                     std::uint64_t,
+                     std::vector<ObjectRecord>,
+                     const std::string& aAfter)>
+    onPartialList;
   /** Receives the changed objects of a kind; none if a watch ended without a
    * change. */
   std::function<void(const std::string& aKind, std::vector<ObjectRecord>)>
@@ -68,7 +77,8 @@
  * store is unavailable, only pings are sent, since refused requests are charged
  * too. Afterwards each kind is watched from its last known revision. If the
  * store no longer has the changes since that revision, the kind is listed
- * again.
+ * again. A list of which the store does not return all pages is reported as
+ * partial, and read again some seconds later.
  *
  * Performs no I/O. Not thread-safe.
  */
@@ -117,12 +127,10 @@
   /** How far one kind has been read. */
   struct Progress
   {
-    /** Objects of the pages of an unfinished list. */
-    std::vector<ObjectRecord> listedObjects;
-    /** Name of the last object of these; the next page starts after it. */
-    std::string after;
-    /** Lowest revision of the pages of an unfinished list. */
-    std::uint64_t listRevision = 0;
+    /** The pages of an unfinished list. */
+    ObjectListing listing;
+    /** When the kind is listed again, if its last list was partial. */
+    std::optional<core::TimePoint> relistAt;
     /** Whether the next list must not be stale: a stale one may be older than
      * the changes that the store still has. */
     bool requiresFreshList = false;
@@ -144,8 +152,13 @@
    * flight, the store is unavailable or neither is needed. */
   void RequestNext(const std::string& aKind);
   void List(const std::string& aKind);
+  /** Discards what is known of a kind's revision, so that it is listed from its
+   * first page. */
+  static void RestartList(Progress& aProgress);
   void Watch(const std::string& aKind);
   void OnListResponse(const std::string& aKind, const StoreResponse& aResponse);
+  /** Reports the objects of an ended list, and watches from its revision. */
+  void EndList(const std::string& aKind, bool aIsComplete);
   void OnWatchResponse(const std::string& aKind,
                        const StoreResponse& aResponse);
   void Send(const std::string& aKind,
--- a/modules/store/ObjectWatcherTest.cpp
+++ b/modules/store/ObjectWatcherTest.cpp
@@ -73,6 +73,14 @@
           this->events.push_back(
             fmt::format("list {} {}", aKind, aObjects.size()));
         },
+      .onPartialList =
+        [this](const std::string& aKind,
+               std::uint64_t,
+               std::vector<ObjectRecord> aObjects,
+               const std::string& aAfter) {
+          this->events.push_back(
+            fmt::format("part {} {} {}", aKind, aObjects.size(), aAfter));
+        },
       .onChanges =
         [this](const std::string& aKind, std::vector<ObjectRecord> aObjects) {
           this->events.push_back(
@@ -370,3 +378,32 @@
     return aCall.request.target == "list k ";
   }));
 }
+
+// Guards against a store that begins the list again for each page: requests
+// never ended, the objects that were read were never used, and the rest was
+// not looked for when the store returned it.
+BOOST_FIXTURE_TEST_CASE(PartialListIsUsedAndReadAgainLater, Fixture)
+{
+  this->watcher.Start();
+  BOOST_TEST(this->Answer(200, "10 1 a b") == "list k ");
+  this->Answer(200, "11 0");
+  this->calls.pop_back();
+  std::size_t requests = 0;
+  while (this->calls.front().request.target.starts_with("list k ") &&
+         requests < 100) {
+    this->Answer(200, "10 1 a b");
+    ++requests;
+  }
+  BOOST_TEST(requests <= 10U);
+  BOOST_TEST(this->events ==
+               std::vector<std::string>({ "list l 0", "part k 2 b" }),
+             boost::test_tools::per_element());
+  BOOST_TEST(!this->watcher.IsStoreUnavailable());
+  // The kind is watched like one whose list is complete.
+  BOOST_TEST(this->Answer(200, "12 0") == "watch k 10 50");
+  this->time += 10s;
+  BOOST_TEST(this->Answer(200, "13 0") == "watch k 12 1500");
+  BOOST_TEST(this->Answer(200, "14 0 a b c") == "new list k ");
+  BOOST_TEST(this->events.back() == "list k 3");
+  BOOST_TEST(this->calls.back().request.target == "watch k 14 1500");
+}
--- a/soak/ObjectStore.cpp
+++ b/soak/ObjectStore.cpp
@@ -247,7 +247,7 @@
   ++this->listCount;
   const ObjectsByName& objects = this->objectsByKind[aKind];
   auto next = objects.begin();
-  if (aAfter) {
+  if (aAfter && this->unknownCursor != UnknownCursor::AllIgnored) {
     const auto name = Decode(*aAfter, true);
     const bool isKnown = name && objects.contains(*name);
     if (!isKnown &&
--- a/soak/ObjectStore.h
+++ b/soak/ObjectStore.h
@@ -37,7 +37,7 @@
   };
 
   /** What a list does with an `after` that is not the name of an object of the
-   * kind, or that cannot be decoded. */
+   * kind, or that cannot be decoded; `AllIgnored` stands for a faulty store. */
   enum class UnknownCursor : std::uint8_t
   {
     /** Continues after the place that the name would have. */
@@ -46,6 +46,8 @@
     Refused,
     /** Starts from the first object, as without `after`. */
     Ignored,
+    /** Starts from the first object, also if the name is known. */
+    AllIgnored,
   };
 
   explicit ObjectStore(boost::asio::io_context& aContext);
--- a/tests/OddEntryProcessTest.cpp
+++ b/tests/OddEntryProcessTest.cpp
@@ -3,6 +3,7 @@
 #include "soak/ObjectStore.h"
 
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/json/object.hpp>
@@ -13,9 +14,9 @@
 #include <fmt/format.h>
 
 #include <array>
-#include <atomic>
 #include <cstdlib>
 #include <filesystem>
+#include <future>
 #include <optional>
 #include <set>
 #include <string>
@@ -165,9 +166,9 @@
     return aAnswer.starts_with("HTTP/1.1 200 ");
   }
 
-  /** Checks that both daemons serve within the platform's limit, and that each
-   * server gets work. */
-  void CheckService()
+  /** Checks that both daemons serve within the platform's limit, and that
+   * `aServers` servers get work. */
+  void CheckService(std::size_t aServers = kServers)
   {
     const auto end = std::chrono::steady_clock::now() + kRecoveryTime;
     for (const char* host : kHosts) {
@@ -190,17 +191,34 @@
       if (IsServed(answer)) {
         used.insert(answer.substr(answer.find("\r\n\r\n") + 4));
       }
-      if (used.size() == kServers) {
+      if (used.size() == aServers) {
         break;
       }
     }
-    BOOST_TEST(used.size() == kServers);
+    BOOST_TEST(used.size() == aServers);
     for (const auto& daemon : this->daemons) {
       BOOST_TEST(daemon->IsRunning());
       BOOST_TEST(daemon->LogText().find("store_lost") == std::string::npos);
     }
   }
 
+  /** Returns how many requests for pages of lists the store has received. */
+  std::size_t ListCount()
+  {
+    std::promise<std::size_t> count;
+    boost::asio::post(this->context,
+                      [&] { count.set_value(this->store.ListCount()); });
+    return count.get_future().get();
+  }
+
+  /** Checks that the log of each daemon has a text. */
+  void CheckLogs(const std::string& aText) const
+  {
+    for (const auto& daemon : this->daemons) {
+      BOOST_TEST(daemon->LogText().find(aText) != std::string::npos, aText);
+    }
+  }
+
   std::string folder;
   boost::asio::io_context context{ 1 };
   soak::ObjectStore store{ this->context };
@@ -242,3 +260,19 @@
   this->Start();
   this->CheckService();
 }
+
+// Guards against a list that never ends because the store begins it again: the
+// objects that it returns are to be used.
+BOOST_FIXTURE_TEST_CASE(ListThatTheStoreBeginsAgainEnds, FleetFixture)
+{
+  constexpr std::size_t kPageSize = 4;
+  this->store.SetPageSize(kPageSize);
+  this->store.SetUnknownCursor(UnknownCursor::AllIgnored);
+  this->Start();
+  this->CheckService(kPageSize);
+  // Each daemon lists four kinds once, and pings every half second. A page is
+  // requested again at most eight times.
+  const auto lists = this->ListCount();
+  BOOST_TEST(lists < 200U);
+  this->CheckLogs(R"("event":"list_incomplete","kind":"servers")");
+}
