Select the next page by an object that has a name

What callers saw: 60 of 60 requests served, but by 1 of the 10 servers, while entries of another writer without a name stood at the ends of the pages.

Cause: the next page started after the name of the last object. If that had none (no Metadata, no Name, or no object at all), the name was empty, and an empty name ended the list although the store announced more pages.

Change: only objects with a name select a page and count as new. The store of the soak keeps values of another writer as they are.

Why it works: the page after the last name that was read begins with the object without a name and continues behind it.

--- a/modules/store/ObjectListing.cpp
+++ b/modules/store/ObjectListing.cpp
@@ -25,8 +25,10 @@
   for (ObjectRecord& object : aPage.objects) {
     const auto known = this->objects.find(object.name);
     if (known == this->objects.end()) {
-      hasNew = true;
-      this->cursors.push_back(object.name);
+      if (!object.name.empty()) {
+        hasNew = true;
+        this->cursors.push_back(object.name);
+      }
       this->objects.emplace(object.name, std::move(object));
     } else if (object.revision > known->second.revision) {
       known->second = std::move(object);
@@ -35,7 +37,7 @@
   if (!aPage.hasMore) {
     return Progress::Complete;
   }
-  if (hasNew && !this->cursors.back().empty()) {
+  if (hasNew) {
     this->stepsBack = 0;
     return Progress::Continues;
   }
--- a/modules/store/ObjectListing.h
+++ b/modules/store/ObjectListing.h
@@ -17,6 +17,7 @@
  * after which the next page starts. Reading ends whatever the store answers: a
  * page without a new object is requested again from an earlier name, a limited
  * number of times, and an object that is listed again takes no more memory.
+ * An object without a name selects no page, and only one of them is kept.
  *
  * Performs no I/O. Not thread-safe.
  */
--- a/modules/store/ObjectListingTest.cpp
+++ b/modules/store/ObjectListingTest.cpp
@@ -92,3 +92,35 @@
   BOOST_REQUIRE(objects.size() == 2U);
   BOOST_TEST(objects.at(1).revision == 9U);
 }
+
+// Guards against a list that ends early at an object without a name, and
+// against one that such objects keep from ending.
+BOOST_AUTO_TEST_CASE(ObjectsWithoutANameSelectNoPage)
+{
+  ObjectListing listing;
+  BOOST_TEST(
+    (listing.Add(MakePage(7, true, { "a", "" })) == Progress::Continues));
+  BOOST_TEST(listing.Cursor() == "a");
+  BOOST_TEST(
+    (listing.Add(MakePage(7, true, { "", "b" })) == Progress::Continues));
+  BOOST_TEST(listing.Cursor() == "b");
+  BOOST_TEST(
+    (listing.Add(MakePage(7, false, { "", "c" })) == Progress::Complete));
+  // One object without a name is kept, for the log.
+  BOOST_TEST(listing.TakeObjects().size() == 4U);
+
+  ObjectListing repeated;
+  repeated.Add(MakePage(7, true, { "a", "", "b" }));
+  repeated.Add(MakePage(7, true, { "a", "", "b" }));
+  BOOST_TEST(repeated.Cursor() == "a");
+
+  ObjectListing stuck;
+  Progress progress = Progress::Continues;
+  int requests = 0;
+  while (progress == Progress::Continues && requests < 100) {
+    progress = stuck.Add(MakePage(7, true, { "", "" }));
+    ++requests;
+  }
+  BOOST_TEST((progress == Progress::Incomplete));
+  BOOST_TEST(requests <= 10);
+}
--- a/soak/ObjectStore.cpp
+++ b/soak/ObjectStore.cpp
@@ -116,8 +116,10 @@
                  const std::string& aName,
                  json::value aSpec)
 {
-  json::object& object = this->objectsByKind[aKind][aName];
-  if (object.empty()) {
+  json::value& value = this->objectsByKind[aKind][aName];
+  json::object& object =
+    value.is_object() ? value.get_object() : value.emplace_object();
+  if (!object.contains("Metadata")) {
     object["Metadata"] = json::object{ { "Name", aName },
                                        { "CreatedRev", this->revision + 1 },
                                        { "Finalizers", json::array() },
@@ -136,9 +138,11 @@
   if (found == objects.end()) {
     return;
   }
-  json::object object = std::move(found->second);
+  json::value value = std::move(found->second);
   objects.erase(found);
-  this->RecordChange(aKind, object, true);
+  if (value.is_object() && value.get_object().contains("Metadata")) {
+    this->RecordChange(aKind, value.get_object(), true);
+  }
 }
 
 std::string
@@ -286,8 +290,8 @@
       storedRevision) {
     return MakeResponse(409, found->second);
   }
-  found->second["Status"] = body.at("Status");
-  this->RecordChange(aKind, found->second, false);
+  found->second.as_object()["Status"] = body.at("Status");
+  this->RecordChange(aKind, found->second.as_object(), false);
   return MakeResponse(200, found->second);
 }
 
--- a/soak/ObjectStore.h
+++ b/soak/ObjectStore.h
@@ -79,6 +79,15 @@
            const std::string& aName,
            boost::json::value aSpec);
 
+  /** Stores a value of another writer as it is, in the place of the name
+   * `aName`, which it need not have itself. Watches do not report it. */
+  void PutForeign(const std::string& aKind,
+                  const std::string& aName,
+                  boost::json::value aValue)
+  {
+    this->objectsByKind[aKind][aName] = std::move(aValue);
+  }
+
   /** Removes an object. */
   void Remove(const std::string& aKind, const std::string& aName);
 
@@ -95,7 +104,7 @@
     std::string kind;
     boost::json::object event;
   };
-  using ObjectsByName = std::map<std::string, boost::json::object>;
+  using ObjectsByName = std::map<std::string, boost::json::value>;
 
   boost::asio::awaitable<std::optional<HttpResponse>> Handle(
     HttpRequest aRequest);
--- a/tests/OddEntryProcessTest.cpp
+++ b/tests/OddEntryProcessTest.cpp
@@ -276,3 +276,33 @@
   BOOST_TEST(lists < 200U);
   this->CheckLogs(R"("event":"list_incomplete","kind":"servers")");
 }
+
+// Guards against an entry without a name that ends the list at the end of a
+// page: the servers of the next pages got no work.
+BOOST_FIXTURE_TEST_CASE(EntriesWithoutANameDoNotEndTheList, FleetFixture)
+{
+  this->store.SetPageSize(2);
+  // Each stands directly after a server and so ends a page of two.
+  const std::array<boost::json::value, kServers> values = {
+    boost::json::object{ { "note", "no metadata" } },
+    boost::json::object{ { "Metadata", 7 }, { "Spec", OddSpec() } },
+    boost::json::object{ { "Metadata", boost::json::object() } },
+    boost::json::object{
+      { "Metadata", boost::json::object{ { "Name", 7 }, { "Revision", 3 } } } },
+    boost::json::object{
+      { "Metadata", boost::json::object{ { "Name", "" } } } },
+    "a text",
+    7,
+    nullptr,
+    boost::json::array{ 1, 2 },
+    boost::json::object()
+  };
+  for (std::size_t index = 0; index < kServers; ++index) {
+    this->store.PutForeign("servers", ServerName(index) + "x", values[index]);
+  }
+  this->Start();
+  this->CheckService();
+  for (const auto& daemon : this->daemons) {
+    BOOST_TEST(daemon->LogText().find("list_incomplete") == std::string::npos);
+  }
+}
