Take a refused request for an answer of the store

What callers saw: none of 60 requests served while the store refused one page of the list of servers; the operator saw store_lost and store_regained alternate many times a second, and looked for a store that was away.

Cause: ObjectWatcher took each status but 200 and 410 for an outage of the whole store. A ping then succeeded, and all kinds were requested again, the refused one too. An outage also bears on leases, leaving servers and trials of versions. The log did not name the request. A cursor that the store does not know, such as the name of an object that was removed between two pages, was requested for ever; and a refused ping, of one kind, stopped the reading of all.

Change: a status of the class 4xx but 408 and 429 is a refusal. The store stays available, and the other kinds are followed. A refused page is requested from an earlier name (see ObjectListing), a list again with a backoff of up to 1 s, and a watch is replaced by a fresh list. The line store_request_refused names kind, target and status, for the first, second, fourth refusal and so on. The line store_lost names the request that failed.

The five new cases of ObjectWatcherTest use the new hook and did not build before.

Why it works: a refusal shows that the store answers; 503, 429, a reset and silence, by which it turns hosts away, still count as an outage.

--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -325,6 +325,16 @@
             { "detail", aResponse.detail },
             { "bytes", static_cast<std::int64_t>(aResponse.body.size()) } });
       },
+    .onRefused =
+      [this](const std::string& aKind,
+             const store::StoreRequest& aRequest,
+             unsigned aStatus) {
+        this->log.Write(LogLevel::Warning,
+                        "store_request_refused",
+                        { { "kind", aKind },
+                          { "target", aRequest.target },
+                          { "status", static_cast<std::int64_t>(aStatus) } });
+      },
     .onAvailabilityChange =
       [this](bool aIsLost, const std::string& aDetail) {
         if (aIsLost) {
--- a/modules/store/ObjectListing.cpp
+++ b/modules/store/ObjectListing.cpp
@@ -3,6 +3,7 @@
 #include "store/ObjectDialect.h"
 
 #include <algorithm>
+#include <cassert>
 #include <utility>
 
 namespace fireflytrail::store {
@@ -44,6 +45,13 @@
   return this->StepBack();
 }
 
+ObjectListing::Progress
+ObjectListing::OnPageRefused()
+{
+  assert(!this->Cursor().empty());
+  return this->StepBack();
+}
+
 const std::string&
 ObjectListing::Cursor() const
 {
--- a/modules/store/ObjectListing.h
+++ b/modules/store/ObjectListing.h
@@ -15,9 +15,10 @@
 /**
  * Collects the pages of one list of the objects of a kind, and selects the name
  * after which the next page starts. Reading ends whatever the store answers: a
- * page without a new object is requested again from an earlier name, a limited
- * number of times, and an object that is listed again takes no more memory.
- * An object without a name selects no page, and only one of them is kept.
+ * page without a new object, or that the store refuses, is requested again from
+ * an earlier name, a limited number of times, and an object that is listed
+ * again takes no more memory. An object without a name selects no page, and
+ * only one of them is kept.
  *
  * Performs no I/O. Not thread-safe.
  */
@@ -39,6 +40,10 @@
    * has returned anything but `Continues`. */
   Progress Add(ObjectPage aPage);
 
+  /** Selects an earlier name because the store has refused the request for the
+   * page after `Cursor`, which must not be empty. */
+  Progress OnPageRefused();
+
   /** Returns the name after which the next page starts; empty for the first
    * page. */
   const std::string& Cursor() const;
--- a/modules/store/ObjectWatcher.cpp
+++ b/modules/store/ObjectWatcher.cpp
@@ -3,6 +3,7 @@
 #include <fmt/format.h>
 
 #include <algorithm>
+#include <bit>
 #include <cassert>
 #include <utility>
 
@@ -52,7 +53,27 @@
 constexpr milliseconds kPartialListInterval = 10'000ms;
 
 constexpr unsigned kStatusOk = 200;
+constexpr unsigned kStatusRequestTimeout = 408;
 constexpr unsigned kStatusGone = 410;
+constexpr unsigned kStatusTooManyRequests = 429;
+
+/** Whether the store has read a request and does not accept it as it is. */
+bool
+IsRefusal(unsigned aStatus)
+{
+  constexpr unsigned kFirstRefusal = 400;
+  constexpr unsigned kFirstServerError = 500;
+  return aStatus >= kFirstRefusal && aStatus < kFirstServerError &&
+         aStatus != kStatusRequestTimeout && aStatus != kStatusTooManyRequests;
+}
+
+std::string
+FailureOf(const StoreResponse& aResponse)
+{
+  return aResponse.delivery == StoreDelivery::Answered
+           ? fmt::format("status {}", aResponse.status)
+           : aResponse.detail;
+}
 
 } // namespace
 
@@ -68,6 +89,7 @@
   assert(this->hooks.after && this->hooks.onList && this->hooks.onChanges);
   assert(this->hooks.onAvailabilityChange && this->hooks.onRequestEnded);
   assert(this->hooks.onConfirmed && this->hooks.onPartialList);
+  assert(this->hooks.onRefused);
   for (const WatchedKind& kind : this->kinds) {
     Progress& state = this->progress[kind.name];
     state.wait = kind.wait;
@@ -119,7 +141,8 @@
       (!this->isActive && state.revision != 0)) {
     return;
   }
-  if (this->isStoreUnavailable || this->IsListDeferred(state)) {
+  if (this->isStoreUnavailable || this->IsListDeferred(state) ||
+      this->hooks.now() < state.retryAt) {
     return;
   }
   if (state.revision == 0) {
@@ -137,8 +160,9 @@
              this->dialect.listTarget(
                aKind, state.listing.Cursor(), !state.requiresFreshList),
              kListTimeout,
-             [this, aKind](const StoreResponse& aResponse) {
-               this->OnListResponse(aKind, aResponse);
+             [this, aKind](const StoreRequest& aRequest,
+                           const StoreResponse& aResponse) {
+               this->OnListResponse(aKind, aRequest, aResponse);
              });
 }
 
@@ -160,16 +184,18 @@
     aKind,
     this->dialect.watchTarget(aKind, this->progress.at(aKind).revision, wait),
     wait + kWatchMargin,
-    [this, aKind](const StoreResponse& aResponse) {
-      this->OnWatchResponse(aKind, aResponse);
+    [this, aKind](const StoreRequest& aRequest,
+                  const StoreResponse& aResponse) {
+      this->OnWatchResponse(aKind, aRequest, aResponse);
     });
 }
 
 void
-ObjectWatcher::Send(const std::string& aKind,
-                    std::string aTarget,
-                    milliseconds aTimeout,
-                    std::function<void(const StoreResponse&)> aOnAnswer)
+ObjectWatcher::Send(
+  const std::string& aKind,
+  std::string aTarget,
+  milliseconds aTimeout,
+  std::function<void(const StoreRequest&, const StoreResponse&)> aOnAnswer)
 {
   Progress& state = this->progress.at(aKind);
   state.isRequestInFlight = true;
@@ -197,28 +223,37 @@
         this->RequestNext(aKind);
         return;
       }
-      if (aResponse.delivery != StoreDelivery::Answered) {
-        this->MarkUnavailable(aResponse.detail);
-        return;
-      }
-      if (aResponse.status != kStatusOk && aResponse.status != kStatusGone) {
-        this->MarkUnavailable(fmt::format("status {}", aResponse.status));
-        return;
+      const bool isAnswered = aResponse.delivery == StoreDelivery::Answered;
+      const bool isHistoryGone = isWatch && aResponse.status == kStatusGone;
+      if (isAnswered && (aResponse.status == kStatusOk || isHistoryGone)) {
+        onAnswer(request, aResponse);
+      } else if (isAnswered && IsRefusal(aResponse.status)) {
+        this->OnRefused(aKind, request, isWatch, aResponse.status);
+      } else {
+        this->MarkUnavailable(request, FailureOf(aResponse));
       }
-      onAnswer(aResponse);
     });
 }
 
 void
 ObjectWatcher::OnListResponse(const std::string& aKind,
+                              const StoreRequest& aRequest,
                               const StoreResponse& aResponse)
 {
   auto page = this->dialect.readList(aKind, aResponse.body);
   if (!page) {
-    this->MarkUnavailable(page.error().detail);
+    this->MarkUnavailable(aRequest, page.error().detail);
     return;
   }
-  switch (this->progress.at(aKind).listing.Add(std::move(page).value())) {
+  this->AdvanceList(
+    aKind, this->progress.at(aKind).listing.Add(std::move(page).value()));
+}
+
+void
+ObjectWatcher::AdvanceList(const std::string& aKind,
+                           ObjectListing::Progress aProgress)
+{
+  switch (aProgress) {
     case ObjectListing::Progress::Continues:
       this->MarkAvailable();
       this->RequestNext(aKind);
@@ -257,6 +292,7 @@
 
 void
 ObjectWatcher::OnWatchResponse(const std::string& aKind,
+                               const StoreRequest& aRequest,
                                const StoreResponse& aResponse)
 {
   Progress& state = this->progress.at(aKind);
@@ -268,11 +304,12 @@
   }
   auto page = this->dialect.readChanges(aKind, aResponse.body);
   if (!page) {
-    this->MarkUnavailable(page.error().detail);
+    this->MarkUnavailable(aRequest, page.error().detail);
     return;
   }
   state.revision = std::max(state.revision, page.value().revision);
   state.isUnconfirmed = false;
+  state.refusals = 0;
   const bool hasChanges = !page.value().objects.empty();
   if (state.relistAt && this->hooks.now() >= *state.relistAt) {
     RestartList(state);
@@ -290,6 +327,38 @@
   this->hooks.after(kCoalesceTime, [this, aKind] { this->RequestNext(aKind); });
 }
 
+void
+ObjectWatcher::OnRefused(const std::string& aKind,
+                         const StoreRequest& aRequest,
+                         bool aIsWatch,
+                         unsigned aStatus)
+{
+  Progress& state = this->progress.at(aKind);
+  const milliseconds delay = this->DrawDelay(state.refusals);
+  this->ReportRefusal(aKind, aRequest, aStatus, state.refusals);
+  if (!aIsWatch && !state.listing.Cursor().empty()) {
+    this->AdvanceList(aKind, state.listing.OnPageRefused());
+    return;
+  }
+  if (aIsWatch) {
+    RestartList(state);
+  }
+  state.retryAt = this->hooks.now() + delay;
+  this->hooks.after(delay, [this, aKind] { this->RequestNext(aKind); });
+}
+
+void
+ObjectWatcher::ReportRefusal(const std::string& aKind,
+                             const StoreRequest& aRequest,
+                             unsigned aStatus,
+                             unsigned& aCount) const
+{
+  ++aCount;
+  if (std::has_single_bit(aCount)) {
+    this->hooks.onRefused(aKind, aRequest, aStatus);
+  }
+}
+
 bool
 ObjectWatcher::IsListDeferred(const Progress& aProgress) const
 {
@@ -334,23 +403,28 @@
     this->hooks.onRequestEnded(request, aResponse);
     const bool isAnswered = aResponse.delivery == StoreDelivery::Answered;
     if (isAnswered && aResponse.status == kStatusOk) {
-      this->OnPingResponse(aResponse);
+      this->pingRefusals = 0;
+      this->OnPingResponse(request, aResponse);
+    } else if (isAnswered && IsRefusal(aResponse.status)) {
+      this->ReportRefusal(
+        this->kinds.back().name, request, aResponse.status, this->pingRefusals);
+      this->MarkAvailable();
+      this->SchedulePing(kPingInterval);
     } else {
-      this->MarkUnavailable(isAnswered
-                              ? fmt::format("status {}", aResponse.status)
-                              : aResponse.detail);
+      this->MarkUnavailable(request, FailureOf(aResponse));
     }
   });
 }
 
 void
-ObjectWatcher::OnPingResponse(const StoreResponse& aResponse)
+ObjectWatcher::OnPingResponse(const StoreRequest& aRequest,
+                              const StoreResponse& aResponse)
 {
   const std::string& kind = this->kinds.back().name;
   const Progress& state = this->progress.at(kind);
   auto page = this->dialect.readList(kind, aResponse.body);
   if (!page) {
-    this->MarkUnavailable(page.error().detail);
+    this->MarkUnavailable(aRequest, page.error().detail);
     return;
   }
   this->MarkAvailable();
@@ -383,21 +457,28 @@
   }
 }
 
+milliseconds
+ObjectWatcher::DrawDelay(unsigned aFailures) const
+{
+  const milliseconds maxDelay = std::min(
+    kFirstRetryDelay * (1U << std::min(aFailures, 8U)), kMaxRetryDelay);
+  // Jitter spreads the requests of hosts that failed at the same time.
+  return maxDelay / 2 + milliseconds(static_cast<milliseconds::rep>(
+                          this->hooks.random() % static_cast<std::uint64_t>(
+                                                   maxDelay.count() / 2 + 1)));
+}
+
 void
-ObjectWatcher::MarkUnavailable(const std::string& aDetail)
+ObjectWatcher::MarkUnavailable(const StoreRequest& aRequest,
+                               const std::string& aDetail)
 {
   if (!this->isStoreUnavailable) {
     this->isStoreUnavailable = true;
-    this->hooks.onAvailabilityChange(true, aDetail);
+    this->hooks.onAvailabilityChange(
+      true, fmt::format("{}: {}", aRequest.target, aDetail));
   }
-  const milliseconds maxDelay = std::min(
-    kFirstRetryDelay * (1U << std::min(this->failures, 8U)), kMaxRetryDelay);
+  const milliseconds delay = this->DrawDelay(this->failures);
   ++this->failures;
-  // Jitter spreads the pings of hosts that lost the store at the same time.
-  const milliseconds delay =
-    maxDelay / 2 + milliseconds(static_cast<milliseconds::rep>(
-                     this->hooks.random() %
-                     static_cast<std::uint64_t>(maxDelay.count() / 2 + 1)));
   this->SchedulePing(delay);
 }
 
--- a/modules/store/ObjectWatcher.h
+++ b/modules/store/ObjectWatcher.h
@@ -61,8 +61,13 @@
   std::function<void(const std::string& aKind)> onConfirmed;
   /** Called when a request has ended, for logs. */
   std::function<void(const StoreRequest&, const StoreResponse&)> onRequestEnded;
-  /** Called when the store becomes unavailable, with the failure, and when it
-   * is available again. */
+  /** Called when the store has refused a request for a kind, for logs: for the
+   * first, the second, the fourth refusal and so on. */
+  std::function<
+    void(const std::string& aKind, const StoreRequest&, unsigned aStatus)>
+    onRefused;
+  /** Called when the store becomes unavailable, with the request and its
+   * failure, and when it is available again. */
   std::function<void(bool aIsUnavailable, const std::string& aDetail)>
     onAvailabilityChange;
 };
@@ -80,6 +85,11 @@
  * again. A list of which the store does not return all pages is reported as
  * partial, and read again some seconds later.
  *
+ * A store that refuses a request with a status of the class 4xx, other than 408
+ * and 429, is available: the other kinds are followed as before. A page that is
+ * refused is requested from an earlier name, a list again with a backoff, and a
+ * watch is replaced by a list.
+ *
  * Performs no I/O. Not thread-safe.
  */
 class ObjectWatcher
@@ -129,6 +139,10 @@
   {
     /** The pages of an unfinished list. */
     ObjectListing listing;
+    /** Refusals since a watch was last accepted. */
+    unsigned refusals = 0;
+    /** Until then, nothing is requested after a refusal. */
+    core::TimePoint retryAt{};
     /** When the kind is listed again, if its last list was partial. */
     std::optional<core::TimePoint> relistAt;
     /** Whether the next list must not be stale: a stale one may be older than
@@ -156,25 +170,44 @@
    * first page. */
   static void RestartList(Progress& aProgress);
   void Watch(const std::string& aKind);
-  void OnListResponse(const std::string& aKind, const StoreResponse& aResponse);
+  void OnListResponse(const std::string& aKind,
+                      const StoreRequest& aRequest,
+                      const StoreResponse& aResponse);
+  /** Continues or ends a list after its next page. */
+  void AdvanceList(const std::string& aKind, ObjectListing::Progress aProgress);
   /** Reports the objects of an ended list, and watches from its revision. */
   void EndList(const std::string& aKind, bool aIsComplete);
   void OnWatchResponse(const std::string& aKind,
+                       const StoreRequest& aRequest,
                        const StoreResponse& aResponse);
-  void Send(const std::string& aKind,
-            std::string aTarget,
-            std::chrono::milliseconds aTimeout,
-            std::function<void(const StoreResponse&)> aOnAnswer);
+  void OnRefused(const std::string& aKind,
+                 const StoreRequest& aRequest,
+                 bool aIsWatch,
+                 unsigned aStatus);
+  /** Counts a refusal and reports it if it is due. */
+  void ReportRefusal(const std::string& aKind,
+                     const StoreRequest& aRequest,
+                     unsigned aStatus,
+                     unsigned& aCount) const;
+  void Send(
+    const std::string& aKind,
+    std::string aTarget,
+    std::chrono::milliseconds aTimeout,
+    std::function<void(const StoreRequest&, const StoreResponse&)> aOnAnswer);
   /** Whether a kind is left to another source for now. */
   bool IsListDeferred(const Progress& aProgress) const;
   /** Whether any kind is still to be listed or watched. */
   bool HasWork() const;
   void SchedulePing(std::chrono::milliseconds aDelay);
   void Ping();
-  void OnPingResponse(const StoreResponse& aResponse);
+  void OnPingResponse(const StoreRequest& aRequest,
+                      const StoreResponse& aResponse);
   void MarkAvailable();
+  /** Returns a random delay that grows with the number of failures. */
+  std::chrono::milliseconds DrawDelay(unsigned aFailures) const;
   /** Also schedules the next ping. */
-  void MarkUnavailable(const std::string& aDetail);
+  void MarkUnavailable(const StoreRequest& aRequest,
+                       const std::string& aDetail);
 
   std::vector<WatchedKind> kinds;
   ObjectDialect dialect;
@@ -186,6 +219,8 @@
   bool isActive = true;
   /** Failures since a list or watch last succeeded. */
   unsigned failures = 0;
+  /** Refusals since a ping was last accepted. */
+  unsigned pingRefusals = 0;
   std::optional<core::TimePoint> lastAnswerTime;
   std::uint64_t requestCount = 0;
 };
--- a/modules/store/ObjectWatcherTest.cpp
+++ b/modules/store/ObjectWatcherTest.cpp
@@ -89,6 +89,13 @@
       .onConfirmed =
         [this](const std::string& aKind) { this->confirmed.push_back(aKind); },
       .onRequestEnded = [](const StoreRequest&, const StoreResponse&) {},
+      .onRefused =
+        [this](const std::string& aKind,
+               const StoreRequest& aRequest,
+               unsigned aStatus) {
+          this->events.push_back(
+            fmt::format("refused {} {} ({})", aKind, aStatus, aRequest.target));
+        },
       .onAvailabilityChange =
         [this](bool aIsUnavailable, const std::string&) {
           this->events.push_back(aIsUnavailable ? "lost" : "regained");
@@ -146,6 +153,18 @@
     return time;
   }
 
+  /** Runs the newest timer, which is that of a request that was refused, and
+   * returns its delay. */
+  milliseconds RunRetryTimer()
+  {
+    BOOST_REQUIRE(!this->timers.empty());
+    const auto [time, function] = std::move(this->timers.back());
+    this->timers.pop_back();
+    this->time += time;
+    function();
+    return time;
+  }
+
   void ListBoth()
   {
     this->watcher.Start();
@@ -407,3 +426,102 @@
   BOOST_TEST(this->events.back() == "list k 3");
   BOOST_TEST(this->calls.back().request.target == "watch k 14 1500");
 }
+
+// Guards against taking a store that refuses one request for one that is away:
+// the other kinds lost it several times a second.
+BOOST_FIXTURE_TEST_CASE(RefusedListIsNoOutage, Fixture)
+{
+  this->watcher.Start();
+  BOOST_TEST(this->Answer(400) == "list k ");
+  BOOST_TEST(this->Answer(200, "11 0") == "list l ");
+  BOOST_TEST(!this->watcher.IsStoreUnavailable());
+  BOOST_TEST(this->events == std::vector<std::string>(
+                               { "refused k 400 (list k )", "list l 0" }),
+             boost::test_tools::per_element());
+  BOOST_TEST(this->calls.size() == 1U);
+  BOOST_TEST(this->calls.front().request.target == "watch l 11 50");
+  // The other kind's requests do not send the refused one again.
+  this->Answer(200, "12 0");
+  BOOST_TEST(this->calls.size() == 1U);
+  // The backoff grows to a second and no further.
+  milliseconds delay{ 0 };
+  for (int attempt = 0; attempt < 12; ++attempt) {
+    delay = this->RunRetryTimer();
+    BOOST_REQUIRE(this->calls.size() == 2U);
+    std::swap(this->calls.front(), this->calls.back());
+    BOOST_TEST(this->Answer(404) == "list k ");
+  }
+  BOOST_TEST(delay.count() >= 500);
+  BOOST_TEST(delay.count() <= 1000);
+  BOOST_TEST(!this->watcher.IsStoreUnavailable());
+  this->RunRetryTimer();
+  std::swap(this->calls.front(), this->calls.back());
+  this->Answer(200, "13 0 a");
+  BOOST_TEST(this->events.back() == "list k 1");
+}
+
+// Guards against a log that fills with the same refusal.
+BOOST_FIXTURE_TEST_CASE(RepeatedRefusalsAreReportedLessAndLess, Fixture)
+{
+  this->watcher.Start();
+  this->Answer(400);
+  this->Answer(200, "11 0");
+  for (int attempt = 1; attempt < 64; ++attempt) {
+    this->RunRetryTimer();
+    std::swap(this->calls.front(), this->calls.back());
+    this->Answer(400);
+  }
+  // The first, second, fourth and so on.
+  BOOST_TEST(std::ranges::count(this->events, "refused k 400 (list k )") == 7);
+}
+
+// Guards against giving up a list because the store refuses a page after one
+// name, for example that of an object that was removed meanwhile.
+BOOST_FIXTURE_TEST_CASE(RefusedPageIsReadFromAnEarlierName, Fixture)
+{
+  this->watcher.Start();
+  this->Answer(200, "10 1 a b");
+  this->Answer(200, "11 0");
+  BOOST_TEST(this->Answer(400) == "list k b");
+  BOOST_TEST(this->calls.back().request.target == "list k a");
+  this->calls.pop_front();
+  this->Answer(200, "12 0 b c");
+  BOOST_TEST(this->events.back() == "list k 3");
+  BOOST_TEST(!this->watcher.IsStoreUnavailable());
+}
+
+// Guards against a kind that is no longer followed because the store refuses
+// its watch: it is listed instead.
+BOOST_FIXTURE_TEST_CASE(RefusedWatchIsReplacedByLists, Fixture)
+{
+  this->ListAndConfirmBoth();
+  this->events.clear();
+  BOOST_TEST(this->Answer(400) == "watch k 10 1500");
+  BOOST_TEST(!this->watcher.IsStoreUnavailable());
+  const milliseconds firstDelay = this->RunRetryTimer();
+  std::swap(this->calls.front(), this->calls.back());
+  BOOST_TEST(this->Answer(200, "20 0 a b") == "new list k ");
+  BOOST_TEST(this->events.back() == "list k 2");
+  std::swap(this->calls.front(), this->calls.back());
+  BOOST_TEST(this->Answer(400) == "watch k 20 1500");
+  // The backoff goes on: the list does not show that the watch is accepted.
+  BOOST_TEST(this->calls.size() == 1U);
+  BOOST_TEST(this->RunRetryTimer().count() > firstDelay.count());
+}
+
+// Guards against taking the whole store for lost because it refuses the request
+// that tests it.
+BOOST_FIXTURE_TEST_CASE(RefusedPingIsAnAnswer, Fixture)
+{
+  this->ListAndConfirmBoth();
+  this->events.clear();
+  this->RunTimer();
+  Call call = std::move(this->calls.back());
+  this->calls.pop_back();
+  call.done({ StoreDelivery::Answered, 404, 0, "", "" });
+  BOOST_TEST(!this->watcher.IsStoreUnavailable());
+  BOOST_TEST(this->events ==
+               std::vector<std::string>({ "refused l 404 (ping l)" }),
+             boost::test_tools::per_element());
+  BOOST_TEST(this->timers.size() == 1U);
+}
--- a/soak/ObjectStore.cpp
+++ b/soak/ObjectStore.cpp
@@ -195,7 +195,10 @@
   const std::vector<std::string>& path = *decodedPath;
   const std::string query(target.substr(std::min(end + 1, target.size())));
   std::optional<HttpResponse> response;
-  if (path.size() == 2 && FindParameter(query, "Watch")) {
+  if (path.size() == 2 && path[1] == this->refusedKind &&
+      aRequest.method() == boost::beast::http::verb::get) {
+    response = MakeResponse(400, json::object());
+  } else if (path.size() == 2 && FindParameter(query, "Watch")) {
     response =
       co_await this->Watch(path[1],
                            ParseQueryNumber(query, "Watch"),
--- a/soak/ObjectStore.h
+++ b/soak/ObjectStore.h
@@ -13,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <utility>
 
 namespace fireflytrail::soak {
 
@@ -71,6 +72,13 @@
 
   void SetUnknownCursor(UnknownCursor aRule) { this->unknownCursor = aRule; }
 
+  /** Sets a kind of which lists and watches are refused with 400; empty for
+   * none. */
+  void SetRefusedKind(std::string aKind)
+  {
+    this->refusedKind = std::move(aKind);
+  }
+
   /** Returns the number of requests for pages of lists so far. */
   std::size_t ListCount() const { return this->listCount; }
 
@@ -142,6 +150,7 @@
   UnknownCursor unknownCursor = UnknownCursor::Accepted;
   std::size_t pageSize = kDefaultPageSize;
   std::size_t listCount = 0;
+  std::string refusedKind;
   std::uint64_t revision = 1;
   /** Watches from an earlier revision get 410. */
   std::uint64_t oldestRevision = 0;
--- a/tests/OddEntryProcessTest.cpp
+++ b/tests/OddEntryProcessTest.cpp
@@ -198,8 +198,8 @@
     BOOST_TEST(used.size() == aServers);
     for (const auto& daemon : this->daemons) {
       BOOST_TEST(daemon->IsRunning());
-      BOOST_TEST(daemon->LogText().find("store_lost") == std::string::npos);
     }
+    this->CheckLogsLack("store_lost");
   }
 
   /** Returns how many requests for pages of lists the store has received. */
@@ -219,6 +219,14 @@
     }
   }
 
+  /** Checks that no daemon's log has a text. */
+  void CheckLogsLack(const std::string& aText) const
+  {
+    for (const auto& daemon : this->daemons) {
+      BOOST_TEST(daemon->LogText().find(aText) == std::string::npos, aText);
+    }
+  }
+
   std::string folder;
   boost::asio::io_context context{ 1 };
   soak::ObjectStore store{ this->context };
@@ -302,7 +310,29 @@
   }
   this->Start();
   this->CheckService();
-  for (const auto& daemon : this->daemons) {
-    BOOST_TEST(daemon->LogText().find("list_incomplete") == std::string::npos);
-  }
+  this->CheckLogsLack("list_incomplete");
+}
+
+// Guards against taking a store that refuses one kind for one that is away, and
+// against a log that doesn't name the request.
+BOOST_FIXTURE_TEST_CASE(RefusedKindIsNoOutage, FleetFixture)
+{
+  this->store.SetRefusedKind("rollouts");
+  this->Start();
+  this->CheckService();
+  std::this_thread::sleep_for(2s);
+  this->CheckLogsLack("store_lost");
+  this->CheckLogs(R"("event":"store_request_refused","kind":"rollouts",)"
+                  R"("target":"/objects/rollouts?AllowStale=1","status":400)");
+}
+
+// The same for the kind that shows whether the store answers.
+BOOST_FIXTURE_TEST_CASE(RefusedPingIsNoOutage, FleetFixture)
+{
+  this->store.SetRefusedKind("evacuations");
+  this->Start();
+  this->CheckService();
+  std::this_thread::sleep_for(2s);
+  this->CheckLogsLack("store_lost");
+  this->CheckLogs(R"("event":"store_request_refused","kind":"evacuations")");
 }
