Select the next page by a name that fits a request line

What callers saw: 0 of 60 requests served after a restart of all daemons, while the name of another writer's entry at the end of a page had 100,000 characters.

Cause: the target of the next page held the whole name. A store reads a request line of some kilobytes and closes the connection at a longer one, so the list was requested for ever.

Change: a name above 2 KB selects no page; the page starts after the last name before it. The object itself is kept like any other.

Why it works: an encoded name of 2 KB takes at most 6 KB, and the page after an earlier name contains the long one and what follows it.

--- a/modules/store/ObjectListing.cpp
+++ b/modules/store/ObjectListing.cpp
@@ -14,6 +14,10 @@
 // read, or whose names the store does not accept, seldom follow one another.
 constexpr std::size_t kMaxStepsBack = 8;
 
+// Servers usually read request lines of up to 8 KB. A byte of a name takes up
+// to three in the target.
+constexpr std::size_t kMaxCursorBytes = 2048;
+
 } // namespace
 
 ObjectListing::Progress
@@ -26,8 +30,8 @@
   for (ObjectRecord& object : aPage.objects) {
     const auto known = this->objects.find(object.name);
     if (known == this->objects.end()) {
-      if (!object.name.empty()) {
-        hasNew = true;
+      hasNew = hasNew || !object.name.empty();
+      if (!object.name.empty() && object.name.size() <= kMaxCursorBytes) {
         this->cursors.push_back(object.name);
       }
       this->objects.emplace(object.name, std::move(object));
--- a/modules/store/ObjectListing.h
+++ b/modules/store/ObjectListing.h
@@ -18,7 +18,7 @@
  * page without a new object, or that the store refuses, is requested again from
  * an earlier name, a limited number of times, and an object that is listed
  * again takes no more memory. An object without a name selects no page, and
- * only one of them is kept.
+ * only one of them is kept; nor does one whose name is too long for a request.
  *
  * Performs no I/O. Not thread-safe.
  */
--- a/modules/store/ObjectListingTest.cpp
+++ b/modules/store/ObjectListingTest.cpp
@@ -124,3 +124,19 @@
   BOOST_TEST((progress == Progress::Incomplete));
   BOOST_TEST(requests <= 10);
 }
+
+// Guards against a request line that is longer than a store reads, because of
+// the name of another writer's object.
+BOOST_AUTO_TEST_CASE(LongNamesSelectNoPage)
+{
+  const std::string longName(100'000, 'x');
+  ObjectListing listing;
+  BOOST_TEST(
+    (listing.Add(MakePage(7, true, { "a", longName })) == Progress::Continues));
+  BOOST_TEST((listing.Cursor() == "a"));
+  BOOST_TEST(
+    (listing.Add(MakePage(7, true, { longName, "b" })) == Progress::Continues));
+  BOOST_TEST((listing.Cursor() == "b"));
+  BOOST_TEST((listing.Add(MakePage(7, false, {})) == Progress::Complete));
+  BOOST_TEST(listing.TakeObjects().size() == 3U);
+}
--- a/tests/OddEntryProcessTest.cpp
+++ b/tests/OddEntryProcessTest.cpp
@@ -336,3 +336,15 @@
   this->CheckLogsLack("store_lost");
   this->CheckLogs(R"("event":"store_request_refused","kind":"evacuations")");
 }
+
+// Guards against a request line that is longer than a store reads.
+BOOST_FIXTURE_TEST_CASE(LongNamesDoNotStopTheService, FleetFixture)
+{
+  this->store.SetPageSize(2);
+  for (std::size_t index = 0; index < kServers; ++index) {
+    this->store.Put(
+      "servers", ServerName(index) + std::string(100'000, 'x'), OddSpec());
+  }
+  this->Start();
+  this->CheckService();
+}
