Cut long texts in log lines

What operators saw: no line about an entry whose name has some thousand characters, only log_lines_dropped; nor a line about a request that held such a name.

Cause: OutputSink drops a line of over 4 KB, so that no line is written in part, and Log put texts of any length into a line.

Change: Log cuts the text of a field at about 700 bytes as written, between two characters, and marks the cut with three dots.

Why it works: five fields of this length fit a line, and no event has more texts that another writer chooses.

--- a/modules/core/Log.cpp
+++ b/modules/core/Log.cpp
@@ -43,11 +43,50 @@
   return [sink](std::string_view aLine) { sink->Write(aLine); };
 }
 
+// Longest text of a field in a line. Names of others may be longer, and the
+// output drops a line that is too long as a whole.
+constexpr std::size_t kMaxTextBytes = 700;
+
+/** Returns the number of bytes that a character takes in a JSON text. */
+std::size_t
+QuotedSize(char aCharacter)
+{
+  constexpr std::size_t kEscapedControlCharacter = 6;
+  if (static_cast<unsigned char>(aCharacter) < 0x20) {
+    return kEscapedControlCharacter;
+  }
+  return aCharacter == '"' || aCharacter == '\\' ? 2 : 1;
+}
+
+/** Returns a text as a JSON literal, cut after a whole character of UTF-8 if it
+ * is too long. */
+std::string
+QuotedField(std::string_view aText)
+{
+  std::size_t end = 0;
+  std::size_t size = 0;
+  while (end < aText.size() && size <= kMaxTextBytes) {
+    size += QuotedSize(aText[end]);
+    ++end;
+  }
+  if (size <= kMaxTextBytes) {
+    return Log::QuotedJson(aText);
+  }
+  --end;
+  const auto isContinuation = [aText](std::size_t aIndex) {
+    return (static_cast<unsigned char>(aText[aIndex]) & 0xc0U) == 0x80U;
+  };
+  while (end > 0 && isContinuation(end)) {
+    --end;
+  }
+  return Log::QuotedJson(fmt::format("{}...", aText.substr(0, end)));
+}
+
 struct ValueFormatter
 {
   std::string operator()(std::string_view aText) const
   {
-    return Log::QuotedJson(aText);
+    return QuotedField(aText);
   }
   std::string operator()(std::int64_t aNumber) const
   {
--- a/modules/core/Log.h
+++ b/modules/core/Log.h
@@ -42,8 +42,9 @@
   Log(LogLevel aLevel, Sink aSink);
 
   /**
-   * Writes a line unless its level is below the log's level. Thread-safe.
-   * `aEvent` must not be empty.
+   * Writes a line unless its level is below the log's level. A text of more
+   * than about 700 bytes is cut and ends with three dots. Thread-safe. `aEvent`
+   * must not be empty.
    */
   void Write(LogLevel aLevel,
              std::string_view aEvent,
--- a/tests/OddEntryProcessTest.cpp
+++ b/tests/OddEntryProcessTest.cpp
@@ -337,7 +337,8 @@
   this->CheckLogs(R"("event":"store_request_refused","kind":"evacuations")");
 }
 
-// Guards against a request line that is longer than a store reads.
+// Guards against a request line that is longer than a store reads, and against
+// a line of the log that is dropped because it is too long.
 BOOST_FIXTURE_TEST_CASE(LongNamesDoNotStopTheService, FleetFixture)
 {
   this->store.SetPageSize(2);
@@ -347,4 +348,5 @@
   }
   this->Start();
   this->CheckService();
+  this->CheckLogs(R"("event":"instance_unreadable","instance":"i-0xxx)");
 }
