--- a/tests/OddEntryProcessTest.cpp
+++ b/tests/OddEntryProcessTest.cpp
@@ -14,6 +14,7 @@
 #include <fmt/format.h>
 
 #include <array>
+#include <atomic>
 #include <cstdlib>
 #include <filesystem>
 #include <future>
@@ -63,7 +64,7 @@
     this->storePort = this->store.Open().port();
     this->store.Put("config", "main", boost::json::parse(kConfiguration));
     for (std::size_t index = 0; index < kServers; ++index) {
-      this->AddServer(index);
+      this->AddServer(ServerName(index));
     }
   }
 
@@ -86,16 +87,16 @@
     return fmt::format("i-{}", aIndex);
   }
 
-  void AddServer(std::size_t aIndex)
+  void AddServer(const std::string& aName)
   {
     this->servers.push_back(std::make_shared<soak::HttpService>(
-      this->context, [this, aIndex](soak::HttpRequest aRequest) {
-        return this->Serve(aIndex, std::move(aRequest));
+      this->context, [this, aName](soak::HttpRequest aRequest) {
+        return this->Serve(aName, std::move(aRequest));
       }));
     this->servers.back()->Open({ boost::asio::ip::address_v4::loopback(), 0 });
     this->store.Put(
       "servers",
-      ServerName(aIndex),
+      aName,
       boost::json::parse(fmt::format(
         R"({{"Address":"127.0.0.1:{}","Info":{{"Service":"s","Version":"v1",)"
         R"("Zone":"a","MaxConcurrency":8}},"Status":{{"State":"ready",)"
@@ -104,17 +105,20 @@
   }
 
   boost::asio::awaitable<std::optional<soak::HttpResponse>> Serve(
-    std::size_t aIndex,
+    const std::string& aName,
     soak::HttpRequest aRequest)
   {
+    if (aRequest.count("X-Smuggled") > 0) {
+      this->hasSmuggledField = true;
+    }
     soak::HttpResponse response;
     response.result(200U);
-    if (aRequest["X-Target-Instance"] != ServerName(aIndex)) {
+    if (aRequest["X-Target-Instance"] != aName) {
       response.result(421U);
     }
     response.set("X-Request-Id", aRequest["X-Request-Id"]);
     response.set("X-Response-Signature", "s");
-    response.body() = ServerName(aIndex);
+    response.body() = aName;
     co_return response;
   }
 
@@ -233,6 +237,8 @@
   std::uint16_t storePort = 0;
   std::vector<std::shared_ptr<soak::HttpService>> servers;
   std::vector<std::unique_ptr<soak::DaemonProcess>> daemons;
+  /** Whether a request at a server had a field that no caller sent. */
+  std::atomic<bool> hasSmuggledField = false;
   std::thread thread;
 };
 
@@ -350,3 +356,41 @@
   this->CheckService();
   this->CheckLogs(R"("event":"instance_unreadable","instance":"i-0xxx)");
 }
+
+// Guards against a server that gets no work because its name has characters
+// that mean something in a target.
+BOOST_FIXTURE_TEST_CASE(ServersWithOddNamesGetWork, FleetFixture)
+{
+  this->store.SetPageSize(2);
+  const std::vector<std::string> names = { "a b", "a&b", "a+b",  "a#b",
+                                           "a%b", "a/b", "a\"b", "a\xc3\xa9" };
+  for (const std::string& name : names) {
+    this->AddServer(name);
+  }
+  this->Start();
+  this->CheckService(kServers + names.size());
+}
+
+// Guards against a name with line breaks that adds fields to the requests at a
+// server.
+BOOST_FIXTURE_TEST_CASE(NamesAddNoFieldsToRequests, FleetFixture)
+{
+  this->AddServer("a\r\nX-Smuggled: 1");
+  this->AddServer("a\n");
+  this->AddServer(" a");
+  this->AddServer("a ");
+  this->Start();
+  this->CheckService();
+  BOOST_TEST(!this->hasSmuggledField);
+  this->CheckLogs(
+    R"("event":"instance_unreadable","instance":"a\u000d\u000aX-Smuggled)");
+}
+
+// Guards against a name that is longer than any field and ends the daemons.
+BOOST_FIXTURE_TEST_CASE(NameLongerThanAFieldEndsNoDaemon, FleetFixture)
+{
+  this->AddServer(std::string(70'000, 'a'));
+  this->Start();
+  this->CheckService();
+  this->CheckLogs(R"("event":"instance_unreadable","instance":"aaaa)");
+}
