Let another writer leave odd entries in the soak's store

Cause: the soak's store returned each list as one page and did not decode targets, so that no entry in it could do harm.

--- a/soak/Soak.cpp
+++ b/soak/Soak.cpp
@@ -184,6 +184,7 @@
   , random(this->plan.seed)
   , callerRandom(this->plan.seed)
   , store(this->context)
+  , oddEntries(this->store, this->plan.seed)
   , usageReports(this->context,
                  this->plan.seed,
                  [this](std::string aViolation) {
@@ -200,6 +201,9 @@
 {
   this->storeEndpoint = this->store.Open();
   const tcp::endpoint usageEndpoint = this->usageReports.Open();
+  if (this->plan.hasOddEntries) {
+    this->oddEntries.Begin();
+  }
   this->ChangeConfiguration();
   for (unsigned index = 0; index < this->plan.servers; ++index) {
     this->servers.push_back(std::make_unique<Server>(
@@ -243,6 +247,9 @@
     spawn([this, &host] { return this->PollReadiness(*host); });
     spawn([this, &host] { return this->RestartOnExit(*host); });
   }
+  if (this->plan.hasOddEntries) {
+    spawn([this] { return this->WriteOddEntries(); });
+  }
   spawn([this] { return this->RunTest(); });
   this->context.run();
   this->CheckLogs();
@@ -337,6 +344,20 @@
   }
 }
 
+asio::awaitable<void>
+Soak::WriteOddEntries()
+{
+  constexpr auto kInterval = 150ms;
+  while (!this->isOver) {
+    std::vector<std::string> names;
+    for (const auto& server : this->servers) {
+      names.push_back(server->Id());
+    }
+    this->oddEntries.Step(names);
+    co_await this->Wait(kInterval);
+  }
+}
+
 void
 Soak::InjectPlannedOperation()
 {
--- a/soak/Soak.h
+++ b/soak/Soak.h
@@ -3,6 +3,7 @@
 #include "soak/Caller.h"
 #include "soak/KeyRing.h"
 #include "soak/ObjectStore.h"
+#include "soak/OddEntries.h"
 #include "soak/RequestHistory.h"
 #include "soak/UsageReports.h"
 
@@ -46,6 +47,9 @@
   bool hasHalfClosing = false;
   /** Whether servers answer some requests with a status that is none. */
   bool hasOddStatuses = false;
+  /** Whether another writer leaves odd entries in the store, whose lists then
+   * have short pages. */
+  bool hasOddEntries = false;
 };
 
 /**
@@ -87,6 +91,8 @@
   /** Starts the callers, injects faults, checks the recovery and stops. */
   boost::asio::awaitable<void> RunTest();
   boost::asio::awaitable<void> InjectFaults();
+  /** Writes and removes odd entries until the end of the run. */
+  boost::asio::awaitable<void> WriteOddEntries();
   /** Keeps `Host::isReady` up to date. */
   boost::asio::awaitable<void> PollReadiness(Host& aHost);
   /** Restarts the daemon of a host whenever it exits, and checks each exit. */
@@ -169,6 +175,7 @@
   std::mt19937_64 callerRandom;
   RequestHistory history;
   ObjectStore store;
+  OddEntries oddEntries;
   boost::asio::ip::tcp::endpoint storeEndpoint;
   UsageReports usageReports;
   std::vector<std::unique_ptr<Host>> hosts;
--- a/soak/SoakMain.cpp
+++ b/soak/SoakMain.cpp
@@ -29,6 +29,10 @@
 DEFINE_bool(odd_statuses,
             false,
             "servers answer some requests with a status like 000");
+DEFINE_bool(odd_entries,
+            false,
+            "another writer leaves odd entries in the store, and lists of the "
+            "store have short pages");
 DEFINE_bool(verbose, false, "print each fault");
 
 using namespace fireflytrail::soak;
@@ -60,6 +64,7 @@
   plan.hasSuccessors = FLAGS_successors;
   plan.hasHalfClosing = FLAGS_half_closing;
   plan.hasOddStatuses = FLAGS_odd_statuses;
+  plan.hasOddEntries = FLAGS_odd_entries;
   const auto begin = std::chrono::steady_clock::now();
   Soak soak(plan, [begin](const std::string& aLine) {
     if (FLAGS_verbose) {
