--- a/modules/proxy/StoreRelay.h
+++ b/modules/proxy/StoreRelay.h
@@ -289,8 +289,8 @@
   /** Records that a daemon reached the store at a time. */
   void NoteContact(core::TimePoint aTime);
   bool IsKnownKind(const std::string& aKind) const;
-  /** Passes on the changes by this daemon's list of a kind that was complete up
-   * to `aBase`. */
+  /** Pushes and delivers what this daemon's list of a kind has changed. The
+   * kind was complete up to `aBase` before, 0 if it was not listed. */
   void OnListApplied(const std::string& aKind,
                      std::uint64_t aBase,
                      const std::vector<store::ObjectRecord>& aChanged);
--- a/modules/store/ObjectListing.h
+++ b/modules/store/ObjectListing.h
@@ -17,8 +17,8 @@
  * after which the next page starts. Reading ends whatever the store answers: a
  * page without a new object, or that the store refuses, is requested again from
  * an earlier name, a limited number of times, and an object that is listed
- * again takes no more memory. An object without a name selects no page, and
- * only one of them is kept; nor does one whose name is too long for a request.
+ * again takes no more memory. Neither an object without a name, of which one is
+ * kept, nor one whose name is too long for a request selects a page.
  *
  * Performs no I/O. Not thread-safe.
  */
@@ -48,8 +48,8 @@
    * page. */
   const std::string& Cursor() const;
 
-  /** Returns the name after which the store first did not continue the list;
-   * empty unless the list is incomplete. */
+  /** Returns the name after which the store did not continue an incomplete list
+   * at the first attempt; empty for the first page. */
   const std::string& StuckAfter() const { return this->stuckAfter; }
 
   /** Returns the revision up to which the list is complete: pages may be read
