Order what the store says by its era

Cause: all that daemons read of the store was ordered by its revision alone, and a store that comes back older gives its revisions out again. The era was read, but used for the lease of usage reports only.

Evidence: ObjectWatcherTest and StoreRelayTest feed such answers to watchers, replicas and relays.

Change: a revision is held with its era in one number, so that every comparison (replicas, heartbeats, updates and requests between daemons, digests, patches, the hold at a start, the identity of orders) orders by the era first. The store's own number goes into watches and conditional writes only. A higher era is believed when two answers state it, or by another daemon's objects; requests under way are then abandoned and each kind is listed again. A kind is taken as a whole before single changes of a higher era. Daemons of an earlier era, or of the version before, do not count as watching. An answer of another era to the write of a rollout's state counts as none. New lines store_returned_older and older_copy_read, metric and dump store_era.

Why it works: within an era the store's revisions grow, and the era grows with each return, so that the pair grows with each change.

--- a/modules/operator_client/RequestTrace.cpp
+++ b/modules/operator_client/RequestTrace.cpp
@@ -30,6 +30,7 @@
   StateEvent{ "configuration_in_force", "", "configuration" },
   StateEvent{ "store_lost", "", "store" },
   StateEvent{ "store_regained", "", "store" },
+  StateEvent{ "store_returned_older", "", "era" },
   StateEvent{ "instance_changed", "instance", "instance" },
   StateEvent{ "instance_removed", "instance", "instance" },
   StateEvent{ "failure_domain_changed", "failure_domain", "domain" },
--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -10,6 +10,7 @@
 #include "gateway/TcpListener.h"
 #include "proxy/CallerIdentity.h"
 #include "proxy/RequestRunner.h"
+#include "store/StoreRevision.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/json/array.hpp>
@@ -350,6 +351,14 @@
         this->relay->Tick();
         this->watcher->SetActive(this->relay->ShouldWatch());
         this->log.Write(LogLevel::Info, "store_regained");
+      },
+    .onEraRaised =
+      [this](std::uint64_t aEra, std::uint64_t aPreviousEra) {
+        this->log.Write(
+          LogLevel::Warning,
+          "store_returned_older",
+          { { "era", static_cast<std::int64_t>(aEra) },
+            { "previous_era", static_cast<std::int64_t>(aPreviousEra) } });
       }
   };
 }
@@ -406,6 +415,13 @@
           LogLevel::Info,
           "kind_in_force",
           { { "kind", aKind }, { "is_confirmed", aIsConfirmed } });
+      },
+    .onOlderCopy =
+      [this](const std::string& aKind, std::uint64_t aEra) {
+        this->log.Write(
+          LogLevel::Info,
+          "older_copy_read",
+          { { "kind", aKind }, { "era", static_cast<std::int64_t>(aEra) } });
       }
   };
 }
@@ -519,7 +535,9 @@
           { { "service", aOrder.service },
             { "version", aOrder.targetVersion },
             { "state", routing::NameOf(aOrder.state) },
-            { "revision", static_cast<std::int64_t>(aOrder.revision) },
+            { "revision",
+              static_cast<std::int64_t>(
+                store::StatedRevision(aOrder.revision)) },
             { "status", static_cast<std::int64_t>(aStatus.value_or(0)) } });
       }
   };
@@ -538,8 +556,13 @@
   request.timeout = kWriteTimeout;
   this->transport.Send(
     request,
-    [onWritten = std::move(aOnWritten)](const store::StoreResponse& aResponse) {
-      onWritten(aResponse.delivery == store::StoreDelivery::Answered
+    [onWritten = std::move(aOnWritten), era = store::EraOf(aOrder.revision)](
+      const store::StoreResponse& aResponse) {
+      // In another era the revision, on which the write is conditional, may
+      // belong to another order. The next list shows what the store has.
+      const bool isOfSameEra = aResponse.era == 0 || aResponse.era == era;
+      onWritten(aResponse.delivery == store::StoreDelivery::Answered &&
+                    isOfSameEra
                   ? std::optional(aResponse.status)
                   : std::nullopt);
     });
@@ -780,13 +803,16 @@
       bytes += object.content.size() +
                gossip::DocumentPatch::EncodedSize(object.patch);
     }
-    this->log.Write(LogLevel::Info,
-                    "configuration_update",
-                    { { "from", aFrom },
-                      { "base", static_cast<std::int64_t>(part.base) },
-                      { "revision", static_cast<std::int64_t>(part.revision) },
-                      { "is_forwarder", aUpdate.isForwardRequested },
-                      { "bytes", static_cast<std::int64_t>(bytes) } });
+    this->log.Write(
+      LogLevel::Info,
+      "configuration_update",
+      { { "from", aFrom },
+        { "base", static_cast<std::int64_t>(store::StatedRevision(part.base)) },
+        { "revision",
+          static_cast<std::int64_t>(store::StatedRevision(part.revision)) },
+        { "era", static_cast<std::int64_t>(store::EraOf(part.revision)) },
+        { "is_forwarder", aUpdate.isForwardRequested },
+        { "bytes", static_cast<std::int64_t>(bytes) } });
   }
 }
 
@@ -1334,6 +1360,7 @@
   this->metrics.Set(
     "instances",
     static_cast<double>(this->storeView.Directory().InstanceCount()));
+  this->metrics.Set("store_era", static_cast<double>(this->watcher->Era()));
   this->metrics.Set("store_is_lost",
                     this->watcher->IsStoreUnavailable() ? 1 : 0);
   if (this->usage) {
@@ -1377,6 +1404,7 @@
     { "organisation_keys",
       this->storeView.Keys() ? this->storeView.Keys()->KeyCount() : 0 },
     { "store_is_lost", this->watcher->IsStoreUnavailable() },
+    { "store_era", this->watcher->Era() },
     { "instances", this->storeView.Directory().InstanceCount() },
     { "requests_in_progress", this->requestCount },
     { "requests_waiting", this->broker.WaitingCount() },
--- a/modules/proxy/StoreRelay.cpp
+++ b/modules/proxy/StoreRelay.cpp
@@ -1,6 +1,7 @@
 #include "proxy/StoreRelay.h"
 
 #include "core/Hash.h"
+#include "store/StoreRevision.h"
 
 #include <algorithm>
 #include <cassert>
@@ -135,7 +136,9 @@
                           std::uint64_t aBase,
                           const std::vector<ObjectRecord>& aChanged)
 {
-  if (aBase != 0) {
+  // After a return of the store from an older copy, the changes alone do not
+  // make the kind of another daemon complete: it requests the whole.
+  if (aBase != 0 && store::EraOf(aBase) == this->KnownEra(aKind)) {
     this->Push(aKind, aBase, aChanged);
   }
   this->KeepContents(aChanged);
@@ -153,7 +156,11 @@
   if (changed.empty()) {
     return;
   }
-  this->Push(aKind, base, changed);
+  if (std::ranges::all_of(changed, [base](const ObjectRecord& aObject) {
+        return store::EraOf(aObject.revision) == store::EraOf(base);
+      })) {
+    this->Push(aKind, base, changed);
+  }
   this->KeepContents(changed);
   this->Deliver(aKind, changed);
 }
@@ -170,6 +177,16 @@
                     const std::vector<ObjectRecord>& aChanged)
 {
   if (!this->hold.IsHeld(aKind)) {
+    std::uint64_t era = this->KnownEra(aKind);
+    for (const ObjectRecord& object : aChanged) {
+      era = std::max(era, store::EraOf(object.revision));
+    }
+    const auto [delivered, isFirst] =
+      this->deliveredEras.try_emplace(aKind, era);
+    if (std::exchange(delivered->second, era) < era && !isFirst &&
+        this->hooks.onOlderCopy) {
+      this->hooks.onOlderCopy(aKind, era);
+    }
     this->hooks.onObjects(aKind, aChanged);
     return;
   }
@@ -190,6 +207,7 @@
   if (this->hooks.onReleased) {
     this->hooks.onReleased(aKind, this->hold.IsConfirmed(aKind));
   }
+  this->deliveredEras[aKind] = this->KnownEra(aKind);
   this->hooks.onObjects(aKind, this->replica.Objects(aKind));
 }
 
@@ -232,6 +250,9 @@
     return;
   }
   this->RestartTakeoverDelayIfEnoughWatchers();
+  if (this->IsOfEarlierEra(aHeartbeat)) {
+    return;
+  }
   this->watchers[aFrom] = { this->hooks.now(),
                             aHeartbeat.isLost,
                             aHeartbeat.isStrong };
@@ -259,6 +280,28 @@
   }
 }
 
+bool
+StoreRelay::IsOfEarlierEra(const wire::StoreBeat& aHeartbeat) const
+{
+  const std::size_t count =
+    std::min(aHeartbeat.lastRevisions.size(), this->kinds.size());
+  for (std::size_t index = 0; index < count; ++index) {
+    const std::uint64_t revision = aHeartbeat.lastRevisions[index];
+    // A daemon that has not listed a kind yet may watch.
+    if (revision != 0 &&
+        store::EraOf(revision) < this->KnownEra(this->kinds[index])) {
+      return true;
+    }
+  }
+  return false;
+}
+
+std::uint64_t
+StoreRelay::KnownEra(const std::string& aKind) const
+{
+  return store::EraOf(this->replica.CompleteRevision(aKind));
+}
+
 void
 StoreRelay::CompareRevisions(const std::string& aFrom,
                              const wire::StoreBeat& aHeartbeat,
@@ -290,7 +333,10 @@
   if (!this->replica.IsListed(aRequest.kind)) {
     return;
   }
-  const bool isSnapshot = aRequest.since == 0;
+  // Changes do not tell which objects of an earlier era are gone.
+  const bool isSnapshot =
+    aRequest.since == 0 ||
+    store::EraOf(aRequest.since) != this->KnownEra(aRequest.kind);
   wire::KindNews update = this->MakeKindUpdate(aRequest.kind, aRequest.since);
   update.isSnapshot = isSnapshot;
   for (const ObjectRecord& object :
@@ -612,6 +658,13 @@
 StoreRelay::ApplyKindUpdate(const std::string& aFrom,
                             const wire::KindNews& aUpdate)
 {
+  const bool isOfKnownEra =
+    store::EraOf(aUpdate.revision) == this->KnownEra(aUpdate.kind);
+  if (!aUpdate.isSnapshot && !isOfKnownEra &&
+      this->replica.IsListed(aUpdate.kind)) {
+    this->RequestIfBehind(aFrom, aUpdate.kind, aUpdate.revision);
+    return;
+  }
   std::vector<ObjectRecord> objects;
   objects.reserve(aUpdate.objects.size());
   bool isReadable = true;
--- a/modules/proxy/StoreRelay.h
+++ b/modules/proxy/StoreRelay.h
@@ -58,6 +58,12 @@
    * start are put in force, and whether they are known to be current.
    */
   std::function<void(const std::string& aKind, bool aIsConfirmed)> onReleased;
+  /**
+   * Optional. Called when the objects of a kind that are passed to `onObjects`
+   * next are the first ones after the store came back from an older copy. They
+   * are all that differ from what was known before.
+   */
+  std::function<void(const std::string& aKind, std::uint64_t aEra)> onOlderCopy;
 };
 
 /**
@@ -92,6 +98,12 @@
  * daemon's lists are current, or the missing changes have arrived, the objects
  * are held back; see `StartupHold`.
  *
+ * Revisions are joined with the era of the store (see `store::JoinRevision`),
+ * so that what was read after the store came back from an older copy is newer
+ * than all that was known before. A daemon then takes each kind as a whole
+ * before it takes single changes. Daemons that still have an earlier era do not
+ * count as watching; nor do those of an older version, which know no eras.
+ *
  * Heartbeats are sent as `wire::StoreBeat`, updates as `wire::StoreNews` and
  * update requests as `wire::StoreNewsRequest`. Performs no I/O. Not
  * thread-safe.
@@ -276,6 +288,11 @@
   /** Answers a question although this daemon does not watch. */
   wire::StoreBeat MakeReferral() const;
   void OnReferral(const std::string& aFrom, const wire::StoreBeat& aReferral);
+  /** Whether a daemon's objects of any kind are of an earlier era than the own
+   * ones. */
+  bool IsOfEarlierEra(const wire::StoreBeat& aHeartbeat) const;
+  /** Returns the era of the known objects of a kind. */
+  std::uint64_t KnownEra(const std::string& aKind) const;
   /** Compares the revisions of another daemon with the own ones. */
   void CompareRevisions(const std::string& aFrom,
                         const wire::StoreBeat& aHeartbeat,
@@ -342,6 +359,8 @@
    * heartbeats. */
   std::map<std::string, core::TimePoint, std::less<>> listeners;
   std::map<std::string, Gap, std::less<>> gaps;
+  /** Era of the objects that were last passed on, by kind. */
+  std::map<std::string, std::uint64_t, std::less<>> deliveredEras;
   /** When changes of a kind that have not arrived yet were last requested. */
   std::map<std::string, core::TimePoint, std::less<>> requestedAt;
 };
--- a/modules/proxy/StoreRelayTest.cpp
+++ b/modules/proxy/StoreRelayTest.cpp
@@ -1,6 +1,7 @@
 #include "proxy/StoreRelay.h"
 
 #include "core/Hash.h"
+#include "store/StoreRevision.h"
 
 #include <boost/json/object.hpp>
 #include <boost/test/unit_test.hpp>
@@ -184,6 +185,24 @@
     }
   }
 
+  /** The store comes back from an older copy that has one object; the watching
+   * hosts that reach it list it again. */
+  void ReturnOlder(std::uint64_t aEra, const std::string& aName)
+  {
+    for (const std::string& name : this->Watchers()) {
+      if (!this->disconnected.contains(name) &&
+          this->hosts.at(name).lastAnswerTime) {
+        this->hosts.at(name).relay->OnListed("k",
+                                             store::JoinRevision(aEra, 8),
+                                             { { "k",
+                                                 aName,
+                                                 store::JoinRevision(aEra, 4),
+                                                 false,
+                                                 boost::json::object{} } });
+      }
+    }
+  }
+
   /**
    * Delivers a change from the store to all watching hosts that can reach it.
    */
@@ -627,3 +646,97 @@
   // Three watching hosts send a heartbeat to 18 hosts twice a second.
   BOOST_TEST(fleet.messages <= 3U * 18U * 20U);
 }
+
+// Guards against hosts that ignore the store after it came back from an older
+// copy, because its revisions are lower than before (review/10).
+BOOST_AUTO_TEST_CASE(AllHostsFollowAStoreThatCameBackOlder)
+{
+  Fleet fleet(19);
+  fleet.ListAll();
+  fleet.Run(5s);
+  fleet.Change("b", 20);
+  // Twice in a row; the second time, hosts have not all heard of the first.
+  fleet.ReturnOlder(1, "c");
+  fleet.ReturnOlder(2, "d");
+  fleet.Run(2s);
+  for (const auto& [name, host] : fleet.hosts) {
+    BOOST_TEST(host.objects.at("a") == 0U);
+    BOOST_TEST(host.objects.at("b") == 0U);
+    BOOST_TEST(host.objects.at("d") == store::JoinRevision(2, 4));
+  }
+  fleet.Change("b", store::JoinRevision(2, 9));
+  for (const auto& [name, host] : fleet.hosts) {
+    BOOST_TEST(host.objects.at("b") == store::JoinRevision(2, 9));
+  }
+}
+
+// Guards against hosts without a path to the store that do not learn of its
+// return from an older copy, and against a host that takes single changes of it
+// before it has the whole.
+BOOST_AUTO_TEST_CASE(HostsCutOffFromTheStoreFollowItsReturn)
+{
+  Fleet fleet(19);
+  fleet.ListAll();
+  fleet.Run(5s);
+  std::size_t index = 0;
+  for (auto& [name, host] : fleet.hosts) {
+    if (index++ % 2 == 0) {
+      host.lastAnswerTime.reset();
+    }
+  }
+  fleet.Run(2s);
+  std::string late;
+  for (const auto& [name, host] : fleet.hosts) {
+    late = host.relay->ShouldWatch() ? late : name;
+  }
+  fleet.disconnected.insert(late);
+  fleet.ReturnOlder(1, "c");
+  fleet.Run(2s);
+  fleet.disconnected.erase(late);
+  fleet.Change("d", store::JoinRevision(1, 9));
+  BOOST_TEST(!fleet.hosts.at(late).objects.contains("d"));
+  fleet.Run(2s);
+  for (const auto& [name, host] : fleet.hosts) {
+    BOOST_TEST(host.objects.at("a") == 0U);
+    BOOST_TEST(host.objects.contains("c"));
+    BOOST_TEST(host.objects.contains("d"));
+  }
+}
+
+// Guards against hosts that leave the store to hosts of an older version, which
+// know no eras and whose news are therefore not used.
+BOOST_AUTO_TEST_CASE(HostsOfAnEarlierEraDoNotCountAsWatching)
+{
+  Fleet fleet(6);
+  for (auto& [name, host] : fleet.hosts) {
+    host.relay->OnListed(
+      "k",
+      store::JoinRevision(1, 10),
+      { { "k", "a", store::JoinRevision(1, 5), false, {} } });
+  }
+  fleet.Run(5s);
+  const std::vector<std::string> watching = fleet.Watchers();
+  for (const std::string& name : watching) {
+    fleet.disconnected.insert(name);
+  }
+  // Hosts of an older version in their place.
+  for (int beat = 0; beat < 6; ++beat) {
+    for (auto& [name, host] : fleet.hosts) {
+      for (const std::string& old : watching) {
+        if (name != old) {
+          wire::StoreBeat heartbeat;
+          heartbeat.lastRevisions = { 12 };
+          heartbeat.isStrong = true;
+          host.relay->OnHeartbeat(old, heartbeat);
+        }
+      }
+    }
+    fleet.Run(500ms);
+  }
+  std::size_t others = 0;
+  for (const auto& [name, host] : fleet.hosts) {
+    others +=
+      host.relay->ShouldWatch() && !fleet.disconnected.contains(name) ? 1 : 0;
+  }
+  BOOST_TEST(others == 3U);
+}
--- a/modules/proxy/StoreView.cpp
+++ b/modules/proxy/StoreView.cpp
@@ -1,5 +1,7 @@
 #include "proxy/StoreView.h"
 
+#include "store/StoreRevision.h"
+
 #include <algorithm>
 #include <cassert>
 #include <utility>
@@ -13,6 +15,13 @@
 // Changes of servers in one update that are logged one by one.
 constexpr std::size_t kMaxLoggedInstances = 8;
 
+/** Returns the revision of an object as the store states it, for logs. */
+std::int64_t
+RevisionOf(const store::ObjectRecord& aObject)
+{
+  return static_cast<std::int64_t>(store::StatedRevision(aObject.revision));
+}
+
 } // namespace
 
 StoreView::StoreView(const PlatformAdapter& aPlatform,
@@ -83,7 +92,7 @@
       "configuration_in_force",
       { { "version", static_cast<std::int64_t>(current.version) },
         { "before", static_cast<std::int64_t>(previousVersion) },
-        { "revision", static_cast<std::int64_t>(object.revision) },
+        { "revision", RevisionOf(object) },
         { "routes", static_cast<std::int64_t>(current.routes.size()) },
         { "organisations",
           static_cast<std::int64_t>(current.organisations.size()) },
@@ -112,8 +121,7 @@
       this->log.Write(
         changeLevel,
         "instance_removed",
-        { { "instance", object.name },
-          { "revision", static_cast<std::int64_t>(object.revision) } });
+        { { "instance", object.name }, { "revision", RevisionOf(object) } });
       this->directory.Remove(object.name);
       continue;
     }
@@ -128,16 +136,15 @@
       continue;
     }
     const routing::BackendInstance& instance = parsed.value();
-    this->log.Write(
-      changeLevel,
-      "instance_changed",
-      { { "instance", instance.id },
-        { "service", instance.service },
-        { "version", instance.version },
-        { "failure_domain", instance.failureDomain },
-        { "is_draining", instance.isDraining },
-        { "cold_ms", instance.remainingColdTime.count() },
-        { "revision", static_cast<std::int64_t>(object.revision) } });
+    this->log.Write(changeLevel,
+                    "instance_changed",
+                    { { "instance", instance.id },
+                      { "service", instance.service },
+                      { "version", instance.version },
+                      { "failure_domain", instance.failureDomain },
+                      { "is_draining", instance.isDraining },
+                      { "cold_ms", instance.remainingColdTime.count() },
+                      { "revision", RevisionOf(object) } });
     this->directory.Put(std::move(parsed).value());
   }
 }
@@ -159,13 +166,12 @@
       continue;
     }
     this->directory.PutRollout(parsed.value());
-    this->log.Write(
-      LogLevel::Info,
-      "rollout_seen",
-      { { "service", parsed.value().service },
-        { "version", parsed.value().targetVersion },
-        { "state", routing::NameOf(parsed.value().state) },
-        { "revision", static_cast<std::int64_t>(object.revision) } });
+    this->log.Write(LogLevel::Info,
+                    "rollout_seen",
+                    { { "service", parsed.value().service },
+                      { "version", parsed.value().targetVersion },
+                      { "state", routing::NameOf(parsed.value().state) },
+                      { "revision", RevisionOf(object) } });
   }
 }
 
@@ -178,12 +184,11 @@
     } else {
       this->domainsOut.insert(object.name);
     }
-    this->log.Write(
-      LogLevel::Info,
-      "failure_domain_changed",
-      { { "failure_domain", object.name },
-        { "is_out", !object.isDeleted },
-        { "revision", static_cast<std::int64_t>(object.revision) } });
+    this->log.Write(LogLevel::Info,
+                    "failure_domain_changed",
+                    { { "failure_domain", object.name },
+                      { "is_out", !object.isDeleted },
+                      { "revision", RevisionOf(object) } });
   }
   this->directory.SetDomainsOut(this->domainsOut);
 }
--- a/modules/routing/RolloutOrder.h
+++ b/modules/routing/RolloutOrder.h
@@ -35,10 +35,12 @@
   bool hasStoredStatus = false;
   /** Time at which this daemon first saw the order. */
   core::TimePoint firstSeenAt{};
-  /** Revision of the stored order; a status write is conditional on it. */
+  /** Revision of the stored order, joined with the era of the store; a status
+   * write is conditional on it. */
   std::uint64_t revision = 0;
-  /** Revision at which the stored order was created; distinguishes an order
-   * from a later one for the same service. */
+  /** Revision at which the stored order was created, joined with the era in
+   * which it was read; distinguishes an order from a later one for the same
+   * service. */
   std::uint64_t createdRevision = 0;
 
   bool operator==(const RolloutOrder&) const = default;
--- a/modules/store/ObjectReplica.cpp
+++ b/modules/store/ObjectReplica.cpp
@@ -1,6 +1,7 @@
 #include "store/ObjectReplica.h"
 
 #include "core/Hash.h"
+#include "store/StoreRevision.h"
 
 #include <algorithm>
 #include <set>
@@ -86,6 +87,9 @@
 ObjectReplica::SetListed(KindState& aKind, std::uint64_t aRevision)
 {
   aKind.isListed = true;
+  // A kind without objects has an era, too.
+  aKind.completeRevision =
+    std::max(aKind.completeRevision, JoinRevision(EraOf(aRevision), 0));
   // Objects newer than the list came from other daemons. They do not show that
   // all changes between the list and them are known.
   for (const auto& [name, known] : aKind.objects) {
@@ -106,8 +110,9 @@
   std::erase_if(aObjects, [&kind](const ObjectRecord& aObject) {
     return IsKnownToBeGone(kind, aObject);
   });
+  const std::uint64_t era = EraOf(kind.completeRevision);
   for (ObjectRecord& object : aObjects) {
-    if (isComplete) {
+    if (isComplete && EraOf(object.revision) == era) {
       kind.completeRevision = std::max(kind.completeRevision, object.revision);
     }
     if (ApplyIfNewer(kind, object)) {
--- a/modules/store/ObjectReplica.h
+++ b/modules/store/ObjectReplica.h
@@ -16,6 +16,10 @@
  * object is never replaced by an older revision of it, and one that was deleted
  * before the first list is not restored by older data.
  *
+ * Revisions are joined with the era of the store (see `JoinRevision`). A list
+ * of a higher era replaces the whole kind; single changes of a higher era do
+ * not make it complete.
+ *
  * Performs no I/O. Not thread-safe.
  */
 class ObjectReplica
--- a/modules/store/ObjectReplicaTest.cpp
+++ b/modules/store/ObjectReplicaTest.cpp
@@ -1,5 +1,7 @@
 #include "store/ObjectReplica.h"
 
+#include "store/StoreRevision.h"
+
 #include <boost/test/unit_test.hpp>
 
 using namespace fireflytrail::store;
@@ -142,3 +144,42 @@
   replica.ReplaceAll("k", 40, { Object("a", 5), Object("b", 25) });
   BOOST_TEST(replica.Apply("k", 25, { Object("c", 6) }).empty());
 }
+
+// Guards against objects that stay as they were after the store came back from
+// an older copy: its list replaces the whole kind.
+BOOST_AUTO_TEST_CASE(AListOfAHigherEraReplacesTheKind)
+{
+  ObjectReplica replica;
+  replica.ReplaceAll(
+    "k",
+    JoinRevision(1, 30),
+    { Object("a", JoinRevision(1, 25)), Object("gone", JoinRevision(1, 28)) });
+  const auto changed = replica.ReplaceAll(
+    "k", JoinRevision(2, 12), { Object("a", JoinRevision(2, 5)) });
+  BOOST_TEST(changed.size() == 2U);
+  BOOST_TEST(replica.Objects("k").size() == 1U);
+  BOOST_TEST(replica.Objects("k").front().revision == JoinRevision(2, 5));
+  // News of the earlier era arrive late.
+  BOOST_TEST(
+    replica
+      .Apply("k", JoinRevision(1, 28), { Object("a", JoinRevision(1, 40)) })
+      .empty());
+  BOOST_TEST(
+    replica.ReplaceAll("k", JoinRevision(1, 50), { Object("gone", 45) })
+      .empty());
+  BOOST_TEST(replica.Objects("k").size() == 1U);
+}
+
+// Guards against a kind that counts as complete in an era of which only single
+// changes are known, and against one without objects that has no era.
+BOOST_AUTO_TEST_CASE(OnlyAListMakesAKindCompleteInAnEra)
+{
+  ObjectReplica replica;
+  replica.ReplaceAll(
+    "k", JoinRevision(1, 30), { Object("a", JoinRevision(1, 25)) });
+  replica.Apply(
+    "k", replica.CompleteRevision("k"), { Object("b", JoinRevision(2, 7)) });
+  BOOST_TEST(EraOf(replica.CompleteRevision("k")) == 1U);
+  replica.ReplaceAll("empty", JoinRevision(2, 12), {});
+  BOOST_TEST(EraOf(replica.CompleteRevision("empty")) == 2U);
+}
--- a/modules/store/ObjectWatcher.cpp
+++ b/modules/store/ObjectWatcher.cpp
@@ -1,5 +1,7 @@
 #include "store/ObjectWatcher.h"
 
+#include "store/StoreRevision.h"
+
 #include <fmt/format.h>
 
 #include <algorithm>
@@ -133,6 +135,17 @@
 {
   Progress& state = this->progress.at(aKind);
   state.revision = std::max(state.revision, aRevision);
+  const std::uint64_t previous = this->era.Current();
+  if (!this->era.Raise(EraOf(aRevision))) {
+    return;
+  }
+  if (this->hooks.onEraRaised) {
+    this->hooks.onEraRaised(this->era.Current(), previous);
+  }
+  this->AbandonRequests();
+  for (const WatchedKind& kind : this->kinds) {
+    this->RequestNext(kind.name);
+  }
 }
 
 void
@@ -147,6 +160,9 @@
       this->hooks.now() < state.retryAt) {
     return;
   }
+  if (state.revision != 0 && EraOf(state.revision) < this->era.Current()) {
+    RestartList(state);
+  }
   if (state.revision == 0) {
     this->List(aKind);
   } else {
@@ -193,7 +209,7 @@
     state.wasInterrupted || state.isUnconfirmed ? kShortWait : state.wait;
   this->Send(
     aKind,
-    this->dialect.watchTarget(aKind, this->progress.at(aKind).revision, wait),
+    this->dialect.watchTarget(aKind, StatedRevision(state.revision), wait),
     wait + kWatchMargin,
     [this, aKind](const StoreRequest& aRequest,
                   const StoreResponse& aResponse) {
@@ -219,10 +235,18 @@
   request.timeout = aTimeout;
   this->hooks.send(
     request,
-    [this, aKind, request, isWatch, sentAt, onAnswer = std::move(aOnAnswer)](
-      const StoreResponse& aResponse) {
+    [this,
+     aKind,
+     request,
+     isWatch,
+     sentAt,
+     number = ++state.requestNumber,
+     onAnswer = std::move(aOnAnswer)](const StoreResponse& aResponse) {
       this->hooks.onRequestEnded(request, aResponse);
       Progress& kindProgress = this->progress.at(aKind);
+      if (kindProgress.requestNumber != number) {
+        return;
+      }
       kindProgress.isRequestInFlight = false;
       const auto elapsed = this->hooks.now() - sentAt;
       const bool wasInterrupted = isWatch && !kindProgress.wasInterrupted &&
@@ -234,18 +258,90 @@
         this->RequestNext(aKind);
         return;
       }
-      const bool isAnswered = aResponse.delivery == StoreDelivery::Answered;
-      const bool isHistoryGone = isWatch && aResponse.status == kStatusGone;
-      if (isAnswered && (aResponse.status == kStatusOk || isHistoryGone)) {
-        onAnswer(request, aResponse);
-      } else if (isAnswered && IsRefusal(aResponse.status)) {
-        this->OnRefused(aKind, request, isWatch, aResponse.status);
-      } else {
-        this->MarkUnavailable(request, FailureOf(aResponse));
-      }
+      this->OnResponse(aKind, request, isWatch, aResponse, onAnswer);
     });
 }
 
+void
+ObjectWatcher::OnResponse(
+  const std::string& aKind,
+  const StoreRequest& aRequest,
+  bool aIsWatch,
+  const StoreResponse& aResponse,
+  const std::function<void(const StoreRequest&, const StoreResponse&)>&
+    aOnAnswer)
+{
+  if (!this->IsOfCurrentEra(
+        aRequest, aResponse, [this, &aKind] { this->RequestNext(aKind); })) {
+    return;
+  }
+  const bool isAnswered = aResponse.delivery == StoreDelivery::Answered;
+  const bool isHistoryGone = aIsWatch && aResponse.status == kStatusGone;
+  if (isAnswered && (aResponse.status == kStatusOk || isHistoryGone)) {
+    aOnAnswer(aRequest, aResponse);
+  } else if (isAnswered && IsRefusal(aResponse.status)) {
+    this->OnRefused(aKind, aRequest, aIsWatch, aResponse.status);
+  } else {
+    this->MarkUnavailable(aRequest, FailureOf(aResponse));
+  }
+}
+
+bool
+ObjectWatcher::IsOfCurrentEra(const StoreRequest& aRequest,
+                              const StoreResponse& aResponse,
+                              const std::function<void()>& aRepeat)
+{
+  const std::uint64_t previous = this->era.Current();
+  switch (this->era.Judge(aResponse)) {
+    case StoreEra::Standing::Current:
+      return true;
+    case StoreEra::Standing::Older:
+      this->MarkUnavailable(
+        aRequest,
+        fmt::format("answer of era {}, {} is known", aResponse.era, previous));
+      return false;
+    case StoreEra::Standing::Unconfirmed:
+      aRepeat();
+      return false;
+    case StoreEra::Standing::Raised:
+      break;
+  }
+  if (this->hooks.onEraRaised) {
+    this->hooks.onEraRaised(this->era.Current(), previous);
+  }
+  this->AbandonRequests();
+  this->failures = 0;
+  this->MarkAvailable();
+  for (const WatchedKind& kind : this->kinds) {
+    this->RequestNext(kind.name);
+  }
+  this->SchedulePing(kPingInterval);
+  return false;
+}
+
+void
+ObjectWatcher::AbandonRequests()
+{
+  for (auto& [kind, state] : this->progress) {
+    ++state.requestNumber;
+    state.isRequestInFlight = false;
+    if (state.revision == 0) {
+      RestartList(state);
+    }
+  }
+}
+
+ObjectPage
+ObjectWatcher::Joined(ObjectPage aPage) const
+{
+  const std::uint64_t current = this->era.Current();
+  aPage.revision = JoinRevision(current, aPage.revision);
+  for (ObjectRecord& object : aPage.objects) {
+    object.revision = JoinRevision(current, object.revision);
+  }
+  return aPage;
+}
+
 void
 ObjectWatcher::OnListResponse(const std::string& aKind,
                               const StoreRequest& aRequest,
@@ -256,8 +352,9 @@
     this->MarkUnavailable(aRequest, page.error().detail);
     return;
   }
-  this->AdvanceList(
-    aKind, this->progress.at(aKind).listing.Add(std::move(page).value()));
+  this->AdvanceList(aKind,
+                    this->progress.at(aKind).listing.Add(
+                      this->Joined(std::move(page).value())));
 }
 
 void
@@ -330,16 +427,17 @@
     this->MarkUnavailable(aRequest, page.error().detail);
     return;
   }
-  state.revision = std::max(state.revision, page.value().revision);
+  ObjectPage changes = this->Joined(std::move(page).value());
+  state.revision = std::max(state.revision, changes.revision);
   state.isUnconfirmed = false;
   state.refusals = 0;
-  const bool hasChanges = !page.value().objects.empty();
+  const bool hasChanges = !changes.objects.empty();
   this->RestartListIfDue(state);
   this->failures = 0;
   // `onAvailabilityChange` is called before `onChanges`, because the receiver
   // of the changes may need to know that the store was unavailable.
   this->MarkAvailable();
-  this->hooks.onChanges(aKind, std::move(page.value().objects));
+  this->hooks.onChanges(aKind, std::move(changes.objects));
   this->hooks.onConfirmed(aKind);
   if (!hasChanges) {
     this->RequestNext(aKind);
@@ -422,6 +520,10 @@
   this->hooks.send(request, [this, request](const StoreResponse& aResponse) {
     this->isPingPending = false;
     this->hooks.onRequestEnded(request, aResponse);
+    if (!this->IsOfCurrentEra(
+          request, aResponse, [this] { this->SchedulePing(kShortWait); })) {
+      return;
+    }
     const bool isAnswered = aResponse.delivery == StoreDelivery::Answered;
     if (isAnswered && aResponse.status == kStatusOk) {
       this->pingRefusals = 0;
@@ -450,12 +552,14 @@
   }
   this->MarkAvailable();
   this->SchedulePing(kPingInterval);
-  if (state.revision == 0) {
+  // A kind of an earlier era is listed first.
+  if (state.revision == 0 || EraOf(state.revision) < this->era.Current()) {
     return;
   }
   // New objects are reported from the ping because the watch may have gone
   // silent. Deletions are left to the watch, since this list may be stale.
-  std::vector<ObjectRecord>& objects = page.value().objects;
+  std::vector<ObjectRecord> objects =
+    this->Joined(std::move(page).value()).objects;
   std::erase_if(objects, [&state](const ObjectRecord& aObject) {
     return aObject.revision <= state.revision;
   });
--- a/modules/store/ObjectWatcher.h
+++ b/modules/store/ObjectWatcher.h
@@ -3,6 +3,7 @@
 #include "core/Hooks.h"
 #include "store/ObjectDialect.h"
 #include "store/ObjectListing.h"
+#include "store/StoreEra.h"
 #include "store/StoreRequest.h"
 #include "store/StoreResponse.h"
 
@@ -70,6 +71,10 @@
    * failure, and when it is available again. */
   std::function<void(bool aIsUnavailable, const std::string& aDetail)>
     onAvailabilityChange;
+  /** Optional. Called when the store is known to have come back from an older
+   * copy, before its objects are read again. */
+  std::function<void(std::uint64_t aEra, std::uint64_t aPreviousEra)>
+    onEraRaised;
 };
 
 /**
@@ -90,6 +95,12 @@
  * refused is requested from an earlier name, a list again with a backoff, and a
  * watch is replaced by a list.
  *
+ * All revisions of objects and lists that are reported are joined with the era
+ * of the store (see `JoinRevision`). When an answer shows that the store came
+ * back from an older copy, all other requests are abandoned and each watched
+ * kind is listed again. Answers of an earlier era are not used; a store that
+ * states nothing else counts as unavailable.
+ *
  * Performs no I/O. Not thread-safe.
  */
 class ObjectWatcher
@@ -117,7 +128,8 @@
   void SetActive(bool aIsActive);
 
   /** Records that another source, such as another daemon, has delivered all
-   * changes of a kind up to a revision. Later watches start from there. */
+   * changes of a kind up to a revision, joined with its era. Later watches
+   * start from there, and no answer of an earlier era is used from then on. */
   void NoteRevision(const std::string& aKind, std::uint64_t aRevision);
 
   /** Whether the store is unavailable: a request has failed and none has
@@ -130,6 +142,9 @@
     return this->lastAnswerTime;
   }
 
+  /** Returns the era of the store that is believed; 0 if none was stated. */
+  std::uint64_t Era() const { return this->era.Current(); }
+
   /** Returns the number of requests sent so far. */
   std::uint64_t RequestCount() const { return this->requestCount; }
 
@@ -156,9 +171,12 @@
     bool isUnconfirmed = false;
     /** Whether the last watch lost its connection while it waited. */
     bool wasInterrupted = false;
-    /** Revision up to which changes are known; 0 until the kind is listed. */
+    /** Revision up to which changes are known, joined with its era; 0 until the
+     * kind is listed. */
     std::uint64_t revision = 0;
     bool isRequestInFlight = false;
+    /** Number of the last request; the answers to others are not used. */
+    std::uint64_t requestNumber = 0;
     std::chrono::milliseconds wait{ 0 };
     /** Until then, the kind is not listed while the watcher is inactive. */
     core::TimePoint listAt{};
@@ -174,6 +192,22 @@
   /** Restarts the list of a kind if its last one was partial and it is time. */
   void RestartListIfDue(Progress& aProgress) const;
   void Watch(const std::string& aKind);
+  /** Handles the outcome of a list or watch of a kind. */
+  void OnResponse(const std::string& aKind,
+                  const StoreRequest& aRequest,
+                  bool aIsWatch,
+                  const StoreResponse& aResponse,
+                  const std::function<void(const StoreRequest&,
+                                           const StoreResponse&)>& aOnAnswer);
+  /** Whether an answer is of the era that is believed. Calls `aRepeat` if the
+   * request is to be sent again; all else that follows is done. */
+  bool IsOfCurrentEra(const StoreRequest& aRequest,
+                      const StoreResponse& aResponse,
+                      const std::function<void()>& aRepeat);
+  /** Abandons all requests under way, whose answers are of an earlier era. */
+  void AbandonRequests();
+  /** Joins the revisions of a page with the era that is believed. */
+  ObjectPage Joined(ObjectPage aPage) const;
   void OnListResponse(const std::string& aKind,
                       const StoreRequest& aRequest,
                       const StoreResponse& aResponse);
@@ -217,6 +251,7 @@
   ObjectDialect dialect;
   WatcherHooks hooks;
   std::map<std::string, Progress, std::less<>> progress;
+  StoreEra era;
   bool isStoreUnavailable = false;
   bool isPingPending = false;
   bool isStopped = false;
--- a/modules/store/ObjectWatcherTest.cpp
+++ b/modules/store/ObjectWatcherTest.cpp
@@ -1,5 +1,7 @@
 #include "store/ObjectWatcher.h"
 
+#include "store/ObjectReplica.h"
+
 #include <boost/test/unit_test.hpp>
 #include <fmt/format.h>
 
@@ -37,6 +39,10 @@
   std::deque<std::pair<milliseconds, std::function<void()>>> timers;
   std::vector<std::string> events;
   std::vector<std::string> confirmed;
+  /** What the store states in its answers; 0 if nothing. */
+  std::uint64_t era = 0;
+  /** Has what is reported. */
+  ObjectReplica replica;
   ObjectWatcher watcher{
     { { "k", 1500ms, this->listDelay }, { "l", 3000ms } },
     { .listTarget =
@@ -68,10 +74,11 @@
         },
       .onList =
         [this](const std::string& aKind,
-               std::uint64_t,
+               std::uint64_t aRevision,
                std::vector<ObjectRecord> aObjects) {
           this->events.push_back(
             fmt::format("list {} {}", aKind, aObjects.size()));
+          this->replica.ReplaceAll(aKind, aRevision, std::move(aObjects));
         },
       .onPartialList =
         [this](const std::string& aKind,
@@ -85,6 +92,8 @@
         [this](const std::string& aKind, std::vector<ObjectRecord> aObjects) {
           this->events.push_back(
             fmt::format("change {} {}", aKind, aObjects.size()));
+          this->replica.Apply(
+            aKind, this->replica.CompleteRevision(aKind), std::move(aObjects));
         },
       .onConfirmed =
         [this](const std::string& aKind) { this->confirmed.push_back(aKind); },
@@ -127,10 +136,42 @@
     BOOST_REQUIRE(!this->calls.empty());
     Call call = std::move(this->calls.front());
     this->calls.pop_front();
-    call.done({ StoreDelivery::Answered, aStatus, 0, aBody, "" });
+    call.done({ StoreDelivery::Answered, aStatus, 0, aBody, "", this->era });
     return call.request.target;
   }
 
+  /** Answers the oldest request to a target; returns whether there was one. */
+  bool AnswerTo(const std::string& aTarget,
+                unsigned aStatus,
+                const std::string& aBody = "")
+  {
+    const auto found =
+      std::ranges::find(this->calls, aTarget, [](const Call& aCall) {
+        return aCall.request.target;
+      });
+    if (found == this->calls.end()) {
+      return false;
+    }
+    std::rotate(this->calls.begin(), found, found + 1);
+    this->Answer(aStatus, aBody);
+    return true;
+  }
+
+  bool HasCall(const std::string& aTarget) const
+  {
+    return std::ranges::any_of(this->calls, [&](const Call& aCall) {
+      return aCall.request.target == aTarget;
+    });
+  }
+
+  /** Returns a known object of the kind k. */
+  ObjectRecord Known(const std::string& aName) const
+  {
+    const auto objects = this->replica.Objects("k");
+    const auto found = std::ranges::find(objects, aName, &ObjectRecord::name);
+    return found == objects.end() ? ObjectRecord{} : *found;
+  }
+
   /** Advances the clock, then fails the oldest request as lost and returns its
    * target. */
   std::string FailAsLost(milliseconds aAfter = 0ms)
@@ -548,3 +589,96 @@
   BOOST_TEST(this->events.back() == "list k 1");
   BOOST_TEST(this->calls.empty());
 }
+
+// Guards against a change that is ignored after the store came back from an
+// older copy, because its revision is lower than one from before (review/10).
+BOOST_FIXTURE_TEST_CASE(ChangesAfterTheReturnOfAnOlderCopyAreTaken, Fixture)
+{
+  this->era = 1;
+  this->watcher.Start();
+  this->Answer(200, "30 0 +a +gone");
+  this->Answer(200, "30 0");
+  this->Answer(200, "30 0");
+  this->Answer(200, "30 0");
+  BOOST_TEST(!this->Known("+gone").name.empty());
+  // The store is at revision 12 again, and has no watch from 30.
+  this->era = 2;
+  BOOST_TEST(this->AnswerTo("watch k 30 1500", 410));
+  BOOST_TEST(this->AnswerTo("watch k 30 1500", 410));
+  BOOST_TEST(this->AnswerTo("new list k ", 200, "12 0 +a"));
+  BOOST_TEST(this->Known("+gone").name.empty());
+  BOOST_TEST(this->AnswerTo("watch k 12 1500", 200, "14 0 +b"));
+  BOOST_TEST(this->Known("+b").name == "+b");
+}
+
+// Guards against a watch that waits on at the copy for a revision which the
+// store does not have: all kinds are read again as soon as one shows the
+// return.
+BOOST_FIXTURE_TEST_CASE(AReturnSeenByAPingLeadsToAListOfEachKind, Fixture)
+{
+  this->era = 1;
+  this->ListAndConfirmBoth();
+  this->era = 2;
+  this->RunTimer();
+  BOOST_TEST(this->AnswerTo("ping l", 200, "8 0"));
+  this->RunTimer();
+  BOOST_TEST(!this->HasCall("new list k "));
+  BOOST_TEST(this->AnswerTo("ping l", 200, "8 0"));
+  BOOST_TEST(this->HasCall("new list k "));
+  BOOST_TEST(this->HasCall("new list l "));
+  // The watches that were waiting are not used, whatever they return.
+  this->era = 1;
+  BOOST_TEST(this->AnswerTo("watch k 10 1500", 200, "40 0 +late"));
+  BOOST_TEST(this->Known("+late").name.empty());
+  BOOST_TEST(!this->watcher.IsStoreUnavailable());
+  this->era = 2;
+  BOOST_TEST(this->AnswerTo("new list k ", 200, "8 0 +a"));
+  BOOST_TEST(this->HasCall("watch k 8 1500"));
+}
+
+// Guards against pages of one list that are read before and after the return of
+// the store.
+BOOST_FIXTURE_TEST_CASE(AListThatCrossesTheReturnIsReadFromTheStart, Fixture)
+{
+  this->era = 1;
+  this->watcher.Start();
+  BOOST_TEST(this->Answer(200, "30 1 old") == "list k ");
+  this->era = 2;
+  BOOST_TEST(this->AnswerTo("list k old", 200, "12 0 b"));
+  BOOST_TEST(this->AnswerTo("list k old", 200, "12 0 b"));
+  BOOST_TEST(this->AnswerTo("new list k ", 200, "12 0 b"));
+  BOOST_TEST(this->Known("old").name.empty());
+  BOOST_TEST(this->Known("b").name == "b");
+}
+
+// Guards against requests without pause to a store whose era goes back, and
+// against the use of what it says.
+BOOST_FIXTURE_TEST_CASE(AStoreOfALowerEraCountsAsUnavailable, Fixture)
+{
+  this->era = 2;
+  this->ListAndConfirmBoth();
+  this->era = 1;
+  BOOST_TEST(this->AnswerTo("watch k 10 1500", 200, "40 0 +late"));
+  BOOST_TEST(this->watcher.IsStoreUnavailable());
+  BOOST_TEST(this->Known("+late").name.empty());
+  BOOST_TEST(!this->HasCall("watch k 10 1500"));
+  this->era = 2;
+  while (!this->HasCall("ping l")) {
+    this->RunTimer();
+  }
+  this->AnswerTo("ping l", 200, "11 0");
+  BOOST_TEST(!this->watcher.IsStoreUnavailable());
+}
+
+// Guards against a daemon that watches from a revision of an earlier era,
+// although another daemon has told it of the return of the store.
+BOOST_FIXTURE_TEST_CASE(AnEraOfAnotherDaemonIsBelieved, Fixture)
+{
+  this->era = 1;
+  this->ListAndConfirmBoth();
+  constexpr std::uint64_t kSecondEra = std::uint64_t{ 2 } << 52U;
+  this->watcher.NoteRevision("k", kSecondEra + 8);
+  BOOST_TEST(this->watcher.Era() == 2U);
+  BOOST_TEST(this->HasCall("watch k 8 1500"));
+  BOOST_TEST(this->HasCall("new list l "));
+}
