Keep what a returned older copy would undo

Callers would have seen, once hosts followed a store that came back older: new work at servers that had left (DRAIN), none at servers that had just joined, failure domains back before their order was written again (EVAC), both versions of a service with all requests, and a second trial of a version that had been taken back (EXPOSURE).

Cause: what the copy lacks was taken for ended, and what it has for valid.

Change: the relay tells when the first objects of a higher era follow. A rollout that is written again for the same version is the known one, with its evidence and its verdict; a verdict that the store lost is written again by the daemon that dispatches the service.

Why it works: the copy says nothing of the seconds after it; those who wrote in that time write again, within the times that the platform states, and the daemon believes itself until then.

--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -422,6 +422,7 @@
           LogLevel::Info,
           "older_copy_read",
           { { "kind", aKind }, { "era", static_cast<std::int64_t>(aEra) } });
+        this->storeView.OnOlderCopy(aKind);
       }
   };
 }
@@ -856,7 +857,7 @@
 void
 ProxyDaemon::ScheduleExpiredRemoval()
 {
-  const auto due = this->storeView.Directory().NextDue();
+  const auto due = this->storeView.NextDue();
   if (!due) {
     return;
   }
@@ -865,7 +866,7 @@
     if (aError) {
       return;
     }
-    if (this->storeView.Directory().RemoveExpiredInstances()) {
+    if (this->storeView.ApplyDue()) {
       this->log.Write(LogLevel::Info, "lapsed_instances_removed");
     }
     this->UpdateBroker();
--- a/modules/proxy/RolloutDriver.cpp
+++ b/modules/proxy/RolloutDriver.cpp
@@ -57,37 +57,49 @@
 {
   this->RemoveEndedTrials(aOrders);
   for (const auto& [service, order] : aOrders) {
-    auto known = this->trials.find(service);
-    if (known != this->trials.end()) {
-      RolloutOrder& trialOrder = known->second.order;
-      trialOrder.revision = order.revision;
-      if (order.hasStoredStatus && order.state != RolloutState::Running) {
-        // The first verdict in the store stands: the platform acts on it. The
-        // write of another one would be accepted under the new revision.
-        trialOrder.state = order.state;
+    const auto known = this->trials.find(service);
+    if (known == this->trials.end()) {
+      if (Trial* const started = this->TryStart(service, order)) {
+        this->Advance(service, *started);
       }
-      // A verdict stays marked as unwritten until the store shows it.
-      trialOrder.hasStoredStatus =
-        trialOrder.hasStoredStatus ||
-        (trialOrder.state == order.state && order.hasStoredStatus);
-    } else if (order.state == RolloutState::Running &&
-               order.duration.count() > 0 &&
-               this->hooks.isDispatching(service)) {
-      known = this->trials
-                .emplace(service,
-                         Trial{ order,
-                                VersionTrial(this->hooks.now,
-                                             order.firstSeenAt,
-                                             order.duration,
-                                             this->firstShare) })
-                .first;
-    } else {
       continue;
     }
+    RolloutOrder& trialOrder = known->second.order;
+    if (order.isVerdictLost && order.revision != trialOrder.revision) {
+      // The store has lost what was written, too.
+      trialOrder.hasStoredStatus = false;
+    }
+    trialOrder.revision = order.revision;
+    if (order.hasStoredStatus && order.state != RolloutState::Running) {
+      // The first verdict in the store stands: the platform acts on it. The
+      // write of another one would be accepted under the new revision.
+      trialOrder.state = order.state;
+    }
+    // A verdict stays marked as unwritten until the store shows it.
+    trialOrder.hasStoredStatus =
+      trialOrder.hasStoredStatus ||
+      (trialOrder.state == order.state && order.hasStoredStatus);
     this->Advance(service, known->second);
   }
 }
 
+RolloutDriver::Trial*
+RolloutDriver::TryStart(const std::string& aService, const RolloutOrder& aOrder)
+{
+  const bool isToBeTried = aOrder.state == RolloutState::Running;
+  if ((!isToBeTried && !aOrder.isVerdictLost) || aOrder.duration.count() <= 0 ||
+      !this->hooks.isDispatching(aService)) {
+    return nullptr;
+  }
+  Trial trial{ aOrder,
+               VersionTrial(this->hooks.now,
+                            aOrder.firstSeenAt,
+                            aOrder.duration,
+                            this->firstShare) };
+  trial.isVerdictKnown = !isToBeTried;
+  return &this->trials.emplace(aService, std::move(trial)).first->second;
+}
+
 void
 RolloutDriver::RemoveEndedTrials(const Orders& aOrders)
 {
@@ -101,9 +113,10 @@
     // dispatches the service by then.
     const bool isContinued =
       isCurrent &&
-      (hasVerdict ? !trial.order.hasStoredStatus
-                  : this->hooks.isDispatching(service) &&
-                      order->second.state == RolloutState::Running);
+      (trial.isVerdictKnown ? order->second.isVerdictLost
+       : hasVerdict         ? !trial.order.hasStoredStatus
+                            : this->hooks.isDispatching(service) &&
+                        order->second.state == RolloutState::Running);
     if (!isContinued) {
       this->hooks.setShare(service, 0);
     }
@@ -148,7 +161,8 @@
 void
 RolloutDriver::Advance(const std::string& aService, Trial& aTrial)
 {
-  if (aTrial.trial.Result() == VersionTrial::Verdict::None) {
+  if (!aTrial.isVerdictKnown &&
+      aTrial.trial.Result() == VersionTrial::Verdict::None) {
     aTrial.trial.Update(this->hooks.capacityOf(aService));
     this->hooks.setShare(aService, aTrial.trial.Share());
     switch (aTrial.trial.Result()) {
@@ -208,7 +222,7 @@
     return;
   }
   trial.order.hasStoredStatus = true;
-  if (aOrder.state == RolloutState::Completed) {
+  if (aOrder.state == RolloutState::Completed && !trial.isVerdictKnown) {
     this->hooks.decided(aOrder, trial.trial.Describe());
   }
 }
--- a/modules/proxy/RolloutDriver.h
+++ b/modules/proxy/RolloutDriver.h
@@ -82,16 +82,24 @@
   void OnRequestEnded(const routing::EndedRequest& aRequest);
 
 private:
-  /** The trial of an order that this daemon carries out. */
+  /** The trial of an order that this daemon carries out, or the verdict on one
+   * that it writes again. */
   struct Trial
   {
     routing::RolloutOrder order;
     moves::VersionTrial trial;
+    /** Whether the verdict was reached before, and only has to be written
+     * again. */
+    bool isVerdictKnown = false;
     bool isWriting = false;
     unsigned failedWrites = 0;
     core::TimePoint nextWrite{};
   };
 
+  /** Starts the trial of an order if this daemon is to carry it out, or to
+   * write its verdict again. Returns null if not. */
+  Trial* TryStart(const std::string& aService,
+                  const routing::RolloutOrder& aOrder);
   void RemoveEndedTrials(const Orders& aOrders);
   void Advance(const std::string& aService, Trial& aTrial);
   void Write(const std::string& aService, Trial& aTrial);
--- a/modules/proxy/RolloutDriverTest.cpp
+++ b/modules/proxy/RolloutDriverTest.cpp
@@ -197,3 +197,32 @@
   this->Run(5s);
   BOOST_TEST(this->writes.empty());
 }
+
+// Guards against a verdict that the store lost when it came back from an older
+// copy and that nobody writes again: a daemon that starts later would try the
+// version once more.
+BOOST_FIXTURE_TEST_CASE(AVerdictThatTheStoreLostIsWrittenAgain, Fixture)
+{
+  RolloutOrder& order = this->orders.at("s");
+  order.state = RolloutState::RolledBack;
+  order.isVerdictLost = true;
+  this->isDispatching = false;
+  this->Run(1s);
+  BOOST_TEST(this->writes.empty());
+  this->isDispatching = true;
+  this->Run(1s);
+  BOOST_TEST(this->share <= 0);
+  const RolloutOrder written = this->AnswerWrite(200);
+  BOOST_TEST((written.state == RolloutState::RolledBack));
+  this->Run(1s);
+  BOOST_TEST(this->writes.empty());
+  // The store comes back once more, without what was written.
+  order.revision = 6;
+  this->Run(1s);
+  BOOST_TEST((this->AnswerWrite(200).state == RolloutState::RolledBack));
+  order.hasStoredStatus = true;
+  order.isVerdictLost = false;
+  this->Run(5s);
+  BOOST_TEST(this->writes.empty());
+  BOOST_TEST(this->decided.empty());
+}
--- a/modules/proxy/StoreView.cpp
+++ b/modules/proxy/StoreView.cpp
@@ -33,8 +33,10 @@
   : platform(aPlatform)
   , log(aLog)
   , logsEachInstance(aLogsEachInstance)
-  , directory(std::move(aNow), aReportInterval)
+  , directory(aNow, aReportInterval)
   , keySeed(aKeySeed)
+  , heldRollouts(aNow)
+  , heldDomains(std::move(aNow))
 {
 }
 
@@ -49,17 +51,65 @@
                  const std::vector<store::ObjectRecord>& aObjects)
 {
   const ObjectKinds& kinds = this->platform.kinds;
+  const bool isOlderCopy = this->olderCopies.erase(aKind) > 0;
   if (aKind == kinds.configuration) {
     this->ApplyConfiguration(aObjects);
   } else if (aKind == kinds.instances) {
-    this->ApplyInstances(aObjects);
+    this->ApplyInstances(aObjects, isOlderCopy);
   } else if (aKind == kinds.rollouts) {
-    this->ApplyRollouts(aObjects);
+    this->ApplyRollouts(aObjects, isOlderCopy);
   } else if (aKind == kinds.domainsOut) {
-    this->ApplyDomainsOut(aObjects);
+    this->ApplyDomainsOut(aObjects, isOlderCopy);
   }
 }
 
+void
+StoreView::OnOlderCopy(const std::string& aKind)
+{
+  this->olderCopies.insert(aKind);
+  if (aKind == this->platform.kinds.instances) {
+    this->directory.OnOlderCopy();
+  }
+}
+
+std::optional<core::TimePoint>
+StoreView::NextDue() const
+{
+  std::optional<core::TimePoint> due;
+  for (const auto& time : { this->directory.NextDue(),
+                            this->heldRollouts.NextDue(),
+                            this->heldDomains.NextDue() }) {
+    if (time) {
+      due = due ? std::min(*due, *time) : *time;
+    }
+  }
+  return due;
+}
+
+bool
+StoreView::ApplyDue()
+{
+  for (const store::ObjectRecord& object : this->heldRollouts.TakeDue()) {
+    this->ApplyRollout(object, false);
+  }
+  for (const store::ObjectRecord& object : this->heldDomains.TakeDue()) {
+    this->ApplyDomainOut(object);
+  }
+  this->directory.SetDomainsOut(this->domainsOut);
+  return this->directory.RemoveExpiredInstances();
+}
+
+void
+StoreView::LogHeld(const store::ObjectRecord& aObject) const
+{
+  this->log.Write(LogLevel::Info,
+                  "older_copy_held",
+                  { { "kind", aObject.kind },
+                    { "name", aObject.name },
+                    { "is_deleted", aObject.isDeleted },
+                    { "revision", RevisionOf(aObject) } });
+}
+
 void
 StoreView::ApplyConfiguration(const std::vector<store::ObjectRecord>& aObjects)
 {
@@ -101,7 +151,8 @@
 }
 
 void
-StoreView::ApplyInstances(const std::vector<store::ObjectRecord>& aObjects)
+StoreView::ApplyInstances(const std::vector<store::ObjectRecord>& aObjects,
+                          bool aIsOlderCopy)
 {
   // A line for each server on each host would make the log grow with their
   // product, for instance when a fleet starts.
@@ -145,52 +196,101 @@
                       { "is_draining", instance.isDraining },
                       { "cold_ms", instance.remainingColdTime.count() },
                       { "revision", RevisionOf(object) } });
-    this->directory.Put(std::move(parsed).value());
+    if (aIsOlderCopy) {
+      this->directory.PutFromOlderCopy(std::move(parsed).value());
+    } else {
+      this->directory.Put(std::move(parsed).value());
+    }
   }
 }
 
 void
-StoreView::ApplyRollouts(const std::vector<store::ObjectRecord>& aObjects)
+StoreView::ApplyRollouts(const std::vector<store::ObjectRecord>& aObjects,
+                         bool aIsOlderCopy)
 {
   for (const store::ObjectRecord& object : aObjects) {
-    if (object.isDeleted) {
-      this->directory.RemoveRollout(object.name);
-      continue;
-    }
-    const auto parsed = this->platform.readRollout(object);
-    if (!parsed) {
-      this->log.Write(
-        LogLevel::Error,
-        "rollout_unreadable",
-        { { "service", object.name }, { "why", parsed.error().detail } });
-      continue;
+    const bool wasHeld = this->heldRollouts.Drop(object.name);
+    if (aIsOlderCopy && this->UndoesRollout(object)) {
+      this->LogHeld(object);
+      this->heldRollouts.Hold(object);
+    } else {
+      this->ApplyRollout(object, aIsOlderCopy || wasHeld);
     }
+  }
+}
+
+bool
+StoreView::UndoesRollout(const store::ObjectRecord& aObject) const
+{
+  const auto known = this->directory.Rollouts().find(aObject.name);
+  if (known == this->directory.Rollouts().end()) {
+    return false;
+  }
+  if (aObject.isDeleted) {
+    return true;
+  }
+  const auto parsed = this->platform.readRollout(aObject);
+  return parsed && parsed.value().targetVersion != known->second.targetVersion;
+}
+
+void
+StoreView::ApplyRollout(const store::ObjectRecord& aObject, bool aIsAgain)
+{
+  if (aObject.isDeleted) {
+    this->directory.RemoveRollout(aObject.name);
+    return;
+  }
+  const auto parsed = this->platform.readRollout(aObject);
+  if (!parsed) {
+    this->log.Write(
+      LogLevel::Error,
+      "rollout_unreadable",
+      { { "service", aObject.name }, { "why", parsed.error().detail } });
+    return;
+  }
+  if (aIsAgain) {
+    this->directory.PutRolloutAgain(parsed.value());
+  } else {
     this->directory.PutRollout(parsed.value());
-    this->log.Write(LogLevel::Info,
-                    "rollout_seen",
-                    { { "service", parsed.value().service },
-                      { "version", parsed.value().targetVersion },
-                      { "state", routing::NameOf(parsed.value().state) },
-                      { "revision", RevisionOf(object) } });
   }
+  this->log.Write(LogLevel::Info,
+                  "rollout_seen",
+                  { { "service", parsed.value().service },
+                    { "version", parsed.value().targetVersion },
+                    { "state", routing::NameOf(parsed.value().state) },
+                    { "revision", RevisionOf(aObject) } });
 }
 
 void
-StoreView::ApplyDomainsOut(const std::vector<store::ObjectRecord>& aObjects)
+StoreView::ApplyDomainsOut(const std::vector<store::ObjectRecord>& aObjects,
+                           bool aIsOlderCopy)
 {
   for (const store::ObjectRecord& object : aObjects) {
-    if (object.isDeleted) {
-      this->domainsOut.erase(object.name);
+    this->heldDomains.Drop(object.name);
+    const bool isOut = this->domainsOut.contains(object.name);
+    if (aIsOlderCopy && isOut == object.isDeleted) {
+      this->LogHeld(object);
+      this->heldDomains.Hold(object);
     } else {
-      this->domainsOut.insert(object.name);
+      this->ApplyDomainOut(object);
     }
-    this->log.Write(LogLevel::Info,
-                    "failure_domain_changed",
-                    { { "failure_domain", object.name },
-                      { "is_out", !object.isDeleted },
-                      { "revision", RevisionOf(object) } });
   }
   this->directory.SetDomainsOut(this->domainsOut);
 }
 
+void
+StoreView::ApplyDomainOut(const store::ObjectRecord& aObject)
+{
+  if (aObject.isDeleted) {
+    this->domainsOut.erase(aObject.name);
+  } else {
+    this->domainsOut.insert(aObject.name);
+  }
+  this->log.Write(LogLevel::Info,
+                  "failure_domain_changed",
+                  { { "failure_domain", aObject.name },
+                    { "is_out", !aObject.isDeleted },
+                    { "revision", RevisionOf(aObject) } });
+}
+
 } // namespace fireflytrail::proxy
--- a/modules/proxy/StoreView.h
+++ b/modules/proxy/StoreView.h
@@ -2,6 +2,7 @@
 
 #include "core/Hooks.h"
 #include "core/Log.h"
+#include "proxy/OlderCopyHold.h"
 #include "proxy/PlatformAdapter.h"
 #include "routing/HttpRouteTable.h"
 #include "routing/KeyTable.h"
@@ -12,6 +13,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -50,6 +52,23 @@
   void Apply(const std::string& aKind,
              const std::vector<store::ObjectRecord>& aObjects);
 
+  /**
+   * Records that the store came back from an older copy: the objects of the
+   * kind that are applied next are those of the copy. What they would undo
+   * stays in force until it is written again, for a limited time; see
+   * `OlderCopyHold`, `ServiceDirectory::PutFromOlderCopy` and
+   * `ServiceDirectory::PutRolloutAgain`. A configuration never gives way to an
+   * earlier version.
+   */
+  void OnOlderCopy(const std::string& aKind);
+
+  /** Returns when `ApplyDue` next has an effect, if it has one. */
+  std::optional<core::TimePoint> NextDue() const;
+
+  /** Applies what has been held back for its whole time, and removes instances
+   * whose grace period is over. Returns whether any instance was removed. */
+  bool ApplyDue();
+
   /** Returns the current routes; null before the first configuration. */
   const std::shared_ptr<const routing::HttpRouteTable>& Routes() const
   {
@@ -73,10 +92,18 @@
   const routing::ServiceDirectory& Directory() const { return this->directory; }
 
 private:
-  void ApplyInstances(const std::vector<store::ObjectRecord>& aObjects);
+  void ApplyInstances(const std::vector<store::ObjectRecord>& aObjects,
+                      bool aIsOlderCopy);
   void ApplyConfiguration(const std::vector<store::ObjectRecord>& aObjects);
-  void ApplyRollouts(const std::vector<store::ObjectRecord>& aObjects);
-  void ApplyDomainsOut(const std::vector<store::ObjectRecord>& aObjects);
+  void ApplyRollouts(const std::vector<store::ObjectRecord>& aObjects,
+                     bool aIsOlderCopy);
+  void ApplyRollout(const store::ObjectRecord& aObject, bool aIsAgain);
+  void ApplyDomainsOut(const std::vector<store::ObjectRecord>& aObjects,
+                       bool aIsOlderCopy);
+  void ApplyDomainOut(const store::ObjectRecord& aObject);
+  /** Whether an order of an older copy would undo the known one. */
+  bool UndoesRollout(const store::ObjectRecord& aObject) const;
+  void LogHeld(const store::ObjectRecord& aObject) const;
 
   const PlatformAdapter& platform;
   const core::Log& log;
@@ -86,6 +113,10 @@
   std::shared_ptr<const routing::HttpRouteTable> routes;
   std::shared_ptr<const routing::KeyTable> keys;
   std::set<std::string, std::less<>> domainsOut;
+  /** Kinds of which the objects of an older copy are to be applied next. */
+  std::set<std::string, std::less<>> olderCopies;
+  OlderCopyHold heldRollouts;
+  OlderCopyHold heldDomains;
 };
 
 } // namespace fireflytrail::proxy
--- a/modules/routing/RolloutOrder.h
+++ b/modules/routing/RolloutOrder.h
@@ -42,6 +42,9 @@
    * which it was read; distinguishes an order from a later one for the same
    * service. */
   std::uint64_t createdRevision = 0;
+  /** Whether the store came back from a copy without the verdict, which has to
+   * be written again. */
+  bool isVerdictLost = false;
 
   bool operator==(const RolloutOrder&) const = default;
 };
--- a/modules/routing/ServiceDirectory.cpp
+++ b/modules/routing/ServiceDirectory.cpp
@@ -17,12 +17,44 @@
 void
 ServiceDirectory::Put(BackendInstance aInstance)
 {
+  this->departures.erase(aInstance.id);
   Entry& entry = this->entries[aInstance.id];
   entry.removeAt.reset();
+  entry.unusedUntil.reset();
   entry.instance =
     std::make_shared<const BackendInstance>(std::move(aInstance));
 }
 
+void
+ServiceDirectory::PutFromOlderCopy(BackendInstance aInstance)
+{
+  if (!this->HasDeparted(aInstance)) {
+    this->Put(std::move(aInstance));
+    return;
+  }
+  Entry& entry = this->entries[aInstance.id];
+  entry.removeAt.reset();
+  entry.unusedUntil =
+    this->now() + kExpiryGracePeriod + kReportsToExpiry * this->reportInterval;
+  entry.instance =
+    std::make_shared<const BackendInstance>(std::move(aInstance));
+}
+
+bool
+ServiceDirectory::HasDeparted(const BackendInstance& aInstance) const
+{
+  const auto known = this->entries.find(aInstance.id);
+  if (known != this->entries.end()) {
+    const Entry& entry = known->second;
+    return (entry.instance->isDraining || entry.unusedUntil) &&
+           entry.instance->startedAt == aInstance.startedAt;
+  }
+  const auto departure = this->departures.find(aInstance.id);
+  return departure != this->departures.end() &&
+         departure->second.startedAt == aInstance.startedAt &&
+         this->now() - departure->second.time <= kDepartureMemory;
+}
+
 void
 ServiceDirectory::Remove(const std::string& aId)
 {
@@ -36,6 +68,10 @@
     time - *this->storeRegainedAt < kExpiryGracePeriod &&
     !found->second.instance->isDraining;
   if (!mayHaveExpired) {
+    std::erase_if(this->departures, [time](const auto& aDeparture) {
+      return time - aDeparture.second.time > kDepartureMemory;
+    });
+    this->departures[aId] = { time, found->second.instance->startedAt };
     this->entries.erase(found);
   } else if (!found->second.removeAt) {
     found->second.removeAt = *this->storeRegainedAt + kExpiryGracePeriod;
@@ -52,10 +88,21 @@
   }
 }
 
+void
+ServiceDirectory::OnOlderCopy()
+{
+  this->storeRegainedAt = this->now();
+}
+
 bool
 ServiceDirectory::RemoveExpiredInstances()
 {
   const core::TimePoint time = this->now();
+  for (auto& [id, entry] : this->entries) {
+    if (entry.unusedUntil && *entry.unusedUntil <= time) {
+      entry.unusedUntil.reset();
+    }
+  }
   return std::erase_if(this->entries, [time](const auto& aEntry) {
            return aEntry.second.removeAt && *aEntry.second.removeAt <= time;
          }) > 0;
@@ -66,8 +113,10 @@
 {
   std::optional<core::TimePoint> due;
   for (const auto& [id, entry] : this->entries) {
-    if (entry.removeAt) {
-      due = due ? std::min(*due, *entry.removeAt) : *entry.removeAt;
+    for (const auto& time : { entry.removeAt, entry.unusedUntil }) {
+      if (time) {
+        due = due ? std::min(*due, *time) : *time;
+      }
     }
   }
   return due;
@@ -83,13 +132,17 @@
 ServiceDirectory::PutRollout(const RolloutOrder& aOrder)
 {
   const auto known = this->rollouts.find(aOrder.service);
+  const auto again = this->writtenAgainAt.find(aOrder.service);
   const bool isSameOrder =
     known != this->rollouts.end() &&
-    known->second.createdRevision == aOrder.createdRevision &&
+    (known->second.createdRevision == aOrder.createdRevision ||
+     (again != this->writtenAgainAt.end() &&
+      again->second == aOrder.createdRevision)) &&
     known->second.targetVersion == aOrder.targetVersion;
   if (!isSameOrder) {
     RolloutOrder& order = this->rollouts[aOrder.service] = aOrder;
     order.firstSeenAt = this->now();
+    this->writtenAgainAt.erase(aOrder.service);
     return;
   }
   const bool hasStoredVerdict = known->second.hasStoredStatus &&
@@ -97,15 +150,38 @@
   if (hasStoredVerdict && !aOrder.hasStoredStatus) {
     return;
   }
-  const RolloutState state = known->second.state;
-  const core::TimePoint firstSeenAt = known->second.firstSeenAt;
-  known->second = aOrder;
-  known->second.firstSeenAt = firstSeenAt;
+  ReplaceRollout(known->second, aOrder);
+}
+
+void
+ServiceDirectory::PutRolloutAgain(const RolloutOrder& aOrder)
+{
+  const auto known = this->rollouts.find(aOrder.service);
+  if (known == this->rollouts.end() ||
+      known->second.targetVersion != aOrder.targetVersion) {
+    this->PutRollout(aOrder);
+    return;
+  }
+  this->writtenAgainAt[aOrder.service] = aOrder.createdRevision;
+  RolloutOrder& order = known->second;
+  ReplaceRollout(order, aOrder);
+  order.isVerdictLost =
+    order.state != RolloutState::Running && !order.hasStoredStatus;
+}
+
+void
+ServiceDirectory::ReplaceRollout(RolloutOrder& aKnown,
+                                 const RolloutOrder& aOrder)
+{
+  const RolloutOrder before = std::exchange(aKnown, aOrder);
+  aKnown.firstSeenAt = before.firstSeenAt;
+  aKnown.createdRevision = before.createdRevision;
   if (aOrder.state == RolloutState::Running) {
-    // This daemon's verdict has not reached the store yet.
-    known->second.state = state;
-    known->second.hasStoredStatus =
-      aOrder.hasStoredStatus && state == RolloutState::Running;
+    // This daemon's verdict has not reached the store yet, or was lost there.
+    aKnown.state = before.state;
+    aKnown.hasStoredStatus =
+      aOrder.hasStoredStatus && before.state == RolloutState::Running;
+    aKnown.isVerdictLost = before.isVerdictLost;
   }
 }
 
@@ -113,6 +189,7 @@
 ServiceDirectory::RemoveRollout(const std::string& aService)
 {
   this->rollouts.erase(aService);
+  this->writtenAgainAt.erase(aService);
 }
 
 std::vector<DispatchTarget>
@@ -121,7 +198,7 @@
   std::vector<DispatchTarget> targets;
   for (const auto& [id, entry] : this->entries) {
     if (entry.instance->service == aService) {
-      targets.push_back(this->TargetOf(entry.instance));
+      targets.push_back(this->TargetOf(entry));
     }
   }
   return targets;
@@ -134,22 +211,22 @@
   return found != this->entries.end() &&
          found->second.instance->service == aInstance.service &&
          found->second.instance->address == aInstance.address &&
-         this->TargetOf(found->second.instance).isUsable;
+         this->TargetOf(found->second).isUsable;
 }
 
 DispatchTarget
-ServiceDirectory::TargetOf(
-  const std::shared_ptr<const BackendInstance>& aInstance) const
+ServiceDirectory::TargetOf(const Entry& aEntry) const
 {
-  DispatchTarget target{ aInstance,
-                         !aInstance->isDraining &&
-                           !this->domainsOut.contains(aInstance->failureDomain),
+  const auto& instance = aEntry.instance;
+  DispatchTarget target{ instance,
+                         !instance->isDraining && !aEntry.unusedUntil &&
+                           !this->domainsOut.contains(instance->failureDomain),
                          false };
-  const auto rollout = this->rollouts.find(aInstance->service);
+  const auto rollout = this->rollouts.find(instance->service);
   if (rollout == this->rollouts.end()) {
     return target;
   }
-  const bool isNew = aInstance->version == rollout->second.targetVersion;
+  const bool isNew = instance->version == rollout->second.targetVersion;
   switch (rollout->second.state) {
     case RolloutState::Running:
       target.isOnTrial = isNew;
--- a/modules/routing/ServiceDirectory.h
+++ b/modules/routing/ServiceDirectory.h
@@ -22,7 +22,10 @@
  *
  * While the store is unavailable, the entry of a running instance can expire.
  * An entry that disappears shortly after the store is available again is
- * therefore kept for some time, in which its instance can write it again.
+ * therefore kept for some time, in which its instance can write it again. The
+ * same holds for an entry that is missing after the store came back from an
+ * older copy. An instance that the copy shows in use, and of which it is known
+ * that it was leaving or gone, is not used until its entry is written again.
  *
  * Performs no I/O. Not thread-safe.
  */
@@ -37,6 +40,10 @@
   /** Intervals without a report after which the store removes an entry. */
   static constexpr int kReportsToExpiry = 3;
 
+  /** Time for which the departure of an instance is remembered. A copy of the
+   * store is seconds old. */
+  static constexpr std::chrono::seconds kDepartureMemory{ 60 };
+
   /** `aReportInterval` is the time between two reports of an instance to the
    * store, above 0. */
   explicit ServiceDirectory(core::NowFunction aNow,
@@ -46,6 +53,12 @@
   /** Adds or replaces an instance. */
   void Put(BackendInstance aInstance);
 
+  /** Adds or replaces an instance as a copy of the store shows it, from which
+   * the store came back. If the same process is known to be leaving or gone, it
+   * is not used until `Put` or until entries of silent instances have expired.
+   */
+  void PutFromOlderCopy(BackendInstance aInstance);
+
   /** Removes an instance; if its entry may have expired while the store was
    * unavailable, only marks it for removal. Unknown ids are ignored. */
   void Remove(const std::string& aId);
@@ -57,12 +70,17 @@
    */
   void OnStoreRegained(std::chrono::nanoseconds aOutage);
 
-  /** Removes marked instances whose grace period is over. Returns whether any
-   * was removed. */
+  /** Records that the store came back from an older copy, which may lack
+   * entries of instances that run. Starts the grace period. */
+  void OnOlderCopy();
+
+  /** Removes marked instances whose grace period is over, and ends the times
+   * for which instances of an older copy are not used. Returns whether any was
+   * removed. */
   bool RemoveExpiredInstances();
 
-  /** Returns the time of the next removal of a marked instance, if there is
-   * one. */
+  /** Returns when `RemoveExpiredInstances` next has an effect, if it has one.
+   */
   std::optional<core::TimePoint> NextDue() const;
 
   //============================================================================
@@ -74,6 +92,11 @@
    * one that is not. */
   void PutRollout(const RolloutOrder& aOrder);
 
+  /** Like `PutRollout`, for an order that an older copy of the store shows or
+   * that was written again after the store came back from one. It is the known
+   * order if it names the same version, and a known verdict stays. */
+  void PutRolloutAgain(const RolloutOrder& aOrder);
+
   /** Removes the order of a service. */
   void RemoveRollout(const std::string& aService);
 
@@ -101,21 +124,37 @@
   }
 
 private:
-  DispatchTarget TargetOf(
-    const std::shared_ptr<const BackendInstance>& aInstance) const;
-
   struct Entry
   {
     std::shared_ptr<const BackendInstance> instance;
     /** Time at which the instance is removed, if it is marked for removal. */
     std::optional<core::TimePoint> removeAt;
+    /** Time until which the instance is not used, if an older copy shows it. */
+    std::optional<core::TimePoint> unusedUntil;
   };
 
+  struct Departure
+  {
+    core::TimePoint time;
+    /** `BackendInstance::startedAt` of the process. */
+    std::uint64_t startedAt = 0;
+  };
+
+  DispatchTarget TargetOf(const Entry& aEntry) const;
+  /** Whether a process is known to be leaving or gone. */
+  bool HasDeparted(const BackendInstance& aInstance) const;
+  /** Takes over the stored form of a known order. */
+  static void ReplaceRollout(RolloutOrder& aKnown, const RolloutOrder& aOrder);
+
   core::NowFunction now;
   std::chrono::milliseconds reportInterval;
   std::map<std::string, Entry, std::less<>> entries;
+  std::map<std::string, Departure, std::less<>> departures;
   std::set<std::string, std::less<>> domainsOut;
   std::map<std::string, RolloutOrder, std::less<>> rollouts;
+  /** `RolloutOrder::createdRevision` in the store of orders that were written
+   * again; the orders themselves keep the one under which they are known. */
+  std::map<std::string, std::uint64_t, std::less<>> writtenAgainAt;
   std::optional<core::TimePoint> storeRegainedAt;
 };
 
--- a/modules/routing/ServiceDirectoryTest.cpp
+++ b/modules/routing/ServiceDirectoryTest.cpp
@@ -167,3 +167,103 @@
   BOOST_TEST(
     (this->directory.Rollouts().at("s").state == RolloutState::Completed));
 }
+
+// Guards against the loss of servers that joined after the copy from which the
+// store came back: they run, and write their entries again.
+BOOST_FIXTURE_TEST_CASE(KeepsServersThatAnOlderCopyLacks, Fixture)
+{
+  this->directory.Put(this->Instance("joined"));
+  this->directory.Put(this->Instance("lost"));
+  this->directory.OnOlderCopy();
+  this->directory.Remove("joined");
+  this->directory.Remove("lost");
+  BOOST_TEST(this->UsableCount() == 2U);
+  this->directory.Put(this->Instance("joined"));
+  this->time = *this->directory.NextDue();
+  BOOST_TEST(this->directory.RemoveExpiredInstances());
+  BOOST_TEST(this->UsableCount() == 1U);
+}
+
+// Guards against requests to servers that left after the copy from which the
+// store came back (DRAIN): the copy shows them in use.
+BOOST_FIXTURE_TEST_CASE(ServersThatLeftAreNotUsedByAnOlderCopy, Fixture)
+{
+  BackendInstance draining = this->Instance("draining");
+  draining.isDraining = true;
+  this->directory.Put(draining);
+  this->directory.Put(this->Instance("gone"));
+  this->directory.Remove("gone");
+  this->directory.OnOlderCopy();
+  this->directory.PutFromOlderCopy(this->Instance("draining"));
+  this->directory.PutFromOlderCopy(this->Instance("gone"));
+  this->directory.PutFromOlderCopy(this->Instance("other"));
+  BOOST_TEST(this->UsableCount() == 1U);
+  BOOST_TEST(!this->directory.IsUsable(this->Instance("gone")));
+  // Another return of the store does not show more.
+  this->directory.PutFromOlderCopy(this->Instance("gone"));
+  BOOST_TEST(this->UsableCount() == 1U);
+  // What the server says itself counts at once.
+  this->directory.Put(this->Instance("draining"));
+  BOOST_TEST(this->UsableCount() == 2U);
+  // The store removes the entry of a silent server before that.
+  const auto due = this->directory.NextDue();
+  BOOST_REQUIRE(due.has_value());
+  BOOST_TEST((*due - this->time >= 3 * 1500ms));
+  this->time = *due;
+  this->directory.RemoveExpiredInstances();
+  BOOST_TEST(this->UsableCount() == 3U);
+}
+
+// Guards against a server that is not used although it has started again under
+// its id, and against a memory of departures without end.
+BOOST_FIXTURE_TEST_CASE(AnOlderCopyShowsARestartedServerInUse, Fixture)
+{
+  BackendInstance first = this->Instance("x");
+  first.startedAt = 1;
+  this->directory.Put(first);
+  this->directory.Remove("x");
+  BackendInstance second = first;
+  second.startedAt = 2;
+  this->directory.PutFromOlderCopy(second);
+  BOOST_TEST(this->UsableCount() == 1U);
+  this->directory.Remove("x");
+  this->time += ServiceDirectory::kDepartureMemory + 1s;
+  this->directory.PutFromOlderCopy(second);
+  BOOST_TEST(this->UsableCount() == 1U);
+}
+
+// Guards against a second trial of a version after its verdict was lost in the
+// store (EXPOSURE), also if the order was written again.
+BOOST_FIXTURE_TEST_CASE(VerdictStaysInForceWhenTheStoreLosesIt, Fixture)
+{
+  this->directory.Put(this->Instance("new", "v2"));
+  RolloutOrder order{ .service = "s", .targetVersion = "v2", .duration = 12s };
+  order.createdRevision = 7;
+  this->directory.PutRollout(order);
+  RolloutOrder verdict = order;
+  verdict.state = RolloutState::RolledBack;
+  verdict.hasStoredStatus = true;
+  this->directory.PutRollout(verdict);
+  this->time += 5s;
+  // The copy has the order without the verdict; then the operator writes it
+  // again.
+  for (const std::uint64_t created : { 7U, 5U }) {
+    order.createdRevision = created;
+    this->directory.PutRolloutAgain(order);
+    const RolloutOrder& known = this->directory.Rollouts().at("s");
+    BOOST_TEST((known.state == RolloutState::RolledBack));
+    BOOST_TEST(known.isVerdictLost);
+    BOOST_TEST(known.createdRevision == 7U);
+    BOOST_TEST((known.firstSeenAt == core::TimePoint{ 1h }));
+    BOOST_TEST(!this->directory.IsUsable(this->Instance("new", "v2")));
+  }
+  verdict.createdRevision = 5;
+  this->directory.PutRollout(verdict);
+  BOOST_TEST(!this->directory.Rollouts().at("s").isVerdictLost);
+  BOOST_TEST(this->directory.Rollouts().at("s").hasStoredStatus);
+  // A later order for the same version is another one.
+  order.createdRevision = 20;
+  this->directory.PutRollout(order);
+  BOOST_TEST(
+    (this->directory.Rollouts().at("s").state == RolloutState::Running));
+}
