--- a/soak/ObjectStore.cpp
+++ b/soak/ObjectStore.cpp
@@ -145,6 +145,68 @@
   }
 }
 
+void
+ObjectStore::Copy()
+{
+  this->copiedRevision = this->revision;
+  this->copiedObjects = this->objectsByKind;
+}
+
+void
+ObjectStore::ReturnOlder()
+{
+  this->undoneObjects = std::exchange(this->objectsByKind, this->copiedObjects);
+  this->revision = this->copiedRevision;
+  this->oldestRevision = std::min(this->oldestRevision, this->revision);
+  std::erase_if(this->changes, [this](const Change& aChange) {
+    return aChange.revision > this->copiedRevision;
+  });
+  ++this->era;
+}
+
+bool
+ObjectStore::IsWrittenAfter(std::uint64_t aRevision, const json::value& aObject)
+{
+  const json::object* object = aObject.if_object();
+  const json::value* metadata =
+    object == nullptr ? nullptr : object->if_contains("Metadata");
+  return metadata != nullptr && metadata->is_object() &&
+         metadata->as_object().contains("Revision") &&
+         metadata->at("Revision").to_number<std::uint64_t>() > aRevision;
+}
+
+void
+ObjectStore::WriteAgain()
+{
+  for (const auto& [kind, objects] : this->undoneObjects) {
+    for (const auto& [name, object] : objects) {
+      const ObjectsByName& present = this->objectsByKind[kind];
+      const auto found = present.find(name);
+      if (IsWrittenAfter(this->copiedRevision, object) &&
+          object.as_object().contains("Spec") &&
+          (found == present.end() ||
+           !IsWrittenAfter(this->copiedRevision, found->second))) {
+        this->Put(kind, name, object.at("Spec"));
+      }
+    }
+  }
+}
+
+void
+ObjectStore::RemoveAgain(const std::string& aKind)
+{
+  std::vector<std::string> names;
+  for (const auto& [name, object] : this->objectsByKind[aKind]) {
+    if (!this->undoneObjects[aKind].contains(name) &&
+        !IsWrittenAfter(this->copiedRevision, object)) {
+      names.push_back(name);
+    }
+  }
+  for (const std::string& name : names) {
+    this->Remove(aKind, name);
+  }
+}
+
 std::string
 ObjectStore::StateOf(const std::string& aKind, const std::string& aName) const
 {
@@ -218,6 +280,7 @@
   } else {
     response = MakeResponse(404, json::object());
   }
+  response->set("Store-Era", std::to_string(this->era));
   co_return isResponseLost ? std::nullopt : response;
 }
 
@@ -228,7 +291,7 @@
 {
   const auto end = std::chrono::steady_clock::now() + aWait;
   for (;;) {
-    if (aRevision < this->oldestRevision) {
+    if (aRevision < this->oldestRevision || aRevision > this->revision) {
       co_return MakeResponse(410, json::object{ { "AsOf", this->revision } });
     }
     json::array events;
--- a/soak/ObjectStore.h
+++ b/soak/ObjectStore.h
@@ -20,8 +20,8 @@
 /**
  * A stand-in for the platform's store: objects by kind and name with lists,
  * watches and conditional writes. It can refuse requests, not respond,
- * lose responses after a write took effect, and discard its change history. Use
- * it only on the context's thread.
+ * lose responses after a write took effect, discard its change history, and
+ * come back from an older copy of itself. Use it only on the context's thread.
  */
 class ObjectStore
 {
@@ -67,6 +67,21 @@
    * one get 410. */
   void ForgetHistory() { this->oldestRevision = this->revision; }
 
+  /** Keeps a copy of all objects. */
+  void Copy();
+
+  /** Replaces all objects by those of the last copy; revisions go back, too.
+   * `Copy` must have been called. */
+  void ReturnOlder();
+
+  /** Writes again what the last return undid and nobody has written since:
+   * creates objects and replaces the `Spec` of others. */
+  void WriteAgain();
+
+  /** Removes the objects of a kind that were gone before the last return and
+   * that nobody has written since. */
+  void RemoveAgain(const std::string& aKind);
+
   /** Sets the maximum number of objects in one page of a list, at least 1. */
   void SetPageSize(std::size_t aSize) { this->pageSize = aSize; }
 
@@ -137,6 +152,9 @@
   HttpResponse Write(const std::string& aKind,
                      const std::string& aName,
                      const std::string& aBody);
+  /** Whether an object was written after the last return. */
+  static bool IsWrittenAfter(std::uint64_t aRevision,
+                             const boost::json::value& aObject);
   /** Assigns the next revision to an object and adds the change for watches. */
   void RecordChange(const std::string& aKind,
                     boost::json::object& aObject,
@@ -156,6 +174,12 @@
   std::uint64_t oldestRevision = 0;
   std::map<std::string, ObjectsByName> objectsByKind;
   std::deque<Change> changes;
+  /** Rises with each return of an older copy. */
+  std::uint64_t era = 1;
+  std::uint64_t copiedRevision = 0;
+  std::map<std::string, ObjectsByName> copiedObjects;
+  /** The objects before the last return. */
+  std::map<std::string, ObjectsByName> undoneObjects;
 };
 
 } // namespace fireflytrail::soak
--- a/soak/Soak.cpp
+++ b/soak/Soak.cpp
@@ -250,6 +250,9 @@
   if (this->plan.hasOddEntries) {
     spawn([this] { return this->WriteOddEntries(); });
   }
+  if (this->plan.hasOlderCopies) {
+    spawn([this] { return this->ReturnOlderCopies(); });
+  }
   spawn([this] { return this->RunTest(); });
   this->context.run();
   this->CheckLogs();
@@ -358,6 +361,39 @@
   }
 }
 
+asio::awaitable<void>
+Soak::ReturnOlderCopies()
+{
+  // Instances and operators write again after this time.
+  constexpr auto kRewriteDelay = 300ms;
+  // The store removes entries of instances that have gone after this time.
+  constexpr auto kExpiryTime = 4500ms;
+  std::mt19937_64 copyRandom{ this->plan.seed };
+  const TimePoint end =
+    std::chrono::steady_clock::now() + kStartupTime + this->plan.faultTime;
+  co_await this->Wait(kStartupTime);
+  while (std::chrono::steady_clock::now() + kExpiryTime < end) {
+    this->store.Copy();
+    co_await this->Wait(milliseconds(copyRandom() % 4000));
+    const milliseconds away(300 + copyRandom() % 700);
+    this->log(fmt::format("the store is away for {} ms and comes back older",
+                          away.count()));
+    this->storeDisruptedUntil = std::max(this->storeDisruptedUntil,
+                                         std::chrono::steady_clock::now() +
+                                           away + kRewriteDelay + kGraceTime);
+    this->WaiveNotices(away + kRewriteDelay);
+    this->store.SetMode(ObjectStore::Mode::Refusing);
+    co_await this->Wait(away);
+    this->store.ReturnOlder();
+    this->store.SetMode(ObjectStore::Mode::Normal);
+    co_await this->Wait(kRewriteDelay);
+    this->store.WriteAgain();
+    // At times the next return follows at once.
+    co_await this->Wait(copyRandom() % 3 == 0 ? 0ms : kExpiryTime);
+    this->store.RemoveAgain("servers");
+  }
+}
+
 void
 Soak::InjectPlannedOperation()
 {
--- a/soak/Soak.h
+++ b/soak/Soak.h
@@ -50,6 +50,8 @@
   /** Whether another writer leaves odd entries in the store, whose lists then
    * have short pages. */
   bool hasOddEntries = false;
+  /** Whether the store comes back from older copies of itself. */
+  bool hasOlderCopies = false;
 };
 
 /**
@@ -93,6 +95,8 @@
   boost::asio::awaitable<void> InjectFaults();
   /** Writes and removes odd entries until the end of the run. */
   boost::asio::awaitable<void> WriteOddEntries();
+  /** Lets the store come back from older copies until the faults end. */
+  boost::asio::awaitable<void> ReturnOlderCopies();
   /** Keeps `Host::isReady` up to date. */
   boost::asio::awaitable<void> PollReadiness(Host& aHost);
   /** Restarts the daemon of a host whenever it exits, and checks each exit. */
--- a/soak/SoakMain.cpp
+++ b/soak/SoakMain.cpp
@@ -33,6 +33,9 @@
             false,
             "another writer leaves odd entries in the store, and lists of the "
             "store have short pages");
+DEFINE_bool(older_copies,
+            false,
+            "the store comes back from older copies of itself");
 DEFINE_bool(verbose, false, "print each fault");
 
 using namespace fireflytrail::soak;
@@ -65,6 +68,7 @@
   plan.hasHalfClosing = FLAGS_half_closing;
   plan.hasOddStatuses = FLAGS_odd_statuses;
   plan.hasOddEntries = FLAGS_odd_entries;
+  plan.hasOlderCopies = FLAGS_older_copies;
   const auto begin = std::chrono::steady_clock::now();
   Soak soak(plan, [begin](const std::string& aLine) {
     if (FLAGS_verbose) {
