Start nothing in a stop that may outlast it

Cause: StopSchedule::MayStart compared what was left of the stop with the route's latency goal. A request may take until its timeout or its caller's budget.

Change: in a stop, an attempt starts only if the request ends before the last deadline whatever happens, by its timeout or budget from the arrival of its head. One that may be repeated starts also if its goal fits, while the balancer may send callers here. That holds for requests that arrive, for those that wait for a server and for further attempts; all others are refused at once, since they have not run.

Why it works: a request that is sent under this rule reaches its own end before the daemon would cut it; one that is refused can go to another daemon at once.

--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -201,6 +201,12 @@
               [this](gateway::CallRequest& aCall,
                      const configuration::HttpRoute& aRoute) {
                 return this->IdentifyCaller(aCall, aRoute);
+              },
+            .mayStart =
+              [this](const configuration::HttpRoute& aRoute,
+                     core::TimePoint aExpectedEnd,
+                     core::TimePoint aLatestEnd) {
+                return this->MayStart(aRoute, aExpectedEnd, aLatestEnd);
               } }
   , bodyMemory(std::make_shared<core::MemoryBudget>(
       aSettings.BodyMemoryBytes() + aSettings.BufferMemoryBytes(),
@@ -919,9 +925,12 @@
   if (aCall.deadline && aCall.deadline->count() <= 0) {
     return refuse(ErrorKind::DeadlineBeforeSend, std::nullopt);
   }
-  if (this->stop &&
-      !this->stop->MayStart(std::chrono::steady_clock::now(),
-                            std::min(route->latencyGoal, route->timeout))) {
+  const core::TimePoint now = std::chrono::steady_clock::now();
+  if (!this->MayStart(
+        *route,
+        now + std::min(route->latencyGoal, route->timeout),
+        now - aCall.bodyTime +
+          std::min(aCall.deadline.value_or(route->timeout), route->timeout))) {
     return refuse(ErrorKind::Stopping, kRetryAfterStopping);
   }
   ++this->requestCount;
@@ -952,6 +961,18 @@
   };
 }
 
+bool
+ProxyDaemon::MayStart(const configuration::HttpRoute& aRoute,
+                      core::TimePoint aExpectedEnd,
+                      core::TimePoint aLatestEnd) const
+{
+  return !this->stop ||
+         this->stop->MayStart(std::chrono::steady_clock::now(),
+                              { .expectedEnd = aExpectedEnd,
+                                .latestEnd = aLatestEnd,
+                                .mayBeRepeated = aRoute.isIdempotent });
+}
+
 ErrorKind
 ProxyDaemon::IdentifyCaller(gateway::CallRequest& aCall,
                             const configuration::HttpRoute& aRoute)
@@ -1034,6 +1055,12 @@
 ProxyDaemon::CheckStop()
 {
   const core::TimePoint now = std::chrono::steady_clock::now();
+  // Answers may lead to further requests, which change the list.
+  for (const auto& weak : std::vector(this->runners)) {
+    if (const auto runner = weak.lock()) {
+      runner->CheckStart();
+    }
+  }
   const bool isBalancerDelayOver = now >= this->stop->ListenUntil();
   if (isBalancerDelayOver) {
     this->listener->Close();
--- a/modules/proxy/ProxyDaemon.h
+++ b/modules/proxy/ProxyDaemon.h
@@ -120,6 +120,10 @@
   gateway::CallerSessionHooks::CancelFunction Handle(
     gateway::CallRequest aCall,
     gateway::CallerSessionHooks::AnswerFunction aOnAnswer);
+  /** See `ProxyShared::mayStart`. */
+  bool MayStart(const configuration::HttpRoute& aRoute,
+                core::TimePoint aExpectedEnd,
+                core::TimePoint aLatestEnd) const;
   /** See `ProxyShared::identifyCaller`; a configuration must be in force. */
   core::ErrorKind IdentifyCaller(gateway::CallRequest& aCall,
                                  const configuration::HttpRoute& aRoute);
--- a/modules/proxy/ProxyShared.h
+++ b/modules/proxy/ProxyShared.h
@@ -71,6 +71,15 @@
   std::function<core::ErrorKind(gateway::CallRequest&,
                                 const configuration::HttpRoute&)>
     identifyCaller;
+  /**
+   * Returns whether a request of a route that ends at a time at the latest,
+   * whatever a stop of the daemon allows, may be sent to a server now.
+   * `aExpectedEnd` is when it is to be answered. May be empty.
+   */
+  std::function<bool(const configuration::HttpRoute&,
+                     core::TimePoint aExpectedEnd,
+                     core::TimePoint aLatestEnd)>
+    mayStart;
   /**
    * Is called with the organisation of a request, which may be empty, and the
    * time at which an attempt was sent, when the attempt ends and its server
--- a/modules/proxy/RequestRunner.cpp
+++ b/modules/proxy/RequestRunner.cpp
@@ -85,6 +85,7 @@
   const milliseconds limit = std::min(
     this->call.deadline.value_or(this->route.timeout), this->route.timeout);
   this->deadline = this->begin + limit;
+  this->fullDeadline = this->deadline;
 }
 
 RequestRunner::~RequestRunner() = default;
@@ -201,9 +202,30 @@
   }
 }
 
+bool
+RequestRunner::MayStart() const
+{
+  return !this->shared.mayStart ||
+         this->shared.mayStart(
+           this->route,
+           this->shared.now() +
+             std::min(this->route.latencyGoal, this->route.timeout),
+           this->fullDeadline);
+}
+
+void
+RequestRunner::EndUnsent(ErrorKind aKind)
+{
+  this->RunStep(this->flow->ServerChosen(core::Error{ aKind, {} }));
+}
+
 void
 RequestRunner::ChooseInstance(calls::ChooseStep aStep)
 {
+  if (!this->MayStart()) {
+    this->EndUnsent(ErrorKind::Stopping);
+    return;
+  }
   routing::DispatchRequest request;
   request.failureDomain = this->shared.failureDomain;
   request.goal =
@@ -259,13 +281,16 @@
     this->RunStep(this->flow->ServerChosen(core::Error{ aResult.kind, {} }));
     return;
   }
-  // The key may have been withdrawn while the request waited.
-  const ErrorKind keyError =
-    this->shared.identifyCaller(this->call, this->route);
-  if (keyError != ErrorKind::None) {
+  // The key may have been withdrawn, or a stop have begun, while the request
+  // waited.
+  ErrorKind error = this->shared.identifyCaller(this->call, this->route);
+  if (error == ErrorKind::None && !this->MayStart()) {
+    error = ErrorKind::Stopping;
+  }
+  if (error != ErrorKind::None) {
     this->shared.broker.Release(
       *aSlot, AttemptOutcome::Cancelled, 0ns, std::nullopt, {});
-    this->RunStep(this->flow->ServerChosen(core::Error{ keyError, {} }));
+    this->EndUnsent(error);
     return;
   }
   this->slot = std::move(aSlot);
@@ -285,7 +310,17 @@
     return;
   }
   this->shared.broker.Withdraw(this->EndWaiting());
-  this->RunStep(this->flow->ServerChosen(core::Error{ error, {} }));
+  this->EndUnsent(error);
+}
+
+void
+RequestRunner::CheckStart()
+{
+  if (this->slotRequest == 0 || this->MayStart()) {
+    return;
+  }
+  this->shared.broker.Withdraw(this->EndWaiting());
+  this->EndUnsent(ErrorKind::Stopping);
 }
 
 unsigned
--- a/modules/proxy/RequestRunner.h
+++ b/modules/proxy/RequestRunner.h
@@ -73,6 +73,10 @@
    */
   void CheckKey();
 
+  /** Refuses the request if it waits for a server and may not be sent to one
+   * any more, since the daemon stops (see `ProxyShared::mayStart`). */
+  void CheckStart();
+
   /** Logs that the end of the process cuts the request, unless it has ended. */
   void ReportCut() const;
 
@@ -80,6 +84,10 @@
   void StartDeadlineTimer();
   void RunStep(calls::CallStep aStep);
   void ChooseInstance(calls::ChooseStep aStep);
+  /** Whether the request may be sent to a server now. */
+  bool MayStart() const;
+  /** Ends the request, which waits for a server, without sending it. */
+  void EndUnsent(core::ErrorKind aKind);
   /** Ends the wait for a slot; returns the number of its request, or 0. */
   std::uint64_t EndWaiting();
   void OnDecided(const routing::DispatchResult& aResult,
@@ -109,6 +117,8 @@
   boost::asio::steady_timer timer;
   core::TimePoint begin;
   core::TimePoint deadline;
+  /** The deadline without a limit by a stop. */
+  core::TimePoint fullDeadline;
   std::unique_ptr<calls::CallFlow> flow;
   std::uint64_t digest = 0;
   std::uint32_t routeKey = 0;
--- a/modules/proxy/RequestRunnerTest.cpp
+++ b/modules/proxy/RequestRunnerTest.cpp
@@ -1,5 +1,6 @@
 #include "proxy/RequestRunner.h"
 
+#include "core/ErrorTable.h"
 #include "gateway/ServerPool.h"
 #include "proxy/ProxyShared.h"
 #include "routing/ServiceDirectory.h"
@@ -26,15 +27,11 @@
   RunnerFixture()
     : acceptor(this->context, { boost::asio::ip::address_v4::loopback(), 0 })
   {
-    configuration::RouteConfiguration routes;
-    routes.services["s"].name = "s";
-    routing::ServiceDirectory directory(std::chrono::steady_clock::now);
     this->instance.id = "i";
     this->instance.service = "s";
     this->instance.address = "127.0.0.1:1";
     this->instance.slots = 4;
-    directory.Put(this->instance);
-    this->broker.Update(routes, directory);
+    this->AddInstance("i");
     this->route.name = "r";
     this->route.timeout = 300ms;
     this->route.latencyGoal = 100ms;
@@ -42,6 +39,17 @@
     this->Accept();
   }
 
+  /** Lists a further instance, which is reached at the same address. */
+  void AddInstance(const std::string& aId)
+  {
+    routing::BackendInstance added = this->instance;
+    added.id = aId;
+    this->directory.Put(added);
+    configuration::RouteConfiguration routes;
+    routes.services["s"].name = "s";
+    this->broker.Update(routes, this->directory);
+  }
+
   SlotBrokerHooks MakeHooks()
   {
     return { .now = std::chrono::steady_clock::now,
@@ -127,6 +135,25 @@
     return *kind;
   }
 
+  /** Takes all slots, so that the next request waits. */
+  void TakeAllSlots()
+  {
+    for (int count = 0; count < 4; ++count) {
+      routing::DispatchRequest request;
+      request.goal = std::chrono::steady_clock::now() + 100ms;
+      request.deadline = std::chrono::steady_clock::now() + 20s;
+      this->broker.Acquire(
+        "s",
+        0,
+        std::move(request),
+        [this](const routing::DispatchResult&, std::optional<Slot> aSlot) {
+          if (aSlot) {
+            this->takenSlots.push_back(*aSlot);
+          }
+        });
+    }
+  }
+
   boost::asio::io_context context;
   tcp::acceptor acceptor;
   std::vector<std::shared_ptr<tcp::socket>> sockets;
@@ -138,9 +165,12 @@
   /** Address of the server, if not that of the acceptor. */
   std::optional<tcp::endpoint> endpoint;
   std::function<void(RequestRunner&)> afterBegin;
+  std::vector<Slot> takenSlots;
   /** Organisations whose requests a server began to run. */
   std::vector<std::string> runs;
   ErrorKind keyError = ErrorKind::None;
+  /** Whether requests may be sent to a server. */
+  bool mayStart = true;
   std::uint64_t numbers = 0;
   core::DaemonId self{ "x", 1 };
   calls::CrashGuard guard{ std::chrono::steady_clock::now };
@@ -150,8 +180,12 @@
   daemon::CallMetrics callMetrics{ this->metrics };
   daemon::OrganisationMetrics organisationMetrics{ this->metrics };
   routing::TransferSizes transferSizes;
-  calls::RetryBudget budget{ std::chrono::steady_clock::now };
+  calls::RetryBudget budget{
+    std::chrono::steady_clock::now,
+    calls::RetryBudget::Allowance::OfFleet(0.2, 64, 1)
+  };
   routing::BackendInstance instance;
+  routing::ServiceDirectory directory{ std::chrono::steady_clock::now };
   configuration::HttpRoute route;
   SlotBroker broker{ this->context, this->self, this->MakeHooks() };
   ProxyShared shared{
@@ -175,6 +209,9 @@
       [this](gateway::CallRequest&, const configuration::HttpRoute&) {
         return this->keyError;
       },
+    .mayStart = [this](const configuration::HttpRoute&,
+                       core::TimePoint,
+                       core::TimePoint) { return this->mayStart; },
     .onRunBegan =
       [this](const std::string& aOrganisation, core::TimePoint) {
         this->runs.push_back(aOrganisation);
@@ -240,22 +277,7 @@
 // withdrawn, and against refusing others.
 BOOST_FIXTURE_TEST_CASE(WithdrawnKeyEndsRequestThatWaits, RunnerFixture)
 {
-  // Takes all slots, so that the next request waits.
-  std::vector<Slot> slots;
-  for (int count = 0; count < 4; ++count) {
-    routing::DispatchRequest request;
-    request.goal = std::chrono::steady_clock::now() + 100ms;
-    request.deadline = std::chrono::steady_clock::now() + 20s;
-    this->broker.Acquire(
-      "s",
-      0,
-      std::move(request),
-      [&slots](const routing::DispatchResult&, std::optional<Slot> aSlot) {
-        if (aSlot) {
-          slots.push_back(*aSlot);
-        }
-      });
-  }
+  this->TakeAllSlots();
   const std::size_t waitingBefore = this->broker.WaitingCount();
   std::size_t waiting = 0;
   this->afterBegin = [&](RequestRunner& aRunner) {
@@ -271,3 +293,41 @@
   BOOST_TEST(waiting == waitingBefore + 1);
   BOOST_TEST(this->received.empty());
 }
+
+// Guards against requests that waited when a stop began, get a server late in
+// it and are broken off there.
+BOOST_FIXTURE_TEST_CASE(RequestThatWaitsIsRefusedInAStop, RunnerFixture)
+{
+  this->TakeAllSlots();
+  this->afterBegin = [&](RequestRunner& aRunner) {
+    const std::size_t waiting = this->broker.WaitingCount();
+    aRunner.CheckStart();
+    BOOST_TEST(this->broker.WaitingCount() == waiting);
+    this->mayStart = false;
+    aRunner.CheckStart();
+    BOOST_TEST(this->broker.WaitingCount() + 1 == waiting);
+  };
+  BOOST_TEST((this->RunRequest("one") == ErrorKind::Stopping));
+  BOOST_TEST(this->received.empty());
+}
+
+// Guards against an attempt that begins late in a stop, after one that a server
+// has refused.
+BOOST_FIXTURE_TEST_CASE(RetryThatMayOutlastAStopIsNotStarted, RunnerFixture)
+{
+  this->AddInstance("j");
+  this->route.maxAttempts = 2;
+  this->reply = "HTTP/1.1 503 Busy\r\nCall-Outcome: not-run\r\n"
+                "Content-Length: 0\r\n\r\n";
+  this->RunRequest("one");
+  BOOST_REQUIRE(this->received.size() == 2U);
+  this->afterBegin = [this](RequestRunner& aRunner) {
+    this->mayStart = false;
+    // The running attempt is not affected.
+    aRunner.CheckStart();
+  };
+  const ErrorKind kind = this->RunRequest("one");
+  BOOST_TEST(this->received.size() == 3U);
+  BOOST_TEST(
+    (core::ErrorTable::RowOf(kind).outcome == core::CallOutcome::NotRun));
+}
--- a/modules/proxy/StopSchedule.cpp
+++ b/modules/proxy/StopSchedule.cpp
@@ -63,10 +63,13 @@
 }
 
 bool
-StopSchedule::MayStart(core::TimePoint aNow,
-                       milliseconds aExpectedDuration) const
+StopSchedule::MayStart(core::TimePoint aNow, const Request& aRequest) const
 {
-  return aNow + aExpectedDuration <= this->LastDeadline();
+  if (aRequest.latestEnd <= this->LastDeadline()) {
+    return true;
+  }
+  return aRequest.mayBeRepeated && aNow <= this->ListenUntil() &&
+         aRequest.expectedEnd <= this->LastDeadline();
 }
 
 } // namespace fireflytrail::proxy
--- a/modules/proxy/StopSchedule.h
+++ b/modules/proxy/StopSchedule.h
@@ -13,8 +13,10 @@
  *
  * - New connections are accepted for as long as the platform's balancer may
  *   still send some here.
- * - A request that cannot be expected to end in time is refused at once, while
- *   it certainly has not run.
+ * - A request that may last until the process ends is refused at once, while it
+ *   certainly has not run: its server would be at work when it is broken off.
+ *   One that may be repeated is started if it is expected to end in time, as
+ *   long as the balancer may send its caller here.
  * - All others end early enough for their answers to be sent: servers are given
  *   no more time than that.
  *
@@ -49,12 +51,18 @@
   /** Returns when the process ends if connections are still open. */
   core::TimePoint End() const;
 
-  /**
-   * Returns whether a request that arrives at `aNow` may be started.
-   * `aExpectedDuration` is the time within which its route is to be answered.
-   */
-  bool MayStart(core::TimePoint aNow,
-                std::chrono::milliseconds aExpectedDuration) const;
+  /** What is known of the duration of a request. */
+  struct Request
+  {
+    /** When it is to be answered. */
+    core::TimePoint expectedEnd;
+    /** When it ends at the latest, answered or not. */
+    core::TimePoint latestEnd;
+    bool mayBeRepeated = false;
+  };
+
+  /** Returns whether a request may be sent to a server at `aNow`. */
+  bool MayStart(core::TimePoint aNow, const Request& aRequest) const;
 
 private:
   core::TimePoint begin;
