End messages with fields that no container holds

Cause: the container of fields of Boost.Beast stores lengths in 16 bits and throws std::length_error for a name or value of 65,534 bytes or more. The limits of heads and buffers let such fields through, and nothing catches the exception before the process ends.

Evidence: with the check taken out on a scratch copy, the new tests of callers and servers end by this exception, thrown in basic_fields::new_element.

Change: core::MessageParser compares each field of heads and trailers with what the container holds and ends the message with header_limit: 431 for a caller, an invalid answer for a server, a lost one for the store. All parsers of the product are of this type. A message between daemons with such a header is corrupt.

--- a/modules/core/core.h
+++ b/modules/core/core.h
@@ -4,8 +4,8 @@
  * Basic types that every other module uses: the error kinds and the table that
  * maps each kind to an answer, the result type, function types for clocks and
  * random numbers, daemon identities, hashing, detection of silent connections,
- * a budget for memory, a log of JSON lines a report of fatal signals, and
- * signals that are held back during a start.
+ * a budget for memory, a parser of HTTP messages, a log of JSON lines, a report
+ * of fatal signals, and signals that are held back during a start.
  * Depends on no other module.
  */
 
@@ -22,6 +22,7 @@
 #include "core/MemoryBudget.h"
 #include "core/MemoryLease.h"
 #include "core/MemoryUse.h"
+#include "core/MessageParser.h"
 #include "core/ProcessNumbers.h"
 #include "core/Result.h"
 #include "core/SignalName.h"
--- a/modules/gateway/CallerSession.h
+++ b/modules/gateway/CallerSession.h
@@ -2,6 +2,7 @@
 
 #include "configuration/CallerLimits.h"
 #include "core/MemoryLease.h"
+#include "core/MessageParser.h"
 #include "gateway/CallAnswer.h"
 #include "gateway/CallRequest.h"
 #include "gateway/CallerConnectionEnd.h"
@@ -14,7 +15,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -136,8 +136,7 @@
 private:
   using Stage = CallerConnectionEnd::Stage;
   using Closer = CallerConnectionEnd::Closer;
-  using Parser =
-    boost::beast::http::request_parser<boost::beast::http::string_body>;
+  using Parser = core::MessageParser<true>;
   using Response =
     boost::beast::http::response<boost::beast::http::span_body<const char>>;
 
--- a/modules/gateway/CallerSessionTest.cpp
+++ b/modules/gateway/CallerSessionTest.cpp
@@ -267,6 +267,34 @@
   BOOST_TEST(gateway.calls.empty());
 }
 
+// Guards against a field of a caller that ends the daemon: the container of
+// fields throws. Trailers have no limit of their own, heads that of the
+// configuration.
+BOOST_AUTO_TEST_CASE(FieldsThatNoContainerHoldsAreRefused)
+{
+  EchoGateway gateway;
+  gateway.Hooks().limits.maxHeaderBytes = 131'072;
+  const std::string chunked =
+    "POST /a/b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n";
+  for (const std::size_t size : { 65'534U, 65'535U, 65'536U, 70'000U }) {
+    const std::string text(size, 'x');
+    for (const std::string& request :
+         { "GET /a/b HTTP/1.1\r\nField: " + text + "\r\n\r\n",
+           "GET /a/b HTTP/1.1\r\n" + text + ": value\r\n\r\n",
+           chunked + "Field: " + text + "\r\n\r\n",
+           chunked + text + ": value\r\n\r\n" }) {
+      const std::string answer = gateway.Exchange(request);
+      BOOST_TEST(StatusLineOf(answer).find(" 431 ") != std::string::npos);
+      BOOST_TEST(answer.find("Call-Outcome: not-run") != std::string::npos);
+    }
+  }
+  BOOST_TEST(gateway.calls.empty());
+  // The longest field that it holds.
+  const std::string longest = gateway.Exchange(
+    "GET /a/b HTTP/1.1\r\nField: " + std::string(65'533, 'x') + "\r\n\r\n");
+  BOOST_TEST(StatusLineOf(longest) == "HTTP/1.1 200 OK");
+}
+
 // Guards against memory that grows while a caller sends bytes without end in
 // the framing of a body.
 BOOST_DATA_TEST_CASE(BytesWithoutEndEndTheSession,
--- a/modules/gateway/ServerConnection.h
+++ b/modules/gateway/ServerConnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/MessageParser.h"
 #include "gateway/CallRequest.h"
 #include "gateway/ServerDialect.h"
 #include "gateway/ServerExchange.h"
@@ -10,7 +11,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/span_body.hpp>
 #include <boost/beast/http/string_body.hpp>
 
@@ -105,8 +105,7 @@
 private:
   using Request =
     boost::beast::http::request<boost::beast::http::span_body<const char>>;
-  using Parser =
-    boost::beast::http::response_parser<boost::beast::http::string_body>;
+  using Parser = core::MessageParser<false>;
 
   void Write();
   void Read();
--- a/modules/gateway/ServerConnectionTest.cpp
+++ b/modules/gateway/ServerConnectionTest.cpp
@@ -136,6 +136,7 @@
     std::optional<ServerExchange> result;
     const auto call = std::make_shared<CallRequest>();
     call->target = "/lookup";
+    call->id = this->id;
     const auto connection =
       this->pool->Send(call, aTimeLeft, 0, [&](ServerExchange aExchange) {
         result = std::move(aExchange);
@@ -154,6 +155,8 @@
 
   boost::asio::io_context context;
   std::shared_ptr<ServerPool> pool;
+  /** The id of the calls. */
+  std::string id;
 };
 
 } // namespace
@@ -434,6 +437,28 @@
   BOOST_TEST(client.pool->ConnectionCount() == 0U);
 }
 
+// Guards against a field of a server that ends the daemon, and with it the
+// requests of all its callers (review/7): the container of fields throws.
+BOOST_AUTO_TEST_CASE(FieldsThatNoContainerHoldsAreInvalid)
+{
+  const std::string head = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n";
+  for (const std::size_t size : { 65'534U, 65'535U, 65'536U, 66'000U }) {
+    const std::string text(size, 'x');
+    for (const std::string& bytes :
+         { head + "Field: " + text + "\r\n\r\n",
+           head + text + ": value\r\n\r\n",
+           kChunkedHead + "0\r\nField: " + text + "\r\n\r\n",
+           kChunkedHead + "0\r\n" + text + ": value\r\n\r\n" }) {
+      ScriptedServer server({ { bytes } });
+      Client client(server.Endpoint(), DialectWithIds());
+      // Heads may be longer by the length of the id, which servers echo.
+      client.id = std::string(2000, 'i');
+      BOOST_TEST((client.Send().progress == AttemptProgress::AnswerInvalid));
+      BOOST_TEST(client.pool->ConnectionCount() == 0U);
+    }
+  }
+}
+
 // Guards against a body in a coding that is not decoded, passed on as if it
 // were the server's body.
 BOOST_AUTO_TEST_CASE(AnswerInAnUnknownTransferCodingIsInvalid)
--- a/modules/operator_client/HttpGet.cpp
+++ b/modules/operator_client/HttpGet.cpp
@@ -1,13 +1,13 @@
 #include "operator_client/HttpGet.h"
 
 #include "configuration/Endpoint.h"
+#include "core/MessageParser.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 #include <boost/beast/http/write.hpp>
@@ -44,7 +44,7 @@
   http::request<http::string_body> request(http::verb::get, aTarget, 11);
   request.set(http::field::host, aAddress);
   request.keep_alive(false);
-  http::response_parser<http::string_body> parser;
+  core::MessageParser<false> parser;
   parser.body_limit(kBodyLimitBytes);
   boost::system::error_code error;
   stream.expires_after(aTimeout);
--- a/modules/store/StoreConnection.h
+++ b/modules/store/StoreConnection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/MessageParser.h"
 #include "store/StoreRequest.h"
 #include "store/StoreResponse.h"
 
@@ -8,7 +9,6 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/message.hpp>
-#include <boost/beast/http/parser.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include <functional>
@@ -47,8 +47,7 @@
 
 private:
   using Request = boost::beast::http::request<boost::beast::http::string_body>;
-  using Parser =
-    boost::beast::http::response_parser<boost::beast::http::string_body>;
+  using Parser = core::MessageParser<false>;
 
   void Connect();
   void Write();
--- a/modules/wire/FrameCodecTest.cpp
+++ b/modules/wire/FrameCodecTest.cpp
@@ -235,6 +235,29 @@
   BOOST_TEST((codec.Error() == FrameError::Corrupt));
 }
 
+// Guards against a field in a message of a faulty daemon that ends its
+// receiver: the container of fields throws.
+BOOST_AUTO_TEST_CASE(RejectsHeadersThatNoContainerHolds)
+{
+  const std::string text(65'534, 'x');
+  for (const Header& header :
+       { Header{ "Field", text }, Header{ text, "value" } }) {
+    ForwardCall call;
+    call.headers = { header };
+    ForwardAnswer answer;
+    answer.headers = { header };
+    for (const WireMessage& message :
+         { WireMessage(call), WireMessage(answer) }) {
+      const auto frame = FrameCodec::Encode(message);
+      BOOST_REQUIRE(frame.has_value());
+      FrameCodec codec;
+      codec.Feed(BytesOf(*frame));
+      BOOST_TEST(!codec.Next().has_value());
+      BOOST_TEST((codec.Error() == FrameError::Corrupt));
+    }
+  }
+}
+
 // Guards against digests that exceed the byte budget of CAPACITY.md: 16 bytes
 // per host plus a fixed part.
 BOOST_AUTO_TEST_CASE(DigestTakesSixteenBytesPerHost)
--- a/modules/wire/MessageConversion.cpp
+++ b/modules/wire/MessageConversion.cpp
@@ -1,5 +1,6 @@
 #include "wire/MessageConversion.h"
 
+#include "core/MessageParser.h"
 #include "wire/ConversionTools.h"
 #include "wire/EntryConversion.h"
 #include "wire/messages_generated.h"
@@ -230,6 +231,15 @@
   return entries;
 }
 
+/** Whether receivers can use headers as the fields of an HTTP message. */
+bool
+AreStorable(const std::vector<Header>& aHeaders)
+{
+  return std::ranges::all_of(aHeaders, [](const Header& aHeader) {
+    return core::MessageParser<true>::IsStorable(aHeader.name, aHeader.value);
+  });
+}
+
 std::vector<Header>
 HeadersOf(const flatbuffers::Vector<Offset<fbs::Header>>* aHeaders)
 {
@@ -369,6 +379,9 @@
   call.method = aCall.method()->str();
   call.target = aCall.target()->str();
   call.headers = HeadersOf(aCall.headers());
+  if (!AreStorable(call.headers)) {
+    return FrameError::Corrupt;
+  }
   call.body = BytesOf(aCall.body());
   call.deadline = std::chrono::milliseconds(aCall.deadline_ms());
   call.attempt = aCall.attempt();
@@ -390,6 +403,9 @@
   answer.requestId = aAnswer.request_id();
   answer.status = aAnswer.status();
   answer.headers = HeadersOf(aAnswer.headers());
+  if (!AreStorable(answer.headers)) {
+    return FrameError::Corrupt;
+  }
   answer.body = BytesOf(aAnswer.body());
   answer.errorKind = static_cast<core::ErrorKind>(aAnswer.error_kind());
   answer.outcome = static_cast<core::CallOutcome>(aAnswer.outcome());
