Count the fields of heads that come in pieces

Cause: the parser applies the limit of a head to the bytes that it holds. After a piece that ends with the first bytes of a field it has taken all fields before, and begins anew.

Change: MessageParser counts the bytes of the fields of a head, and of trailers, over all pieces, against the limits that were meant before.

Why it works: every field passes the parser, and a head within its limit has no more bytes in its fields than as a whole.

--- a/modules/core/MessageParser.h
+++ b/modules/core/MessageParser.h
@@ -16,10 +16,11 @@
 
 /**
  * A parser of HTTP requests or responses whose head and trailers cannot make
- * the container of their fields throw. That container holds names and values of
- * a limited size, and the limit of the head, which applies to the bytes that
- * are received together, may let longer ones through. Such a message ends with
- * `http::error::header_limit`.
+ * the container of their fields throw, or grow without end. That container
+ * holds names and values of a limited size, and the limit of the head, which
+ * applies to the bytes that are held at the same time, may let longer ones
+ * through; it lets any number of fields through that arrive one after the
+ * other. Such a message ends with `http::error::header_limit`.
  *
  * Not thread-safe.
  */
@@ -40,7 +41,14 @@
     return aName.size() <= kMaxFieldBytes && aValue.size() <= kMaxFieldBytes;
   }
 
+  /** Sets the number of bytes that the fields of the head, and those of the
+   * trailers, may have together. Call before parsing. */
+  void LimitFields(std::size_t aBytes) { this->maxFieldsBytes = aBytes; }
+
 private:
+  /** Colon and line break, the bytes of a field besides name and value. */
+  static constexpr std::size_t kFieldOverhead = 3;
+
   void on_field_impl(boost::beast::http::field aField,
                      boost::beast::string_view aName,
                      boost::beast::string_view aValue,
@@ -51,8 +59,21 @@
       aError = boost::beast::http::error::header_limit;
       return;
     }
+    if (this->is_header_done() && !this->hasTrailers) {
+      this->hasTrailers = true;
+      this->fieldsBytes = 0;
+    }
+    this->fieldsBytes += aName.size() + aValue.size() + kFieldOverhead;
+    if (this->fieldsBytes > this->maxFieldsBytes) {
+      aError = boost::beast::http::error::header_limit;
+      return;
+    }
     this->get().insert(aField, aName, aValue);
   }
+
+  std::size_t maxFieldsBytes = std::numeric_limits<std::size_t>::max();
+  std::size_t fieldsBytes = 0;
+  bool hasTrailers = false;
 };
 
 } // namespace fireflytrail::core
--- a/modules/gateway/CallerSession.cpp
+++ b/modules/gateway/CallerSession.cpp
@@ -152,6 +152,7 @@
   this->parser.emplace();
   this->parser->header_limit(
     static_cast<std::uint32_t>(this->hooks->limits.maxHeaderBytes));
+  this->parser->LimitFields(this->hooks->limits.maxHeaderBytes);
   this->parser->body_limit(this->hooks->limits.maxBodyBytes);
   this->headLease.TryResize(0);
   if (this->buffer.size() <= kIdleBufferBytes &&
--- a/modules/gateway/CallerSessionTest.cpp
+++ b/modules/gateway/CallerSessionTest.cpp
@@ -295,6 +295,35 @@
   BOOST_TEST(StatusLineOf(longest) == "HTTP/1.1 200 OK");
 }
 
+// Guards against memory that grows while a caller sends a head, or trailers,
+// without end: pieces that end with the begin of a field are each below the
+// limit.
+BOOST_AUTO_TEST_CASE(HeadsWithoutEndInPiecesAreRefused)
+{
+  for (const std::string& begin :
+       { std::string("GET /a/b HTTP/1.1\r\nA"),
+         std::string("POST /a/b HTTP/1.1\r\nTransfer-Encoding: chunked\r\n"
+                     "\r\n0\r\nA") }) {
+    EchoGateway gateway;
+    boost::asio::io_context clientContext;
+    tcp::socket socket(clientContext);
+    socket.connect(gateway.Endpoint());
+    boost::system::error_code error;
+    std::string piece = begin;
+    // Several times the limit of the head, 16 KiB.
+    for (int count = 0; count < 30 && !error; ++count) {
+      boost::asio::write(socket, boost::asio::buffer(piece), error);
+      std::this_thread::sleep_for(1ms);
+      piece = ": " + std::string(3000, 'b') + "\r\nA";
+    }
+    std::string answer;
+    boost::asio::read_until(
+      socket, boost::asio::dynamic_buffer(answer), "\r\n\r\n", error);
+    BOOST_TEST(StatusLineOf(answer).find(" 431 ") != std::string::npos);
+    BOOST_TEST(gateway.calls.empty());
+  }
+}
+
 // Guards against memory that grows while a caller sends bytes without end in
 // the framing of a body.
 BOOST_DATA_TEST_CASE(BytesWithoutEndEndTheSession,
--- a/modules/gateway/ServerConnection.cpp
+++ b/modules/gateway/ServerConnection.cpp
@@ -253,6 +253,7 @@
   // Servers echo the id of the request.
   const std::size_t headLimit = kMaxBufferedBytes + this->call->id.size();
   this->parser->header_limit(static_cast<std::uint32_t>(headLimit));
+  this->parser->LimitFields(headLimit);
   this->buffer.max_size(std::max(this->buffer.size(), headLimit));
   this->parser->body_limit(kMaxAnswerBytes);
   this->parser->skip(this->request.method() == http::verb::head);
--- a/modules/gateway/ServerConnectionTest.cpp
+++ b/modules/gateway/ServerConnectionTest.cpp
@@ -459,6 +459,39 @@
   }
 }
 
+// Guards against memory that grows while a server sends a head, or trailers,
+// without end: pieces that end with the begin of a field are each below the
+// limit.
+BOOST_AUTO_TEST_CASE(HeadsWithoutEndInPiecesEndTheAttempt)
+{
+  for (const std::string& begin :
+       { std::string("HTTP/1.1 200 OK\r\nA"), kChunkedHead + "0\r\nA" }) {
+    boost::asio::io_context serverContext;
+    tcp::acceptor acceptor(serverContext, { tcp::v4(), 0 });
+    std::size_t sent = 0;
+    std::thread thread([&] {
+      boost::system::error_code error;
+      tcp::socket socket = acceptor.accept();
+      std::string request;
+      boost::asio::read_until(
+        socket, boost::asio::dynamic_buffer(request), "\r\n\r\n", error);
+      std::string piece = begin;
+      constexpr std::size_t kMaxBytes = 300'000;
+      while (!error && sent < kMaxBytes) {
+        sent += boost::asio::write(socket, boost::asio::buffer(piece), error);
+        std::this_thread::sleep_for(500us);
+        piece = ": " + std::string(200, 'b') + "\r\nA";
+      }
+    });
+    Client client({ boost::asio::ip::address_v4::loopback(),
+                    acceptor.local_endpoint().port() },
+                  DialectWithIds());
+    BOOST_TEST((client.Send().progress == AttemptProgress::AnswerInvalid));
+    client.pool.reset();
+    thread.join();
+  }
+}
+
 // Guards against a body in a coding that is not decoded, passed on as if it
 // were the server's body.
 BOOST_AUTO_TEST_CASE(AnswerInAnUnknownTransferCodingIsInvalid)
--- a/modules/store/StoreConnection.cpp
+++ b/modules/store/StoreConnection.cpp
@@ -181,6 +181,7 @@
 {
   this->parser.emplace();
   this->parser->body_limit(kBodyLimitBytes);
+  this->parser->LimitFields(kMaxBufferedBytes);
   this->buffer.max_size(kMaxBufferedBytes);
   http::async_read(this->socket,
                    this->buffer,
