Take a stale answer to a ping for contact

Cause: an answer of an earlier era counted as a failure of the store, also where answers may be stale.

Change: a ping answered in an earlier era is contact while the store is available; its content is not used. A daemon that is asked by one of a later era sends nothing, since the other could not use it.

Result: AStaleAnswerToAPingIsContact and HostsOfAnEarlierEraSendNothingToOthers; store_test and proxy_test pass.

--- a/modules/proxy/StoreRelay.cpp
+++ b/modules/proxy/StoreRelay.cpp
@@ -330,7 +330,9 @@
 StoreRelay::OnUpdateRequest(const std::string& aFrom,
                             const wire::StoreNewsRequest& aRequest)
 {
-  if (!this->replica.IsListed(aRequest.kind)) {
+  // The sender asks others, too, some of which follow a later era already.
+  if (!this->replica.IsListed(aRequest.kind) ||
+      store::EraOf(aRequest.since) > this->KnownEra(aRequest.kind)) {
     return;
   }
   // Changes do not tell which objects of an earlier era are gone.
--- a/modules/proxy/StoreRelayTest.cpp
+++ b/modules/proxy/StoreRelayTest.cpp
@@ -740,3 +740,17 @@
   }
   BOOST_TEST(others == 3U);
 }
+
+// Guards against whole lists of an earlier era that are sent to hosts which
+// cannot use them.
+BOOST_AUTO_TEST_CASE(HostsOfAnEarlierEraSendNothingToOthers)
+{
+  Fleet fleet(4);
+  fleet.ListAll();
+  fleet.messages = 0;
+  StoreRelay& relay = *fleet.hosts.at("host-1").relay;
+  relay.OnUpdateRequest("host-2", { "k", store::JoinRevision(1, 3) });
+  BOOST_TEST(fleet.messages == 0U);
+  relay.OnUpdateRequest("host-2", { "k", 3 });
+  BOOST_TEST(fleet.messages == 1U);
+}
--- a/modules/store/ObjectWatcher.cpp
+++ b/modules/store/ObjectWatcher.cpp
@@ -520,6 +520,12 @@
   this->hooks.send(request, [this, request](const StoreResponse& aResponse) {
     this->isPingPending = false;
     this->hooks.onRequestEnded(request, aResponse);
+    if (!this->isStoreUnavailable && this->era.IsOlder(aResponse)) {
+      // Answers to pings may be stale, and then state an earlier era.
+      this->lastAnswerTime = this->hooks.now();
+      this->SchedulePing(kPingInterval);
+      return;
+    }
     if (!this->IsOfCurrentEra(
           request, aResponse, [this] { this->SchedulePing(kShortWait); })) {
       return;
--- a/modules/store/ObjectWatcherTest.cpp
+++ b/modules/store/ObjectWatcherTest.cpp
@@ -670,6 +670,23 @@
   BOOST_TEST(!this->watcher.IsStoreUnavailable());
 }
 
+// Guards against a store that counts as lost because a replica, which answers
+// the pings, has not heard of its return yet.
+BOOST_FIXTURE_TEST_CASE(AStaleAnswerToAPingIsContact, Fixture)
+{
+  this->era = 2;
+  this->ListAndConfirmBoth();
+  this->time += 5s;
+  this->RunTimer();
+  this->era = 1;
+  BOOST_TEST(this->AnswerTo("ping l", 200, "40 0 +late"));
+  BOOST_TEST(!this->watcher.IsStoreUnavailable());
+  BOOST_TEST((this->watcher.LastAnswerTime() == this->time));
+  BOOST_TEST(this->events.empty());
+  this->RunTimer();
+  BOOST_TEST(this->HasCall("ping l"));
+}
+
 // Guards against a daemon that watches from a revision of an earlier era,
 // although another daemon has told it of the return of the store.
 BOOST_FIXTURE_TEST_CASE(AnEraOfAnotherDaemonIsBelieved, Fixture)
--- a/modules/store/StoreEra.cpp
+++ b/modules/store/StoreEra.cpp
@@ -24,7 +24,7 @@
     this->stated = 0;
     return Standing::Current;
   }
-  if (era < this->current) {
+  if (this->IsOlder(aAnswer)) {
     return Standing::Older;
   }
   if (era != this->stated) {
@@ -35,6 +35,12 @@
   return Standing::Raised;
 }
 
+bool
+StoreEra::IsOlder(const StoreResponse& aAnswer) const
+{
+  return aAnswer.era != 0 && aAnswer.era < this->current;
+}
+
 bool
 StoreEra::Raise(std::uint64_t aEra)
 {
--- a/modules/store/StoreEra.h
+++ b/modules/store/StoreEra.h
@@ -35,6 +35,9 @@
    * one determines it. */
   Standing Judge(const StoreResponse& aAnswer);
 
+  /** Whether an answer states a lower era than the one that is believed. */
+  bool IsOlder(const StoreResponse& aAnswer) const;
+
   /** Records an era that another daemon believes. Returns whether an earlier
    * one was believed before. */
   bool Raise(std::uint64_t aEra);
