--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -8,9 +8,9 @@
 libraries=(-lboost_json -lboost_url -lfmt -lxxhash -lpthread)
 objects=()
 pids=()
-for source in soak/HttpService.cpp soak/ObjectStore.cpp soak/DaemonProcess.cpp modules/core/Hash.cpp \
-  review/tools-3/Harness.cpp review/tools-3/Backend.cpp \
-  review/tools-3/LaggingReplica.cpp; do
+for source in soak/HttpService.cpp soak/ObjectStore.cpp \
+  soak/DaemonProcess.cpp modules/core/Hash.cpp review/tools-3/Harness.cpp \
+  review/tools-3/Backend.cpp review/tools-3/LaggingReplica.cpp; do
   object=target/review-3/$(basename "$source" .cpp).o
   g++ "${flags[@]}" -c "$source" -o "$object" &
   pids+=($!)
--- a/review/tools-3/Harness.cpp
+++ b/review/tools-3/Harness.cpp
@@ -179,6 +179,7 @@
 Harness::StartDaemons()
 {
   const auto count = static_cast<unsigned>(this->storePorts.size());
+  this->daemons.reserve(count);
   for (unsigned index = 0; index < count; ++index) {
     soak::DaemonProcess::Options options;
     options.program = this->program;
@@ -220,6 +221,7 @@
   }
   std::sort(ranks.rbegin(), ranks.rend());
   std::vector<unsigned> order;
+  order.reserve(ranks.size());
   for (const auto& [weight, index] : ranks) {
     order.push_back(index);
   }
