--- a/review/tools-3/ColdCase.cpp
+++ b/review/tools-3/ColdCase.cpp
@@ -25,6 +25,8 @@
 constexpr double kWarmupPerS = 5.4;
 constexpr double kColdOver = 1.5;
 constexpr double kColdSlack = 5;
+// Rate well above the first one, at which a cold instance crashes.
+constexpr std::size_t kCrashRate = 15;
 constexpr auto kColdTime = 3000ms;
 // How long the servers of the zone are down, and the killed machine.
 constexpr auto kServersDown = 4000ms;
@@ -49,9 +51,13 @@
   std::map<unsigned, unsigned> statuses;
   bool isOver = false;
   std::size_t worst = 0;
+  unsigned crashes = 0;
+  /** Accepted requests that were lost with an instance that crashed. */
+  unsigned lost = 0;
+  bool areServersDown = false;
 
   /** Counts the requests that were sent and arrived inside one second. */
-  void OnArrival(const Backend& aBackend, const std::string& aId)
+  void OnArrival(Backend& aBackend, const std::string& aId)
   {
     if (aBackend.ColdLeft().count() <= 0) {
       return;
@@ -78,6 +84,12 @@
                       count));
       }
     }
+    if (count >= kCrashRate) {
+      ++this->crashes;
+      this->harness.Record(
+        fmt::format("cold instance {} crashes", aBackend.Id()));
+      aBackend.Crash();
+    }
   }
 
   asio::awaitable<void> WatchReadiness(unsigned aDaemon)
@@ -109,6 +121,7 @@
     const Reply reply = co_await this->harness.Request(
       aDaemon, "POST", "/valve/" + aId, aId, "body of " + aId, 800ms);
     ++this->statuses[reply.status];
+    this->lost += reply.status == 502 && !this->areServersDown ? 1 : 0;
   }
 
   asio::awaitable<void> Run(bool aHasTrouble)
@@ -123,10 +136,12 @@
     const unsigned dispatcher = this->harness.DispatcherOf(kService);
     for (unsigned round = 0; round < kRounds; ++round) {
       this->harness.Record("the servers of the zone go down");
+      this->areServersDown = true;
       for (const auto& backend : this->backends) {
         backend->Crash();
       }
       co_await this->harness.Wait(kServersDown);
+      this->areServersDown = false;
       for (const auto& backend : this->backends) {
         backend->SetColdTime(kColdTime);
         backend->Start();
@@ -199,6 +214,10 @@
     harness.Record(fmt::format(
       "instance {}: at most {} requests in one second while cold", id, most));
   }
+  harness.Record(fmt::format("{} cold instances crashed, {} accepted requests "
+                             "were lost with them",
+                             test.crashes,
+                             test.lost));
   const double allowed = kWarmupPerS * kColdOver + kColdSlack;
   const bool isBroken = static_cast<double>(test.worst) > allowed;
   harness.Record(fmt::format("FAILBACK: a cold instance got {} requests in one "
