Review case 13: the server that left ends while it works

Cause: the case showed the arrival only, not what becomes of the request. Change: the server ends 6.2 s after its removal and requests take 0.5 s; the check is the same.

--- a/review/tools-3/GhostCase.cpp
+++ b/review/tools-3/GhostCase.cpp
@@ -31,7 +31,10 @@
 constexpr auto kKillDelay = 1500ms;
 constexpr auto kDown = 1000ms;
 // How long the instance serves on after its entry was removed.
-constexpr auto kServesOn = 16'000ms;
+constexpr auto kServesOn = 6200ms;
+// Time from the end of a round's kills to the next round.
+constexpr auto kRoundTime = 14'000ms;
+constexpr auto kWork = 500ms;
 
 struct Case
 {
@@ -69,6 +72,9 @@
       this->OnArrival(aBackend, std::string(aRequest["X-Request-Id"]));
       return std::nullopt;
     };
+    backend->onRun = [](Backend&, const fireflytrail::soak::HttpRequest&) {
+      return Backend::Run{ .work = kWork };
+    };
     backend->decorate = [this](Backend& aBackend,
                                fireflytrail::soak::HttpResponse& aResponse) {
       if (this->goneAt.contains(aBackend.Id())) {
@@ -106,6 +112,9 @@
     const Reply reply = co_await this->harness.Request(
       aDaemon, "POST", "/valve/" + aId, aId, "body of " + aId, 1500ms);
     ++this->statuses[reply.status];
+    if (reply.status == 502) {
+      this->harness.Record(fmt::format("request {} is lost", aId));
+    }
   }
 
   asio::awaitable<void> Send(unsigned aDaemon)
@@ -124,7 +133,8 @@
   asio::awaitable<void> End(Backend& aBackend)
   {
     co_await this->harness.Wait(kServesOn);
-    this->harness.Record(fmt::format("instance {} ends", aBackend.Id()));
+    this->harness.Record(
+      fmt::format("instance {} ends as planned", aBackend.Id()));
     aBackend.Crash();
   }
 
@@ -160,7 +170,7 @@
         this->inTouchFrom = Clock::now() + kStabilityWindow + 100ms;
         this->isUp = true;
       }
-      co_await this->harness.Wait(kServesOn - kKillDelay - 1000ms);
+      co_await this->harness.Wait(kRoundTime);
       // A new instance takes the place of the one that left.
       leaving = &this->AddBackend(kLaggingZone);
       this->harness.Record(fmt::format("instance {} starts", leaving->Id()));
