Follow a change in time although all hosts that read the store are lost

Cause: a change that no host has read when the watching hosts end passes a chain of steps whose longest times add up to more than 3 s: 0.3 s between two reads, 1.2 s until silence is noticed, up to 0.5 s until the next tick, 0.1 s for each higher-ranked host that is dead but not known to be, and a second heartbeat before a missed change is requested.

Change: the first change after a pause is followed by a read at once. The heartbeats of the watching hosts are spread over the interval, so that their common silence shows after 0.45 s. After silence the delay of a takeover grows with the logarithm of the rank, for the first 32 candidates. A host that takes over pings the store at once and says so; for 3 s it pushes small changes to each host directly. A missed change is requested 0.1 s after the first heartbeat that shows it. The line store_watch_changed shows takeovers. The sum of the longest times is 1.0 s.

The test harness of StoreRelayTest calls Tick when it is due, as the daemon does, instead of every 0.5 s; no check was changed.

--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -159,6 +159,7 @@
   , settingsTimer(this->context)
   , rereadTimer(this->context)
   , heartbeatTimer(this->context)
+  , relayTimer(this->context)
   , rolloutTimer(this->context)
   , self{ aSettings.peerListen.ToString(), RandomNumber() }
   , peers(this->context,
@@ -354,8 +355,7 @@
           return;
         }
         this->relay->OnStoreRegained();
-        this->relay->Tick();
-        this->watcher->SetActive(this->relay->ShouldWatch());
+        this->RunRelay();
         this->log.Write(LogLevel::Info, "store_regained");
       },
     .onEraRaised =
@@ -365,6 +365,14 @@
           "store_returned_older",
           { { "era", static_cast<std::int64_t>(aEra) },
             { "previous_era", static_cast<std::int64_t>(aPreviousEra) } });
+      },
+    .onAnswered =
+      [this] {
+        // The heartbeat that this sends keeps others from taking over.
+        if (!this->relay->IsReportingAvailable() &&
+            this->relay->ShouldWatch()) {
+          this->ScheduleRelay(std::chrono::steady_clock::now());
+        }
       }
   };
 }
@@ -758,8 +766,7 @@
   this->budgets.SetAllowance(this->RetryAllowance());
   this->ReturnMemory();
   this->UpdateSocketBuffers();
-  this->watcher->SetActive(this->relay->ShouldWatch());
-  this->relay->Tick();
+  this->RunRelay();
   const bool isStarting = !this->storeView.Routes() ||
                           this->storeView.Directory().InstanceCount() == 0;
   this->heartbeatTimer.expires_after(
@@ -771,6 +778,37 @@
   });
 }
 
+void
+ProxyDaemon::RunRelay()
+{
+  this->relay->Tick();
+  const bool isWatching = this->relay->ShouldWatch();
+  if (isWatching != std::exchange(this->wasWatching, isWatching)) {
+    this->log.Write(LogLevel::Info,
+                    "store_watch_changed",
+                    { { "is_watching", isWatching },
+                      { "is_after_loss", this->relay->IsAfterLoss() } });
+  }
+  this->watcher->SetActive(isWatching);
+  this->ScheduleRelay(this->relay->NextDue());
+}
+
+void
+ProxyDaemon::ScheduleRelay(core::TimePoint aDue)
+{
+  if (this->isRelayScheduled && this->relayTimer.expiry() <= aDue) {
+    return;
+  }
+  this->isRelayScheduled = true;
+  this->relayTimer.expires_at(aDue);
+  this->relayTimer.async_wait([this](boost::system::error_code aError) {
+    if (!aError) {
+      this->isRelayScheduled = false;
+      this->RunRelay();
+    }
+  });
+}
+
 void
 ProxyDaemon::OnPeerMessage(const core::DaemonId& aFrom,
                            const wire::WireMessage& aPeerMessage)
@@ -786,9 +824,11 @@
   } else if (const auto* update = std::get_if<wire::StoreNews>(&aPeerMessage)) {
     this->LogUpdate(aFrom.name, *update);
     this->relay->OnUpdate(aFrom.name, *update);
+    this->ScheduleRelay(this->relay->NextDue());
   } else if (const auto* heartbeat =
                std::get_if<wire::StoreBeat>(&aPeerMessage)) {
     this->relay->OnHeartbeat(aFrom.name, *heartbeat);
+    this->ScheduleRelay(this->relay->NextDue());
   } else if (const auto* updateRequest =
                std::get_if<wire::StoreNewsRequest>(&aPeerMessage)) {
     this->relay->OnUpdateRequest(aFrom.name, *updateRequest);
--- a/modules/proxy/ProxyDaemon.h
+++ b/modules/proxy/ProxyDaemon.h
@@ -102,6 +102,10 @@
   void LogUpdate(const std::string& aFrom,
                  const wire::StoreNews& aUpdate) const;
   void OnHeartbeatTimer();
+  /** Calls the relay and watches the store if this daemon should. */
+  void RunRelay();
+  /** Calls `RunRelay` at a time unless it is to be called before. */
+  void ScheduleRelay(core::TimePoint aDue);
   store::WatcherHooks MakeWatcherHooks();
   void Measure(const routing::BackendInstance& aInstance,
                LoadProber::MeasuredFunction aOnMeasured);
@@ -171,6 +175,11 @@
   boost::asio::steady_timer settingsTimer;
   boost::asio::steady_timer rereadTimer;
   boost::asio::steady_timer heartbeatTimer;
+  boost::asio::steady_timer relayTimer;
+  /** Whether `relayTimer` is waiting. */
+  bool isRelayScheduled = false;
+  /** Whether this daemon watched the store when that was last checked. */
+  bool wasWatching = false;
   boost::asio::steady_timer rolloutTimer;
   core::DaemonId self;
   PeerNetwork peers;
--- a/modules/proxy/StoreRelay.cpp
+++ b/modules/proxy/StoreRelay.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 #include <functional>
 #include <limits>
 #include <tuple>
@@ -25,6 +26,15 @@
 // that already has the same change.
 constexpr std::chrono::milliseconds kPushLagAllowance{ 100 };
 
+// Time for which a daemon that lost the store is not expected to take over.
+constexpr std::chrono::seconds kLostStoreTime{ 10 };
+
+// Interval at which kinds that are held back after the start are checked.
+constexpr std::chrono::milliseconds kHoldCheckInterval{ 50 };
+
+// Shortest time between two calls of `Tick` that are asked for.
+constexpr std::chrono::milliseconds kShortestTick{ 10 };
+
 // Time in which a newly started daemon waits for its own lists before it
 // requests all objects from others, which are up to 100 KB.
 constexpr std::chrono::milliseconds kOwnListGracePeriod{ 1000 };
@@ -249,7 +259,7 @@
     }
     return;
   }
-  this->RestartTakeoverDelayIfEnoughWatchers();
+  this->UpdateTakeoverDelay();
   if (this->IsOfEarlierEra(aHeartbeat)) {
     return;
   }
@@ -258,9 +268,13 @@
                             aHeartbeat.isStrong };
   if (aHeartbeat.isLost) {
     this->isOutageReported = true;
+    this->lostStoreAt[aFrom] = this->hooks.now();
   } else {
+    this->lostStoreAt.erase(aFrom);
     this->NoteContact(this->hooks.now());
   }
+  this->UpdateTakeoverDelay();
+  this->AlignHeartbeat(aFrom);
   this->AskUnheardWatchers(aHeartbeat.watching);
   this->CompareRevisions(aFrom, aHeartbeat, !aHeartbeat.isLost);
 }
@@ -352,32 +366,93 @@
 void
 StoreRelay::Tick()
 {
-  this->RestartTakeoverDelayIfEnoughWatchers();
+  this->UpdateTakeoverDelay();
   const core::TimePoint now = this->hooks.now();
   for (const std::string& kind : this->kinds) {
     this->TryRelease(kind);
   }
+  this->RequestOverdueChanges();
   std::erase_if(this->watchers, [now](const auto& aWatcher) {
     return now - aWatcher.second.lastHeartbeatAt > kHeartbeatTimeout;
   });
+  std::erase_if(this->lostStoreAt, [now](const auto& aEntry) {
+    return now - aEntry.second > kLostStoreTime;
+  });
   const bool isStoreAvailable = this->IsStoreAvailable();
   if (isStoreAvailable) {
     this->NoteContact(*this->hooks.lastAnswerTime());
   }
-  const bool isNewlyLost = !isStoreAvailable && this->hasReportedStoreAvailable;
+  const bool wasReported = this->hasReportedStoreAvailable;
+  const bool isNewlyLost = !isStoreAvailable && wasReported;
   this->hasReportedStoreAvailable = isStoreAvailable && this->ShouldWatch();
-  if (this->hasReportedStoreAvailable || isNewlyLost) {
+  const bool isDue = this->hasReportedStoreAvailable &&
+                     (!wasReported || now >= this->nextHeartbeatAt);
+  if (isDue || isNewlyLost) {
+    this->nextHeartbeatAt = now + kHeartbeatInterval;
     this->SendHeartbeat(this->MakeHeartbeat());
   }
   // A daemon may be missing in the lists of the watching daemons for as long as
   // it takes the fleet to learn of it. The first of them that it hears names
   // the others.
   if (this->watchers.empty() && !this->hasReportedStoreAvailable &&
-      !isNewlyLost && now - this->startedAt >= kAskDelay) {
+      !isNewlyLost && now - this->startedAt >= kAskDelay &&
+      now >= this->nextQuestionAt) {
+    this->nextQuestionAt = now + kHeartbeatInterval;
     this->AskForHeartbeats();
   }
 }
 
+core::TimePoint
+StoreRelay::NextDue() const
+{
+  const core::TimePoint now = this->hooks.now();
+  core::TimePoint due = now + kHeartbeatInterval;
+  if (this->hasReportedStoreAvailable) {
+    due = std::min(due, this->nextHeartbeatAt);
+  } else if (!this->ShouldWatch() && !this->hadEnoughWatchers) {
+    due = std::min(due,
+                   std::max(this->StartOfWatching(),
+                            this->takeoverDelayStart + this->TakeoverDelay()));
+  }
+  if (const core::TimePoint silenceDue = this->SilenceDue(); silenceDue > now) {
+    due = std::min(due, silenceDue);
+  }
+  if (this->hold.IsAnyHeld()) {
+    due = std::min(due, now + kHoldCheckInterval);
+  }
+  for (const auto& [kind, gap] : this->gaps) {
+    if (gap.missingRevision > this->replica.CompleteRevision(kind)) {
+      due = std::min(due, this->RequestDue(kind, gap));
+    }
+  }
+  return std::max(due, now + kShortestTick);
+}
+
+core::TimePoint
+StoreRelay::RequestDue(const std::string& aKind, const Gap& aGap) const
+{
+  const core::TimePoint due = aGap.since + kPushLagAllowance;
+  const auto requested = this->requestedAt.find(aKind);
+  return requested == this->requestedAt.end()
+           ? due
+           : std::max(due, requested->second + kRequestTimeout);
+}
+
+void
+StoreRelay::RequestOverdueChanges()
+{
+  const core::TimePoint now = this->hooks.now();
+  std::erase_if(this->gaps, [this](const auto& aEntry) {
+    return aEntry.second.missingRevision <=
+           this->replica.CompleteRevision(aEntry.first);
+  });
+  for (const auto& [kind, gap] : this->gaps) {
+    if (!this->hold.IsHeld(kind) && now >= this->RequestDue(kind, gap)) {
+      this->RequestIfBehind(std::string(gap.source), kind, gap.missingRevision);
+    }
+  }
+}
+
 wire::StoreBeat
 StoreRelay::MakeHeartbeat() const
 {
@@ -471,6 +546,15 @@
 
 bool
 StoreRelay::ShouldWatch() const
+{
+  const core::TimePoint now = this->hooks.now();
+  return now >= this->StartOfWatching() && !this->hadEnoughWatchers &&
+         this->CountWatchersAhead() < kWatcherCount &&
+         now - this->takeoverDelayStart >= this->TakeoverDelay();
+}
+
+core::TimePoint
+StoreRelay::StartOfWatching() const
 {
   constexpr double kRange =
     static_cast<double>(std::numeric_limits<std::uint64_t>::max());
@@ -479,14 +563,10 @@
   const double position = static_cast<double>(std::get<1>(rank)) / kRange;
   const std::chrono::duration<double> firstDelay =
     this->self.isStrong ? kStrongStartDelay : kWeakStartDelay;
-  const auto startDelay =
-    firstDelay + std::chrono::duration<double>(kStartSpread) * (1 - position);
-  if (this->hooks.now() - this->startedAt < startDelay) {
-    return false;
-  }
-  return this->CountWatchersAhead() < kWatcherCount &&
-         this->hooks.now() - this->takeoverDelayStart >=
-           this->CountCandidatesAhead() * kTakeoverInterval;
+  return this->startedAt +
+         std::chrono::duration_cast<core::TimePoint::duration>(
+           firstDelay +
+           std::chrono::duration<double>(kStartSpread) * (1 - position));
 }
 
 void
@@ -532,16 +612,37 @@
 
 std::size_t
 StoreRelay::CountWatchersAhead() const
+{
+  return this->hooks.now() >= this->SilenceDue()
+           ? 0
+           : this->LastHeardAhead().second;
+}
+
+std::pair<core::TimePoint, std::size_t>
+StoreRelay::LastHeardAhead() const
 {
   const core::TimePoint now = this->hooks.now();
   const auto ownRank = RankOf(this->self.name, this->self.isStrong);
-  return static_cast<std::size_t>(
-    std::ranges::count_if(this->watchers, [&](const auto& aWatcher) {
-      const auto& [name, watcher] = aWatcher;
-      return !watcher.isStoreUnavailable &&
-             now - watcher.lastHeartbeatAt <= kHeartbeatTimeout &&
-             RankOf(name, watcher.isStrong) > ownRank;
-    }));
+  std::pair<core::TimePoint, std::size_t> heard{ core::TimePoint{}, 0 };
+  for (const auto& [name, watcher] : this->watchers) {
+    if (!watcher.isStoreUnavailable &&
+        now - watcher.lastHeartbeatAt <= kHeartbeatTimeout &&
+        RankOf(name, watcher.isStrong) > ownRank) {
+      heard.first = std::max(heard.first, watcher.lastHeartbeatAt);
+      ++heard.second;
+    }
+  }
+  return heard;
+}
+
+core::TimePoint
+StoreRelay::SilenceDue() const
+{
+  const auto [lastHeardAt, count] = this->LastHeardAhead();
+  // The heartbeats of several daemons are spread evenly; see `AlignHeartbeat`.
+  return count == 0 ? core::TimePoint{}
+                    : lastHeardAt + kSilenceMargin +
+                        kHeartbeatInterval / static_cast<int>(count);
 }
 
 std::size_t
@@ -549,19 +650,73 @@
 {
   const auto ownRank = RankOf(this->self.name, this->self.isStrong);
   const std::vector<PeerHost> peers = this->hooks.peers();
-  const auto ahead = std::ranges::count_if(peers, [&](const PeerHost& aPeer) {
-    return RankOf(aPeer.name, aPeer.isStrong) > ownRank;
-  });
-  const std::size_t watching = this->CountWatchersAhead();
-  const auto count = static_cast<std::size_t>(ahead);
-  return count > watching ? count - watching : 0;
+  return static_cast<std::size_t>(
+    std::ranges::count_if(peers, [&](const PeerHost& aPeer) {
+      // Those that were heard watch already, do not reach the store or are as
+      // silent as the rest.
+      return RankOf(aPeer.name, aPeer.isStrong) > ownRank &&
+             !this->watchers.contains(aPeer.name) &&
+             !this->lostStoreAt.contains(aPeer.name);
+    }));
+}
+
+std::chrono::nanoseconds
+StoreRelay::TakeoverDelay() const
+{
+  const std::size_t ahead = this->CountCandidatesAhead();
+  if (!this->IsAfterLoss()) {
+    return static_cast<int>(ahead) * kTakeoverInterval;
+  }
+  // The candidates may have been lost together with the watching daemons. Only
+  // the first of them hurry: the store may not answer any.
+  const std::size_t hurrying = std::min(ahead, kHurryingCandidates);
+  const double doublings = std::log2(1 + static_cast<double>(hurrying));
+  return std::chrono::duration_cast<std::chrono::nanoseconds>(doublings *
+                                                              kTakeoverStep) +
+         static_cast<int>(ahead - hurrying) * kTakeoverInterval;
 }
 
 void
-StoreRelay::RestartTakeoverDelayIfEnoughWatchers()
+StoreRelay::UpdateTakeoverDelay()
 {
-  if (this->CountWatchersAhead() >= kWatcherCount) {
-    this->takeoverDelayStart = this->hooks.now();
+  const core::TimePoint now = this->hooks.now();
+  const bool isSilent =
+    this->LastHeardAhead().second > 0 && now >= this->SilenceDue();
+  const bool hasEnough = this->CountWatchersAhead() >= kWatcherCount;
+  if (hasEnough || this->hadEnoughWatchers) {
+    this->takeoverDelayStart = now;
+  }
+  if (isSilent && !this->wasSilent) {
+    this->takeoverDelayStart = now;
+    this->lossAt = now;
+  }
+  this->hadEnoughWatchers = hasEnough;
+  this->wasSilent = isSilent;
+}
+
+bool
+StoreRelay::IsAfterLoss() const
+{
+  return this->lossAt && this->hooks.now() - *this->lossAt < kLossTime;
+}
+
+void
+StoreRelay::AlignHeartbeat(const std::string& aFrom)
+{
+  if (!this->hasReportedStoreAvailable) {
+    return;
+  }
+  const auto rank = RankOf(aFrom, this->watchers.at(aFrom).isStrong);
+  const bool isFirst =
+    std::ranges::none_of(this->watchers, [&rank](const auto& aWatcher) {
+      return !aWatcher.second.isStoreUnavailable &&
+             RankOf(aWatcher.first, aWatcher.second.isStrong) > rank;
+    });
+  const std::size_t ahead = this->CountWatchersAhead();
+  if (isFirst && ahead > 0 && ahead < kWatcherCount) {
+    this->nextHeartbeatAt =
+      this->hooks.now() + static_cast<int>(ahead) * kHeartbeatInterval /
+                            static_cast<int>(kWatcherCount);
   }
 }
 
@@ -592,6 +747,17 @@
     part.objects.push_back(this->contents.WriteChange(object));
   }
   wire::StoreNews update{ { std::move(part) } };
+  if (this->watchers.size() + 1 < kWatcherCount) {
+    // No heartbeat of another daemon soon tells those that the update misses.
+    this->nextHeartbeatAt =
+      std::min(this->nextHeartbeatAt, this->hooks.now() + kPushLagAllowance);
+  }
+  if (this->IsAfterLoss() && SizeOf(update) <= kLargeUpdateBytes) {
+    for (const PeerHost& peer : this->hooks.peers()) {
+      this->hooks.send(peer.name, update);
+    }
+    return;
+  }
   this->SendInDomain(update, {});
   this->SendToOtherDomains(std::move(update));
 }
@@ -740,7 +906,7 @@
   // end the gap.
   Gap& gap = this->gaps[aKind];
   if (gap.missingRevision <= known) {
-    gap = { aPeerRevision, now, 0 };
+    gap = { aPeerRevision, now, 0, aFrom };
   }
   // Nobody pushes changes to a daemon that has just started.
   if ((!isHeld && now - gap.since < kPushLagAllowance) ||
--- a/modules/proxy/StoreRelay.h
+++ b/modules/proxy/StoreRelay.h
@@ -18,6 +18,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace fireflytrail::proxy {
@@ -74,18 +75,23 @@
  * Daemons are ranked: strong hosts first, then by rendezvous hash. A daemon
  * watches the store unless it receives heartbeats from `kWatcherCount`
  * higher-ranked daemons that watch it. These send a heartbeat every
- * `kHeartbeatInterval` while the store answers them. When they stop, freeze or
- * lose the store, the next daemons take over without an election, one at a time
- * in the order of rank, so that a loss or return of the store does not make all
- * daemons call it at once.
+ * `kHeartbeatInterval` while the store answers them, at times that the first of
+ * them sets, so that one of the three arrives every third of the interval. When
+ * they stop, freeze or lose the store, the next daemons take over without an
+ * election, one at a time in the order of rank, so that a loss or return of
+ * the store does not make all daemons call it at once. After silence the delay
+ * of a daemon grows with the logarithm of its rank only, since those before it
+ * may have been lost together with the watching ones.
  *
  * The first watching daemon also pushes each change immediately to all daemons
  * of its failure domain and to two daemons of each other domain, which forward
  * it there, since bytes between domains are billed. Changes of large objects
- * are pushed as patches; see `UpdateContents`. A daemon that detects from a
- * heartbeat that it misses a change requests it and receives whole objects. It
- * asks a strong host of its failure domain first, and the sender of the
- * heartbeat if the change does not arrive.
+ * are pushed as patches; see `UpdateContents`. For some time after all watching
+ * daemons have fallen silent, a small change goes to each daemon directly,
+ * since those that would forward it may have stopped, too. A daemon that
+ * detects from a heartbeat that it misses a change requests it and receives
+ * whole objects. It asks a strong host of its failure domain first, and the
+ * sender of the heartbeat if the change does not arrive.
  *
  * A daemon that receives no heartbeats asks the highest-ranked daemons for
  * them: it may be missing in their lists of live daemons, for example because
@@ -119,11 +125,21 @@
 
   /**
    * A watching daemon without a heartbeat for this long is not counted. This
-   * allows for two lost heartbeats. It is below 2 s, the shortest time that the
-   * platform allows until a change must have taken effect.
+   * allows for two lost heartbeats.
    */
   static constexpr std::chrono::milliseconds kHeartbeatTimeout{ 1200 };
 
+  /**
+   * Time beyond the expected time between the heartbeats of any watching
+   * daemons after which they count as silent together. A host that has used up
+   * its processor share is stalled for up to a tenth of a second.
+   */
+  static constexpr std::chrono::milliseconds kSilenceMargin{ 280 };
+
+  /** Time after the loss of all watching daemons in which others that forward
+   * changes may have stopped unnoticed. */
+  static constexpr std::chrono::seconds kLossTime{ 3 };
+
   /**
    * The store counts as unavailable if it has not answered for this long. This
    * allows for one lost call of the two per second that test it.
@@ -137,6 +153,19 @@
    */
   static constexpr std::chrono::milliseconds kTakeoverInterval{ 100 };
 
+  /**
+   * Delay of a takeover after the loss of all watching daemons, for each
+   * doubling of the number of daemons that may take over first.
+   */
+  static constexpr std::chrono::milliseconds kTakeoverStep{ 50 };
+
+  /**
+   * Number of daemons to which `kTakeoverStep` applies; `kTakeoverInterval`
+   * applies to the others. Of so many, some survive a loss of most of the
+   * fleet.
+   */
+  static constexpr std::size_t kHurryingCandidates = 32;
+
   /**
    * Number of daemons that are asked for heartbeats. Those that have stopped
    * count as live for some time, so it exceeds `kWatcherCount`.
@@ -214,12 +243,19 @@
                        const wire::StoreNewsRequest& aRequest);
 
   /**
-   * Sends a heartbeat if this daemon watches, or once when the store has become
-   * unavailable to it. Call every `kHeartbeatInterval` and when the store's
+   * Sends a heartbeat if one is due, notices that the watching daemons are
+   * silent and requests missing changes. Call at `NextDue` and when the store's
    * availability changes.
    */
   void Tick();
 
+  /** Returns when `Tick` must be called next. It may be earlier after each call
+   * of another method. */
+  core::TimePoint NextDue() const;
+
+  /** Whether this daemon tells the others that it watches the store. */
+  bool IsReportingAvailable() const { return this->hasReportedStoreAvailable; }
+
   /** Records that the store does not answer this daemon. */
   void OnStoreLost();
 
@@ -238,6 +274,10 @@
   /** Returns whether this daemon should watch the store. */
   bool ShouldWatch() const;
 
+  /** Returns whether the daemons that watched the store have fallen silent
+   * together within `kLossTime`. */
+  bool IsAfterLoss() const;
+
   /**
    * Returns the time since any daemon is known to have reached the store;
    * `std::nullopt` if none has.
@@ -261,6 +301,8 @@
     core::TimePoint since;
     /** Requests for it so far. */
     unsigned requests = 0;
+    /** The daemon that has it. */
+    std::string source;
   };
 
   /**
@@ -269,12 +311,33 @@
    */
   std::size_t CountWatchersAhead() const;
   /**
-   * Counts the higher-ranked live daemons that are not among those of
-   * `CountWatchersAhead`.
+   * Returns the last heartbeat time of the higher-ranked daemons that watch,
+   * and how many of them have been heard within `kHeartbeatTimeout`, silent or
+   * not.
+   */
+  std::pair<core::TimePoint, std::size_t> LastHeardAhead() const;
+  /** Returns when the higher-ranked daemons that watch count as silent unless
+   * one of them is heard before. */
+  core::TimePoint SilenceDue() const;
+  /**
+   * Counts the higher-ranked live daemons that may take over: those that do not
+   * watch and are not known to be silent.
    */
   std::size_t CountCandidatesAhead() const;
-  /** Restarts the takeover delay if enough higher-ranked daemons watch. */
-  void RestartTakeoverDelayIfEnoughWatchers();
+  /** Returns the time that this daemon waits before it takes over. */
+  std::chrono::nanoseconds TakeoverDelay() const;
+  /** Restarts the takeover delay if enough higher-ranked daemons watch, or if
+   * they have just ceased to. */
+  void UpdateTakeoverDelay();
+  /** Returns when this daemon may begin to watch. */
+  core::TimePoint StartOfWatching() const;
+  /** Sets the time of the next heartbeat after one of a higher-ranked daemon.
+   */
+  void AlignHeartbeat(const std::string& aFrom);
+  /** Requests missing changes that no heartbeat has asked for in time. */
+  void RequestOverdueChanges();
+  /** Returns when a missing change is to be requested. */
+  core::TimePoint RequestDue(const std::string& aKind, const Gap& aGap) const;
   bool IsStoreAvailable() const;
   wire::StoreBeat MakeHeartbeat() const;
   /** Sends a heartbeat to the live daemons and those that have asked for it. */
@@ -344,9 +407,18 @@
   core::TimePoint startedAt;
   /**
    * Start of the time that this daemon waits before it takes over; see
-   * `kTakeoverInterval`.
+   * `TakeoverDelay`.
    */
   core::TimePoint takeoverDelayStart{};
+  /** Whether enough higher-ranked daemons watched when that was last checked.
+   */
+  bool hadEnoughWatchers = false;
+  /** Whether all higher-ranked daemons that watch were silent then. */
+  bool wasSilent = false;
+  /** When they were last found silent. */
+  std::optional<core::TimePoint> lossAt;
+  core::TimePoint nextHeartbeatAt{};
+  core::TimePoint nextQuestionAt{};
   /** Whether the last heartbeat reported that the store is available. */
   bool hasReportedStoreAvailable = false;
   /** When any daemon was last known to reach the store; the start before that.
@@ -355,6 +427,9 @@
   /** Whether a daemon has reported since then that it lost the store. */
   bool isOutageReported = false;
   std::map<std::string, WatcherState, std::less<>> watchers;
+  /** When daemons that have not watched since last reported that they lost the
+   * store. */
+  std::map<std::string, core::TimePoint, std::less<>> lostStoreAt;
   /** When the daemons that are not live, as far as known here, last asked for
    * heartbeats. */
   std::map<std::string, core::TimePoint, std::less<>> listeners;
--- a/modules/proxy/StoreRelayBandwidthTest.cpp
+++ b/modules/proxy/StoreRelayBandwidthTest.cpp
@@ -102,7 +102,7 @@
   {
     this->After(aDelay, [this, &aHost] {
       aHost.relay->Tick();
-      this->ScheduleTicks(aHost, StoreRelay::kHeartbeatInterval);
+      this->ScheduleTicks(aHost, aHost.relay->NextDue() - this->time);
     });
   }
 
--- a/modules/proxy/StoreRelayTest.cpp
+++ b/modules/proxy/StoreRelayTest.cpp
@@ -28,6 +28,8 @@
   {
     std::unique_ptr<StoreRelay> relay;
     std::optional<core::TimePoint> lastAnswerTime;
+    /** When `StoreRelay::Tick` is called next. */
+    core::TimePoint due{};
     unsigned outages = 0;
     /** Revisions of the known objects by name; 0 if deleted. */
     std::map<std::string, std::uint64_t> objects;
@@ -157,22 +159,22 @@
       this->crossDomainRequests += DomainOf(aFrom) != DomainOf(aTo) ? 1 : 0;
       relay.OnUpdateRequest(aFrom, *updateRequest);
     }
+    Host& receiver = this->hosts.at(aTo);
+    receiver.due = std::min(receiver.due, relay.NextDue());
   }
 
   /** Advances the time; the store keeps answering the hosts that it answers. */
   void Run(core::TimePoint::duration aTime)
   {
     for (const core::TimePoint end = this->time + aTime; this->time < end;) {
-      this->time += 100ms;
+      this->time += 10ms;
       for (auto& [name, host] : this->hosts) {
         if (host.lastAnswerTime) {
           host.lastAnswerTime = this->time;
         }
-      }
-      if (this->time.time_since_epoch() % StoreRelay::kHeartbeatInterval ==
-          0s) {
-        for (auto& [name, host] : this->hosts) {
+        if (this->time >= host.due) {
           host.relay->Tick();
+          host.due = host.relay->NextDue();
         }
       }
     }
@@ -319,6 +321,77 @@
   }
 }
 
+// Guards against hosts that follow a change seconds late because most of the
+// fleet, with all hosts that watch the store, lost power just after it.
+BOOST_AUTO_TEST_CASE(HostsFollowAChangeBeforeALossOfMostOfTheFleet)
+{
+  // Half of the shortest time limit, less the time between two reads.
+  constexpr auto kLongest = 850ms;
+  constexpr auto kCallTime = 100ms;
+  constexpr std::size_t kFleetSize = 19;
+  // The first eight, eleven and sixteen in rank are lost.
+  for (const std::size_t lost : { 8U, 11U, 16U }) {
+    Fleet fleet(kFleetSize);
+    fleet.ListAll();
+    fleet.Run(5s);
+    for (std::size_t count = 0; count < lost;) {
+      // The next ones in rank begin to watch.
+      for (const std::string& name : fleet.Watchers()) {
+        if (count < lost && fleet.disconnected.insert(name).second) {
+          fleet.unlisted.insert(name);
+          ++count;
+        }
+      }
+      fleet.Run(3s);
+    }
+    const std::set<std::string> gone = std::exchange(fleet.disconnected, {});
+    fleet.unlisted.clear();
+    fleet.Run(5s);
+    fleet.disconnected = gone;
+    fleet.Run(kLongest - kCallTime);
+    // Nobody has read the change before the loss.
+    fleet.Change("b", 20);
+    fleet.Run(kCallTime);
+    for (const auto& [name, host] : fleet.hosts) {
+      BOOST_TEST((gone.contains(name) || host.objects.contains("b")),
+                 name << " lacks the change after the loss of " << lost);
+    }
+  }
+}
+
+// Guards against a host that misses a change for a second because it waits for
+// a second heartbeat before it requests what the first one shows to be missing.
+BOOST_AUTO_TEST_CASE(MissedChangeIsRequestedWithoutAnotherHeartbeat)
+{
+  Fleet fleet(2);
+  fleet.ListAll();
+  fleet.disconnected.insert("host-0");
+  fleet.hosts.at("host-1").relay->OnWatched(
+    "k", { { "k", "b", 20, false, boost::json::object{} } });
+  fleet.disconnected.clear();
+  fleet.Deliver("host-1", "host-0", wire::StoreBeat{ { 20 }, false, true });
+  fleet.disconnected.insert("nobody");
+  fleet.Run(200ms);
+  BOOST_TEST(fleet.hosts.at("host-0").objects.contains("b"));
+}
+
+// Guards against a store that is called by the whole fleet because it answers
+// nobody when the hosts that watched it are lost.
+BOOST_AUTO_TEST_CASE(FewHostsCallAStoreThatAnswersNobodyAfterALoss)
+{
+  Fleet fleet(200);
+  fleet.ListAll();
+  fleet.Run(5s);
+  for (const std::string& name : fleet.Watchers()) {
+    fleet.disconnected.insert(name);
+  }
+  for (auto& [name, host] : fleet.hosts) {
+    host.lastAnswerTime.reset();
+  }
+  fleet.Run(2s);
+  BOOST_TEST(fleet.Watchers().size() <= 60U);
+}
+
 // Guards against a host that keeps stale objects because the store does not
 // answer the hosts that watch it, while it answers others.
 BOOST_AUTO_TEST_CASE(HostsThatLostTheStoreDoNotCountAsWatchers)
--- a/modules/store/ObjectWatcher.cpp
+++ b/modules/store/ObjectWatcher.cpp
@@ -34,11 +34,11 @@
 // a wait.
 constexpr milliseconds kShortWait = 50ms;
 
-// Delay between the answer to a watch and the next watch. Changes come in
-// bursts, and the delay collects several of them in one request. It must be
-// short compared with the platform's shortest time limit for reacting to a
-// change, 2 s.
-constexpr milliseconds kCoalesceTime = 300ms;
+// Time between the answers to two watches with changes and the next watch,
+// which collects the changes of a series in one request. The first change after
+// a pause is followed by a watch at once: a second one may come just before
+// this host and all others that read it are lost.
+constexpr milliseconds kCoalesceTime = 150ms;
 
 // A silent store is detected within the sum of these, which is half of the
 // shortest time limit, 2 s. A slow store answers within a quarter of a second.
@@ -127,7 +127,8 @@
     this->progress.at(kind.name).isUnconfirmed = true;
     this->RequestNext(kind.name);
   }
-  this->SchedulePing(kPingInterval);
+  // Others wait for the word that the store answers this host.
+  this->SchedulePing(aIsActive ? 0ms : kPingInterval);
 }
 
 void
@@ -443,7 +444,15 @@
     this->RequestNext(aKind);
     return;
   }
-  this->hooks.after(kCoalesceTime, [this, aKind] { this->RequestNext(aKind); });
+  const core::TimePoint now = this->hooks.now();
+  const core::TimePoint due =
+    std::exchange(state.changedAt, now) + kCoalesceTime;
+  if (now >= due) {
+    this->RequestNext(aKind);
+    return;
+  }
+  this->hooks.after(std::chrono::ceil<milliseconds>(due - now),
+                    [this, aKind] { this->RequestNext(aKind); });
 }
 
 void
@@ -578,6 +587,9 @@
 ObjectWatcher::MarkAvailable()
 {
   this->lastAnswerTime = this->hooks.now();
+  if (this->hooks.onAnswered) {
+    this->hooks.onAnswered();
+  }
   if (!this->isStoreUnavailable) {
     return;
   }
--- a/modules/store/ObjectWatcher.h
+++ b/modules/store/ObjectWatcher.h
@@ -74,7 +74,10 @@
   /** Optional. Called when the store is known to have come back from an older
    * copy, before its objects are read again. */
   std::function<void(std::uint64_t aEra, std::uint64_t aPreviousEra)>
-    onEraRaised;
+    onEraRaised = nullptr;
+  /** Optional. Called when the store has answered, while it is not yet said to
+   * be available again. Must not call the watcher. */
+  std::function<void()> onAnswered = nullptr;
 };
 
 /**
@@ -169,6 +172,8 @@
      * changes since the known revision. It may not: the list was stale, or the
      * revision is another daemon's. */
     bool isUnconfirmed = false;
+    /** When a watch last ended with changes. */
+    core::TimePoint changedAt{};
     /** Whether the last watch lost its connection while it waited. */
     bool wasInterrupted = false;
     /** Revision up to which changes are known, joined with its era; 0 until the
--- a/modules/store/ObjectWatcherTest.cpp
+++ b/modules/store/ObjectWatcherTest.cpp
@@ -249,6 +249,22 @@
   BOOST_TEST(this->calls.at(0).request.timeout.count() <= 2000);
 }
 
+// Guards against a change that no host has read when all that watch the store
+// are lost a moment later, because each waits after the change before it.
+BOOST_FIXTURE_TEST_CASE(ChangeThatFollowsAnotherIsReadAtOnce, Fixture)
+{
+  this->ListAndConfirmBoth();
+  this->timers.clear();
+  BOOST_TEST(this->Answer(200, "12 0 +b") == "watch k 10 1500");
+  BOOST_TEST(this->HasCall("watch k 12 1500"));
+  // The third of a series is collected with those that follow.
+  this->time += 40ms;
+  BOOST_TEST(this->AnswerTo("watch k 12 1500", 200, "13 0 +c"));
+  BOOST_TEST(!this->HasCall("watch k 13 1500"));
+  BOOST_TEST(this->RunTimer().count() <= 150);
+  BOOST_TEST(this->HasCall("watch k 13 1500"));
+}
+
 // Guards against a watch that cannot continue because the store has dropped the
 // history of changes: the kind must be listed again.
 BOOST_FIXTURE_TEST_CASE(KindIsListedAgainIfHistoryIsGone, Fixture)
