Bound what all hosts together send to a cold server

Cause: the rate holds for the sum of all hosts. A host that decides alone spaced only its own requests, and its first was free, so that N hosts sent N at once. A daemon that begins to dispatch sent at once as well, and each host that knows no other took itself for the dispatching one.

Change: hosts that decide alone take turns, drawn by a hash of host and server, which cannot be saved up. A daemon that begins to dispatch waits a part of its interval, and its share grows with the hosts that ask it. While no server is warm, a request goes to the next daemons in order before it is decided alone. The limit that a server names uses the same turns.

--- a/modules/proxy/SlotBroker.cpp
+++ b/modules/proxy/SlotBroker.cpp
@@ -43,6 +43,17 @@
 constexpr double kDispatcherColdShare = 0.6;
 constexpr double kFallbackColdShare = 0.25;
 
+// A dispatching daemon uses its share only as far as the other hosts ask it:
+// hosts that are cut off from each other all dispatch. It is served by this
+// part of them within this time, since not every host has requests all the
+// time.
+constexpr double kServedHostWeight = 2;
+constexpr milliseconds kAskerTime = 3000ms;
+
+// Daemons that are asked for a slot at the most, one after the other, if all
+// servers are cold: one that decides alone could send them next to nothing.
+constexpr std::size_t kMaxAskedDaemons = 3;
+
 // The same for the limit that a server has named. A second dispatching daemon
 // is used for two seconds at a time; the platform allows one and a half times
 // the limit over four.
@@ -67,6 +78,7 @@
   , settings(aSettings)
   , numbers(this->self.start)
 {
+  this->settings.hostKey = core::HashOf(this->self.name);
   assert(this->hooks.now && this->hooks.random && this->hooks.peers);
   assert(this->hooks.mayDispatch && this->hooks.send && this->hooks.isUsable);
   assert(this->hooks.onPeerAvailabilityChange && this->hooks.hostCount);
@@ -233,7 +245,8 @@
   request.route = aRequest.route;
   request.organisation = aRequest.organisation;
   request.digest = aRequest.digest;
-  request.coldRateShare = kDispatcherColdShare;
+  this->askers[aRequest.service][aFrom.name] = now;
+  request.coldRateShare = this->ColdShareOf(aRequest.service);
   request.limitShare = kDispatcherLimitShare;
   request.isCentrallyDispatched = true;
   this->GetOrCreateDispatcher(aRequest.service).Submit(std::move(request));
@@ -381,7 +394,9 @@
 
 //==============================================================================
 std::string
-SlotBroker::DispatchingDaemonName(std::string_view aService) const
+SlotBroker::DispatchingDaemonName(
+  std::string_view aService,
+  const std::vector<std::string>& aWithout) const
 {
   const core::TimePoint now = this->hooks.now();
   const std::string key = "slots/" + std::string(aService);
@@ -395,6 +410,9 @@
     if (state != this->peerStates.end() && now < state->second.avoidedUntil) {
       continue;
     }
+    if (std::ranges::find(aWithout, name) != aWithout.end()) {
+      continue;
+    }
     if (best.empty() || rankOf(name) > rankOf(best)) {
       best = name;
     }
@@ -484,12 +502,13 @@
   entry.request.coldRateShare =
     aIsFallback
       ? kFallbackColdShare / static_cast<double>(this->hooks.hostCount())
-      : kDispatcherColdShare;
+      : this->ColdShareOf(entry.service);
   entry.request.limitShare =
     aIsFallback
       ? kFallbackLimitShare / static_cast<double>(this->hooks.hostCount())
       : kDispatcherLimitShare;
   entry.request.isCentrallyDispatched = !aIsFallback;
+  entry.request.independentHosts = aIsFallback ? this->hooks.hostCount() : 1;
   entry.askedDaemon.clear();
   if (entry.timer) {
     entry.timer->cancel();
@@ -498,6 +517,20 @@
   this->ScheduleTick();
 }
 
+double
+SlotBroker::ColdShareOf(const std::string& aService)
+{
+  const core::TimePoint now = this->hooks.now();
+  std::map<std::string, core::TimePoint, std::less<>>& hosts =
+    this->askers[aService];
+  std::erase_if(hosts, [now](const auto& aHost) {
+    return now - aHost.second > kAskerTime;
+  });
+  const double served = static_cast<double>(hosts.size() + 1) /
+                        static_cast<double>(this->hooks.hostCount());
+  return kDispatcherColdShare * std::min(1.0, served * kServedHostWeight);
+}
+
 void
 SlotBroker::ReturnGrant(const std::string& aTo,
                         const std::string& aService,
@@ -576,6 +609,9 @@
   withdrawal.service = aPending.service;
   this->hooks.send(aPending.askedDaemon, std::move(withdrawal));
   this->RecordTimeout(aPending.askedDaemon);
+  if (this->AskNext(aNumber, aPending)) {
+    return;
+  }
   if (this->LacksInstances()) {
     this->Hold(aNumber);
   } else {
@@ -583,6 +619,26 @@
   }
 }
 
+bool
+SlotBroker::AskNext(std::uint64_t aNumber, PendingRequest& aPending)
+{
+  const ServiceDispatcher& dispatcher =
+    this->GetOrCreateDispatcher(aPending.service);
+  aPending.silentDaemons.push_back(aPending.askedDaemon);
+  if (aPending.silentDaemons.size() >= kMaxAskedDaemons ||
+      dispatcher.WarmCount(false) + dispatcher.WarmCount(true) > 0) {
+    return false;
+  }
+  std::string next =
+    this->DispatchingDaemonName(aPending.service, aPending.silentDaemons);
+  if (next.empty()) {
+    return false;
+  }
+  aPending.askedDaemon = std::move(next);
+  this->SendSlotRequest(aNumber, aPending);
+  return true;
+}
+
 bool
 SlotBroker::LacksInstances() const
 {
--- a/modules/proxy/SlotBroker.h
+++ b/modules/proxy/SlotBroker.h
@@ -102,7 +102,8 @@
  * short message and release the slot with another. The dispatching daemon keeps
  * no persistent state. A daemon that receives no decision in time decides from
  * its own data; after repeated timeouts it uses the next daemon in the order
- * for a while.
+ * for a while. While all servers of the service are cold it asks the next one
+ * at once, since what each daemon alone may send them is next to nothing.
  *
  * After the start of a whole fleet, daemons have requests before they know the
  * instances or each other. Such requests are held for a short time instead of
@@ -191,9 +192,11 @@
   /**
    * Returns the name of the daemon that dispatches a service; empty if it is
    * this daemon, or if no known daemon may dispatch. In both cases this daemon
-   * decides its requests itself.
+   * decides its requests itself. The daemons `aWithout` do not count.
    */
-  std::string DispatchingDaemonName(std::string_view aService) const;
+  std::string DispatchingDaemonName(
+    std::string_view aService,
+    const std::vector<std::string>& aWithout = {}) const;
 
   /** Returns the dispatcher of a service; null if there is none yet. */
   const routing::ServiceDispatcher* FindDispatcher(
@@ -214,6 +217,8 @@
     DecidedFunction onDecided;
     /** Daemon that was asked for a slot; empty if this daemon decides. */
     std::string askedDaemon;
+    /** Daemons that were asked and have not answered in time. */
+    std::vector<std::string> silentDaemons;
     /**
      * Whether that daemon has replied to the last slot request that the request
      * is queued.
@@ -294,6 +299,14 @@
   void SendSlotRequest(std::uint64_t aNumber, PendingRequest& aPending);
   /** Handles a slot request that was not answered in time. */
   void OnDecisionTimeout(std::uint64_t aNumber, PendingRequest& aPending);
+  /**
+   * Asks the next daemon in the order for a slot, after one has not answered,
+   * if no server is warm. Returns false if the request is to be decided here.
+   */
+  bool AskNext(std::uint64_t aNumber, PendingRequest& aPending);
+  /** Returns the share of a cold server's rate that this daemon may use as the
+   * one that dispatches a service. */
+  double ColdShareOf(const std::string& aService);
   void StartDecisionTimer(std::uint64_t aNumber,
                           std::chrono::milliseconds aTime);
   void RecordTimeout(const std::string& aName);
@@ -317,6 +330,11 @@
   std::map<std::pair<core::DaemonId, std::uint64_t>, std::uint64_t>
     remoteRequestIds;
   std::vector<HeldRequest> heldRequests;
+  /** When the other daemons last asked for a slot, by service and name. */
+  std::map<std::string,
+           std::map<std::string, core::TimePoint, std::less<>>,
+           std::less<>>
+    askers;
   std::map<std::string, PeerState, std::less<>> peerStates;
   std::map<std::string, PeerProcess, std::less<>> peerProcesses;
   core::ProcessNumbers numbers;
--- a/modules/proxy/SlotBrokerTest.cpp
+++ b/modules/proxy/SlotBrokerTest.cpp
@@ -44,6 +44,9 @@
   /** The processes of the daemons. */
   std::map<std::string, std::uint64_t> starts;
   std::uint64_t randomState = 0;
+  /** How long the instances stay cold. */
+  std::chrono::milliseconds coldTime{ 0 };
+  std::size_t hostCount = 2;
 
   Fleet()
   {
@@ -69,11 +72,13 @@
     routing::ServiceDirectory directory(std::chrono::steady_clock::now);
     for (const auto& [id, service] : this->instances) {
       routes.services[service].name = service;
+      routes.services[service].coldRequestsPerSecond = 5;
       routing::BackendInstance instance;
       instance.id = id;
       instance.service = service;
       instance.address = "127.0.0.1:1";
       instance.slots = 4;
+      instance.remainingColdTime = this->coldTime;
       directory.Put(std::move(instance));
     }
     for (const auto& [name, broker] : this->brokers) {
@@ -97,7 +102,7 @@
           return names;
         },
       .mayDispatch = [this] { return this->mayDispatch; },
-      .hostCount = [] { return std::size_t{ 2 }; },
+      .hostCount = [this] { return this->hostCount; },
       .send =
         [this, from = core::DaemonId{ aName, this->starts.at(aName) }](
           const std::string& aTo, const wire::WireMessage& aMessage) {
@@ -530,3 +535,52 @@
   BOOST_TEST(dispatcher->GrantCount() == 1U);
   BOOST_TEST(!dispatcher->IsLeaving(*current->slot->instance));
 }
+
+// Guards against requests that fail or overrun cold servers because each daemon
+// decides alone as soon as the dispatching daemon does not answer, while
+// another one could dispatch.
+BOOST_FIXTURE_TEST_CASE(NextDaemonIsAskedWhileAllServersAreCold, Fleet)
+{
+  this->coldTime = 30s;
+  this->Start("z");
+  this->Update();
+  std::string first;
+  for (const auto& [name, broker] : this->brokers) {
+    if (broker->DispatchingDaemonName("s").empty()) {
+      first = name;
+    }
+  }
+  std::string second;
+  std::string third;
+  for (const auto& [name, broker] : this->brokers) {
+    const std::string next = broker->DispatchingDaemonName("s", { first });
+    if (name != first && !next.empty()) {
+      second = next;
+      third = name;
+    }
+  }
+  BOOST_REQUIRE(!third.empty());
+  this->unresponsive.insert(first);
+  const auto outcome = this->Acquire(third);
+  this->Run(1000ms);
+  BOOST_REQUIRE(outcome->slot.has_value());
+  BOOST_TEST(outcome->slot->grantedBy == second);
+}
+
+// Guards against a cold server that is overrun by hosts which are cut off from
+// each other, or have just started: each takes itself for the dispatching one.
+BOOST_FIXTURE_TEST_CASE(DaemonThatNobodyAsksUsesItsShareOfAColdServer, Fleet)
+{
+  this->coldTime = 30s;
+  this->hostCount = 19;
+  this->brokers.erase("y");
+  this->Update();
+  std::size_t granted = 0;
+  for (int index = 0; index < 10; ++index) {
+    const auto outcome = this->Acquire("x");
+    this->Run(100ms);
+    granted += outcome->slot.has_value() ? 1 : 0;
+  }
+  // A second at 0.32 requests a second.
+  BOOST_TEST(granted <= 1U);
+}
--- a/modules/routing/DispatchRequest.h
+++ b/modules/routing/DispatchRequest.h
@@ -4,6 +4,7 @@
 #include "core/Hooks.h"
 
 #include <chrono>
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -45,6 +46,9 @@
   double coldRateShare = 1;
   /** The same for the limit that an instance has named; see `ServerNotice`. */
   double limitShare = 1;
+  /** Number of hosts that may send to the same instances without a common
+   * dispatcher; 1 if this dispatcher decides for all. */
+  std::size_t independentHosts = 1;
   /** Whether this dispatcher receives the requests of all hosts. If not, it
    * measures no instance and uses none on trial, since the minimum interval
    * between measurements and the trial share apply to all hosts together. */
--- a/modules/routing/ServiceDispatcher.cpp
+++ b/modules/routing/ServiceDispatcher.cpp
@@ -89,6 +89,17 @@
 // answer it would never be known that the limit has ended.
 constexpr double kMinLimitRate = 0.25;
 
+// Requests a second at which a cold instance gets some at least.
+constexpr double kMinColdRate = 0.01;
+
+// Time without requests of other hosts after which a dispatcher that receives
+// one again begins anew to decide for all: another may have done so meanwhile.
+constexpr milliseconds kDispatchGap = 2000ms;
+
+// Part of the time between the turns of two hosts that a turn lasts. Hosts draw
+// their turns, so that some overlap.
+constexpr double kTurnShare = 0.5;
+
 /** Returns the time between two requests at a share of a limit. */
 nanoseconds
 IntervalOf(double aRequestsPerSecond, double aShare)
@@ -158,7 +169,7 @@
     const bool isChanged =
       !target.source.instance || *target.source.instance != *source.instance;
     if (isChanged && source.instance->remainingColdTime.count() > 0) {
-      target.coldUntil = now + source.instance->remainingColdTime;
+      this->SetCold(target, source.instance->remainingColdTime);
     }
     target.key = key;
     target.source = source;
@@ -187,6 +198,13 @@
   const TimePoint now = this->hooks.now();
   const DurationEstimate& estimate = this->durations.Of(aRequest.route);
   this->coldShare = aRequest.coldRateShare;
+  if (aRequest.isCentrallyDispatched) {
+    if (now - this->lastCentralAt > kDispatchGap) {
+      this->centralSince = now;
+    }
+    this->lastCentralAt = now;
+    this->centralColdShare = aRequest.coldRateShare;
+  }
   aRequest.isPromised = this->promises.Redeem(aRequest.digest, now);
   this->waiting.CountArrival(aRequest, estimate, now);
   if (this->waiting.IsEmpty()) {
@@ -326,7 +344,7 @@
   }
   this->ApplyNotice(*target, aMeasurement->notice, target->measuredAt);
   if (aMeasurement->remainingColdTime.count() > 0) {
-    target->coldUntil = this->hooks.now() + aMeasurement->remainingColdTime;
+    this->SetCold(*target, aMeasurement->remainingColdTime);
   }
   if (aMeasurement->notice.isLeaving || aMeasurement->notice.pause) {
     this->DispatchWaiting();
@@ -533,17 +551,87 @@
   if (aTarget.load.InFlight() + 0.5 >= slots || aTarget.load.IsEjected(aNow)) {
     return false;
   }
-  if (aTarget.limit && aNow - aTarget.lastLimitedSend <
-                         IntervalOf(*aTarget.limit, aRequest.limitShare)) {
+  if (aTarget.limit && !this->MaySendLimited(aTarget, aRequest, aNow)) {
+    return false;
+  }
+  if (aNow < aTarget.coldUntil && !this->MaySendCold(aTarget, aRequest, aNow)) {
     return false;
   }
   if (aTarget.load.IsOnProbation()) {
     return aTarget.load.InFlight() == 0;
   }
-  if (aNow < aTarget.coldUntil && aNow < aTarget.nextColdSend) {
+  return aTarget.load.EstimatedInFlight(aNow) + 0.5 < slots;
+}
+
+bool
+ServiceDispatcher::MaySendCold(const Target& aTarget,
+                               const DispatchRequest& aRequest,
+                               TimePoint aNow) const
+{
+  if (this->service.coldRequestsPerSecond <= 0) {
+    return true;
+  }
+  const bool isCentral = aRequest.isCentrallyDispatched;
+  const double rate =
+    this->service.coldRequestsPerSecond *
+    (isCentral ? this->centralColdShare : aRequest.coldRateShare);
+  const auto interval = std::chrono::duration_cast<nanoseconds>(
+    std::chrono::duration<double>(1 / std::max(rate, kMinColdRate)));
+  if (aNow - aTarget.lastColdSend < interval) {
     return false;
   }
-  return aTarget.load.EstimatedInFlight(aNow) + 0.5 < slots;
+  if (!isCentral) {
+    return this->IsOwnTurn(
+      aTarget, aRequest, aNow - aTarget.coldSince, interval);
+  }
+  return aNow - this->centralSince >= this->TurnOf(aTarget) * interval;
+}
+
+bool
+ServiceDispatcher::MaySendLimited(const Target& aTarget,
+                                  const DispatchRequest& aRequest,
+                                  TimePoint aNow) const
+{
+  const nanoseconds interval = IntervalOf(*aTarget.limit, aRequest.limitShare);
+  return aNow - aTarget.lastLimitedSend >= interval &&
+         this->IsOwnTurn(
+           aTarget, aRequest, aNow - aTarget.limitSince, interval);
+}
+
+bool
+ServiceDispatcher::IsOwnTurn(const Target& aTarget,
+                             const DispatchRequest& aRequest,
+                             nanoseconds aSince,
+                             nanoseconds aInterval) const
+{
+  if (aRequest.independentHosts <= 1) {
+    return true;
+  }
+  const double intervals = std::chrono::duration<double>(aSince) /
+                           std::chrono::duration<double>(aInterval);
+  const double position = intervals - this->TurnOf(aTarget);
+  return position - std::floor(position) <
+         kTurnShare / static_cast<double>(aRequest.independentHosts);
+}
+
+double
+ServiceDispatcher::TurnOf(const Target& aTarget) const
+{
+  constexpr double kRange =
+    static_cast<double>(std::numeric_limits<std::uint64_t>::max());
+  return static_cast<double>(
+           core::HashOf(aTarget.source.instance->id, this->settings.hostKey)) /
+         kRange;
+}
+
+void
+ServiceDispatcher::SetCold(Target& aTarget, nanoseconds aTime) const
+{
+  const TimePoint now = this->hooks.now();
+  if (now >= aTarget.coldUntil) {
+    aTarget.coldSince = now;
+  }
+  aTarget.coldUntil = now + aTime;
 }
 
 double
@@ -589,6 +677,7 @@
   const std::optional<double> previous = aTarget.limit;
   if (aNotice.requestsPerSecond) {
     if (!aTarget.limit) {
+      aTarget.limitSince = now;
       aTarget.lastLimitedSend = now;
     }
     aTarget.limit = aNotice.requestsPerSecond;
@@ -643,12 +732,8 @@
                                  this->trialCredit + this->settings.trialShare -
                                    (aTarget.source.isOnTrial ? 1 : 0));
   }
-  if (now<aTarget.coldUntil&& this->service.coldRequestsPerSecond> 0) {
-    const double rate =
-      this->service.coldRequestsPerSecond * aRequest.coldRateShare;
-    aTarget.nextColdSend =
-      now + std::chrono::duration_cast<nanoseconds>(
-              std::chrono::duration<double>(1 / std::max(rate, 0.01)));
+  if (now < aTarget.coldUntil) {
+    aTarget.lastColdSend = now;
   }
   if (aTarget.limit) {
     // One request that was not sent when it could have been is made up for.
--- a/modules/routing/ServiceDispatcher.h
+++ b/modules/routing/ServiceDispatcher.h
@@ -86,6 +86,8 @@
   double trialShare = 0;
   /** Typical duration that is assumed before the first answer. */
   std::chrono::milliseconds initialTypicalDuration{ 100 };
+  /** Differs between hosts, so that those that decide alone take turns. */
+  std::uint64_t hostKey = 0;
   /** Set at construction only. */
   OrderOfService order = OrderOfService::NewestFirst;
 };
@@ -126,10 +128,14 @@
  *   unless others accept more;
  * - instances that fail fast look idle: they are excluded after repeated
  *   failures;
- * - cold instances: their requests are paced to the rate that they can handle;
+ * - cold instances: their requests are paced to the rate that they can handle.
+ *   The rate holds for all hosts together, also while each decides alone: a
+ * host then sends in a turn of its own, and a turn that was not used is lost. A
+ *   dispatcher that begins to decide for all waits before its first request,
+ *   since another may have sent some a moment before;
  * - instances that name a limit: they get no more than their share of it, so
- *   that all hosts together stay within it. Requests beyond it go to others or,
- *   if they would miss their deadline, are refused at once;
+ *   that all hosts together stay within it, in turns as well. Requests beyond
+ * it go to others or, if they would miss their deadline, are refused at once;
  * - instances that want a pause: they get no requests until it is over. If all
  *   instances pause, requests are refused at once with the time of the first
  *   that takes requests again, spread so that callers do not return together.
@@ -247,9 +253,11 @@
     /** As passed to `SetInstances`. */
     DispatchTarget source;
     InstanceLoad load;
+    /** When the instance was last found to be cold. */
+    core::TimePoint coldSince{};
     core::TimePoint coldUntil{};
-    /** Earliest time of the next request while the instance is cold. */
-    core::TimePoint nextColdSend{};
+    /** Time of the last request while the instance was cold. */
+    core::TimePoint lastColdSend{};
     core::TimePoint measuredAt{};
     /** Time until which it wants no requests. */
     core::TimePoint pausedUntil{};
@@ -257,6 +265,8 @@
     bool isLeaving = false;
     /** Requests a second that the instance takes from all hosts. */
     std::optional<double> limit;
+    /** When the instance first named a limit. */
+    core::TimePoint limitSince{};
     /** When the instance last named its limit. */
     core::TimePoint limitNamedAt{};
     /** Time from which the interval to its next request counts. */
@@ -310,6 +320,27 @@
   bool HasCapacity(const Target& aTarget,
                    const DispatchRequest& aRequest,
                    core::TimePoint aNow) const;
+  /** Whether a cold instance can handle another request of this host. */
+  bool MaySendCold(const Target& aTarget,
+                   const DispatchRequest& aRequest,
+                   core::TimePoint aNow) const;
+  /** Whether the limit that an instance has named leaves room for another
+   * request of this host. */
+  bool MaySendLimited(const Target& aTarget,
+                      const DispatchRequest& aRequest,
+                      core::TimePoint aNow) const;
+  /** Whether it is this host's turn to send to an instance. Each of the hosts
+   * that decide alone has one turn in each interval; the intervals follow one
+   * another from a time on. */
+  bool IsOwnTurn(const Target& aTarget,
+                 const DispatchRequest& aRequest,
+                 std::chrono::nanoseconds aSince,
+                 std::chrono::nanoseconds aInterval) const;
+  /** Returns where this host's turn at an instance lies in an interval, from 0
+   * to 1. */
+  double TurnOf(const Target& aTarget) const;
+  /** Records that an instance is cold for a time from now on. */
+  void SetCold(Target& aTarget, std::chrono::nanoseconds aTime) const;
   /** Refuses a request for which no instance may be used. */
   void RefuseWithoutTargets(const DispatchRequest& aRequest,
                             const Choice& aChoice);
@@ -393,6 +424,12 @@
   mutable core::TimePoint usableSlotsAt{};
   /** Share of a cold instance's rate that the last request could use. */
   double coldShare = 1;
+  /** The same for the last request that was dispatched centrally. */
+  double centralColdShare = 1;
+  /** Since when this dispatcher has received the requests of all hosts. */
+  core::TimePoint centralSince{};
+  /** When it last received one. */
+  core::TimePoint lastCentralAt{};
   std::uint64_t lastGrant = 0;
   RouteDurations durations;
   ReturnPromises promises;
