Read the store less often on hosts that stand by

Change: only the first watching host reads at once. The two others, which it tells of each change, collect changes for 0.5 s. If the first ends, they have read what it read within 0.5 s, and their next heartbeat tells of it.

BackupCollectsChangesForLonger checks both sides.

--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -789,6 +789,7 @@
                     { { "is_watching", isWatching },
                       { "is_after_loss", this->relay->IsAfterLoss() } });
   }
+  this->watcher->SetBackup(!this->relay->IsFirst());
   this->watcher->SetActive(isWatching);
   this->ScheduleRelay(this->relay->NextDue());
 }
--- a/modules/proxy/StoreRelay.h
+++ b/modules/proxy/StoreRelay.h
@@ -274,6 +274,10 @@
   /** Returns whether this daemon should watch the store. */
   bool ShouldWatch() const;
 
+  /** Returns whether no higher-ranked daemon is known to watch the store, so that
+   * this one passes changes on if it watches. */
+  bool IsFirst() const { return this->CountWatchersAhead() == 0; }
+
   /** Returns whether the daemons that watched the store have fallen silent
    * together within `kLossTime`. */
   bool IsAfterLoss() const;
--- a/modules/store/ObjectWatcher.cpp
+++ b/modules/store/ObjectWatcher.cpp
@@ -40,6 +40,10 @@
 // this host and all others that read it are lost.
 constexpr milliseconds kCoalesceTime = 150ms;
 
+// The same on a host that is not the first to pass changes on: it hears of them
+// from the first one meanwhile, and takes over from it within a second.
+constexpr milliseconds kBackupCoalesceTime = 500ms;
+
 // A silent store is detected within the sum of these, which is half of the
 // shortest time limit, 2 s. A slow store answers within a quarter of a second.
 constexpr milliseconds kPingInterval = 500ms;
@@ -445,8 +449,9 @@
     return;
   }
   const core::TimePoint now = this->hooks.now();
+  const core::TimePoint previous = std::exchange(state.changedAt, now);
   const core::TimePoint due =
-    std::exchange(state.changedAt, now) + kCoalesceTime;
+    this->isBackup ? now + kBackupCoalesceTime : previous + kCoalesceTime;
   if (now >= due) {
     this->RequestNext(aKind);
     return;
--- a/modules/store/ObjectWatcher.h
+++ b/modules/store/ObjectWatcher.h
@@ -130,6 +130,10 @@
    */
   void SetActive(bool aIsActive);
 
+  /** Sets whether another daemon watches as well and passes changes on first.
+   * Changes are then collected for longer, since each call is billed. */
+  void SetBackup(bool aIsBackup) { this->isBackup = aIsBackup; }
+
   /** Records that another source, such as another daemon, has delivered all
    * changes of a kind up to a revision, joined with its era. Later watches
    * start from there, and no answer of an earlier era is used from then on. */
@@ -261,6 +265,7 @@
   bool isPingPending = false;
   bool isStopped = false;
   bool isActive = true;
+  bool isBackup = false;
   /** Failures since a list or watch last succeeded. */
   unsigned failures = 0;
   /** Refusals since a ping was last accepted. */
--- a/modules/store/ObjectWatcherTest.cpp
+++ b/modules/store/ObjectWatcherTest.cpp
@@ -265,6 +265,21 @@
   BOOST_TEST(this->HasCall("watch k 13 1500"));
 }
 
+// Guards against calls to the store by hosts that only stand by: each change in
+// a series would be read three times.
+BOOST_FIXTURE_TEST_CASE(BackupCollectsChangesForLonger, Fixture)
+{
+  this->ListAndConfirmBoth();
+  this->timers.clear();
+  this->watcher.SetBackup(true);
+  BOOST_TEST(this->Answer(200, "12 0 +b") == "watch k 10 1500");
+  BOOST_TEST(!this->HasCall("watch k 12 1500"));
+  // Another host passes on what follows meanwhile.
+  this->watcher.NoteRevision("k", 14);
+  BOOST_TEST(this->RunTimer().count() == 500);
+  BOOST_TEST(this->HasCall("watch k 14 1500"));
+}
+
 // Guards against a watch that cannot continue because the store has dropped the
 // history of changes: the kind must be listed again.
 BOOST_FIXTURE_TEST_CASE(KindIsListedAgainIfHistoryIsGone, Fixture)
