Find deletions that no host knows

Cause: a revision says what was heard last, not that nothing is missing. The watching daemons, whose first lists came after the removal, have no deletion to send, and the others' lists counted as complete with the changes that followed. The digests in the heartbeats showed the difference, but were compared for 0.15 s after the start only.

Change: digests are compared with each heartbeat. Only daemons that have read a kind completely state one, or answer the request of a daemon that differs; their answer says up to which revision of the store it holds. Daemons that watch and differ list again. A daemon that begins to watch lists first unless its objects are known to be complete. Up to the revision that was read completely, an unknown object is gone.

Result: DeletionThatNoHostKnowsIsFoundByItsDigest (4 checks) and KindThatOthersContinuedIsListedBeforeItIsWatched (3) failed before. InactiveWatcherOnlyLists now says that the kind is known to be complete, since only then it is watched without a list; the other side is in the new test.

--- a/modules/proxy/ProxyDaemon.cpp
+++ b/modules/proxy/ProxyDaemon.cpp
@@ -321,7 +321,9 @@
         this->relay->OnWatched(aKind, std::move(aObjects));
       },
     .onConfirmed =
-      [this](const std::string& aKind) { this->relay->OnConfirmed(aKind); },
+      [this](const std::string& aKind, std::uint64_t aRevision) {
+        this->relay->OnConfirmed(aKind, aRevision);
+      },
     .onRequestEnded =
       [this](const store::StoreRequest& aRequest,
              const store::StoreResponse& aResponse) {
@@ -437,6 +439,15 @@
           "older_copy_read",
           { { "kind", aKind }, { "era", static_cast<std::int64_t>(aEra) } });
         this->storeView.OnOlderCopy(aKind);
+      },
+    .onComplete =
+      [this](const std::string& aKind) { this->watcher->NoteComplete(aKind); },
+    .onDifference =
+      [this](const std::string& aKind, bool aMustList) {
+        this->log.Write(LogLevel::Warning,
+                        "objects_differ",
+                        { { "kind", aKind }, { "is_listing", aMustList } });
+        this->watcher->Doubt(aKind);
       }
   };
 }
--- a/modules/proxy/StoreRelay.cpp
+++ b/modules/proxy/StoreRelay.cpp
@@ -35,6 +35,19 @@
 // Shortest time between two calls of `Tick` that are asked for.
 constexpr std::chrono::milliseconds kShortestTick{ 10 };
 
+// Time for which the objects of a kind may differ from those of a watching
+// daemon at the same revision: the update with a deletion may come later than
+// the heartbeat of a daemon that knows it. Two daemons that watch read it at
+// different times.
+constexpr std::chrono::milliseconds kDifferenceAllowance{ 150 };
+constexpr std::chrono::milliseconds kWatcherDifferenceAllowance{ 1000 };
+
+// Time between two lists of a kind whose objects differ between daemons that
+// watch. It doubles, like that between two requests for all objects, while the
+// difference lasts.
+constexpr std::chrono::milliseconds kRelistInterval{ 5000 };
+constexpr unsigned kMaxDoublings = 5;
+
 // Time in which a newly started daemon waits for its own lists before it
 // requests all objects from others, which are up to 100 KB.
 constexpr std::chrono::milliseconds kOwnListGracePeriod{ 1000 };
@@ -176,9 +189,13 @@
 }
 
 void
-StoreRelay::OnConfirmed(const std::string& aKind)
+StoreRelay::OnConfirmed(const std::string& aKind, std::uint64_t aRevision)
 {
   this->hold.OnConfirmed(aKind);
+  Agreement& agreement = this->agreements[aKind];
+  agreement.isComplete = true;
+  agreement.completeUpTo = std::max(agreement.completeUpTo, aRevision);
+  this->replica.NoteReadUpTo(aKind, aRevision);
   this->TryRelease(aKind);
 }
 
@@ -337,6 +354,70 @@
     }
     this->TryRelease(kind);
     this->RequestIfBehind(aFrom, kind, revision);
+    if (aIsWatching && digest && *digest != 0) {
+      this->CompareDigest(aFrom, kind, revision, *digest);
+    }
+  }
+}
+
+void
+StoreRelay::CompareDigest(const std::string& aFrom,
+                          const std::string& aKind,
+                          std::uint64_t aRevision,
+                          std::uint64_t aDigest)
+{
+  const std::uint64_t known = this->replica.CompleteRevision(aKind);
+  // What is newer here than at the sender may have been deleted.
+  if (!this->replica.IsListed(aKind) || known < aRevision ||
+      store::EraOf(known) != store::EraOf(aRevision)) {
+    return;
+  }
+  const core::TimePoint now = this->hooks.now();
+  Agreement& agreement = this->agreements[aKind];
+  const bool isWatching = this->hasReportedStoreAvailable;
+  if (this->replica.Digest(aKind) == aDigest) {
+    agreement.isComplete = true;
+    agreement.requests = 0;
+    if (isWatching) {
+      agreement.differentSince.erase(aFrom);
+    } else {
+      // The watching daemons that differ from each other list again.
+      agreement.differentSince.clear();
+    }
+    if (this->hooks.onComplete) {
+      this->hooks.onComplete(aKind);
+    }
+    return;
+  }
+  const auto since =
+    agreement.differentSince.try_emplace(aFrom, now).first->second;
+  const auto allowance =
+    isWatching ? kWatcherDifferenceAllowance : kDifferenceAllowance;
+  if (now - since >= allowance && now >= agreement.retryAt) {
+    this->OnDifference(aFrom, aKind);
+  }
+}
+
+void
+StoreRelay::OnDifference(const std::string& aFrom, const std::string& aKind)
+{
+  const core::TimePoint now = this->hooks.now();
+  Agreement& agreement = this->agreements[aKind];
+  agreement.isComplete = false;
+  const bool mustList = this->hasReportedStoreAvailable;
+  const unsigned doublings = std::min(agreement.requests, kMaxDoublings);
+  ++agreement.requests;
+  agreement.retryAt =
+    now + (mustList ? kRelistInterval : kRequestTimeout) * (1 << doublings);
+  if (!mustList) {
+    this->hooks.send(
+      this->SourceFor(aFrom, agreement.requests),
+      wire::StoreNewsRequest{ .kind = aKind,
+                              .since = this->replica.CompleteRevision(aKind),
+                              .mustBeComplete = true });
+  }
+  if (this->hooks.onDifference) {
+    this->hooks.onDifference(aKind, mustList);
   }
 }
 
@@ -349,12 +430,22 @@
       store::EraOf(aRequest.since) > this->KnownEra(aRequest.kind)) {
     return;
   }
+  const Agreement& agreement = this->agreements[aRequest.kind];
+  if (aRequest.mustBeComplete &&
+      (!agreement.isComplete || this->replica.IsPartial(aRequest.kind) ||
+       agreement.completeUpTo < aRequest.since)) {
+    return;
+  }
   // Changes do not tell which objects of an earlier era are gone.
   const bool isSnapshot =
-    aRequest.since == 0 ||
+    aRequest.since == 0 || aRequest.mustBeComplete ||
     store::EraOf(aRequest.since) != this->KnownEra(aRequest.kind);
   wire::KindNews update = this->MakeKindUpdate(aRequest.kind, aRequest.since);
   update.isSnapshot = isSnapshot;
+  if (aRequest.mustBeComplete) {
+    // The receiver may know what is newer than the last change, and gone.
+    update.revision = std::max(update.revision, agreement.completeUpTo);
+  }
   for (const ObjectRecord& object :
        isSnapshot ? this->replica.Objects(aRequest.kind)
                   : this->replica.ChangesSince(aRequest.kind, aRequest.since)) {
@@ -461,8 +552,11 @@
   heartbeat.isStrong = this->self.isStrong;
   for (const std::string& kind : this->kinds) {
     heartbeat.lastRevisions.push_back(this->replica.CompleteRevision(kind));
-    heartbeat.digests.push_back(
-      this->hold.IsConfirmed(kind) ? this->replica.Digest(kind) : 0);
+    const auto agreement = this->agreements.find(kind);
+    const bool isComplete = agreement != this->agreements.end() &&
+                            agreement->second.isComplete &&
+                            !this->replica.IsPartial(kind);
+    heartbeat.digests.push_back(isComplete ? this->replica.Digest(kind) : 0);
   }
   for (const auto& [name, watcher] : this->watchers) {
     if (!watcher.isStoreUnavailable &&
@@ -872,6 +966,10 @@
       : this->replica.Apply(aUpdate.kind,
                             isReadable ? aUpdate.base : kUnknownBase,
                             std::move(objects));
+  if (aUpdate.isSnapshot) {
+    Agreement& agreement = this->agreements[aUpdate.kind];
+    agreement.completeUpTo = std::max(agreement.completeUpTo, aUpdate.revision);
+  }
   if (isComplete) {
     this->replica.NoteComplete(aUpdate.kind, aUpdate.revision);
     this->requestedAt.erase(aUpdate.kind);
--- a/modules/proxy/StoreRelay.h
+++ b/modules/proxy/StoreRelay.h
@@ -65,6 +65,19 @@
    * are all that differ from what was known before.
    */
   std::function<void(const std::string& aKind, std::uint64_t aEra)> onOlderCopy;
+  /**
+   * Optional. Called when this daemon is found to know the same objects of a
+   * kind as one that has read them completely.
+   */
+  std::function<void(const std::string& aKind)> onComplete = nullptr;
+  /**
+   * Optional. Called when the objects of a kind differ for some time from those
+   * of a daemon that has read them completely. With `aMustList`, this daemon
+   * watches as well and has to list them again to tell which are right;
+   * otherwise they have been requested from another daemon.
+   */
+  std::function<void(const std::string& aKind, bool aMustList)> onDifference =
+    nullptr;
 };
 
 /**
@@ -104,6 +117,13 @@
  * daemon's lists are current, or the missing changes have arrived, the objects
  * are held back; see `StartupHold`.
  *
+ * A revision tells what was heard last, not that nothing is missing: a daemon
+ * whose first list was old never learns of a deletion that the sender of the
+ * later changes does not know either. Heartbeats therefore state a digest of
+ * the objects of each kind that the sender has read completely. A daemon that
+ * has heard as much and whose objects differ for some time requests all of
+ * them; one that watches lists them again.
+ *
  * Revisions are joined with the era of the store (see `store::JoinRevision`),
  * so that what was read after the store came back from an older copy is newer
  * than all that was known before. A daemon then takes each kind as a whole
@@ -226,8 +246,8 @@
                  std::vector<store::ObjectRecord> aObjects);
 
   /** Records that this daemon's own reads show that it knows all changes of a
-   * kind. */
-  void OnConfirmed(const std::string& aKind);
+   * kind up to a revision of the store. */
+  void OnConfirmed(const std::string& aKind, std::uint64_t aRevision);
 
   /**
    * Applies an update of another daemon and forwards it in this failure domain
@@ -274,8 +294,8 @@
   /** Returns whether this daemon should watch the store. */
   bool ShouldWatch() const;
 
-  /** Returns whether no higher-ranked daemon is known to watch the store, so that
-   * this one passes changes on if it watches. */
+  /** Returns whether no higher-ranked daemon is known to watch the store, so
+   * that this one passes changes on if it watches. */
   bool IsFirst() const { return this->CountWatchersAhead() == 0; }
 
   /** Returns whether the daemons that watched the store have fallen silent
@@ -309,6 +329,23 @@
     std::string source;
   };
 
+  /** How the objects of a kind compare with those of watching daemons. */
+  struct Agreement
+  {
+    /** Whether the objects are known to be complete: from the store, or as
+     * those of a daemon that has read them completely. */
+    bool isComplete = false;
+    /** Revision of the store up to which they are known to be. It may be higher
+     * than that of the last change. */
+    std::uint64_t completeUpTo = 0;
+    /** When they were first found to differ, by the watching daemon. */
+    std::map<std::string, core::TimePoint, std::less<>> differentSince;
+    /** Requests for all objects since they last agreed. */
+    unsigned requests = 0;
+    /** Until then, nothing more is done about a difference. */
+    core::TimePoint retryAt{};
+  };
+
   /**
    * Counts the higher-ranked daemons that watch and to which the store is
    * available.
@@ -364,6 +401,13 @@
   void CompareRevisions(const std::string& aFrom,
                         const wire::StoreBeat& aHeartbeat,
                         bool aIsWatching);
+  /** Compares the digest of a watching daemon with the own one. */
+  void CompareDigest(const std::string& aFrom,
+                     const std::string& aKind,
+                     std::uint64_t aRevision,
+                     std::uint64_t aDigest);
+  /** Resolves a difference to a watching daemon that has lasted. */
+  void OnDifference(const std::string& aFrom, const std::string& aKind);
   /** Passes changed objects on to the daemon unless their kind is held back. */
   void Deliver(const std::string& aKind,
                const std::vector<store::ObjectRecord>& aChanged);
@@ -438,6 +482,7 @@
    * heartbeats. */
   std::map<std::string, core::TimePoint, std::less<>> listeners;
   std::map<std::string, Gap, std::less<>> gaps;
+  std::map<std::string, Agreement, std::less<>> agreements;
   /** Era of the objects that were last passed on, by kind. */
   std::map<std::string, std::uint64_t, std::less<>> deliveredEras;
   /** When changes of a kind that have not arrived yet were last requested. */
--- a/modules/proxy/StoreRelayTest.cpp
+++ b/modules/proxy/StoreRelayTest.cpp
@@ -31,6 +31,8 @@
     /** When `StoreRelay::Tick` is called next. */
     core::TimePoint due{};
     unsigned outages = 0;
+    /** How often the host was told to list its objects again. */
+    unsigned relists = 0;
     /** Revisions of the known objects by name; 0 if deleted. */
     std::map<std::string, std::uint64_t> objects;
   };
@@ -47,6 +49,8 @@
   std::size_t messages = 0;
   /** Messages from one failure domain to another. */
   std::size_t crossDomainMessages = 0;
+  /** Number of objects in the largest update. */
+  std::size_t largestUpdate = 0;
   /** Requests for updates from one failure domain to another. */
   std::size_t crossDomainRequests = 0;
 
@@ -134,7 +138,11 @@
         },
       .onRevision = [](const std::string&, std::uint64_t) {},
       .lastAnswerTime = [&host] { return host.lastAnswerTime; },
-      .onOutageEnded = [&host](std::chrono::nanoseconds) { ++host.outages; }
+      .onOutageEnded = [&host](std::chrono::nanoseconds) { ++host.outages; },
+      .onDifference =
+        [&host](const std::string&, bool aMustList) {
+          host.relists += aMustList ? 1 : 0;
+        }
     };
   }
 
@@ -150,6 +158,10 @@
     this->crossDomainMessages += DomainOf(aFrom) != DomainOf(aTo) ? 1 : 0;
     StoreRelay& relay = *this->hosts.at(aTo).relay;
     if (const auto* update = std::get_if<wire::StoreNews>(&aMessage)) {
+      for (const wire::KindNews& part : update->kinds) {
+        this->largestUpdate =
+          std::max(this->largestUpdate, part.objects.size());
+      }
       relay.OnUpdate(aFrom, *update);
     } else if (const auto* heartbeat =
                  std::get_if<wire::StoreBeat>(&aMessage)) {
@@ -392,6 +404,114 @@
   BOOST_TEST(fleet.Watchers().size() <= 60U);
 }
 
+// Guards against hosts that use a server for ever which left before the hosts
+// that watch the store read their first list, after a restart of all hosts of
+// which some had an older list: nobody has the deletion.
+BOOST_AUTO_TEST_CASE(DeletionThatNoHostKnowsIsFoundByItsDigest)
+{
+  // The object that is gone may be newer than all that are left, and the weak
+  // hosts of a failure domain may all know it.
+  for (const std::uint64_t goneRevision : { 6U, 25U }) {
+    for (const std::size_t strongCount : { 19U, 12U }) {
+      Fleet fleet(19, strongCount);
+      const std::vector<store::ObjectRecord> current{
+        { "k", "a", 5, false, boost::json::object{} },
+        { "k", "b", 20, false, boost::json::object{} }
+      };
+      std::vector<store::ObjectRecord> old = current;
+      old.push_back(
+        { "k", "gone", goneRevision, false, boost::json::object{} });
+      fleet.Run(3s);
+      const std::vector<std::string> watchers = fleet.Watchers();
+      for (auto& [name, host] : fleet.hosts) {
+        const bool isWatching =
+          std::ranges::find(watchers, name) != watchers.end();
+        // A third of the hosts read a list of before the removal.
+        const bool isOld = !isWatching && Fleet::DomainOf(name) == "2";
+        host.relay->OnListed("k", isOld ? 25 : 30, isOld ? old : current);
+        if (isWatching) {
+          host.relay->OnConfirmed("k", 30);
+        }
+      }
+      fleet.Run(2s);
+      for (const auto& [name, host] : fleet.hosts) {
+        const auto gone = host.objects.find("gone");
+        BOOST_TEST((gone == host.objects.end() || gone->second == 0),
+                   name << " still uses what is gone");
+        BOOST_TEST(host.objects.at("b") == 20U);
+      }
+      // No list is sent again once all agree.
+      fleet.largestUpdate = 0;
+      fleet.Run(5s);
+      BOOST_TEST(fleet.largestUpdate == 0U);
+    }
+  }
+}
+
+// Guards against hosts that watch and keep different objects for ever: the
+// store tells which are right.
+BOOST_AUTO_TEST_CASE(WatchersThatDifferListAgain)
+{
+  Fleet fleet(6);
+  fleet.ListAll();
+  fleet.Run(5s);
+  const std::vector<std::string> watchers = fleet.Watchers();
+  StoreRelay& relay = *fleet.hosts.at(watchers.front()).relay;
+  relay.OnListed("k",
+                 5,
+                 { { "k", "a", 5, false, {} },
+                   { "k", "gone", 4, false, boost::json::object{} } });
+  for (int step = 0; step < 40; ++step) {
+    fleet.Run(100ms);
+    for (const std::string& name : watchers) {
+      // They have read the same, and list it again.
+      fleet.hosts.at(name).relay->OnConfirmed("k", 30);
+    }
+  }
+  for (const std::string& name : watchers) {
+    BOOST_TEST(fleet.hosts.at(name).relists == 1U);
+  }
+}
+
+// Guards against a wrong list that spreads: a host that does not know its own
+// list to be complete sends it to nobody that asks for a complete one.
+BOOST_AUTO_TEST_CASE(OnlyACompleteListIsSentToAHostThatDiffers)
+{
+  Fleet fleet(2);
+  fleet.ListAll();
+  wire::StoreNewsRequest request{ .kind = "k", .mustBeComplete = true };
+  const auto repliesOf = [&] {
+    fleet.messages = 0;
+    fleet.Deliver("host-0", "host-1", request);
+    return fleet.messages - 1;
+  };
+  BOOST_TEST(repliesOf() == 0U);
+  fleet.hosts.at("host-1").relay->OnConfirmed("k", 30);
+  BOOST_TEST(repliesOf() == 1U);
+  // It may not know yet what this host knows.
+  request.since = 31;
+  BOOST_TEST(repliesOf() == 0U);
+}
+
+// Guards against requests for whole lists because the heartbeat of a host that
+// has read a deletion arrives before the update with it.
+BOOST_AUTO_TEST_CASE(DeletionOnItsWayIsNoDifference)
+{
+  Fleet fleet(3);
+  fleet.ListAll();
+  StoreRelay& relay = *fleet.hosts.at("host-0").relay;
+  fleet.disconnected.insert("host-1");
+  StoreRelay& sender = *fleet.hosts.at("host-1").relay;
+  sender.OnListed("k", 10, { { "k", "c", 5, false, {} } });
+  const std::size_t before = fleet.messages;
+  wire::StoreBeat beat{ { 5 }, false, true };
+  beat.digests = { 12345 };
+  relay.OnHeartbeat("host-1", beat);
+  fleet.time += 100ms;
+  relay.OnHeartbeat("host-1", beat);
+  BOOST_TEST(fleet.messages == before);
+}
+
 // Guards against a host that keeps stale objects because the store does not
 // answer the hosts that watch it, while it answers others.
 BOOST_AUTO_TEST_CASE(HostsThatLostTheStoreDoNotCountAsWatchers)
@@ -641,7 +761,7 @@
   fleet.ListAll();
   fleet.Run(5s);
   for (const std::string& name : fleet.Watchers()) {
-    fleet.hosts.at(name).relay->OnConfirmed("k");
+    fleet.hosts.at(name).relay->OnConfirmed("k", 30);
   }
   fleet.Change("a", 12);
   fleet.Run(1s);
@@ -672,7 +792,7 @@
   fleet.ListAll();
   fleet.Run(5s);
   for (const std::string& name : fleet.Watchers()) {
-    fleet.hosts.at(name).relay->OnConfirmed("k");
+    fleet.hosts.at(name).relay->OnConfirmed("k", 30);
   }
   StoreRelay& relay = fleet.Join("host-99", { "host-1", "host-7" });
   relay.OnListed(
--- a/modules/store/ObjectReplica.cpp
+++ b/modules/store/ObjectReplica.cpp
@@ -71,7 +71,8 @@
                            std::vector<ObjectRecord> aObjects)
 {
   std::vector<ObjectRecord> changed;
-  const bool isStale = aRevision < aKind.completeRevision;
+  const bool isStale =
+    aRevision < std::max(aKind.completeRevision, aKind.readUpTo);
   for (ObjectRecord& object : aObjects) {
     if (isStale && IsKnownToBeGone(aKind, object)) {
       continue;
@@ -122,6 +123,13 @@
   return changed;
 }
 
+void
+ObjectReplica::NoteReadUpTo(std::string_view aKind, std::uint64_t aRevision)
+{
+  KindState& kind = this->kinds[std::string(aKind)];
+  kind.readUpTo = std::max(kind.readUpTo, aRevision);
+}
+
 void
 ObjectReplica::NoteComplete(std::string_view aKind, std::uint64_t aRevision)
 {
@@ -173,6 +181,13 @@
   return digest == 0 ? kEmptyDigest : digest;
 }
 
+bool
+ObjectReplica::IsPartial(std::string_view aKind) const
+{
+  const auto found = this->kinds.find(aKind);
+  return found != this->kinds.end() && found->second.isPartial;
+}
+
 bool
 ObjectReplica::IsListed(std::string_view aKind) const
 {
@@ -202,7 +217,7 @@
                                const ObjectRecord& aObject)
 {
   return aKind.isListed && !aKind.isPartial && !aObject.isDeleted &&
-         aObject.revision <= aKind.completeRevision &&
+         aObject.revision <= std::max(aKind.completeRevision, aKind.readUpTo) &&
          !aKind.objects.contains(aObject.name);
 }
 
--- a/modules/store/ObjectReplica.h
+++ b/modules/store/ObjectReplica.h
@@ -52,6 +52,10 @@
                                   std::uint64_t aBase,
                                   std::vector<ObjectRecord> aObjects);
 
+  /** Records that all objects of a listed kind up to a revision of the store
+   * are known. It may be higher than that of the last change. */
+  void NoteReadUpTo(std::string_view aKind, std::uint64_t aRevision);
+
   /** Marks a kind as listed and complete up to the change at a revision. */
   void NoteComplete(std::string_view aKind, std::uint64_t aRevision);
 
@@ -74,6 +78,9 @@
    */
   std::uint64_t Digest(std::string_view aKind) const;
 
+  /** Whether the list of a kind lacked some objects. */
+  bool IsPartial(std::string_view aKind) const;
+
   /** Whether a complete list of a kind has been applied. */
   bool IsListed(std::string_view aKind) const;
 
@@ -92,6 +99,8 @@
      * not be deleted. */
     bool isPartial = false;
     std::uint64_t completeRevision = 0;
+    /** Revision of the store up to which all objects are known. */
+    std::uint64_t readUpTo = 0;
     /** The hashes of all objects that are not deleted, combined by XOR. */
     std::uint64_t digest = 0;
     /** Deleted objects stay as tombstones, so that late updates do not
@@ -101,7 +110,8 @@
 
   /**
    * Whether an object was deleted before this replica got its first list: no
-   * change up to the object's revision is missing, and still it is not known.
+   * change up to the object's revision is missing, or the store was read up to
+   * it, and still it is not known.
    */
   static bool IsKnownToBeGone(const KindState& aKind,
                               const ObjectRecord& aObject);
--- a/modules/store/ObjectReplicaTest.cpp
+++ b/modules/store/ObjectReplicaTest.cpp
@@ -183,3 +183,18 @@
   replica.ReplaceAll("empty", JoinRevision(2, 12), {});
   BOOST_TEST(EraOf(replica.CompleteRevision("empty")) == 2U);
 }
+
+// Guards against a deleted object that comes back from a host with an older
+// list: the list that lacks it may have no change that is as new.
+BOOST_AUTO_TEST_CASE(ObjectThatTheListLacksIsNotTakenFromOthers)
+{
+  ObjectReplica replica;
+  replica.ReplaceAll("k", 30, { Object("a", 5) });
+  replica.NoteReadUpTo("k", 30);
+  BOOST_TEST(replica.Apply("k", 5, { Object("gone", 25) }).empty());
+  BOOST_TEST(replica.Objects("k").size() == 1U);
+  // What was created later is taken.
+  BOOST_TEST(replica.Apply("k", 5, { Object("new", 31) }).size() == 1U);
+  replica.NoteReadUpTo("k", 40);
+  BOOST_TEST(replica.Apply("k", 31, { Object("gone", 35) }).empty());
+}
--- a/modules/store/ObjectWatcher.cpp
+++ b/modules/store/ObjectWatcher.cpp
@@ -139,7 +139,10 @@
 ObjectWatcher::NoteRevision(const std::string& aKind, std::uint64_t aRevision)
 {
   Progress& state = this->progress.at(aKind);
-  state.revision = std::max(state.revision, aRevision);
+  if (aRevision > state.revision) {
+    state.revision = aRevision;
+    state.isContinuedElsewhere = !state.isComplete;
+  }
   const std::uint64_t previous = this->era.Current();
   if (!this->era.Raise(EraOf(aRevision))) {
     return;
@@ -153,6 +156,28 @@
   }
 }
 
+void
+ObjectWatcher::NoteComplete(const std::string& aKind)
+{
+  Progress& state = this->progress.at(aKind);
+  state.isComplete = true;
+  state.isContinuedElsewhere = false;
+}
+
+void
+ObjectWatcher::Doubt(const std::string& aKind)
+{
+  Progress& state = this->progress.at(aKind);
+  state.isComplete = false;
+  state.isContinuedElsewhere = true;
+  if (this->isActive && state.revision != 0) {
+    // The answer to the watch under way is not used.
+    ++state.requestNumber;
+    state.isRequestInFlight = false;
+    this->RequestNext(aKind);
+  }
+}
+
 void
 ObjectWatcher::RequestNext(const std::string& aKind)
 {
@@ -165,7 +190,8 @@
       this->hooks.now() < state.retryAt) {
     return;
   }
-  if (state.revision != 0 && EraOf(state.revision) < this->era.Current()) {
+  if (state.revision != 0 && (EraOf(state.revision) < this->era.Current() ||
+                              state.isContinuedElsewhere)) {
     RestartList(state);
   }
   if (state.revision == 0) {
@@ -195,6 +221,8 @@
   aProgress.revision = 0;
   aProgress.listing = {};
   aProgress.requiresFreshList = true;
+  aProgress.isComplete = false;
+  aProgress.isContinuedElsewhere = false;
 }
 
 void
@@ -387,6 +415,8 @@
   ObjectListing listing = std::exchange(state.listing, {});
   state.revision = listing.Revision();
   state.isUnconfirmed = !std::exchange(state.requiresFreshList, false);
+  state.isComplete = !state.isUnconfirmed;
+  state.isContinuedElsewhere = false;
   this->failures = 0;
   if (aIsComplete) {
     state.relistAt.reset();
@@ -409,7 +439,7 @@
       aKind, state.revision, listing.TakeObjects(), listing.StuckAfter());
   }
   if (!state.isUnconfirmed) {
-    this->hooks.onConfirmed(aKind);
+    this->hooks.onConfirmed(aKind, state.revision);
   }
   this->MarkAvailable();
   this->RequestNext(aKind);
@@ -435,6 +465,7 @@
   ObjectPage changes = this->Joined(std::move(page).value());
   state.revision = std::max(state.revision, changes.revision);
   state.isUnconfirmed = false;
+  state.isComplete = !state.isContinuedElsewhere;
   state.refusals = 0;
   const bool hasChanges = !changes.objects.empty();
   this->RestartListIfDue(state);
@@ -443,7 +474,9 @@
   // of the changes may need to know that the store was unavailable.
   this->MarkAvailable();
   this->hooks.onChanges(aKind, std::move(changes.objects));
-  this->hooks.onConfirmed(aKind);
+  if (state.isComplete) {
+    this->hooks.onConfirmed(aKind, state.revision);
+  }
   if (!hasChanges) {
     this->RequestNext(aKind);
     return;
--- a/modules/store/ObjectWatcher.h
+++ b/modules/store/ObjectWatcher.h
@@ -57,9 +57,11 @@
    * change. */
   std::function<void(const std::string& aKind, std::vector<ObjectRecord>)>
     onChanges;
-  /** Called when the store has shown that all changes of a kind up to now are
-   * known: after a list that was not stale and after each answer to a watch. */
-  std::function<void(const std::string& aKind)> onConfirmed;
+  /** Called when the store has shown that all changes of a kind up to a
+   * revision, joined with its era, are known: after a list that was not stale,
+   * and after each answer to a watch if the changes before it are known to be
+   * complete. */
+  std::function<void(const std::string& aKind, std::uint64_t)> onConfirmed;
   /** Called when a request has ended, for logs. */
   std::function<void(const StoreRequest&, const StoreResponse&)> onRequestEnded;
   /** Called when the store has refused a request for a kind, for logs: for the
@@ -90,8 +92,11 @@
  * store is unavailable, only pings are sent, since refused requests are charged
  * too. Afterwards each kind is watched from its last known revision. If the
  * store no longer has the changes since that revision, the kind is listed
- * again. A list of which the store does not return all pages is reported as
- * partial, and read again some seconds later, also while inactive.
+ * again. A kind whose revision another source has advanced beyond the own list
+ * may lack deletions that neither of them knows: unless it is known to be
+ * complete, it is listed again before it is watched. A list of which the store
+ * does not return all pages is reported as partial, and read again some seconds
+ * later, also while inactive.
  *
  * A store that refuses a request with a status of the class 4xx, other than 408
  * and 429, is available: the other kinds are followed as before. A page that is
@@ -139,6 +144,14 @@
    * start from there, and no answer of an earlier era is used from then on. */
   void NoteRevision(const std::string& aKind, std::uint64_t aRevision);
 
+  /** Records that the objects of a kind are those of a daemon which has read
+   * them completely. */
+  void NoteComplete(const std::string& aKind);
+
+  /** Records that the objects of a kind may not be complete. They are listed
+   * again before the kind is watched, at once while active. */
+  void Doubt(const std::string& aKind);
+
   /** Whether the store is unavailable: a request has failed and none has
    * succeeded since. An interrupted watch alone does not count as a failure. */
   bool IsStoreUnavailable() const { return this->isStoreUnavailable; }
@@ -176,6 +189,11 @@
      * changes since the known revision. It may not: the list was stale, or the
      * revision is another daemon's. */
     bool isUnconfirmed = false;
+    /** Whether all objects and deletions up to the revision are known. */
+    bool isComplete = false;
+    /** Whether another source has advanced the revision of a kind that was not
+     * known to be complete. */
+    bool isContinuedElsewhere = false;
     /** When a watch last ended with changes. */
     core::TimePoint changedAt{};
     /** Whether the last watch lost its connection while it waited. */
--- a/modules/store/ObjectWatcherTest.cpp
+++ b/modules/store/ObjectWatcherTest.cpp
@@ -96,7 +96,9 @@
             aKind, this->replica.CompleteRevision(aKind), std::move(aObjects));
         },
       .onConfirmed =
-        [this](const std::string& aKind) { this->confirmed.push_back(aKind); },
+        [this](const std::string& aKind, std::uint64_t) {
+          this->confirmed.push_back(aKind);
+        },
       .onRequestEnded = [](const StoreRequest&, const StoreResponse&) {},
       .onRefused =
         [this](const std::string& aKind,
@@ -280,6 +282,30 @@
   BOOST_TEST(this->HasCall("watch k 14 1500"));
 }
 
+// Guards against objects that stay known for ever: a host that watches from a
+// revision which others have told it never learns what was deleted before, if
+// its own list was older.
+BOOST_FIXTURE_TEST_CASE(KindThatOthersContinuedIsListedBeforeItIsWatched,
+                        Fixture)
+{
+  this->watcher.SetActive(false);
+  this->ListBoth();
+  this->watcher.NoteRevision("k", 20);
+  this->watcher.NoteRevision("l", 20);
+  this->watcher.NoteComplete("l");
+  this->watcher.SetActive(true);
+  BOOST_TEST(this->HasCall("new list k "));
+  BOOST_TEST(this->HasCall("watch l 20 50"));
+  BOOST_TEST(this->AnswerTo("new list k ", 200, "21 0 a"));
+  BOOST_TEST(this->HasCall("watch k 21 1500"));
+
+  this->watcher.Doubt("l");
+  BOOST_TEST(this->HasCall("new list l "));
+  this->confirmed.clear();
+  BOOST_TEST(this->AnswerTo("watch l 20 50", 200, "20 0"));
+  BOOST_TEST(this->confirmed.empty());
+}
+
 // Guards against a watch that cannot continue because the store has dropped the
 // history of changes: the kind must be listed again.
 BOOST_FIXTURE_TEST_CASE(KindIsListedAgainIfHistoryIsGone, Fixture)
@@ -356,6 +382,7 @@
   this->ListBoth();
   BOOST_TEST(this->calls.empty());
   this->watcher.NoteRevision("k", 20);
+  this->watcher.NoteComplete("k");
   this->watcher.SetActive(true);
   BOOST_REQUIRE(this->calls.size() == 2U);
   BOOST_TEST(this->calls.at(0).request.target == "watch k 20 50");
--- a/modules/wire/EntryConversion.cpp
+++ b/modules/wire/EntryConversion.cpp
@@ -157,7 +157,8 @@
 {
   const auto kind = aBuilder.CreateString(aRequest.kind);
   return { fbs::Message::StoreNewsRequest,
-           fbs::CreateStoreNewsRequest(aBuilder, kind, aRequest.since) };
+           fbs::CreateStoreNewsRequest(
+             aBuilder, kind, aRequest.since, aRequest.mustBeComplete) };
 }
 
 FrameError
@@ -304,7 +305,9 @@
 FrameError
 Read(const fbs::StoreNewsRequest& aRequest, WireMessage& aMessage)
 {
-  aMessage = StoreNewsRequest{ aRequest.kind()->str(), aRequest.since() };
+  aMessage = StoreNewsRequest{ aRequest.kind()->str(),
+                               aRequest.since(),
+                               aRequest.complete() };
   return FrameError::None;
 }
 
--- a/modules/wire/FrameCodecTest.cpp
+++ b/modules/wire/FrameCodecTest.cpp
@@ -105,6 +105,7 @@
                true,
                true },
     StoreNewsRequest{ "servers", 4 },
+    StoreNewsRequest{ "servers", 0, true },
     UsageNews{ { { 7, 3, { { 4, { { "a", 1 }, { "b", 70'000 } }, true } } },
                  { 8, 0, { { 4, { { "b", 2 } } }, { 5, {} } } } },
                1'700'000'000'000'123us },
--- a/modules/wire/messages_generated.h
+++ b/modules/wire/messages_generated.h
@@ -2629,7 +2629,8 @@
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
     VT_KIND = 4,
-    VT_SINCE = 6
+    VT_SINCE = 6,
+    VT_COMPLETE = 8
   };
   const flatbuffers::String *kind() const {
     return GetPointer<const flatbuffers::String *>(VT_KIND);
@@ -2637,11 +2638,15 @@
   uint64_t since() const {
     return GetField<uint64_t>(VT_SINCE, 0);
   }
+  bool complete() const {
+    return GetField<uint8_t>(VT_COMPLETE, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffsetRequired(verifier, VT_KIND) &&
            verifier.VerifyString(kind()) &&
            VerifyField<uint64_t>(verifier, VT_SINCE, 8) &&
+           VerifyField<uint8_t>(verifier, VT_COMPLETE, 1) &&
            verifier.EndTable();
   }
 };
@@ -2656,6 +2661,9 @@
   void add_since(uint64_t since) {
     fbb_.AddElement<uint64_t>(StoreNewsRequest::VT_SINCE, since, 0);
   }
+  void add_complete(bool complete) {
+    fbb_.AddElement<uint8_t>(StoreNewsRequest::VT_COMPLETE, static_cast<uint8_t>(complete), 0);
+  }
   explicit StoreNewsRequestBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2671,10 +2679,12 @@
 inline flatbuffers::Offset<StoreNewsRequest> CreateStoreNewsRequest(
     flatbuffers::FlatBufferBuilder &_fbb,
     flatbuffers::Offset<flatbuffers::String> kind = 0,
-    uint64_t since = 0) {
+    uint64_t since = 0,
+    bool complete = false) {
   StoreNewsRequestBuilder builder_(_fbb);
   builder_.add_since(since);
   builder_.add_kind(kind);
+  builder_.add_complete(complete);
   return builder_.Finish();
 }
 
@@ -2686,12 +2696,14 @@
 inline flatbuffers::Offset<StoreNewsRequest> CreateStoreNewsRequestDirect(
     flatbuffers::FlatBufferBuilder &_fbb,
     const char *kind = nullptr,
-    uint64_t since = 0) {
+    uint64_t since = 0,
+    bool complete = false) {
   auto kind__ = kind ? _fbb.CreateString(kind) : 0;
   return fireflytrail::wire::fbs::CreateStoreNewsRequest(
       _fbb,
       kind__,
-      since);
+      since,
+      complete);
 }
 
 struct UsageWindow FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
