Push changes directly only after the loss of all watching hosts

Cause: the host next in rank took the silence of the first watching host alone for the loss of all, and pushed each change to every host for 3 s, although the other watching hosts and the forwarders were there. And after a real loss the early heartbeat was left out, since the silent hosts still counted as watching.

Change: silence of all counts only if no lower-ranked watching host is heard; after a loss a heartbeat follows each push.

Result: LossOfOneWatcherIsNotALossOfAll. Found while reading the diff.

--- a/modules/proxy/StoreRelay.cpp
+++ b/modules/proxy/StoreRelay.cpp
@@ -782,7 +782,18 @@
   }
   if (isSilent && !this->wasSilent) {
     this->takeoverDelayStart = now;
-    this->lossAt = now;
+    const auto ownRank = RankOf(this->self.name, this->self.isStrong);
+    const bool isLowerHeard =
+      std::ranges::any_of(this->watchers, [&](const auto& aEntry) {
+        const auto& [name, watcher] = aEntry;
+        return !watcher.isStoreUnavailable &&
+               now - watcher.lastHeartbeatAt <
+                 kHeartbeatInterval + kSilenceMargin &&
+               RankOf(name, watcher.isStrong) < ownRank;
+      });
+    if (!isLowerHeard) {
+      this->lossAt = now;
+    }
   }
   this->hadEnoughWatchers = hasEnough;
   this->wasSilent = isSilent;
@@ -841,7 +852,7 @@
     part.objects.push_back(this->contents.WriteChange(object));
   }
   wire::StoreNews update{ { std::move(part) } };
-  if (this->watchers.size() + 1 < kWatcherCount) {
+  if (this->watchers.size() + 1 < kWatcherCount || this->IsAfterLoss()) {
     // No heartbeat of another daemon soon tells those that the update misses.
     this->nextHeartbeatAt =
       std::min(this->nextHeartbeatAt, this->hooks.now() + kPushLagAllowance);
--- a/modules/proxy/StoreRelayTest.cpp
+++ b/modules/proxy/StoreRelayTest.cpp
@@ -371,6 +371,28 @@
   }
 }
 
+// Guards against bytes between failure domains after the end of one host that
+// watches: only when all have ended, those that forward may have, too.
+BOOST_AUTO_TEST_CASE(LossOfOneWatcherIsNotALossOfAll)
+{
+  Fleet fleet(19);
+  fleet.ListAll();
+  fleet.Run(5s);
+  for (const auto& [name, host] : fleet.hosts) {
+    if (host.relay->ShouldWatch() && host.relay->IsFirst()) {
+      fleet.disconnected.insert(name);
+    }
+  }
+  BOOST_REQUIRE(fleet.disconnected.size() == 1U);
+  for (int step = 0; step < 20; ++step) {
+    fleet.Run(100ms);
+    for (const auto& [name, host] : fleet.hosts) {
+      BOOST_TEST(
+        (fleet.disconnected.contains(name) || !host.relay->IsAfterLoss()));
+    }
+  }
+}
+
 // Guards against a host that misses a change for a second because it waits for
 // a second heartbeat before it requests what the first one shows to be missing.
 BOOST_AUTO_TEST_CASE(MissedChangeIsRequestedWithoutAnotherHeartbeat)
