--- a/modules/store/ObjectWatcher.cpp
+++ b/modules/store/ObjectWatcher.cpp
@@ -38,7 +38,7 @@
 // which collects the changes of a series in one request. The first change after
 // a pause is followed by a watch at once: a second one may come just before
 // this host and all others that read it are lost.
-constexpr milliseconds kCoalesceTime = 150ms;
+constexpr milliseconds kCoalesceTime = 300ms;
 
 // The same on a host that is not the first to pass changes on: it hears of them
 // from the first one meanwhile, and takes over from it within a second.
--- a/modules/store/ObjectWatcherTest.cpp
+++ b/modules/store/ObjectWatcherTest.cpp
@@ -263,7 +263,7 @@
   this->time += 40ms;
   BOOST_TEST(this->AnswerTo("watch k 12 1500", 200, "13 0 +c"));
   BOOST_TEST(!this->HasCall("watch k 13 1500"));
-  BOOST_TEST(this->RunTimer().count() <= 150);
+  BOOST_TEST(this->RunTimer().count() <= 300);
   BOOST_TEST(this->HasCall("watch k 13 1500"));
 }
 
